Lay the workspace, the shared units and the wire types

The types between crates come first, so that parts can be written side by side: names and identifiers, packets and frames, the checked document, tokens, and the node's events and actions.

--- /dev/null
+++ b/crates/node/src/record.rs
@@ -0,0 +1,78 @@
+//! Events for the time line.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use units::FlowId;
+use units::Incarnation;
+use units::InstanceName;
+use units::RequestSeq;
+use units::Revision;
+use units::ServiceName;
+use units::UpstreamName;
+use wire::Outcome;
+use wire::Reason;
+use wire::Verdict;
+
+/// An event worth keeping for the time line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A flow was opened.
+    Opened(ServiceName, FlowId),
+    /// A request was accepted by the owner of its flow.
+    Accepted(ServiceName, FlowId, RequestSeq),
+    /// A request was sent to an upstream.
+    Called(UpstreamName, FlowId, RequestSeq),
+    /// A call ended.
+    Ended(UpstreamName, FlowId, RequestSeq, Outcome),
+    /// A request was answered.
+    Answered(FlowId, RequestSeq),
+    /// A request was refused.
+    Refused(FlowId, RequestSeq, Verdict, Reason),
+    /// A document came into force.
+    InForce(Revision),
+    /// An instance joined the view.
+    Up(InstanceName, Incarnation),
+    /// An instance announced a planned stop.
+    Leaving(InstanceName, Incarnation),
+    /// An instance is gone.
+    Down(InstanceName, Incarnation),
+    /// The ledgers of an instance moved.
+    HandedOver(InstanceName, InstanceName),
+    /// An upstream gets no new work.
+    UpstreamLeaving(UpstreamName, Incarnation),
+    /// An upstream was set aside after failures.
+    Ejected(UpstreamName),
+    /// An upstream was taken back.
+    Restored(UpstreamName),
+    /// A planned stop began.
+    Stopping,
+    /// A planned stop ended, leaving this many requests in doubt.
+    Stopped(u32),
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Opened(service, flow) => write!(f, "flow {flow} opened at {service}"),
+            Self::Accepted(service, flow, seq) => write!(f, "request {flow}/{seq} accepted for {service}"),
+            Self::Called(upstream, flow, seq) => write!(f, "request {flow}/{seq} sent to {upstream}"),
+            Self::Ended(upstream, flow, seq, outcome) => {
+                write!(f, "call {flow}/{seq} at {upstream} ended: {outcome:?}")
+            }
+            Self::Answered(flow, seq) => write!(f, "request {flow}/{seq} answered"),
+            Self::Refused(flow, seq, verdict, reason) => write!(f, "request {flow}/{seq} refused, {verdict}: {reason}"),
+            Self::InForce(revision) => write!(f, "revision {revision} in force"),
+            Self::Up(name, incarnation) => write!(f, "instance {name} ({incarnation}) is up"),
+            Self::Leaving(name, incarnation) => write!(f, "instance {name} ({incarnation}) is leaving"),
+            Self::Down(name, incarnation) => write!(f, "instance {name} ({incarnation}) is down"),
+            Self::HandedOver(from, to) => write!(f, "ledgers of {from} moved to {to}"),
+            Self::UpstreamLeaving(name, incarnation) => write!(f, "upstream {name} ({incarnation}) is leaving"),
+            Self::Ejected(name) => write!(f, "upstream {name} set aside"),
+            Self::Restored(name) => write!(f, "upstream {name} taken back"),
+            Self::Stopping => f.write_str("planned stop began"),
+            Self::Stopped(left) => write!(f, "planned stop ended, {left} requests in doubt"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/token/src/keyring.rs
@@ -0,0 +1,182 @@
+//! Keys, and the sealing and opening of tokens.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde_bytes::ByteBuf;
+use units::Time;
+use wire::Sealed;
+
+use crate::Claims;
+
+/// The shortest secret, in characters.
+const MIN_SECRET_LEN: usize = 32;
+/// The length of a token's MAC, in bytes.
+const MAC_LEN: usize = 16;
+/// Separates the keys of tokens from others derived of the same secret.
+const KEY_CONTEXT: &str = "jayquay 2026-12-02 flow token";
+/// How far ahead of the reader's clock a token's issue time may lie.
+const MAX_SKEW: Duration = Duration::from_mins(1);
+
+/// A secret from the settings. It is never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+/// A secret is too short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SecretError;
+
+impl fmt::Display for SecretError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a secret has at least {MIN_SECRET_LEN} characters")
+    }
+}
+
+impl std::error::Error for SecretError {}
+
+impl FromStr for Secret {
+    type Err = SecretError;
+
+    fn from_str(text: &str) -> Result<Self, SecretError> {
+        if text.len() < MIN_SECRET_LEN {
+            return Err(SecretError);
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Secret {
+    /// Derives a key for one purpose, named by a context that no other purpose uses.
+    pub fn derive(&self, context: &str) -> [u8; 32] {
+        blake3::derive_key(context, self.0.as_bytes())
+    }
+}
+
+/// Why a token was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TokenError {
+    /// It is too short to be a token, or what it says cannot be read.
+    Malformed,
+    /// It names a key that is not held.
+    UnknownKey,
+    /// Its MAC does not match.
+    Forged,
+    /// It is too old, or from the future.
+    Expired,
+}
+
+impl fmt::Display for TokenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Self::Malformed => "the token is malformed",
+            Self::UnknownKey => "the token's key is not held",
+            Self::Forged => "the token is forged",
+            Self::Expired => "the token has expired",
+        };
+        f.write_str(text)
+    }
+}
+
+impl std::error::Error for TokenError {}
+
+#[derive(Clone)]
+struct Key {
+    id: u8,
+    bytes: [u8; 32],
+}
+
+impl Key {
+    fn new(secret: &Secret) -> Self {
+        let bytes = secret.derive(KEY_CONTEXT);
+        let id = blake3::hash(&bytes).as_bytes()[0];
+        Self { id, bytes }
+    }
+}
+
+/// The keys that an instance holds: it seals with the current one and opens with each.
+#[derive(Clone)]
+pub struct Keyring {
+    keys: Vec<Key>,
+    lifetime: Duration,
+}
+
+impl fmt::Debug for Keyring {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Keyring({} keys)", self.keys.len())
+    }
+}
+
+impl Keyring {
+    /// A keyring that seals with `current`, also opens with `previous`, and lets tokens live for `lifetime`.
+    pub fn new(current: &Secret, previous: &[Secret], lifetime: Duration) -> Self {
+        let mut keys = vec![Key::new(current)];
+        keys.extend(previous.iter().map(Key::new));
+        Self { keys, lifetime }
+    }
+
+    /// How long a token lives.
+    pub fn lifetime(&self) -> Duration {
+        self.lifetime
+    }
+
+    /// Seals `claims` with the current key.
+    pub fn seal(&self, claims: &Claims) -> Sealed {
+        let key = &self.keys[0];
+        let mut bytes = Vec::with_capacity(160);
+        bytes.push(key.id);
+        let mut bytes = postcard::to_extend(claims, bytes).expect("claims always have a postcard form");
+        let mac = blake3::keyed_hash(&key.bytes, &bytes);
+        bytes.extend_from_slice(&mac.as_bytes()[..MAC_LEN]);
+        Sealed(ByteBuf::from(bytes))
+    }
+
+    /// Checks a token and reads what it says. The MAC is checked before anything is read.
+    pub fn open(&self, sealed: &Sealed, now: Time) -> Result<Claims, TokenError> {
+        let Some(split) = sealed.0.len().checked_sub(MAC_LEN) else {
+            return Err(TokenError::Malformed);
+        };
+        let (signed, mac) = sealed.0.split_at(split);
+        let Some(id) = signed.first() else {
+            return Err(TokenError::Malformed);
+        };
+        let mut error = TokenError::UnknownKey;
+        for key in &self.keys {
+            if key.id != *id {
+                continue;
+            }
+            if !matches(&key.bytes, signed, mac) {
+                error = TokenError::Forged;
+                continue;
+            }
+            let claims: Claims = postcard::from_bytes(&signed[1..]).map_err(|_| TokenError::Malformed)?;
+            return self.check_age(claims, now);
+        }
+        Err(error)
+    }
+
+    fn check_age(&self, claims: Claims, now: Time) -> Result<Claims, TokenError> {
+        let too_old = now.since(claims.issued) > self.lifetime;
+        let too_new = now.until(claims.issued) > MAX_SKEW;
+        if too_old || too_new {
+            return Err(TokenError::Expired);
+        }
+        Ok(claims)
+    }
+}
+
+/// Compares in constant time.
+fn matches(key: &[u8; 32], signed: &[u8], mac: &[u8]) -> bool {
+    let expected = blake3::keyed_hash(key, signed);
+    let mut difference = 0;
+    for (a, b) in expected.as_bytes()[..MAC_LEN].iter().zip(mac) {
+        difference |= a ^ b;
+    }
+    difference == 0
+}
--- /dev/null
+++ b/crates/wire/src/gossip.rs
@@ -0,0 +1,78 @@
+//! What instances tell one another about the fleet, riding on probes.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use units::Incarnation;
+use units::InstanceName;
+use units::Revision;
+use units::UpstreamName;
+use units::ZoneName;
+
+use crate::Digest;
+
+/// How an instance fares, from best to worst. For one incarnation the worse report wins, but for a refutation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum MemberState {
+    /// It answers probes.
+    Alive,
+    /// It missed a probe and has some time to refute this.
+    Suspect,
+    /// It is on a planned stop: it is home of nothing, but still owns flows.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
+
+/// What is known of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+    /// How it fares.
+    pub state: MemberState,
+    /// Counts its refutations: a higher one replaces any report of `Alive` or `Suspect` with a lower one.
+    pub refutation: u32,
+}
+
+/// The ledgers of an incarnation have moved to another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Successor {
+    /// The instance that stopped.
+    pub from: InstanceName,
+    /// Its incarnation.
+    pub from_incarnation: Incarnation,
+    /// The instance that holds the ledgers now.
+    pub to: InstanceName,
+    /// Its incarnation.
+    pub to_incarnation: Incarnation,
+}
+
+/// An incarnation of an upstream that gets no new work any more.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeavingUpstream {
+    /// The upstream.
+    pub name: UpstreamName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// News for another instance. Every list is short; what does not fit rides on a later probe.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// News of members.
+    pub members: Vec<Member>,
+    /// News of hand-overs.
+    pub successors: Vec<Successor>,
+    /// News of leaving upstreams.
+    pub leaving: Vec<LeavingUpstream>,
+    /// The sender's configuration document, if it holds one.
+    pub document: Option<(Revision, Digest)>,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,63 @@
+//! Packets between callers and instances, and frames between instances.
+//!
+//! This crate holds data and its encoding. It decides nothing, does no I/O and reads no clock. A decoder allocates
+//! no more than the input is long, whatever the input claims.
+
+mod answer;
+mod codec;
+mod frame;
+mod gossip;
+mod packet;
+mod reply;
+mod verdict;
+
+pub use answer::Answer;
+pub use answer::CHUNK_LEN;
+pub use answer::Digest;
+pub use answer::Head;
+pub use codec::DecodeError;
+pub use codec::MAX_FRAME_LEN;
+pub use codec::MAX_PACKET_LEN;
+pub use codec::decode_frame;
+pub use codec::decode_packet;
+pub use codec::decode_reply;
+pub use codec::encode_frame;
+pub use codec::encode_packet;
+pub use codec::encode_reply;
+pub use frame::Acquire;
+pub use frame::Body;
+pub use frame::Delta;
+pub use frame::Deny;
+pub use frame::Document;
+pub use frame::Entry;
+pub use frame::Forward;
+pub use frame::Frame;
+pub use frame::Grant;
+pub use frame::Handover;
+pub use frame::HandoverFlow;
+pub use frame::Hold;
+pub use frame::Outcome;
+pub use frame::Resolved;
+pub use frame::Settle;
+pub use frame::TicketId;
+pub use gossip::Gossip;
+pub use gossip::LeavingUpstream;
+pub use gossip::Member;
+pub use gossip::MemberState;
+pub use gossip::Successor;
+pub use packet::Close;
+pub use packet::Done;
+pub use packet::Open;
+pub use packet::Packet;
+pub use packet::Pull;
+pub use packet::Request;
+pub use packet::Sealed;
+pub use reply::Accepted;
+pub use reply::Chunk;
+pub use reply::Granted;
+pub use reply::Opened;
+pub use reply::Refused;
+pub use reply::Reply;
+pub use reply::Subject;
+pub use verdict::Reason;
+pub use verdict::Verdict;
