--- a/crates/units/src/name.rs
+++ b/crates/units/src/name.rs
@@ -15,7 +15,7 @@
 pub enum NameError {
     /// The text is empty.
     Empty,
-    /// The text is longer than [`MAX_NAME_LEN`] bytes.
+    /// The text is longer than `MAX_NAME_LEN` bytes.
     TooLong,
     /// The text does not start with a lower-case letter.
     Start,
