Give callers a flow that gets the protocol right

Whether a request is lost, doubled or doubted is decided as much at the caller as at an instance: a caller that reuses a number under another token, or sends a hold anew after `may have run`, undoes every promise.

`caller::Flow` is a pure state machine in the manner of the node: events and the time in, actions out, a seed for nonces and jitter.

- Each number is sent under one token, byte for byte; numbers outlive reopening.
- A reissued token is adopted only when its floor covers every number used.
Pulls start nothing, so they follow the answer to whoever holds it, adopted or not.
- An answer grows with what arrives, never with the claimed length; only chunks that were asked for are taken.
- Retries: idempotent or surely not run, never before `retry_after`, never past the deadline, from a budget.

Ruled out: a connected socket, since an instance answers from its own address; reopening the flow when a reissued token cannot be adopted, since the next request gets one that can.

--- /dev/null
+++ b/crates/caller/src/assembly.rs
@@ -0,0 +1,131 @@
+//! Puts an answer together from its chunks.
+
+use std::collections::BTreeMap;
+
+use serde_bytes::ByteBuf;
+use wire::CHUNK_LEN;
+use wire::Digest;
+use wire::Head;
+
+/// What became of a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Inserted {
+    /// It was new.
+    New,
+    /// It had already arrived.
+    Duplicate,
+    /// It is not of this answer, or was not asked for.
+    Unfit,
+}
+
+/// Some chunks in a row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) first: u32,
+    pub(crate) count: u8,
+}
+
+/// An answer of which some chunks have arrived.
+///
+/// Memory grows with what arrives, never with the claimed length: only chunks that were asked
+/// for are taken, and never more than a window of them is.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    pub(crate) head: Head,
+    body: Vec<u8>,
+    ahead: BTreeMap<u32, ByteBuf>,
+    next: u32,
+    asked: u32,
+    window: u32,
+    max_window: u32,
+}
+
+impl Assembly {
+    pub(crate) fn new(head: Head, window: u8) -> Self {
+        let window = u32::from(window.clamp(1, wire::Pull::MAX_COUNT));
+        Self {
+            head,
+            body: Vec::new(),
+            ahead: BTreeMap::new(),
+            next: 0,
+            asked: 1,
+            window,
+            max_window: window,
+        }
+    }
+
+    /// Takes a chunk.
+    pub(crate) fn insert(&mut self, index: u32, data: ByteBuf) -> Inserted {
+        if index >= self.head.chunks() || data.len() != self.len_of(index) {
+            return Inserted::Unfit;
+        }
+        if index < self.next || self.ahead.contains_key(&index) {
+            return Inserted::Duplicate;
+        }
+        if index >= self.asked {
+            return Inserted::Unfit;
+        }
+        self.ahead.insert(index, data);
+        while let Some(data) = self.ahead.remove(&self.next) {
+            self.body.extend_from_slice(&data);
+            self.next += 1;
+        }
+        Inserted::New
+    }
+
+    fn len_of(&self, index: u32) -> usize {
+        let start = index as usize * CHUNK_LEN;
+        CHUNK_LEN.min((self.head.len as usize).saturating_sub(start))
+    }
+
+    /// Whether every chunk has arrived.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.next == self.head.chunks()
+    }
+
+    /// Whether the chunks that have arrived are the answer that the head names.
+    pub(crate) fn is_genuine(&self) -> bool {
+        self.body.len() == self.head.len as usize && Digest::of(&self.body) == self.head.digest
+    }
+
+    pub(crate) fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// The chunks to ask for next, once enough of the window is free to be worth a packet.
+    pub(crate) fn advance(&mut self) -> Option<Run> {
+        let chunks = self.head.chunks();
+        let limit = self.next.saturating_add(self.window).min(chunks);
+        let free = limit.saturating_sub(self.asked);
+        if free == 0 || (limit < chunks && free < self.window.div_ceil(2)) {
+            return None;
+        }
+        let first = self.asked;
+        self.asked = limit;
+        Some(Run {
+            first,
+            count: free as u8,
+        })
+    }
+
+    /// The chunks that were asked for and have not arrived. Asking for them again halves the window.
+    pub(crate) fn lost(&mut self) -> Vec<Run> {
+        self.window = (self.window / 2).max(1);
+        let mut runs: Vec<Run> = Vec::new();
+        for index in self.next..self.asked {
+            if self.ahead.contains_key(&index) {
+                continue;
+            }
+            match runs.last_mut() {
+                Some(run) if run.first + u32::from(run.count) == index => run.count += 1,
+                _ => runs.push(Run { first: index, count: 1 }),
+            }
+        }
+        runs
+    }
+
+    /// A pull was answered without loss: the window grows again.
+    pub(crate) fn widen(&mut self) {
+        self.window = (self.window + 1).min(self.max_window);
+    }
+}
--- /dev/null
+++ b/crates/caller/src/flow.rs
@@ -0,0 +1,317 @@
+//! A flow as a pure state machine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_bytes::ByteBuf;
+use units::FlowId;
+use units::KindName;
+use units::Millis;
+use units::RequestSeq;
+use units::ServiceName;
+use units::Time;
+use wire::Packet;
+use wire::Reason;
+use wire::Verdict;
+
+use crate::Failure;
+use crate::Policy;
+use crate::Tally;
+use crate::budget::Budget;
+use crate::call::Attempt;
+use crate::call::Call;
+use crate::call::Stage;
+use crate::failure::is_transient;
+use crate::session::Opening;
+use crate::session::Session;
+use crate::timer::Timer;
+use crate::timer::jitter;
+
+/// Names a piece of work within a flow. Whoever drives the flow picks it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// One piece of work for a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Work {
+    /// The kind of request, which the service's document describes.
+    pub kind: KindName,
+    /// What the upstream gets.
+    pub body: Vec<u8>,
+    /// How long to wait for the answer, retries included.
+    pub timeout: Duration,
+    /// Whether running it twice does no harm. If not, it is sent anew only when it surely has not run.
+    pub idempotent: bool,
+}
+
+/// What happened outside a flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A token is wanted now, before there is any work.
+    Open,
+    /// There is work to do.
+    Request(CallId, Work),
+    /// A datagram came.
+    Datagram(Vec<u8>),
+    /// Time has passed. This comes at the latest at [`Flow::next_wake`].
+    Tick,
+    /// The flow is no longer needed.
+    Close,
+}
+
+/// What a flow wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a datagram to the fabric.
+    Send(Vec<u8>),
+    /// The flow was opened.
+    Opened(FlowId),
+    /// The flow could not be opened in time.
+    NotOpened(Failure),
+    /// Work ended.
+    Ended(CallId, Result<Vec<u8>, Failure>),
+}
+
+/// The callers' end of one flow.
+#[derive(Debug)]
+pub struct Flow {
+    pub(crate) service: ServiceName,
+    address: SocketAddr,
+    pub(crate) policy: Policy,
+    pub(crate) rng: SmallRng,
+    budget: Budget,
+    pub(crate) tally: Tally,
+    pub(crate) session: Session,
+    /// Until when a token is wanted though there may be no work.
+    pub(crate) wanted: Option<Time>,
+    /// The highest request number used, or ruled out by a token's floor. It outlives reopening.
+    pub(crate) highest: RequestSeq,
+    pub(crate) calls: Vec<Call>,
+}
+
+impl Flow {
+    /// A flow to a service at the address that its callers dial. `seed` feeds nonces and jitter.
+    pub fn new(service: ServiceName, address: SocketAddr, policy: Policy, seed: u64) -> Self {
+        Self {
+            service,
+            address,
+            policy,
+            rng: SmallRng::seed_from_u64(seed),
+            budget: Budget::new(&policy),
+            tally: Tally::default(),
+            session: Session::Idle(Time::default()),
+            wanted: None,
+            highest: RequestSeq::default(),
+            calls: Vec::new(),
+        }
+    }
+
+    /// What the flow has counted.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// When a [`Event::Tick`] is due, if one is.
+    pub fn next_wake(&self) -> Option<Time> {
+        let opening = match &self.session {
+            Session::Opening(opening) => Some(opening.timer.due),
+            Session::Idle(not_before) if self.wanted.is_some() => Some(*not_before),
+            Session::Idle(_) | Session::Open(_) => None,
+        };
+        let session_due = opening.into_iter().chain(self.wanted);
+        let calls_due = self.calls.iter().map(|call| self.call_due(call));
+        calls_due.chain(session_due).min()
+    }
+
+    /// When a call needs something; one that waits for a token needs nothing before its deadline.
+    fn call_due(&self, call: &Call) -> Time {
+        match (&self.session, &call.stage) {
+            (Session::Opening(_), Stage::Waiting(_)) => call.deadline,
+            (Session::Idle(not_before), Stage::Waiting(_)) => call.due().max(*not_before).min(call.deadline),
+            _ => call.due(),
+        }
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Open => self.wanted = Some(now + self.policy.open_timeout),
+            Event::Request(id, work) => self.accept(now, id, work, out),
+            Event::Datagram(bytes) => self.receive(now, &bytes, out),
+            Event::Tick => {}
+            Event::Close => return self.close(out),
+        }
+        self.expire(now, out);
+        self.resend(now, out);
+        self.open(now, out);
+        self.send(now, out);
+    }
+
+    fn accept(&mut self, now: Time, id: CallId, work: Work, out: &mut Vec<Action>) {
+        if self.calls.len() >= self.policy.max_in_flight {
+            let failure = Failure::local(Verdict::NotRun, Reason::Limit);
+            return out.push(Action::Ended(id, Err(failure)));
+        }
+        self.calls.push(Call::new(now, id, work, &self.policy));
+    }
+
+    fn close(&mut self, out: &mut Vec<Action>) {
+        for call in self.calls.drain(..) {
+            out.push(Action::Ended(call.id, Err(call.lapse())));
+        }
+        if let Session::Open(open) = &self.session {
+            let close = wire::Close {
+                token: open.token.clone(),
+                service: self.service.clone(),
+            };
+            out.push(Action::Send(wire::encode_packet(&Packet::Close(close))));
+        }
+        self.session = Session::Idle(Time::default());
+        self.wanted = None;
+    }
+
+    fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.wanted.is_some_and(|until| until <= now) {
+            self.wanted = None;
+            let failure = Failure::local(Verdict::NotRun, Reason::Deadline);
+            out.push(Action::NotOpened(failure));
+        }
+        for call in self.calls.extract_if(.., |call| call.deadline <= now) {
+            out.push(Action::Ended(call.id, Err(call.lapse())));
+        }
+    }
+
+    fn resend(&mut self, now: Time, out: &mut Vec<Action>) {
+        if let Session::Opening(opening) = &mut self.session
+            && opening.timer.due <= now
+        {
+            opening.timer.back_off(now, &mut self.rng);
+            self.tally.retransmitted += 1;
+            out.push(Action::Send(opening.packet.clone()));
+        }
+        for call in &mut self.calls {
+            let Stage::Sent(attempt) = &mut call.stage else {
+                continue;
+            };
+            if attempt.timer.due > now {
+                continue;
+            }
+            attempt.timer.back_off(now, &mut self.rng);
+            for packet in attempt.overdue(&self.service) {
+                self.tally.retransmitted += 1;
+                out.push(Action::Send(packet));
+            }
+        }
+    }
+
+    /// Asks for a token if one is needed.
+    fn open(&mut self, now: Time, out: &mut Vec<Action>) {
+        let due = |call: &Call| matches!(call.stage, Stage::Waiting(not_before) if not_before <= now);
+        let needed = self.wanted.is_some() || self.calls.iter().any(due);
+        match &self.session {
+            Session::Idle(not_before) if needed && *not_before <= now => {}
+            // Nobody waits for the token any more.
+            Session::Opening(_) if self.wanted.is_none() && !self.has_waiting() => {
+                self.session = Session::Idle(now);
+                return;
+            }
+            _ => return,
+        }
+        let opening = Opening::new(now, &self.service, self.address, &self.policy, &mut self.rng);
+        out.push(Action::Send(opening.packet.clone()));
+        self.session = Session::Opening(opening);
+    }
+
+    fn has_waiting(&self) -> bool {
+        let waits = |call: &Call| matches!(call.stage, Stage::Waiting(_));
+        self.calls.iter().any(waits)
+    }
+
+    /// Sends the work that waits for nothing any more, each under a number of its own.
+    fn send(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Session::Open(open) = &self.session else {
+            return;
+        };
+        let mut misfits = Vec::new();
+        for call in &mut self.calls {
+            if !matches!(call.stage, Stage::Waiting(not_before) if not_before <= now) {
+                continue;
+            }
+            let seq = self.highest.next();
+            let remaining = now.until(call.deadline);
+            let margin = self.policy.margin.min(remaining / 10);
+            let packet = wire::encode_packet(&Packet::Request(wire::Request {
+                token: open.token.clone(),
+                service: self.service.clone(),
+                seq,
+                sent: seq,
+                kind: call.work.kind.clone(),
+                timeout: whole_millis(remaining.saturating_sub(margin)),
+                body: ByteBuf::from(call.work.body.as_slice()),
+            }));
+            if packet.len() > wire::MAX_PACKET_LEN {
+                misfits.push(call.id);
+                continue;
+            }
+            self.highest = seq;
+            out.push(Action::Send(packet.clone()));
+            call.stage = Stage::Sent(Attempt {
+                flow: open.flow,
+                seq,
+                token: open.token.clone(),
+                packet,
+                accepted: false,
+                timer: Timer::start(now, self.policy.retransmit, self.policy.retransmit_max, &mut self.rng),
+                answer: None,
+            });
+        }
+        for call in self.calls.extract_if(.., |call| misfits.contains(&call.id)) {
+            let failure = Failure::local(call.verdict(), Reason::Limit);
+            out.push(Action::Ended(call.id, Err(failure)));
+        }
+    }
+
+    /// An answer has arrived whole.
+    pub(crate) fn succeed(&mut self, index: usize, body: Vec<u8>, out: &mut Vec<Action>) {
+        self.budget.earn();
+        let call = self.calls.remove(index);
+        if let Stage::Sent(attempt) = &call.stage {
+            let done = wire::Done {
+                token: attempt.token.clone(),
+                service: self.service.clone(),
+                seq: attempt.seq,
+            };
+            out.push(Action::Send(wire::encode_packet(&Packet::Done(done))));
+        }
+        out.push(Action::Ended(call.id, Ok(body)));
+    }
+
+    /// An attempt was refused: the work is sent anew later, or ends.
+    pub(crate) fn refuse(&mut self, now: Time, index: usize, refusal: Failure, out: &mut Vec<Action>) {
+        let call = &mut self.calls[index];
+        call.doubt |= refusal.verdict == Verdict::MayHaveRun;
+        call.reason = refusal.reason;
+        let wait = jitter(refusal.retry_after.duration().max(call.backoff), &mut self.rng);
+        let allowed = call.work.idempotent || !call.doubt;
+        let useful = is_transient(refusal.reason) && now + wait < call.deadline;
+        if allowed && useful && self.budget.take() {
+            call.backoff *= 2;
+            call.stage = Stage::Waiting(now + wait);
+            self.tally.retried += 1;
+            return;
+        }
+        let failure = Failure {
+            verdict: call.verdict(),
+            ..refusal
+        };
+        let call = self.calls.remove(index);
+        out.push(Action::Ended(call.id, Err(failure)));
+    }
+}
+
+/// Rounds down, so that the deadline of the instances is never later than the caller's.
+fn whole_millis(span: Duration) -> Millis {
+    Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX).max(1))
+}
--- /dev/null
+++ b/crates/caller/src/receive.rs
@@ -0,0 +1,244 @@
+//! What a flow does with the packets it gets.
+
+use units::FlowId;
+use units::RequestSeq;
+use units::Time;
+use wire::Accepted;
+use wire::Chunk;
+use wire::Digest;
+use wire::Granted;
+use wire::Opened;
+use wire::Reason;
+use wire::Refused;
+use wire::Reply;
+use wire::Subject;
+use wire::Verdict;
+
+use crate::Action;
+use crate::Failure;
+use crate::Flow;
+use crate::call::Attempt;
+use crate::call::Call;
+use crate::call::Progress;
+use crate::call::Stage;
+use crate::failure::is_transient;
+use crate::session::Open;
+use crate::session::Session;
+use crate::timer::Timer;
+use crate::timer::jitter;
+
+impl Flow {
+    pub(crate) fn receive(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Action>) {
+        let Ok(reply) = wire::decode_reply(bytes) else {
+            self.tally.malformed += 1;
+            return;
+        };
+        match reply {
+            Reply::Opened(opened) => self.on_opened(opened, out),
+            Reply::Accepted(accepted) => self.on_accepted(now, &accepted),
+            Reply::Chunk(chunk) => self.on_chunk(now, chunk, out),
+            Reply::Refused(refused) => self.on_refused(now, refused, out),
+        }
+    }
+
+    fn on_opened(&mut self, opened: Opened, out: &mut Vec<Action>) {
+        let Session::Opening(opening) = &self.session else {
+            self.tally.late += 1;
+            return;
+        };
+        if opening.nonce != opened.nonce {
+            self.tally.foreign += 1;
+            return;
+        }
+        self.session = Session::Open(Open {
+            flow: opened.flow,
+            token: opened.granted.token,
+        });
+        // Numbers are never used twice, whatever flow they were used in.
+        self.highest = self.highest.max(opened.granted.floor);
+        if self.wanted.take().is_some() {
+            out.push(Action::Opened(opened.flow));
+        }
+    }
+
+    fn on_accepted(&mut self, now: Time, accepted: &Accepted) {
+        let Some(index) = self.find(accepted.flow, accepted.seq) else {
+            return self.count_stray(accepted.flow, accepted.seq);
+        };
+        if let Some(attempt) = self.calls[index].attempt() {
+            attempt.accept(now, &self.policy, &mut self.rng);
+        }
+    }
+
+    fn on_chunk(&mut self, now: Time, chunk: Chunk, out: &mut Vec<Action>) {
+        let Some(index) = self.find(chunk.flow, chunk.seq) else {
+            return self.count_stray(chunk.flow, chunk.seq);
+        };
+        if chunk.head.len > self.policy.max_answer {
+            let refusal = Failure::local(Verdict::MayHaveRun, Reason::Limit);
+            return self.fail(index, refusal, out);
+        }
+        self.adopt(index, chunk.granted);
+        let Some(attempt) = self.calls[index].attempt() else {
+            return;
+        };
+        let progress = attempt.take(chunk.head, chunk.index, chunk.data, &self.policy, &mut self.tally);
+        match progress {
+            Progress::None => return,
+            Progress::Whole(body) => return self.succeed(index, body, out),
+            Progress::Some => {}
+        }
+        let wait = if attempt.answer.is_some() {
+            self.policy.pull
+        } else {
+            self.policy.retransmit
+        };
+        attempt.timer = Timer::start(now, wait, self.policy.retransmit_max, &mut self.rng);
+        if let Some(packet) = attempt.next_pull(&self.service) {
+            out.push(Action::Send(packet));
+        }
+    }
+
+    fn on_refused(&mut self, now: Time, refused: Refused, out: &mut Vec<Action>) {
+        let mut refusal = Failure {
+            verdict: refused.verdict,
+            reason: refused.reason,
+            retry_after: refused.retry_after,
+        };
+        let found = match refused.subject {
+            Subject::Open(nonce) => return self.on_open_refused(now, nonce, refusal, out),
+            Subject::Request(flow, seq) => self.find(flow, seq).ok_or((flow, seq)),
+            Subject::Pull(flow, seq, digest) => {
+                // Whatever was answered has run.
+                refusal.verdict = Verdict::MayHaveRun;
+                self.find_answer(flow, seq, digest).ok_or((flow, seq))
+            }
+            Subject::Unread(seq) => self.find_number(seq).ok_or((self.flow_id(), seq)),
+        };
+        let index = match found {
+            Ok(index) => index,
+            Err((flow, seq)) => return self.count_stray(flow, seq),
+        };
+        let is_pull = matches!(refused.subject, Subject::Pull(..));
+        let answering = self.calls[index].attempt().is_some_and(|a| a.answer.is_some());
+        if answering && !is_pull {
+            // Another copy of the request was refused, but this one is being answered.
+            self.tally.crossed += 1;
+            return;
+        }
+        self.adopt(index, refused.granted);
+        if refused.reason == Reason::Token {
+            self.drop_token(now, index);
+        }
+        self.refuse(now, index, refusal, out);
+    }
+
+    fn on_open_refused(&mut self, now: Time, nonce: units::Nonce, refusal: Failure, out: &mut Vec<Action>) {
+        if !matches!(&self.session, Session::Opening(opening) if opening.nonce == nonce) {
+            self.tally.foreign += 1;
+            return;
+        }
+        let wait = jitter(refusal.retry_after.duration().max(self.policy.retry), &mut self.rng);
+        let not_before = now + wait;
+        let final_one = !is_transient(refusal.reason);
+        self.session = Session::Idle(not_before);
+        let failure = Failure {
+            verdict: Verdict::NotRun,
+            ..refusal
+        };
+        if self.wanted.is_some_and(|until| final_one || until <= not_before) {
+            self.wanted = None;
+            out.push(Action::NotOpened(failure));
+        }
+        let hopeless = |call: &mut Call| {
+            let waits = matches!(call.stage, Stage::Waiting(_));
+            waits && (final_one || call.deadline <= not_before)
+        };
+        for call in self.calls.extract_if(.., hopeless) {
+            let failure = Failure {
+                verdict: call.verdict(),
+                ..refusal
+            };
+            out.push(Action::Ended(call.id, Err(failure)));
+        }
+    }
+
+    /// Takes a reissued token for the flow, unless a number above its floor is in use under another token.
+    fn adopt(&mut self, index: usize, granted: Option<Granted>) {
+        let Some(granted) = granted else {
+            return;
+        };
+        let Some(attempt) = self.calls[index].attempt() else {
+            return;
+        };
+        // Pulls start nothing, so they may follow the answer to whoever holds it.
+        attempt.token = granted.token.clone();
+        let flow = attempt.flow;
+        let Session::Open(open) = &mut self.session else {
+            return;
+        };
+        if open.flow != flow || open.token == granted.token {
+            return;
+        }
+        if granted.floor < self.highest || granted.floor == RequestSeq(u64::MAX) {
+            self.tally.declined += 1;
+            return;
+        }
+        open.token = granted.token;
+        self.highest = granted.floor;
+        self.tally.adopted += 1;
+    }
+
+    /// A token was refused: if it is the flow's present one, a new flow is opened for later requests.
+    fn drop_token(&mut self, now: Time, index: usize) {
+        let Some(attempt) = self.calls[index].attempt() else {
+            return;
+        };
+        let refused = &attempt.token;
+        if matches!(&self.session, Session::Open(open) if &open.token == refused) {
+            self.session = Session::Idle(now);
+            self.tally.reopened += 1;
+        }
+    }
+
+    fn fail(&mut self, index: usize, failure: Failure, out: &mut Vec<Action>) {
+        let call = self.calls.remove(index);
+        out.push(Action::Ended(call.id, Err(failure)));
+    }
+
+    fn find(&self, flow: FlowId, seq: RequestSeq) -> Option<usize> {
+        self.position(|attempt| attempt.flow == flow && attempt.seq == seq)
+    }
+
+    fn find_number(&self, seq: RequestSeq) -> Option<usize> {
+        self.position(|attempt| attempt.seq == seq)
+    }
+
+    fn find_answer(&self, flow: FlowId, seq: RequestSeq, digest: Digest) -> Option<usize> {
+        let named = |attempt: &Attempt| attempt.answer.as_ref().is_some_and(|a| a.head.digest == digest);
+        self.position(|attempt| attempt.flow == flow && attempt.seq == seq && named(attempt))
+    }
+
+    fn position(&self, wanted: impl Fn(&Attempt) -> bool) -> Option<usize> {
+        self.calls.iter().position(|call| match &call.stage {
+            Stage::Waiting(_) => false,
+            Stage::Sent(attempt) => wanted(attempt),
+        })
+    }
+
+    fn flow_id(&self) -> FlowId {
+        match &self.session {
+            Session::Open(open) => open.flow,
+            Session::Idle(_) | Session::Opening(_) => FlowId::default(),
+        }
+    }
+
+    /// Counts a packet about a request that is not in progress.
+    fn count_stray(&mut self, flow: FlowId, seq: RequestSeq) {
+        if flow == self.flow_id() && seq <= self.highest {
+            self.tally.late += 1;
+            return;
+        }
+        self.tally.foreign += 1;
+    }
+}
