--- a/crates/token/src/keyring.rs
+++ b/crates/token/src/keyring.rs
@@ -126,6 +126,11 @@
         self.lifetime
     }
 
+    /// Whether a token was sealed with the current key.
+    pub fn is_current(&self, sealed: &Sealed) -> bool {
+        sealed.0.first() == Some(&self.keys[0].id)
+    }
+
     /// Seals `claims` with the current key.
     pub fn seal(&self, claims: &Claims) -> Sealed {
         let key = &self.keys[0];
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -45,8 +45,10 @@
     Hold(Hold),
     /// A part of the ledgers of an instance that stops.
     Handover(Handover),
-    /// All parts have arrived.
+    /// All parts of this incarnation's ledgers have arrived.
     HandoverDone(Incarnation),
+    /// The receiver stops too: it has taken over nothing of this incarnation and never will.
+    HandoverRefused(Incarnation),
     /// A request that was in progress at hand-over has ended.
     Resolved(Resolved),
     /// Asks whether the receiver is alive.
@@ -70,6 +72,8 @@
 pub struct Forward {
     /// Where the reply goes.
     pub caller: SocketAddr,
+    /// The availability zone in which the packet arrived.
+    pub zone: ZoneName,
     /// The packet.
     pub packet: Packet,
     /// A token that replaces the packet's own, made because the owner of that one is gone.
