Keep the ledger of an owner's flows

A request number begins at most once in the whole life of its flow, idempotent or not. Carrying an idempotent request on at another instance under the same number was ruled out: a late copy could then run after its owner had refused it with `not run`. The caller sends it anew instead, as a new number under the reissued token. A hand-over is numbered by parts, so that a session that breaks in between can't make half a ledger look whole.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod event;
+mod ledger;
 mod record;
 
 pub use action::Action;
@@ -16,6 +17,12 @@
 pub use event::Peer;
 pub use event::PollError;
 pub use event::Report;
+pub use ledger::FlowKey;
+pub use ledger::Ledger;
+pub use ledger::Ledgers;
+pub use ledger::Line;
+pub use ledger::Lookup;
+pub use ledger::State;
 pub use record::Record;
 
 use std::time::Duration;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -76,8 +76,6 @@
     pub zone: ZoneName,
     /// The packet.
     pub packet: Packet,
-    /// A token that replaces the packet's own, made because the owner of that one is gone.
-    pub reissued: Option<crate::Sealed>,
     /// How many instances have passed the packet on.
     pub hops: u8,
 }
@@ -222,6 +220,8 @@
     pub flow: FlowId,
     /// Requests up to this number have ended or will never run, unless `entries` tells otherwise.
     pub floor: RequestSeq,
+    /// The highest number that the caller is known to have used.
+    pub sent: RequestSeq,
     /// The requests still known one by one.
     pub entries: Vec<(RequestSeq, Entry)>,
 }
@@ -229,14 +229,16 @@
 /// A part of the ledgers of an instance that stops.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
-    /// The successor record that takes effect with the last part.
+    /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
     /// The records that the stopping instance inherited itself.
     pub inherited: Vec<Successor>,
     /// This part's ledgers.
     pub flows: Vec<HandoverFlow>,
-    /// Whether this is the last part.
-    pub last: bool,
+    /// This part's number, from zero.
+    pub part: u32,
+    /// How many parts there are. Nothing takes effect before all have arrived.
+    pub parts: u32,
 }
 
 /// A request that was in progress at hand-over has ended.
