Decide under load: a central queue over a service's slots

The node needs one place that knows which slots of a service's upstreams are free, that orders who waits, and that refuses at once what cannot be met. `balance::Pool` does this as pure code: earliest deadline first, and when not all waiting requests can start in time, the one that brings least per second of a slot gives way. A retry is paid from a share of successes. Passive health ejects and probes upstreams; bad reports count only without a late success, and none of this counts when most upstreams look unhealthy. A call that fails fast keeps its slot for a usual service time, so that failing fast does not attract work.

Ruled out for now: strict order by weight (it starves light requests in calm times).

Checked by scripts (`cargo test -p balance`): slots, refusals, health, pinned flows, zones. Nothing is measured yet. The rates and bounds in the constants are guesses until the experiment backs or replaces them.

--- /dev/null
+++ b/crates/balance/src/estimate.rs
@@ -0,0 +1,66 @@
+//! How long requests take, learned from completed ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use units::Weight;
+
+/// How many completions an average looks back on, once it has seen that many.
+const WINDOW: f64 = 256.0;
+/// Below this many completions nothing is known.
+const ENOUGH: f64 = 8.0;
+
+/// A moving average that is exact at first and forgets later.
+#[derive(Debug, Default, Clone)]
+struct Mean {
+    count: f64,
+    seconds: f64,
+}
+
+impl Mean {
+    fn add(&mut self, seconds: f64) {
+        self.count = (self.count + 1.0).min(WINDOW);
+        self.seconds += (seconds - self.seconds) / self.count;
+    }
+
+    fn get(&self) -> Option<f64> {
+        (self.count >= ENOUGH).then_some(self.seconds)
+    }
+}
+
+/// The mean service time of a service, in all and for each weight.
+///
+/// Kinds of request with one weight share an average, since a pool does not know kinds.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Estimate {
+    all: Mean,
+    weights: BTreeMap<Weight, Mean>,
+}
+
+impl Estimate {
+    /// A request was completed.
+    pub(crate) fn add(&mut self, weight: Option<Weight>, took: Duration) {
+        let seconds = took.as_secs_f64();
+        self.all.add(seconds);
+        if let Some(weight) = weight {
+            self.weights.entry(weight).or_default().add(seconds);
+        }
+    }
+
+    /// The mean service time in seconds, if enough is known.
+    pub(crate) fn mean(&self) -> Option<f64> {
+        self.all.get()
+    }
+
+    /// The mean service time in seconds of requests of this weight, zero if nothing is known.
+    pub(crate) fn mean_of(&self, weight: Weight) -> f64 {
+        let own = self.weights.get(&weight).and_then(Mean::get);
+        own.or_else(|| self.all.get()).unwrap_or(0.0)
+    }
+
+    /// What a second of a slot brings when it is spent on requests of this weight.
+    pub(crate) fn density(&self, weight: Weight) -> f64 {
+        const FLOOR: f64 = 1e-6;
+        f64::from(weight.0) / self.mean_of(weight).max(FLOOR)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/held.rs
@@ -0,0 +1,76 @@
+//! The slots that are lent.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use units::Time;
+use units::UpstreamName;
+use units::Weight;
+
+/// A slot that is lent.
+#[derive(Debug, Clone)]
+pub(crate) struct Lease {
+    /// The upstream whose slot it is.
+    pub(crate) upstream: UpstreamName,
+    /// What the request counts, if this pool granted it.
+    pub(crate) weight: Option<Weight>,
+    /// When the slot is taken back.
+    pub(crate) expiry: Time,
+}
+
+/// All slots that are lent, by key and by expiry.
+#[derive(Debug, Clone)]
+pub(crate) struct Held<K> {
+    leases: BTreeMap<K, Lease>,
+    expiries: BTreeSet<(Time, K)>,
+}
+
+impl<K: Clone + Ord> Held<K> {
+    pub(crate) fn new() -> Self {
+        Self {
+            leases: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+        }
+    }
+
+    /// Whether a slot is lent under this key.
+    pub(crate) fn contains(&self, key: &K) -> bool {
+        self.leases.contains_key(key)
+    }
+
+    /// Lends a slot. The key must not be in use.
+    pub(crate) fn insert(&mut self, key: K, lease: Lease) {
+        self.expiries.insert((lease.expiry, key.clone()));
+        self.leases.insert(key, lease);
+    }
+
+    /// Takes a slot back.
+    pub(crate) fn remove(&mut self, key: &K) -> Option<Lease> {
+        let lease = self.leases.remove(key)?;
+        self.expiries.remove(&(lease.expiry, key.clone()));
+        Some(lease)
+    }
+
+    /// Takes one slot back whose expiry has passed.
+    pub(crate) fn expire(&mut self, now: Time) -> Option<Lease> {
+        let (expiry, key) = self.expiries.first()?;
+        if *expiry > now {
+            return None;
+        }
+        let key = key.clone();
+        self.remove(&key)
+    }
+
+    /// Lets the slots of keys that fail `keep` expire at their deadline, without the margin.
+    pub(crate) fn hasten(&mut self, keep: impl Fn(&K) -> bool, margin: std::time::Duration) {
+        let Self { leases, expiries } = self;
+        for (key, lease) in leases {
+            if keep(key) {
+                continue;
+            }
+            expiries.remove(&(lease.expiry, key.clone()));
+            lease.expiry = crate::queue::before(lease.expiry, margin);
+            expiries.insert((lease.expiry, key.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions under load: which request gets which upstream's slot, which waits, and which is refused.
+//!
+//! A [`Pool`] keeps one service's central queue and knows which slots of its upstreams are in use. This crate does no
+//! I/O, reads no clock and draws no randomness but from the seed it is given. It knows nothing of flows, of instances
+//! or of how a request reaches its upstream, and it never tells whether a request has run.
+
+mod ask;
+mod budget;
+mod estimate;
+mod health;
+mod held;
+mod placement;
+mod pool;
+mod queue;
+mod status;
+mod target;
+
+pub use ask::Ask;
+pub use ask::Decision;
+pub use pool::Pool;
+pub use status::Report;
+pub use status::State;
+pub use status::UpstreamStatus;
