Add the client of the platform's object API

The node needs documents, leases, the instance list and status from the platform, and a truthful word on writes whose answer was lost. Retrying a write at another address was ruled out once it had been sent.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,207 @@
+//! Calls to the platform over HTTP, trying its addresses in turn.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use reqwest::header::IF_MATCH;
+use reqwest::header::IF_NONE_MATCH;
+use serde::de::DeserializeOwned;
+use units::Revision;
+
+use crate::Error;
+use crate::api::Condition;
+use crate::api::Key;
+use crate::api::Object;
+use crate::api::Put;
+use crate::api::Tag;
+use crate::api::Written;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where the platform is and how long to wait for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// The platform's addresses. One that serves is kept until it fails.
+    pub addresses: Vec<SocketAddr>,
+    /// How long one address may take to answer, on top of the time that a watch waits.
+    pub timeout: Duration,
+}
+
+impl Options {
+    /// Options with the usual timeout of two seconds.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            addresses,
+            timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A client of the platform. Clones share connections, the address in use and the highest revision seen.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+    options: Arc<Options>,
+    in_use: Arc<AtomicUsize>,
+    seen: Arc<AtomicU64>,
+}
+
+impl Client {
+    /// A client that has not called yet.
+    pub fn new(options: Options) -> Self {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .build()
+            .expect("a client without TLS, proxies and resolvers needs nothing from the system");
+        Self {
+            http,
+            options: Arc::new(options),
+            in_use: Arc::new(AtomicUsize::new(0)),
+            seen: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    /// Notes a revision of the document and tells whether a higher one was seen before.
+    pub(crate) fn note_revision(&self, revision: Revision) -> bool {
+        self.seen.fetch_max(revision.0, Ordering::Relaxed) > revision.0
+    }
+
+    /// Reads what lies at a path. `None` if nothing does, or if nothing newer came within `wait`.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<Option<T>, Error> {
+        let mut cause = "no address is set".to_owned();
+        let first = self.in_use.load(Ordering::Relaxed);
+        for offset in 0..self.options.addresses.len() {
+            let index = first.wrapping_add(offset);
+            let request = self.request(Method::GET, index, path, wait);
+            let response = match request.send().await {
+                Ok(response) => response,
+                Err(error) => {
+                    cause = describe(&error);
+                    continue;
+                }
+            };
+            let status = response.status();
+            if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+                cause = format!("status {status}");
+                continue;
+            }
+            if matches!(status, StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED) {
+                self.in_use.store(index, Ordering::Relaxed);
+                return Ok(None);
+            }
+            if !status.is_success() {
+                return Err(rejected(response).await);
+            }
+            let bytes = match response.bytes().await {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    cause = describe(&error);
+                    continue;
+                }
+            };
+            self.in_use.store(index, Ordering::Relaxed);
+            return parse(&bytes).map(Some);
+        }
+        Err(Error::Unavailable(cause))
+    }
+
+    /// Writes an object. A further address is tried only while it is sure that the write has not taken effect.
+    pub(crate) async fn put(&self, key: &Key, condition: Condition, put: &Put) -> Result<Revision, Error> {
+        let mut cause = "no address is set".to_owned();
+        let first = self.in_use.load(Ordering::Relaxed);
+        for offset in 0..self.options.addresses.len() {
+            let index = first.wrapping_add(offset);
+            let request = self.request(Method::PUT, index, &key.path(), Duration::ZERO).json(put);
+            let response = match with_condition(request, condition).send().await {
+                Ok(response) => response,
+                Err(error) if error.is_connect() => {
+                    cause = describe(&error);
+                    continue;
+                }
+                Err(error) => return Err(Error::InDoubt(describe(&error))),
+            };
+            let status = response.status();
+            if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+                cause = format!("status {status}");
+                continue;
+            }
+            self.in_use.store(index, Ordering::Relaxed);
+            return written(response).await;
+        }
+        Err(Error::Unavailable(cause))
+    }
+
+    fn request(&self, method: Method, index: usize, path: &str, wait: Duration) -> RequestBuilder {
+        let address = self.options.addresses[index % self.options.addresses.len()];
+        let timeout = self.options.timeout + wait;
+        self.http
+            .request(method, format!("http://{address}{path}"))
+            .timeout(timeout)
+    }
+}
+
+fn with_condition(request: RequestBuilder, condition: Condition) -> RequestBuilder {
+    match condition {
+        Condition::Any => request,
+        Condition::Absent => request.header(IF_NONE_MATCH, "*"),
+        Condition::Version(version) => request.header(IF_MATCH, Tag(version).to_string()),
+    }
+}
+
+/// Reads the answer to a write that was not refused out of hand.
+async fn written(response: Response) -> Result<Revision, Error> {
+    let status = response.status();
+    if status.is_success() {
+        let bytes = response.bytes().await.map_err(|error| in_doubt(&error))?;
+        let written: Written = parse(&bytes).map_err(|error| Error::InDoubt(error.to_string()))?;
+        return Ok(written.version);
+    }
+    if status == StatusCode::PRECONDITION_FAILED {
+        // The status alone says that the write lost. Who won is a courtesy that may be missing.
+        let bytes = response.bytes().await.unwrap_or_default();
+        let current: Option<Object> = parse(&bytes).unwrap_or_default();
+        return Err(Error::Conflict {
+            current: current.map(Box::new),
+        });
+    }
+    if status.is_client_error() {
+        return Err(rejected(response).await);
+    }
+    Err(Error::InDoubt(format!("status {status}")))
+}
+
+async fn rejected(response: Response) -> Error {
+    let status = response.status().as_u16();
+    let text = response.text().await.unwrap_or_default();
+    Error::Rejected { status, text }
+}
+
+fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(bytes).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+fn in_doubt(error: &reqwest::Error) -> Error {
+    Error::InDoubt(describe(error))
+}
+
+/// The innermost cause, which is the one that tells an operator something.
+fn describe(error: &reqwest::Error) -> String {
+    if error.is_timeout() {
+        return "no answer in time".to_owned();
+    }
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/platform/src/status.rs
@@ -0,0 +1,68 @@
+//! A small summary for each availability zone.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use units::Nonce;
+use units::Revision;
+use units::Time;
+use units::ZoneName;
+
+use crate::Client;
+use crate::Error;
+use crate::api::Condition;
+use crate::api::Key;
+use crate::api::Kind;
+use crate::api::Object;
+use crate::api::Put;
+
+/// A zone's summary, as it was written last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status<T> {
+    /// Who wrote it.
+    pub writer: String,
+    /// When the platform took it.
+    pub written_at: Time,
+    /// What was written.
+    pub value: T,
+}
+
+impl Client {
+    /// Reads a zone's summary. `None` if there is none.
+    pub async fn status<T: DeserializeOwned>(&self, zone: &ZoneName) -> Result<Option<Status<T>>, Error> {
+        let object: Option<Object> = self.get(&key(zone).path(), Duration::ZERO).await?;
+        let Some(object) = object else {
+            return Ok(None);
+        };
+        let value = serde_json::from_value(object.value).map_err(|error| Error::Malformed(error.to_string()))?;
+        Ok(Some(Status {
+            writer: object.writer,
+            written_at: object.written_at,
+            value,
+        }))
+    }
+
+    /// Writes a zone's summary. The last writer wins.
+    pub async fn write_status<T: Serialize>(
+        &self,
+        zone: &ZoneName,
+        writer: &str,
+        value: &T,
+    ) -> Result<Revision, Error> {
+        let put = Put {
+            nonce: Nonce(0),
+            writer: writer.to_owned(),
+            value: serde_json::to_value(value).map_err(|error| Error::Malformed(error.to_string()))?,
+            ttl_ms: None,
+        };
+        self.put(&key(zone), Condition::Any, &put).await
+    }
+}
+
+fn key(zone: &ZoneName) -> Key {
+    Key {
+        kind: Kind::Status,
+        name: zone.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
