Leave room for the largest token beside a full chunk

A reply with a full chunk of 900 bytes and a reissued token of the longest names (63 characters for service, owner and pinned upstream) was 1,275 bytes long, and a datagram has 1,200: the caller drops it as too long, and its answer never arrives.

A chunk has 800 bytes now, so the largest such reply has 1,175. Ruled out: limiting names, which operators see.

--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 
-/// How many bytes of an answer one packet carries at most.
-pub const CHUNK_LEN: usize = 900;
+/// How many bytes of an answer one packet carries at most. It leaves room for the largest token beside it.
+pub const CHUNK_LEN: usize = 800;
 
 /// The first 16 bytes of a BLAKE3 hash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
