Read lists without trust in their claimed length

A frame of 30 bytes that claims a list of 4 thousand million items made the decoder set aside 1,048,562 bytes: serde reserves up to a megabyte for each list it is promised, and lists nest. Byte strings and texts were sound: ciborium reads them through a buffer of 4 KiB and stops where the input does; so were depth and tags. Callers' packets hold no lists, so only an authenticated instance could do this, but the crate promises it for every decoder.

Every list in a frame is now read item by item. Ruled out: walking the bytes first to compare claims with what follows, which parses everything twice and still reserves a hundred times the input.

Tests, all with fixed seeds: round trips; truncated, trailing, oversized, random and nested input; eight lying headers in place of every byte of packets, replies and frames, under an allocator that counts. The last failed before this change (frame: 1048562 bytes were allocated where 35968 are allowed) and passes after it.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -107,6 +107,7 @@
     /// The upstream that the flow keeps, if the service pins flows.
     pub pinned: Option<UpstreamName>,
     /// Upstreams that have failed this request.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub avoid: Vec<UpstreamName>,
 }
 
@@ -223,6 +224,7 @@
     /// The highest number that the caller is known to have used.
     pub sent: RequestSeq,
     /// The requests still known one by one.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub entries: Vec<(RequestSeq, Entry)>,
 }
 
@@ -232,8 +234,10 @@
     /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
     /// The records that the stopping instance inherited itself.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub inherited: Vec<Successor>,
     /// This part's ledgers.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub flows: Vec<HandoverFlow>,
     /// This part's number, from zero.
     pub part: u32,
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -68,10 +68,13 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
     /// News of members.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub members: Vec<Member>,
     /// News of hand-overs.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub successors: Vec<Successor>,
     /// News of leaving upstreams.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub leaving: Vec<LeavingUpstream>,
     /// The sender's configuration document, if it holds one.
     pub document: Option<(Revision, Digest)>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod frame;
 mod gossip;
+mod list;
 mod packet;
 mod reply;
 mod verdict;
--- /dev/null
+++ b/crates/wire/tests/hostile.rs
@@ -0,0 +1,142 @@
+//! Decoders against bytes that lie: no panic, and no allocation in proportion to a claim.
+
+mod common;
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::cell::Cell;
+
+use proptest::prelude::*;
+use wire::DecodeError;
+use wire::MAX_FRAME_LEN;
+use wire::MAX_PACKET_LEN;
+
+/// Allowed whatever the input is: small buffers and error texts.
+const FIXED_ALLOWANCE: usize = 16 * 1_024;
+/// Allowed for each byte of input. A list's items are larger in memory than on the wire, and lists grow by doubling.
+const ALLOWANCE_PER_BYTE: usize = 64;
+
+thread_local! {
+    static ALLOCATED: Cell<usize> = const { Cell::new(0) };
+}
+
+/// Counts what the present thread allocates.
+struct Counting;
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+#[expect(
+    unsafe_code,
+    reason = "an allocator can't be written otherwise, and only it sees what a decoder allocates"
+)]
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.set(ALLOCATED.get() + layout.size());
+        // SAFETY: the caller's duties are the same here.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller's duties are the same here.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+/// Gives the bytes to each decoder and counts what it allocates.
+fn decode_all(bytes: &[u8]) {
+    let allowed = FIXED_ALLOWANCE + ALLOWANCE_PER_BYTE * bytes.len();
+    check("packet", allowed, || wire::decode_packet(bytes).err());
+    check("reply", allowed, || wire::decode_reply(bytes).err());
+    check("frame", allowed, || wire::decode_frame(bytes).err());
+}
+
+fn check(what: &str, allowed: usize, decode: impl Fn() -> Option<DecodeError>) {
+    ALLOCATED.set(0);
+    let error = decode();
+    let allocated = ALLOCATED.get();
+    assert!(
+        allocated <= allowed,
+        "{what}: {allocated} bytes were allocated where {allowed} are allowed, {error:?}"
+    );
+}
+
+/// Headers that claim four thousand millions and more of bytes, characters, items and pairs.
+const CLAIMS: [&[u8]; 8] = [
+    &[0x5a, 0xff, 0xff, 0xff, 0xff],
+    &[0x7a, 0xff, 0xff, 0xff, 0xff],
+    &[0x9a, 0xff, 0xff, 0xff, 0xff],
+    &[0xba, 0xff, 0xff, 0xff, 0xff],
+    &[0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
+    &[0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
+    &[0x9f],
+    &[0x5f],
+];
+
+/// Puts every claim in place of every byte.
+fn claim_everywhere(bytes: &[u8]) {
+    let step = bytes.len().div_ceil(400);
+    for at in (0..bytes.len()).step_by(step) {
+        for claim in CLAIMS {
+            let mut lying = bytes[..at].to_vec();
+            lying.extend_from_slice(claim);
+            lying.extend_from_slice(&bytes[at + 1..]);
+            decode_all(&lying);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(common::config(24))]
+
+    #[test]
+    fn random(bytes in proptest::collection::vec(any::<u8>(), 0..MAX_PACKET_LEN + 2)) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn truncated(packet in common::packet(), reply in common::reply()) {
+        let bytes = wire::encode_packet(&packet);
+        for len in 0..bytes.len() {
+            prop_assert_eq!(wire::decode_packet(&bytes[..len]), Err(DecodeError::Truncated));
+        }
+        let bytes = wire::encode_reply(&reply);
+        for len in 0..bytes.len() {
+            prop_assert_eq!(wire::decode_reply(&bytes[..len]), Err(DecodeError::Truncated));
+        }
+    }
+
+    #[test]
+    fn trailing(packet in common::packet()) {
+        let mut bytes = wire::encode_packet(&packet);
+        bytes.push(0);
+        prop_assert_eq!(wire::decode_packet(&bytes), Err(DecodeError::Trailing));
+    }
+
+    #[test]
+    fn claims(packet in common::packet(), reply in common::reply(), frame in common::frame()) {
+        claim_everywhere(&wire::encode_packet(&packet));
+        claim_everywhere(&wire::encode_reply(&reply));
+        claim_everywhere(&wire::encode_frame(&frame));
+    }
+}
+
+#[test]
+fn oversized() {
+    let bytes = vec![0; MAX_PACKET_LEN + 1];
+    assert_eq!(wire::decode_packet(&bytes), Err(DecodeError::TooLong));
+    assert_eq!(wire::decode_reply(&bytes), Err(DecodeError::TooLong));
+    let bytes = vec![0; MAX_FRAME_LEN + 1];
+    assert_eq!(wire::decode_frame(&bytes), Err(DecodeError::TooLong));
+}
+
+/// Arrays, maps, tags and byte strings of unknown length, one in the other.
+#[test]
+fn nested() {
+    for opener in [0x81, 0xa1, 0xc1, 0x9f, 0xbf, 0x5f] {
+        decode_all(&[opener; MAX_PACKET_LEN]);
+        decode_all(&vec![opener; 100_000]);
+    }
+}
