--- /dev/null
+++ b/crates/membership/src/lasting.rs
@@ -0,0 +1,180 @@
+//! Facts that hold for ever once they are known: hand-overs, and marks on leaving upstreams.
+//!
+//! Both are sets that only grow, but for a bound on their size. The bound drops what is oldest by incarnation, which
+//! every instance sees alike, and not by a local clock, so that instances which exchange all they know end up with
+//! the same sets.
+
+use std::collections::BTreeMap;
+
+use units::Incarnation;
+use units::InstanceName;
+use units::UpstreamName;
+use wire::LeavingUpstream;
+use wire::Successor;
+
+use crate::rendezvous::hash;
+
+/// How many hand-overs are remembered.
+const MAX_SUCCESSORS: usize = 1_024;
+/// How many leaving upstreams are remembered.
+const MAX_MARKS: usize = 4_096;
+
+/// One life of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Life {
+    pub(crate) name: InstanceName,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Where the ledgers of an incarnation are now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End<'a> {
+    /// No hand-over is known.
+    Unmoved,
+    /// They moved here.
+    At(&'a Life),
+    /// The records lead in a circle, which no correct instance makes.
+    Circle,
+}
+
+/// The known hand-overs.
+#[derive(Debug, Default)]
+pub(crate) struct Successors {
+    records: BTreeMap<Life, Life>,
+    pub(crate) view: u64,
+}
+
+impl Successors {
+    /// Adds a record; tells whether it was new. Of two for the same incarnation every instance keeps the same one.
+    pub(crate) fn add(&mut self, record: &Successor) -> bool {
+        let from = Life {
+            name: record.from.clone(),
+            incarnation: record.from_incarnation,
+        };
+        let to = Life {
+            name: record.to.clone(),
+            incarnation: record.to_incarnation,
+        };
+        let held = self.records.get(&from);
+        if from == to || held.is_some_and(|held| rank(held) >= rank(&to)) {
+            return false;
+        }
+        if let Some(held) = held {
+            self.view ^= record_hash(&from, held);
+        }
+        self.view ^= record_hash(&from, &to);
+        self.records.insert(from.clone(), to);
+        self.shrink();
+        self.records.contains_key(&from)
+    }
+
+    fn shrink(&mut self) {
+        if self.records.len() <= MAX_SUCCESSORS {
+            return;
+        }
+        let age = |(from, to): &(&Life, &Life)| (from.incarnation.max(to.incarnation), (*from).clone());
+        let oldest = self.records.iter().min_by_key(age).map(|(from, _)| from.clone());
+        if let Some((from, to)) = oldest.and_then(|from| self.records.remove_entry(&from)) {
+            self.view ^= record_hash(&from, &to);
+        }
+    }
+
+    /// Follows the records from an incarnation to their end.
+    pub(crate) fn end(&self, from: &Life) -> End<'_> {
+        let Some(mut last) = self.records.get(from) else {
+            return End::Unmoved;
+        };
+        for _ in 0..self.records.len() {
+            let Some(next) = self.records.get(last) else {
+                return End::At(last);
+            };
+            last = next;
+        }
+        End::Circle
+    }
+
+    pub(crate) fn get(&self, from: &Life) -> Option<Successor> {
+        self.records.get_key_value(from).map(|(from, to)| successor(from, to))
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = Successor> {
+        self.records.iter().map(|(from, to)| successor(from, to))
+    }
+}
+
+fn rank(life: &Life) -> (Incarnation, &InstanceName) {
+    (life.incarnation, &life.name)
+}
+
+fn successor(from: &Life, to: &Life) -> Successor {
+    Successor {
+        from: from.name.clone(),
+        from_incarnation: from.incarnation,
+        to: to.name.clone(),
+        to_incarnation: to.incarnation,
+    }
+}
+
+fn record_hash(from: &Life, to: &Life) -> u64 {
+    let text = format!("succ {} {} {} {}", from.name, from.incarnation, to.name, to.incarnation);
+    hash(text.as_bytes())
+}
+
+/// The highest leaving incarnation of each upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Marks {
+    highest: BTreeMap<UpstreamName, Incarnation>,
+    pub(crate) view: u64,
+}
+
+impl Marks {
+    /// Adds a mark; tells whether it was new.
+    pub(crate) fn add(&mut self, mark: &LeavingUpstream) -> bool {
+        let held = self.highest.get(&mark.name).copied();
+        if held.is_some_and(|held| held >= mark.incarnation) {
+            return false;
+        }
+        if let Some(held) = held {
+            self.view ^= mark_hash(&mark.name, held);
+        }
+        self.view ^= mark_hash(&mark.name, mark.incarnation);
+        self.highest.insert(mark.name.clone(), mark.incarnation);
+        self.shrink();
+        self.is_leaving(&mark.name, mark.incarnation)
+    }
+
+    fn shrink(&mut self) {
+        if self.highest.len() <= MAX_MARKS {
+            return;
+        }
+        let age = |(name, incarnation): &(&UpstreamName, &Incarnation)| (**incarnation, (*name).clone());
+        let oldest = self.highest.iter().min_by_key(age).map(|(name, _)| name.clone());
+        if let Some((name, incarnation)) = oldest.and_then(|name| self.highest.remove_entry(&name)) {
+            self.view ^= mark_hash(&name, incarnation);
+        }
+    }
+
+    /// A mark holds for the marked incarnation and all before it.
+    pub(crate) fn is_leaving(&self, name: &UpstreamName, incarnation: Incarnation) -> bool {
+        self.highest.get(name).is_some_and(|highest| *highest >= incarnation)
+    }
+
+    pub(crate) fn get(&self, name: &UpstreamName) -> Option<LeavingUpstream> {
+        self.highest.get_key_value(name).map(mark)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = LeavingUpstream> {
+        self.highest.iter().map(mark)
+    }
+}
+
+fn mark((name, incarnation): (&UpstreamName, &Incarnation)) -> LeavingUpstream {
+    LeavingUpstream {
+        name: name.clone(),
+        incarnation: *incarnation,
+    }
+}
+
+fn mark_hash(name: &UpstreamName, incarnation: Incarnation) -> u64 {
+    hash(format!("mark {name} {incarnation}").as_bytes())
+}
--- /dev/null
+++ b/crates/membership/src/membership.rs
@@ -0,0 +1,212 @@
+//! One instance's part in the fleet: what it is told, and the passing of time.
+
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use units::Incarnation;
+use units::InstanceName;
+use units::Revision;
+use units::Time;
+use units::UpstreamName;
+use wire::Digest;
+use wire::Frame;
+use wire::Gossip;
+use wire::LeavingUpstream;
+use wire::Member;
+use wire::MemberState;
+use wire::Successor;
+
+use crate::lasting::Life;
+use crate::lasting::Marks;
+use crate::lasting::Successors;
+use crate::news::News;
+use crate::news::Topic;
+use crate::output::Output;
+use crate::probe::Probes;
+use crate::rendezvous::member_key;
+use crate::seed::Seeds;
+use crate::table::Table;
+use crate::timing::Timing;
+
+/// One instance's part in the fleet.
+#[derive(Debug)]
+pub struct Membership {
+    pub(crate) me: Member,
+    pub(crate) my_key: u64,
+    pub(crate) timing: Timing,
+    pub(crate) rng: StdRng,
+    pub(crate) now: Time,
+    pub(crate) table: Table,
+    /// When a member that is suspected, or leaving and silent, counts as dead.
+    pub(crate) deadlines: BTreeMap<InstanceName, Time>,
+    pub(crate) successors: Successors,
+    pub(crate) marks: Marks,
+    pub(crate) news: News,
+    pub(crate) probes: Probes,
+    pub(crate) seeds: Seeds,
+    pub(crate) document: Option<(Revision, Digest)>,
+    pub(crate) next_sync: Time,
+    pub(crate) replaced: bool,
+}
+
+impl Membership {
+    /// The part of the instance `me`, which knows no other yet.
+    ///
+    /// The record's state is taken as `Alive`.
+    pub fn new(me: Member, timing: Timing, seed: u64, now: Time) -> Self {
+        let me = Member {
+            state: MemberState::Alive,
+            ..me
+        };
+        let mut news = News::default();
+        news.push(Topic::Member(me.name.clone()));
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            my_key: member_key(&me.name),
+            probes: Probes::new(&timing, now, &mut rng),
+            seeds: Seeds::new(&timing, now),
+            me,
+            timing,
+            rng,
+            now,
+            table: Table::default(),
+            deadlines: BTreeMap::new(),
+            successors: Successors::default(),
+            marks: Marks::default(),
+            news,
+            document: None,
+            next_sync: now,
+            replaced: false,
+        }
+    }
+
+    /// Takes in a frame from another instance, as its authenticated session names it.
+    ///
+    /// Frames that are not about membership are ignored.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        from_incarnation: Incarnation,
+        frame: &Frame,
+        out: &mut Vec<Output>,
+    ) {
+        self.advance(now);
+        let from = Life {
+            name: from.clone(),
+            incarnation: from_incarnation,
+        };
+        if from.name == self.me.name {
+            self.replaced |= from.incarnation > self.me.incarnation;
+            return;
+        }
+        match frame {
+            Frame::Probe(seq, gossip) => self.answer(&from, *seq, gossip, out),
+            Frame::ProbeAck(seq, gossip) => {
+                self.hear(&from, gossip, out);
+                self.acked(&from, *seq, out);
+            }
+            Frame::ProbeFor(seq, target) => self.probe_for(&from, *seq, target, out),
+            Frame::News(gossip) => {
+                self.hear(&from, gossip, out);
+                self.correct(&from, gossip, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets time pass. This starts probes, and ends those that were not answered.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.advance(now);
+        self.probe_next(out);
+        self.expire_probes(out);
+        self.expire_suspects(out);
+        self.contact_absent(out);
+    }
+
+    /// Announces this instance's own planned stop.
+    ///
+    /// Up to [`Timing::stop_fanout`] members are told at once, the others by gossip.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.advance(now);
+        if self.me.state == MemberState::Leaving {
+            return;
+        }
+        self.me.state = MemberState::Leaving;
+        self.me.refutation += 1;
+        self.news.push(Topic::Member(self.me.name.clone()));
+        let gossip = Gossip {
+            members: vec![self.me.clone()],
+            ..Gossip::default()
+        };
+        self.push_news(self.timing.stop_fanout, &gossip, out);
+    }
+
+    /// Adds a hand-over, one's own or an inherited one, and spreads it.
+    pub fn add_successor(&mut self, record: Successor, now: Time, out: &mut Vec<Output>) {
+        self.advance(now);
+        if !self.successors.add(&record) {
+            return;
+        }
+        self.news.push(Topic::Successor(Life {
+            name: record.from.clone(),
+            incarnation: record.from_incarnation,
+        }));
+        let gossip = Gossip {
+            successors: vec![record],
+            ..Gossip::default()
+        };
+        self.push_news(self.timing.stop_fanout, &gossip, out);
+    }
+
+    /// Marks an incarnation of an upstream, and all before it, as leaving, and spreads this. It is never taken back.
+    pub fn add_leaving_upstream(&mut self, mark: LeavingUpstream, now: Time, out: &mut Vec<Output>) {
+        self.advance(now);
+        if !self.marks.add(&mark) {
+            return;
+        }
+        self.news.push(Topic::Mark(mark.name.clone()));
+        let gossip = Gossip {
+            leaving: vec![mark],
+            ..Gossip::default()
+        };
+        self.push_news(self.timing.fanout, &gossip, out);
+    }
+
+    /// Sets the configuration document that this instance holds, and tells a few others at once if it is newer.
+    ///
+    /// Each of them fetches it and tells a few others in turn, so it is everywhere within a few round trips.
+    pub fn set_document(&mut self, revision: Revision, digest: Digest, now: Time, out: &mut Vec<Output>) {
+        self.advance(now);
+        if self.document.is_some_and(|(held, _)| held >= revision) {
+            return;
+        }
+        self.document = Some((revision, digest));
+        let gossip = Gossip {
+            document: self.document,
+            ..Gossip::default()
+        };
+        self.push_news(self.timing.fanout, &gossip, out);
+    }
+
+    /// Whether an incarnation of an upstream gets no new work any more.
+    pub fn is_leaving(&self, name: &UpstreamName, incarnation: Incarnation) -> bool {
+        self.marks.is_leaving(name, incarnation)
+    }
+
+    /// Moves to a new time.
+    ///
+    /// After a pause of this process itself, every wait starts over by as much: silence during the pause says
+    /// nothing about the others.
+    pub(crate) fn advance(&mut self, now: Time) {
+        let pause = now.since(self.now);
+        if pause > self.timing.probe_timeout {
+            self.probes.postpone(pause);
+            for deadline in self.deadlines.values_mut() {
+                *deadline = *deadline + pause;
+            }
+        }
+        self.now = self.now.max(now);
+    }
+}
--- /dev/null
+++ b/crates/membership/src/news.rs
@@ -0,0 +1,62 @@
+//! What is still to be told, newest and least told first.
+
+use std::cmp::Reverse;
+
+use units::InstanceName;
+use units::UpstreamName;
+
+use crate::lasting::Life;
+
+/// What a piece of news is about. Its content is read when it is sent, so it is never older than the sender's view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Topic {
+    /// This instance or another one.
+    Member(InstanceName),
+    /// A hand-over by this incarnation.
+    Successor(Life),
+    /// A leaving upstream.
+    Mark(UpstreamName),
+}
+
+#[derive(Debug)]
+struct Item {
+    topic: Topic,
+    sent: u32,
+    serial: u64,
+}
+
+/// What is still to be told.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    items: Vec<Item>,
+    serial: u64,
+}
+
+impl News {
+    /// Puts a topic first, and has it told anew as often as if it had not been told before.
+    pub(crate) fn push(&mut self, topic: Topic) {
+        self.items.retain(|item| item.topic != topic);
+        self.serial += 1;
+        let serial = self.serial;
+        self.items.push(Item { topic, sent: 0, serial });
+    }
+
+    /// Takes up to `count` topics for one frame. Each is told `times` times in all.
+    pub(crate) fn take(&mut self, count: usize, times: u32) -> Vec<Topic> {
+        if self.items.is_empty() {
+            return Vec::new();
+        }
+        self.items.sort_by_key(|item| (item.sent, Reverse(item.serial)));
+        let mut topics = Vec::new();
+        for item in self.items.iter_mut().take(count) {
+            item.sent += 1;
+            topics.push(item.topic.clone());
+        }
+        self.items.retain(|item| item.sent < times);
+        topics
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/probe.rs
@@ -0,0 +1,264 @@
+//! Probing: one member a period in shuffled rounds, helpers if it is silent, then suspicion.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
+use units::InstanceName;
+use units::Time;
+use wire::Frame;
+use wire::Member;
+use wire::MemberState;
+
+use crate::lasting::Life;
+use crate::membership::Membership;
+use crate::output::Output;
+use crate::spread::send;
+use crate::timing::Timing;
+
+/// How many probes for others an instance keeps in mind.
+const MAX_ERRANDS: usize = 64;
+/// A refused connection leaves this part of the usual time to refute.
+const REFUSED_DIVISOR: u32 = 2;
+
+/// How far a probe has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The member itself was asked.
+    Direct,
+    /// Helpers were asked too.
+    Indirect,
+}
+
+/// A probe of one's own that is not answered yet.
+#[derive(Debug)]
+struct Pending {
+    target: Life,
+    /// What of this instance's own record the probe tells.
+    shown: (u32, MemberState),
+    stage: Stage,
+    deadline: Time,
+    refused: bool,
+}
+
+/// A probe on behalf of another member.
+#[derive(Debug)]
+struct Errand {
+    requester: InstanceName,
+    seq: u64,
+    deadline: Time,
+}
+
+/// The probes in progress, and whose turn it is next.
+#[derive(Debug)]
+pub(crate) struct Probes {
+    seq: u64,
+    next: Time,
+    round: Vec<InstanceName>,
+    pending: BTreeMap<u64, Pending>,
+    errands: BTreeMap<u64, Errand>,
+}
+
+impl Probes {
+    /// Starts at a random point of the period, so that members that start together don't probe in step.
+    pub(crate) fn new(timing: &Timing, now: Time, rng: &mut StdRng) -> Self {
+        Self {
+            seq: 0,
+            next: now + timing.probe_every.mul_f64(rng.random()),
+            round: Vec::new(),
+            pending: BTreeMap::new(),
+            errands: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn next_seq(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    /// Gives all probes more time.
+    pub(crate) fn postpone(&mut self, span: Duration) {
+        for pending in self.pending.values_mut() {
+            pending.deadline = pending.deadline + span;
+        }
+    }
+
+    /// Drops the probes of a member that is gone.
+    pub(crate) fn cancel(&mut self, name: &InstanceName) {
+        self.pending.retain(|_, pending| pending.target.name != *name);
+    }
+
+    fn is_pending(&self, name: &InstanceName) -> bool {
+        self.pending.values().any(|pending| pending.target.name == *name)
+    }
+}
+
+impl Membership {
+    /// Takes a hint that a member may be gone: its session ended, or none could be made.
+    ///
+    /// The member is probed at once. If that is under way already, the connection for it was refused: then helpers
+    /// are asked without waiting, and the member gets less time to refute.
+    pub fn session_lost(&mut self, now: Time, name: &InstanceName, out: &mut Vec<Output>) {
+        self.advance(now);
+        let Some(known) = self.table.get(name).filter(|known| known.is_present()) else {
+            return;
+        };
+        let member = known.member.clone();
+        if !self.probes.is_pending(name) {
+            self.probe(&member, out);
+            return;
+        }
+        for pending in self.probes.pending.values_mut() {
+            if pending.target.name == *name && pending.stage == Stage::Direct {
+                pending.refused = true;
+                pending.deadline = self.now;
+            }
+        }
+        self.expire_probes(out);
+    }
+
+    /// Probes the next member of the round when it is time to.
+    pub(crate) fn probe_next(&mut self, out: &mut Vec<Output>) {
+        if self.now < self.probes.next {
+            return;
+        }
+        // After a pause, missed probes are not made up for.
+        let overdue = self.now.since(self.probes.next) >= self.timing.probe_every;
+        let base = if overdue { self.now } else { self.probes.next };
+        self.probes.next = base + self.timing.probe_every;
+        if let Some(member) = self.next_target() {
+            self.probe(&member, out);
+        }
+    }
+
+    /// The next member of the round that is still there and not being probed.
+    fn next_target(&mut self) -> Option<Member> {
+        if self.probes.round.is_empty() {
+            let present = self.table.present().map(|known| known.member.name.clone());
+            self.probes.round = present.collect();
+            self.probes.round.shuffle(&mut self.rng);
+        }
+        while let Some(name) = self.probes.round.pop() {
+            let known = self.table.get(&name).filter(|known| known.is_present());
+            if let Some(known) = known.filter(|_| !self.probes.is_pending(&name)) {
+                return Some(known.member.clone());
+            }
+        }
+        None
+    }
+
+    fn probe(&mut self, member: &Member, out: &mut Vec<Output>) {
+        let seq = self.probes.next_seq();
+        let gossip = self.gossip_for(member);
+        out.push(send(member, Frame::Probe(seq, gossip)));
+        let pending = Pending {
+            target: Life {
+                name: member.name.clone(),
+                incarnation: member.incarnation,
+            },
+            shown: self.shown(),
+            stage: Stage::Direct,
+            deadline: self.now + self.timing.probe_timeout,
+            refused: false,
+        };
+        self.probes.pending.insert(seq, pending);
+    }
+
+    /// Takes in the answer to a probe, from its target or from a helper.
+    pub(crate) fn acked(&mut self, from: &Life, seq: u64, out: &mut Vec<Output>) {
+        if let Some(errand) = self.probes.errands.remove(&seq) {
+            let Some(known) = self.table.get(&errand.requester) else {
+                return;
+            };
+            let requester = known.member.clone();
+            let gossip = self.gossip_for(&requester);
+            out.push(send(&requester, Frame::ProbeAck(errand.seq, gossip)));
+            return;
+        }
+        let Some(pending) = self.probes.pending.remove(&seq) else {
+            return;
+        };
+        if pending.target == *from {
+            self.table.set_met(&from.name, pending.shown);
+            return;
+        }
+        self.note_life(&pending.target);
+    }
+
+    /// Probes a member for another one that got no answer from it.
+    pub(crate) fn probe_for(&mut self, from: &Life, seq: u64, target: &InstanceName, out: &mut Vec<Output>) {
+        let Some(known) = self.table.get(target).filter(|known| known.is_present()) else {
+            return;
+        };
+        if self.probes.errands.len() >= MAX_ERRANDS {
+            return;
+        }
+        let member = known.member.clone();
+        let own_seq = self.probes.next_seq();
+        let errand = Errand {
+            requester: from.name.clone(),
+            seq,
+            deadline: self.now + self.timing.probe_timeout * 2,
+        };
+        self.probes.errands.insert(own_seq, errand);
+        let gossip = self.gossip_for(&member);
+        out.push(send(&member, Frame::Probe(own_seq, gossip)));
+    }
+
+    /// Ends the stages of probes whose time is up.
+    pub(crate) fn expire_probes(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        self.probes.errands.retain(|_, errand| errand.deadline > now);
+        let due = |(seq, pending): (&u64, &Pending)| (pending.deadline <= now).then_some(*seq);
+        let seqs: Vec<u64> = self.probes.pending.iter().filter_map(due).collect();
+        for seq in seqs {
+            let Some(mut pending) = self.probes.pending.remove(&seq) else {
+                continue;
+            };
+            let asked = pending.stage == Stage::Direct && self.ask_helpers(seq, &pending.target, out);
+            if !asked {
+                self.suspect(&pending, out);
+                continue;
+            }
+            pending.stage = Stage::Indirect;
+            pending.deadline = now + self.timing.probe_timeout * 2;
+            self.probes.pending.insert(seq, pending);
+        }
+    }
+
+    /// Asks other members to probe a silent one; tells whether there are any.
+    fn ask_helpers(&mut self, seq: u64, target: &Life, out: &mut Vec<Output>) -> bool {
+        let present = self.table.present().map(|known| &known.member);
+        let able = present.filter(|member| member.state == MemberState::Alive && member.name != target.name);
+        let helpers: Vec<&Member> = able.sample(&mut self.rng, self.timing.helpers);
+        for helper in &helpers {
+            out.push(send(helper, Frame::ProbeFor(seq, target.name.clone())));
+        }
+        !helpers.is_empty()
+    }
+
+    /// Suspects a member that neither answered nor was reached by helpers.
+    ///
+    /// A member on a planned stop stays `Leaving` for the others, and counts as dead if its silence lasts.
+    fn suspect(&mut self, pending: &Pending, out: &mut Vec<Output>) {
+        let target = &pending.target;
+        let Some(known) = self.table.life(&target.name, target.incarnation) else {
+            return;
+        };
+        let divisor = if pending.refused { REFUSED_DIVISOR } else { 1 };
+        let mut member = known.member.clone();
+        match member.state {
+            MemberState::Alive => {
+                member.state = MemberState::Suspect;
+                self.change(member.clone(), out);
+                self.give_time(&member, divisor);
+                self.tell(&member.name, out);
+            }
+            MemberState::Leaving => self.give_time(&member, divisor),
+            MemberState::Suspect | MemberState::Dead => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/seed.rs
@@ -0,0 +1,150 @@
+//! Contacting instances that are not in the view: those from the settings, those from the platform's list, and the
+//! dead.
+//!
+//! The list lags, so an entry is only a hint where to probe. Who is on the list may be long gone, and who is not may
+//! be alive.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::seq::IteratorRandom;
+use units::Incarnation;
+use units::InstanceName;
+use units::Time;
+use units::ZoneName;
+use wire::Frame;
+
+use crate::membership::Membership;
+use crate::output::Output;
+use crate::spread::send_to;
+use crate::table::Known;
+use crate::timing::Timing;
+
+/// How many hints are kept.
+const MAX_SEEDS: usize = 256;
+
+/// Where an instance may be found.
+#[derive(Debug)]
+struct Seed {
+    zone: ZoneName,
+    address: SocketAddr,
+    tries: u32,
+}
+
+/// The hints, and when to follow them.
+#[derive(Debug)]
+pub(crate) struct Seeds {
+    hints: BTreeMap<InstanceName, Seed>,
+    /// How many contacts may still be made without waiting, right after the start.
+    burst: usize,
+    next: Time,
+    next_dead: Time,
+}
+
+impl Seeds {
+    pub(crate) fn new(timing: &Timing, now: Time) -> Self {
+        Self {
+            hints: BTreeMap::new(),
+            burst: timing.fanout,
+            next: now + timing.probe_every,
+            next_dead: now + timing.dead_probe_every,
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.hints.len() <= MAX_SEEDS {
+            return;
+        }
+        let hopeless = self.hints.iter().max_by_key(|(_, seed)| seed.tries);
+        if let Some(name) = hopeless.map(|(name, _)| name.clone()) {
+            self.hints.remove(&name);
+        }
+    }
+}
+
+impl Membership {
+    /// Takes a hint, from the settings or the platform's list, where an instance may be found.
+    ///
+    /// It is probed if it isn't in the view; the first few at once, others one a period, those of this availability
+    /// zone first.
+    pub fn add_seed(&mut self, name: &InstanceName, zone: &ZoneName, address: SocketAddr, out: &mut Vec<Output>) {
+        if *name == self.me.name {
+            return;
+        }
+        let tries = self.seeds.hints.get(name).map_or(0, |seed| seed.tries);
+        let seed = Seed {
+            zone: zone.clone(),
+            address,
+            tries,
+        };
+        self.seeds.hints.insert(name.clone(), seed);
+        self.seeds.make_room();
+        if self.is_absent(name) && tries == 0 && self.seeds.burst > 0 {
+            self.seeds.burst -= 1;
+            self.contact(name, out);
+        }
+    }
+
+    /// Takes a hint from the platform's list that an incarnation is leaving.
+    ///
+    /// It gets no ledgers any more. All else waits until the instance says so itself.
+    pub fn list_leaving(&mut self, name: &InstanceName, incarnation: Incarnation) {
+        self.table.set_listed_leaving(name, incarnation);
+    }
+
+    /// Contacts instances that are not in the view: new hints soon, the others now and then.
+    ///
+    /// So views heal after a partition of any length, with the platform or without.
+    pub(crate) fn contact_absent(&mut self, out: &mut Vec<Output>) {
+        if self.now >= self.seeds.next {
+            self.seeds.next = self.now + self.timing.probe_every;
+            let alone = self.table.present_len() == 0;
+            let count = if alone { self.timing.fanout } else { 1 };
+            for name in self.least_tried(count, alone) {
+                self.contact(&name, out);
+            }
+        }
+        if self.now < self.seeds.next_dead {
+            return;
+        }
+        self.seeds.next_dead = self.now + self.timing.dead_probe_every;
+        let kept = self.now.0.saturating_sub(self.timing.dead_keep.as_micros() as u64);
+        self.table.forget_dead_before(Time(kept));
+        let dead = self.table.iter().filter(|known| !known.is_present() && !known.left);
+        let dead = dead.map(|known| &known.member.name);
+        let listed = self.seeds.hints.keys().filter(|name| self.table.get(name).is_none());
+        let chosen = dead.chain(listed).choose(&mut self.rng).cloned();
+        if let Some(name) = chosen {
+            self.contact(&name, out);
+        }
+    }
+
+    /// The absent hints that were tried least; unless this instance is alone, only those never tried.
+    fn least_tried(&self, count: usize, alone: bool) -> Vec<InstanceName> {
+        let seeds = self.seeds.hints.iter();
+        let absent = seeds.filter(|(name, seed)| (alone || seed.tries == 0) && self.is_absent(name));
+        let mut ranked: Vec<(&InstanceName, &Seed)> = absent.collect();
+        ranked.sort_by_key(|(name, seed)| (seed.tries, seed.zone != self.me.zone, *name));
+        ranked.into_iter().take(count).map(|(name, _)| name.clone()).collect()
+    }
+
+    fn is_absent(&self, name: &InstanceName) -> bool {
+        !self.table.get(name).is_some_and(Known::is_present)
+    }
+
+    /// Probes an absent instance. Nothing follows from its silence, and its answer is enough to know it.
+    fn contact(&mut self, name: &InstanceName, out: &mut Vec<Output>) {
+        let known = self.table.get(name).map(|known| known.member.clone());
+        let listed = self.seeds.hints.get_mut(name).map(|seed| {
+            seed.tries += 1;
+            seed.address
+        });
+        let Some(address) = listed.or(known.as_ref().map(|member| member.address)) else {
+            return;
+        };
+        let mut gossip = self.introduction();
+        gossip.members.extend(known);
+        let seq = self.probes.next_seq();
+        out.push(send_to(name, address, Frame::Probe(seq, gossip)));
+    }
+}
--- /dev/null
+++ b/crates/membership/src/spread.rs
@@ -0,0 +1,226 @@
+//! What goes out: gossip on probes, news that should not wait, and everything known to those who lack it.
+
+use std::net::SocketAddr;
+
+use rand::seq::IteratorRandom;
+use units::InstanceName;
+use wire::Frame;
+use wire::Gossip;
+use wire::Member;
+use wire::MemberState;
+
+use crate::lasting::Life;
+use crate::membership::Membership;
+use crate::news::Topic;
+use crate::output::Output;
+use crate::table::Known;
+use crate::table::member_hash;
+
+/// How many pieces of news ride on one probe.
+const NEWS_PER_PROBE: usize = 6;
+/// How many entries go into one frame when everything known is sent.
+const ENTRIES_PER_FRAME: usize = 64;
+
+impl Membership {
+    /// Answers a probe.
+    pub(crate) fn answer(&mut self, from: &Life, seq: u64, gossip: &Gossip, out: &mut Vec<Output>) {
+        self.hear(from, gossip, out);
+        let Some(known) = self.table.get(&from.name) else {
+            return;
+        };
+        let member = known.member.clone();
+        let mut reply = self.gossip_for(&member);
+        if member.incarnation > from.incarnation && !reply.members.contains(&member) {
+            reply.members.push(member.clone());
+        }
+        if reply.document == gossip.document {
+            reply.document = None;
+        }
+        out.push(send(&member, Frame::ProbeAck(seq, reply)));
+    }
+
+    /// The gossip for a probe to a member, or for its answer.
+    ///
+    /// It holds this instance's own record until the member has seen it, and the member's own record if it is in
+    /// doubt, so that it can refute.
+    pub(crate) fn gossip_for(&mut self, to: &Member) -> Gossip {
+        let met = self.table.get(&to.name).and_then(|known| known.met);
+        let mut gossip = self.introduction();
+        if met == Some(self.shown()) {
+            gossip.members.clear();
+        }
+        if matches!(to.state, MemberState::Suspect | MemberState::Dead) {
+            gossip.members.push(to.clone());
+        }
+        let times = 3 * (self.table.present_len() + 2).ilog2().max(1);
+        for topic in self.news.take(NEWS_PER_PROBE, times) {
+            self.add_topic(&topic, &mut gossip);
+        }
+        gossip
+    }
+
+    /// Gossip that tells who this instance is, and no news.
+    pub(crate) fn introduction(&self) -> Gossip {
+        Gossip {
+            view: self.view(),
+            members: vec![self.me.clone()],
+            document: self.document,
+            ..Gossip::default()
+        }
+    }
+
+    /// What others should have seen of this instance's own record.
+    pub(crate) fn shown(&self) -> (u32, MemberState) {
+        (self.me.refutation, self.me.state)
+    }
+
+    fn add_topic(&self, topic: &Topic, gossip: &mut Gossip) {
+        match topic {
+            Topic::Member(name) if *name == self.me.name => add_member(&self.me, gossip),
+            Topic::Member(name) => {
+                if let Some(known) = self.table.get(name) {
+                    add_member(&known.member, gossip);
+                }
+            }
+            Topic::Successor(life) => gossip.successors.extend(self.successors.get(life)),
+            Topic::Mark(name) => gossip.leaving.extend(self.marks.get(name)),
+        }
+    }
+
+    /// Sends news to some members at once, chosen at random.
+    pub(crate) fn push_news(&mut self, count: usize, gossip: &Gossip, out: &mut Vec<Output>) {
+        let present = self.table.present().map(|known| &known.member);
+        let chosen: Vec<&Member> = present.sample(&mut self.rng, count);
+        for member in chosen {
+            out.push(send(member, Frame::News(gossip.clone())));
+        }
+    }
+
+    /// Sends news to one member, if it is known.
+    pub(crate) fn send_news(&self, to: &InstanceName, gossip: Gossip, out: &mut Vec<Output>) {
+        if let Some(known) = self.table.get(to) {
+            out.push(send(&known.member, Frame::News(gossip)));
+        }
+    }
+
+    /// Tells a member that it is in doubt, so that it can refute at once.
+    pub(crate) fn tell(&self, name: &InstanceName, out: &mut Vec<Output>) {
+        let Some(known) = self.table.get(name) else {
+            return;
+        };
+        let gossip = Gossip {
+            members: vec![known.member.clone()],
+            ..Gossip::default()
+        };
+        out.push(send(&known.member, Frame::News(gossip)));
+    }
+
+    /// Tells the sender of news about an old configuration document of the newer one.
+    pub(crate) fn correct(&self, from: &Life, gossip: &Gossip, out: &mut Vec<Output>) {
+        let Some((told, _)) = gossip.document else {
+            return;
+        };
+        if self.document.is_none_or(|(held, _)| held <= told) {
+            return;
+        }
+        let newer = Gossip {
+            document: self.document,
+            ..Gossip::default()
+        };
+        self.send_news(&from.name, newer, out);
+    }
+
+    /// Tells of a configuration document that is newer than the one held.
+    pub(crate) fn compare_documents(&self, from: &Life, gossip: &Gossip, out: &mut Vec<Output>) {
+        let Some((revision, digest)) = gossip.document else {
+            return;
+        };
+        let news = self
+            .document
+            .is_none_or(|(held, held_digest)| revision > held || (revision == held && digest != held_digest));
+        let Some(known) = self.table.get(&from.name).filter(|_| news) else {
+            return;
+        };
+        out.push(Output::DocumentSeen {
+            from: from.name.clone(),
+            address: known.member.address,
+            revision,
+            digest,
+        });
+    }
+
+    /// Sends everything known to an instance that lacks some of it.
+    ///
+    /// A stranger gets it at once. With others a difference counts only when neither has news left to tell, and not
+    /// too often, since news that is still on its way is the usual reason for one.
+    pub(crate) fn compare_views(&mut self, from: &Life, stranger: bool, gossip: &Gossip, out: &mut Vec<Output>) {
+        if gossip.view == 0 || gossip.view == self.view() {
+            return;
+        }
+        let Some(known) = self.table.life(&from.name, from.incarnation) else {
+            return;
+        };
+        let newcomer = stranger && known.is_present();
+        let told = gossip.members.is_empty() && gossip.successors.is_empty() && gossip.leaving.is_empty();
+        let quiet = stranger || (told && self.news.is_empty());
+        let due = quiet && self.now >= self.next_sync;
+        if !newcomer && !due {
+            return;
+        }
+        let member = known.member.clone();
+        self.next_sync = self.now + self.timing.sync_every;
+        self.send_all(&member, out);
+    }
+
+    fn send_all(&self, to: &Member, out: &mut Vec<Output>) {
+        let known = self.table.iter().map(|known: &Known| &known.member);
+        let members: Vec<Member> = known.chain([&self.me]).cloned().collect();
+        for part in members.chunks(ENTRIES_PER_FRAME) {
+            let gossip = Gossip {
+                members: part.to_vec(),
+                ..Gossip::default()
+            };
+            out.push(send(to, Frame::News(gossip)));
+        }
+        let successors: Vec<wire::Successor> = self.successors.iter().collect();
+        for part in successors.chunks(ENTRIES_PER_FRAME) {
+            let gossip = Gossip {
+                successors: part.to_vec(),
+                ..Gossip::default()
+            };
+            out.push(send(to, Frame::News(gossip)));
+        }
+        let marks: Vec<wire::LeavingUpstream> = self.marks.iter().collect();
+        for part in marks.chunks(ENTRIES_PER_FRAME) {
+            let gossip = Gossip {
+                leaving: part.to_vec(),
+                ..Gossip::default()
+            };
+            out.push(send(to, Frame::News(gossip)));
+        }
+    }
+
+    /// The hash over all that instances should agree on. It is never zero.
+    fn view(&self) -> u64 {
+        let members = self.table.view ^ member_hash(&self.me);
+        (members ^ self.successors.view ^ self.marks.view).max(1)
+    }
+}
+
+fn add_member(member: &Member, gossip: &mut Gossip) {
+    if !gossip.members.contains(member) {
+        gossip.members.push(member.clone());
+    }
+}
+
+pub(crate) fn send(to: &Member, frame: Frame) -> Output {
+    send_to(&to.name, to.address, frame)
+}
+
+pub(crate) fn send_to(to: &InstanceName, address: SocketAddr, frame: Frame) -> Output {
+    Output::Send {
+        to: to.clone(),
+        address,
+        frame,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,201 @@
+//! What is known of the other instances, one record a name, and which report of two wins.
+
+use std::collections::BTreeMap;
+
+use units::Incarnation;
+use units::InstanceName;
+use units::Time;
+use wire::Member;
+use wire::MemberState;
+
+use crate::rendezvous::hash;
+use crate::rendezvous::member_key;
+
+/// How many dead members are remembered.
+const MAX_DEAD: usize = 256;
+
+/// What is known of another instance.
+#[derive(Debug, Clone)]
+pub(crate) struct Known {
+    pub(crate) member: Member,
+    /// The member's hash for rendezvous.
+    pub(crate) key: u64,
+    /// What of this instance's own record the member has surely seen.
+    pub(crate) met: Option<(u32, MemberState)>,
+    /// Since when it is dead.
+    pub(crate) dead_since: Option<Time>,
+    /// It announced a planned stop, so it won't come back.
+    pub(crate) left: bool,
+    /// The platform's list says that it is leaving.
+    pub(crate) listed_leaving: bool,
+}
+
+impl Known {
+    pub(crate) fn new(member: Member, now: Time) -> Self {
+        let dead = member.state == MemberState::Dead;
+        Self {
+            key: member_key(&member.name),
+            met: None,
+            dead_since: dead.then_some(now),
+            left: member.state == MemberState::Leaving,
+            listed_leaving: false,
+            member,
+        }
+    }
+
+    /// Whether it is to be probed in turn.
+    pub(crate) fn is_present(&self) -> bool {
+        self.member.state != MemberState::Dead
+    }
+}
+
+/// Whether a member in this state can be home of a service.
+pub(crate) fn serves(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Suspect)
+}
+
+/// What a report about a member changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Nothing: it is old, or known already.
+    None,
+    /// The member is new, or a new incarnation of its name.
+    New,
+    /// The report replaces what is known.
+    State,
+    /// The member is taken for dead elsewhere, but not here: it is to refute soon.
+    Doubt,
+}
+
+/// Weighs a report against what is known of the same name.
+///
+/// A higher refutation beats every report with a lower one, `Dead` included: a process that was frozen past every
+/// timeout, or cut off, may come back in the same incarnation. Nothing unsafe follows, since who may run a request is
+/// decided by tokens and ledgers and never by views.
+///
+/// A report of `Dead` makes a member that is not dead here a suspect with little time, and no more. So no instance
+/// loses a member by hearsay alone, and when a partition heals, the views of the other side don't take down this one.
+pub(crate) fn weigh(known: Option<&Known>, report: &Member) -> Change {
+    let Some(known) = known else {
+        return Change::New;
+    };
+    let old = &known.member;
+    if report.incarnation != old.incarnation {
+        return if report.incarnation > old.incarnation {
+            Change::New
+        } else {
+            Change::None
+        };
+    }
+    if known.left && report.state < MemberState::Leaving {
+        return Change::None;
+    }
+    let newer = report.refutation > old.refutation;
+    let worse = report.refutation == old.refutation && report.state > old.state;
+    if !newer && !worse {
+        return Change::None;
+    }
+    if report.state == MemberState::Dead && serves(old.state) {
+        return Change::Doubt;
+    }
+    Change::State
+}
+
+/// The other instances by name.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    known: BTreeMap<InstanceName, Known>,
+    present: usize,
+    dead: usize,
+    /// A hash over those that are not dead.
+    pub(crate) view: u64,
+}
+
+impl Table {
+    pub(crate) fn get(&self, name: &InstanceName) -> Option<&Known> {
+        self.known.get(name)
+    }
+
+    /// The member with this name, if it is known in just this incarnation.
+    pub(crate) fn life(&self, name: &InstanceName, incarnation: Incarnation) -> Option<&Known> {
+        self.get(name).filter(|known| known.member.incarnation == incarnation)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Known> {
+        self.known.values()
+    }
+
+    /// The members that are not dead.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &Known> {
+        self.iter().filter(|known| known.is_present())
+    }
+
+    /// How many members are not dead.
+    pub(crate) fn present_len(&self) -> usize {
+        self.present
+    }
+
+    /// Replaces what is known of a name, and tells what was known before.
+    pub(crate) fn put(&mut self, known: Known) -> Option<Known> {
+        self.count(&known, true);
+        let old = self.known.insert(known.member.name.clone(), known);
+        if let Some(old) = &old {
+            self.count(old, false);
+        }
+        if self.dead > MAX_DEAD {
+            self.forget_oldest();
+        }
+        old
+    }
+
+    /// Notes what a member has surely seen of this instance's own record.
+    pub(crate) fn set_met(&mut self, name: &InstanceName, met: (u32, MemberState)) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.met = Some(met);
+        }
+    }
+
+    /// Notes that the platform's list says that an incarnation is leaving.
+    pub(crate) fn set_listed_leaving(&mut self, name: &InstanceName, incarnation: Incarnation) {
+        let known = self.known.get_mut(name);
+        if let Some(known) = known.filter(|known| known.member.incarnation == incarnation) {
+            known.listed_leaving = true;
+        }
+    }
+
+    /// Forgets members that died before this time.
+    pub(crate) fn forget_dead_before(&mut self, time: Time) {
+        if self.dead == 0 {
+            return;
+        }
+        self.known
+            .retain(|_, known| known.dead_since.is_none_or(|since| since > time));
+        self.dead = self.iter().filter(|known| !known.is_present()).count();
+    }
+
+    /// Forgets the dead member that was born first. Every instance sees births alike, but not the times of deaths.
+    fn forget_oldest(&mut self) {
+        let dead = self.iter().filter(|known| !known.is_present());
+        let oldest = dead.min_by_key(|known| (known.member.incarnation, known.member.name.clone()));
+        if let Some(name) = oldest.map(|known| known.member.name.clone()) {
+            self.known.remove(&name);
+            self.dead -= 1;
+        }
+    }
+
+    fn count(&mut self, known: &Known, add: bool) {
+        let (counter, view) = if known.is_present() {
+            (&mut self.present, member_hash(&known.member))
+        } else {
+            (&mut self.dead, 0)
+        };
+        *counter = if add { *counter + 1 } else { *counter - 1 };
+        self.view ^= view;
+    }
+}
+
+/// What two instances must agree on about a member: its incarnation, and whether it is leaving.
+pub(crate) fn member_hash(member: &Member) -> u64 {
+    let leaving = member.state == MemberState::Leaving;
+    hash(format!("member {} {} {leaving}", member.name, member.incarnation).as_bytes())
+}
--- /dev/null
+++ b/crates/membership/src/view.rs
@@ -0,0 +1,148 @@
+//! What the view says: members, homes, watchers, standings.
+
+use std::cmp::Ordering;
+use std::cmp::Reverse;
+use std::iter;
+
+use units::Incarnation;
+use units::InstanceName;
+use units::ServiceName;
+use units::ZoneName;
+use wire::Member;
+use wire::MemberState;
+
+use crate::lasting::End;
+use crate::lasting::Life;
+use crate::membership::Membership;
+use crate::output::Standing;
+use crate::rendezvous::hash;
+use crate::rendezvous::score;
+use crate::table::Known;
+use crate::table::serves;
+
+/// How many instances of an availability zone watch the platform.
+const WATCHERS: usize = 2;
+
+impl Membership {
+    /// This instance's own record.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// All members that are not dead, this instance first.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        iter::once(&self.me).chain(self.table.present().map(|known| &known.member))
+    }
+
+    /// The members that are dead and not yet forgotten.
+    pub fn dead(&self) -> impl Iterator<Item = &Member> {
+        let dead = self.table.iter().filter(|known| !known.is_present());
+        dead.map(|known| &known.member)
+    }
+
+    /// Whether a later incarnation of this instance's own name has been seen. Then nobody reckons with this one.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// The home of a service among the members whose availability zone is in the region.
+    ///
+    /// This is rendezvous hashing by name, so every instance with the same view names the same home, and a member
+    /// that comes or goes moves only the services that it gains or loses. Suspects count as present, since most of
+    /// them refute. `None` if no member of the region can be a home.
+    pub fn home(&self, service: &ServiceName, in_region: impl Fn(&ZoneName) -> bool) -> Option<&Member> {
+        let subject = hash(service.as_str().as_bytes());
+        let candidates = self.candidates().filter(|(_, member)| in_region(&member.zone));
+        let ranked = candidates.max_by_key(|(key, member)| (score(subject, *key), &member.name));
+        ranked.map(|(_, member)| member)
+    }
+
+    /// The instances of this one's availability zone that watch the platform: two, or one if there are no more.
+    ///
+    /// An instance that is cut off from its zone counts itself, so the platform is watched whatever the views.
+    pub fn watchers(&self) -> impl Iterator<Item = &Member> {
+        let subject = hash(self.me.zone.as_str().as_bytes());
+        let zone = self.candidates().filter(|(_, member)| member.zone == self.me.zone);
+        let mut ranked: Vec<(u64, &Member)> = zone.map(|(key, member)| (score(subject, key), member)).collect();
+        ranked.sort_by(|a, b| (b.0, &b.1.name).cmp(&(a.0, &a.1.name)));
+        ranked.into_iter().take(WATCHERS).map(|(_, member)| member)
+    }
+
+    /// Whether this instance watches the platform.
+    pub fn is_watcher(&self) -> bool {
+        self.watchers().any(|member| member.name == self.me.name)
+    }
+
+    /// The member that the ledgers go to at a planned stop.
+    ///
+    /// It is alive, and in this availability zone if there is one. Of these it is among the half that started
+    /// last, since at a rolling replacement the older ones stop soon; instances that stop together choose apart.
+    pub fn successor_candidate(&self) -> Option<&Member> {
+        let mut able: Vec<&Known> = self.table.iter().filter(|known| can_succeed(known)).collect();
+        if able.iter().any(|known| known.member.zone == self.me.zone) {
+            able.retain(|known| known.member.zone == self.me.zone);
+        }
+        able.sort_by_key(|known| Reverse(known.member.incarnation));
+        able.truncate(able.len().div_ceil(2));
+        let ranked = able.into_iter().max_by_key(|known| score(self.my_key, known.key));
+        ranked.map(|known| &known.member)
+    }
+
+    /// What is known of an incarnation, as the owner of flows.
+    ///
+    /// A hand-over counts from the moment it is known, also while the instance that handed over still runs.
+    pub fn standing(&self, name: &InstanceName, incarnation: Incarnation) -> Standing<'_> {
+        let life = Life {
+            name: name.clone(),
+            incarnation,
+        };
+        match self.successors.end(&life) {
+            End::Unmoved => self.own_standing(&life),
+            End::Circle => Standing::Gone,
+            End::At(last) => match self.own_standing(last) {
+                Standing::Me => Standing::SucceededByMe,
+                Standing::Alive(member) | Standing::Suspect(member) | Standing::Leaving(member) => {
+                    Standing::Succeeded(member)
+                }
+                other => other,
+            },
+        }
+    }
+
+    fn own_standing(&self, life: &Life) -> Standing<'_> {
+        if life.name == self.me.name {
+            return match life.incarnation.cmp(&self.me.incarnation) {
+                Ordering::Less => Standing::Gone,
+                Ordering::Equal => Standing::Me,
+                Ordering::Greater => Standing::Unknown,
+            };
+        }
+        let Some(known) = self.table.get(&life.name) else {
+            return Standing::Unknown;
+        };
+        let member = &known.member;
+        if life.incarnation > member.incarnation {
+            return Standing::Unknown;
+        }
+        if life.incarnation < member.incarnation {
+            return Standing::Gone;
+        }
+        match member.state {
+            MemberState::Alive => Standing::Alive(member),
+            MemberState::Suspect => Standing::Suspect(member),
+            MemberState::Leaving => Standing::Leaving(member),
+            MemberState::Dead => Standing::Gone,
+        }
+    }
+
+    /// The members that can be home of a service, each with its hash.
+    fn candidates(&self) -> impl Iterator<Item = (u64, &Member)> {
+        let me = iter::once((self.my_key, &self.me));
+        let others = self.table.iter().map(|known| (known.key, &known.member));
+        me.chain(others).filter(|(_, member)| serves(member.state))
+    }
+}
+
+fn can_succeed(known: &Known) -> bool {
+    known.member.state == MemberState::Alive && !known.listed_leaving
+}
--- /dev/null
+++ b/crates/membership/tests/support/mod.rs
@@ -0,0 +1,290 @@
+//! A fleet in virtual time, whose members exchange frames in memory: with loss, partitions, crashes and freezes.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use membership::Membership;
+use membership::Output;
+use membership::Timing;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use units::Incarnation;
+use units::InstanceName;
+use units::Time;
+use units::ZoneName;
+use wire::Frame;
+use wire::Member;
+use wire::MemberState;
+
+/// Time between two ticks of an instance.
+const TICK: Duration = Duration::from_millis(50);
+/// When a fleet starts, in microseconds.
+const START: u64 = 1_000_000;
+
+/// What happens to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    Running,
+    Frozen,
+    Crashed,
+}
+
+/// One process.
+#[derive(Debug)]
+pub struct Process {
+    pub membership: Membership,
+    pub condition: Condition,
+    pub learned: Vec<(Time, Output)>,
+    pub sent_bytes: u64,
+    pub sent_frames: u64,
+    waiting: Vec<Delivery>,
+}
+
+#[derive(Debug, Clone)]
+enum Content {
+    Frame(Incarnation, Box<Frame>),
+    Lost,
+}
+
+#[derive(Debug, Clone)]
+struct Delivery {
+    from: InstanceName,
+    to: InstanceName,
+    content: Content,
+}
+
+/// The instances, and the frames between them.
+#[derive(Debug)]
+pub struct Fleet {
+    pub now: Time,
+    pub processes: BTreeMap<InstanceName, Process>,
+    pub zones: usize,
+    pub loss: f64,
+    pub timing: Timing,
+    /// Members that were taken for dead while they ran and could be reached.
+    pub false_deaths: usize,
+    cut: BTreeSet<ZoneName>,
+    flying: BTreeMap<(Time, u64), Delivery>,
+    serial: u64,
+    next_tick: Time,
+    rng: StdRng,
+}
+
+pub fn name(index: usize) -> InstanceName {
+    format!("i{index}").parse().expect("a name")
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7_000))
+}
+
+impl Fleet {
+    pub fn new(zones: usize, seed: u64) -> Self {
+        Self {
+            now: Time(START),
+            processes: BTreeMap::new(),
+            zones,
+            loss: 0.0,
+            timing: Timing::default(),
+            false_deaths: 0,
+            cut: BTreeSet::new(),
+            flying: BTreeMap::new(),
+            serial: 0,
+            next_tick: Time(START),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    pub fn zone(&self, index: usize) -> ZoneName {
+        format!("z{}", index % self.zones).parse().expect("a zone")
+    }
+
+    /// Starts a process, or starts it anew, with hints to these others.
+    pub fn start(&mut self, index: usize, hints: &[usize]) {
+        let me = Member {
+            name: name(index),
+            incarnation: Incarnation(self.now.0 + index as u64),
+            zone: self.zone(index),
+            address: address(index),
+            state: MemberState::Alive,
+            refutation: 0,
+        };
+        let seed = self.rng.random();
+        let process = Process {
+            membership: Membership::new(me, self.timing.clone(), seed, self.now),
+            condition: Condition::Running,
+            learned: Vec::new(),
+            sent_bytes: 0,
+            sent_frames: 0,
+            waiting: Vec::new(),
+        };
+        self.processes.insert(name(index), process);
+        for &hint in hints {
+            let zone = self.zone(hint);
+            self.act(index, |membership, _, out| {
+                membership.add_seed(&name(hint), &zone, address(hint), out);
+            });
+        }
+    }
+
+    pub fn start_all(&mut self, count: usize, hints: usize) {
+        for index in 0..count {
+            let hints: Vec<usize> = (0..hints.min(count)).collect();
+            self.start(index, &hints);
+        }
+    }
+
+    pub fn set(&mut self, index: usize, condition: Condition) {
+        let process = self.processes.get_mut(&name(index)).expect("a process");
+        process.condition = condition;
+        if condition != Condition::Running {
+            return;
+        }
+        for delivery in std::mem::take(&mut process.waiting) {
+            self.deliver(delivery);
+        }
+    }
+
+    /// Cuts these zones off from all others, each by itself.
+    pub fn cut(&mut self, zones: &[usize]) {
+        self.cut = zones.iter().map(|zone| self.zone(*zone)).collect();
+    }
+
+    pub fn membership(&self, index: usize) -> &Membership {
+        &self.processes[&name(index)].membership
+    }
+
+    pub fn incarnation(&self, index: usize) -> Incarnation {
+        self.membership(index).me().incarnation
+    }
+
+    /// Does something to an instance, and sends what comes of it.
+    pub fn act(&mut self, index: usize, deed: impl FnOnce(&mut Membership, Time, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        let now = self.now;
+        let process = self.processes.get_mut(&name(index)).expect("a process");
+        deed(&mut process.membership, now, &mut out);
+        self.carry_out(&name(index), out);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let next_frame = self.flying.first_key_value().map(|(key, _)| key.0);
+            let next = next_frame.unwrap_or(end).min(self.next_tick).min(end);
+            self.now = self.now.max(next);
+            if self.next_tick <= self.now {
+                self.next_tick = self.now + TICK;
+                self.tick_all();
+                continue;
+            }
+            let due = self.flying.first_key_value().is_some_and(|(key, _)| key.0 <= self.now);
+            if let Some((_, delivery)) = due.then(|| self.flying.pop_first()).flatten() {
+                self.deliver(delivery);
+            }
+        }
+    }
+
+    fn tick_all(&mut self) {
+        let running = |(name, process): (&InstanceName, &Process)| {
+            (process.condition == Condition::Running).then(|| name.clone())
+        };
+        let names: Vec<InstanceName> = self.processes.iter().filter_map(running).collect();
+        for name in names {
+            let mut out = Vec::new();
+            let process = self.processes.get_mut(&name).expect("a process");
+            process.membership.tick(self.now, &mut out);
+            self.carry_out(&name, out);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(&delivery.to) else {
+            return self.refuse(&delivery);
+        };
+        match process.condition {
+            Condition::Crashed => return self.refuse(&delivery),
+            Condition::Frozen => return process.waiting.push(delivery),
+            Condition::Running => {}
+        }
+        let mut out = Vec::new();
+        let membership = &mut process.membership;
+        match &delivery.content {
+            Content::Frame(incarnation, frame) => {
+                membership.handle(now, &delivery.from, *incarnation, frame, &mut out);
+            }
+            Content::Lost => membership.session_lost(now, &delivery.from, &mut out),
+        }
+        self.carry_out(&delivery.to, out);
+    }
+
+    /// A frame for a process that is gone: its sender finds the session lost.
+    fn refuse(&mut self, delivery: &Delivery) {
+        if matches!(delivery.content, Content::Lost) {
+            return;
+        }
+        let answer = Delivery {
+            from: delivery.to.clone(),
+            to: delivery.from.clone(),
+            content: Content::Lost,
+        };
+        self.send(answer);
+    }
+
+    fn carry_out(&mut self, from: &InstanceName, out: Vec<Output>) {
+        for output in out {
+            let Output::Send { to, frame, .. } = output else {
+                self.note(from, output);
+                continue;
+            };
+            let process = self.processes.get_mut(from).expect("a process");
+            process.sent_bytes += wire::encode_frame(&frame).len() as u64;
+            process.sent_frames += 1;
+            let incarnation = process.membership.me().incarnation;
+            let delivery = Delivery {
+                from: from.clone(),
+                to,
+                content: Content::Frame(incarnation, Box::new(frame)),
+            };
+            self.send(delivery);
+        }
+    }
+
+    fn note(&mut self, at: &InstanceName, output: Output) {
+        if let Output::Down(member) = &output {
+            let there = self.processes.get(&member.name).is_some_and(|process| {
+                process.condition == Condition::Running && process.membership.me().incarnation == member.incarnation
+            });
+            self.false_deaths += usize::from(there && self.is_linked(at, &member.name));
+        }
+        let now = self.now;
+        let process = self.processes.get_mut(at).expect("a process");
+        process.learned.push((now, output));
+    }
+
+    fn is_linked(&self, a: &InstanceName, b: &InstanceName) -> bool {
+        let zone = |name| {
+            let process: Option<&Process> = self.processes.get(name);
+            process.map(|process| process.membership.me().zone.clone())
+        };
+        let (a, b) = (zone(a), zone(b));
+        let cut = |zone: &Option<ZoneName>| zone.as_ref().is_some_and(|zone| self.cut.contains(zone));
+        a == b || !(cut(&a) || cut(&b))
+    }
+
+    fn send(&mut self, delivery: Delivery) {
+        let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+        if lost || !self.is_linked(&delivery.from, &delivery.to) {
+            return;
+        }
+        let delay = Duration::from_micros(self.rng.random_range(300..1_500));
+        self.serial += 1;
+        self.flying.insert((self.now + delay, self.serial), delivery);
+    }
+}
