Read the configuration document and the settings

An operator wants every problem of a text at once, with its place and what is allowed. Typed serde structs were ruled out: serde stops at the first value of a wrong type. So the YAML is read as a tree whose nodes know where they stand, and a cursor walks it, notes problems and goes on.

- `parse` and `parse_settings` give checked types or all problems in the order of the text.
Unknown and repeated fields, anchors, aliases and merge keys are refused, because an auditor reads what is there.
- No message about settings repeats a secret, not even one in a wrong place.
- `diff` tells what differs between two documents, one sentence each.
An upstream or an address that moves between services is told as moved.
- The examples of both deployments and of settings are read by tests.
- `Sharing` got its defaults, and `Affinity` and `UpstreamState` a `Display`.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,5 +1,6 @@
 //! The checked configuration document.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,6 +109,16 @@
     Flow,
 }
 
+impl fmt::Display for Affinity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Self::Request => "request",
+            Self::Flow => "flow",
+        };
+        f.write_str(text)
+    }
+}
+
 /// The rules for sharing a service's traffic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sharing {
@@ -123,6 +134,18 @@
     pub slow_start: Duration,
 }
 
+impl Default for Sharing {
+    fn default() -> Self {
+        Self {
+            affinity: Affinity::Request,
+            prefer_local_zone: true,
+            queue_limit: 200,
+            retry_budget_percent: 10,
+            slow_start: Duration::from_secs(5),
+        }
+    }
+}
+
 /// A kind of request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Kind {
@@ -158,3 +181,13 @@
     /// It finishes what it has.
     Draining,
 }
+
+impl fmt::Display for UpstreamState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Self::Active => "active",
+            Self::Draining => "draining",
+        };
+        f.write_str(text)
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,24 @@
-//! The configuration document: raw text to checked types.
+//! The configuration document and the settings of a process: raw text to checked types.
 //!
-//! This crate does no I/O and reads no clock. Whoever holds a [`Document`] holds one that passed every check.
+//! This crate does no I/O and reads no clock. Whoever holds a [`Document`] or [`Settings`] holds one that passed every
+//! check. Neither knows the other: that a setting names a zone of the document is checked where both are at hand.
 
+mod check;
+mod cursor;
+mod diff;
 mod document;
+mod problem;
+mod settings;
+mod settings_check;
+mod tree;
+mod unique;
 
+pub use check::parse;
+pub use diff::Difference;
+pub use diff::Edit;
+pub use diff::Property;
+pub use diff::Subject;
+pub use diff::diff;
 pub use document::Affinity;
 pub use document::Change;
 pub use document::Document;
@@ -13,3 +28,16 @@
 pub use document::Upstream;
 pub use document::UpstreamState;
 pub use document::Zone;
+pub use problem::Fault;
+pub use problem::Field;
+pub use problem::Position;
+pub use problem::Problem;
+pub use problem::Shape;
+pub use settings::Advertise;
+pub use settings::Limits;
+pub use settings::Listen;
+pub use settings::Secrets;
+pub use settings::Seed;
+pub use settings::Settings;
+pub use settings_check::parse_settings;
+pub use tree::MAX_TEXT_LEN;
--- /dev/null
+++ b/crates/config/src/tree.rs
@@ -0,0 +1,194 @@
+//! YAML text as a tree whose nodes know where they stand.
+//!
+//! A tree rather than typed structs is read, because serde stops at the first value of a wrong type, and an operator
+//! wants to see every problem at once. Anchors, aliases and merge keys are refused: an auditor reads what is there.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::MapAccess;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
+use serde_saphyr::Location;
+use serde_saphyr::Spanned;
+use serde_saphyr::options::DuplicateKeyPolicy;
+use serde_saphyr::options::MergeKeyPolicy;
+
+use crate::Fault;
+use crate::Field;
+use crate::Position;
+use crate::Problem;
+
+/// The longest text that is read, in bytes. The platform holds no longer value.
+pub const MAX_TEXT_LEN: usize = 1_000_000;
+
+/// How deeply a text may nest.
+const MAX_DEPTH: usize = 16;
+
+/// Where a text starts.
+const START: Position = Position { line: 1, column: 1 };
+
+/// A value and where it stands.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) position: Position,
+    pub(crate) value: Value,
+}
+
+/// A value of any shape.
+#[derive(Debug)]
+pub(crate) enum Value {
+    Null,
+    Flag(bool),
+    Number(u64),
+    /// A number that no field takes: negative or with a fraction.
+    OtherNumber,
+    Text(String),
+    Sequence(Vec<Node>),
+    Mapping(Vec<Entry>),
+}
+
+/// A field of a mapping.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) key: Node,
+    pub(crate) value: Node,
+}
+
+/// How much of the reader's own message a problem may repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Quoting {
+    /// All of it.
+    Free,
+    /// None, because the text holds secrets.
+    Secret,
+}
+
+/// Reads `text` as a tree.
+pub(crate) fn read(text: &str, quoting: Quoting) -> Result<Node, Problem> {
+    if text.len() > MAX_TEXT_LEN {
+        return Err(top_problem(
+            Position { line: 1, column: 1 },
+            Fault::TooLong(MAX_TEXT_LEN),
+        ));
+    }
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_depth: MAX_DEPTH,
+            flow_nesting_limit: MAX_DEPTH,
+            max_anchors: 0,
+            max_aliases: 0,
+        },
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        merge_keys: MergeKeyPolicy::AsOrdinary,
+        strict_booleans: true,
+        leading_zero_numbers_as_strings: true,
+        underscored_numbers_as_strings: true,
+    };
+    serde_saphyr::from_str_with_options(text, options).map_err(|error| syntax_problem(&error, quoting))
+}
+
+fn syntax_problem(error: &serde_saphyr::Error, quoting: Quoting) -> Problem {
+    let error = error.without_snippet();
+    let position = error.location().map_or(START, position_of);
+    let message = match error {
+        serde_saphyr::Error::MultipleDocuments { .. } => "only one YAML document is allowed".to_owned(),
+        serde_saphyr::Error::Budget { .. } => "the text nests too deeply, or holds anchors or aliases".to_owned(),
+        _ if quoting == Quoting::Secret => "this is not valid YAML".to_owned(),
+        _ => own_words(&error.to_string()),
+    };
+    top_problem(position, Fault::Syntax(message))
+}
+
+/// The library's message without its own note of the place, which the problem tells already.
+fn own_words(message: &str) -> String {
+    let line = message.lines().next().unwrap_or_default();
+    let words = line.split(" at line ").next().unwrap_or_default();
+    format!("this is not valid YAML: {words}")
+}
+
+fn top_problem(position: Position, fault: Fault) -> Problem {
+    Problem {
+        position,
+        field: Field::default(),
+        fault,
+    }
+}
+
+fn position_of(location: Location) -> Position {
+    Position {
+        line: u32::try_from(location.line()).unwrap_or(u32::MAX),
+        column: u32::try_from(location.column()).unwrap_or(u32::MAX),
+    }
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let spanned = Spanned::<Value>::deserialize(deserializer)?;
+        Ok(Self {
+            position: position_of(spanned.referenced),
+            value: spanned.value,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Value {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl<'de> Visitor<'de> for ValueVisitor {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Value, E> {
+        Ok(Value::Flag(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Value, E> {
+        Ok(Value::Number(number))
+    }
+
+    fn visit_i64<E>(self, _number: i64) -> Result<Value, E> {
+        Ok(Value::OtherNumber)
+    }
+
+    fn visit_f64<E>(self, _number: f64) -> Result<Value, E> {
+        Ok(Value::OtherNumber)
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Value, E> {
+        Ok(Value::Text(text.to_owned()))
+    }
+
+    fn visit_string<E>(self, text: String) -> Result<Value, E> {
+        Ok(Value::Text(text))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = access.next_element()? {
+            items.push(item);
+        }
+        Ok(Value::Sequence(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut entries = Vec::new();
+        while let Some((key, value)) = access.next_entry()? {
+            entries.push(Entry { key, value });
+        }
+        Ok(Value::Mapping(entries))
+    }
+}
--- /dev/null
+++ b/crates/config/tests/examples.rs
@@ -0,0 +1,44 @@
+//! The committed examples are what the crate takes.
+
+use std::fs;
+use std::path::Path;
+
+use config::Document;
+use config::Settings;
+use insta::assert_snapshot;
+
+fn read(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    fs::read_to_string(path).expect("the example is committed")
+}
+
+/// The sizes of a document: zones, then for each service its upstreams and their slots.
+fn sizes(name: &str) -> String {
+    let text = read(name);
+    let document = Document::try_from(text.as_str()).expect("the example is valid");
+    let mut sizes = vec![format!("{} zones", document.zones.len())];
+    for service in &document.services {
+        let slots: u16 = service.upstreams.iter().map(|upstream| upstream.slots.0).sum();
+        sizes.push(format!(
+            "{}: {} upstreams, {slots} slots",
+            service.name,
+            service.upstreams.len()
+        ));
+    }
+    sizes.join("; ")
+}
+
+#[test]
+fn documents_have_the_sizes_of_their_deployments() {
+    assert_snapshot!(sizes("verblijfnet.yaml"), @"3 zones; availability: 14 upstreams, 28 slots; photos: 4 upstreams, 8 slots");
+    assert_snapshot!(sizes("coral-table.yaml"), @"4 zones; quotes: 14 upstreams, 42 slots; packs: 4 upstreams, 12 slots");
+}
+
+#[test]
+fn settings_are_valid_and_show_no_secret() {
+    let text = read("settings.yaml");
+    let settings = Settings::try_from(text.as_str()).expect("the example is valid");
+    let shown = format!("{settings:?}");
+    assert!(text.contains("replace-this"));
+    assert!(!shown.contains("replace-this"), "{shown}");
+}
