Join the parts into the node: ingress, owner, home, planned stop, documents

The node is a pure state machine, so the daemon, the scenarios and the randomised runs drive the same code. Ruled out on the way: a hand-over that counts from its last part (a broken session could make half a ledger look whole), and an announced successor before it holds everything. Pools tell which slot a key holds, so that a lost grant is repeated.

--- a/crates/balance/src/held.rs
+++ b/crates/balance/src/held.rs
@@ -38,6 +38,16 @@
         self.leases.contains_key(key)
     }
 
+    /// The slot that is lent under this key.
+    pub(crate) fn get(&self, key: &K) -> Option<&Lease> {
+        self.leases.get(key)
+    }
+
+    /// Whether no slot is lent.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.leases.is_empty()
+    }
+
     /// Lends a slot. The key must not be in use.
     pub(crate) fn insert(&mut self, key: K, lease: Lease) {
         self.expiries.insert((lease.expiry, key.clone()));
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -204,6 +204,16 @@
         }
     }
 
+    /// The upstream whose slot is lent under this key.
+    pub fn lent(&self, key: &K) -> Option<&UpstreamName> {
+        self.held.get(key).map(|lease| &lease.upstream)
+    }
+
+    /// Whether nothing waits and no slot is lent.
+    pub fn is_idle(&self) -> bool {
+        self.queue.len() == 0 && self.held.is_empty()
+    }
+
     /// All upstreams, for status pages.
     pub fn states(&self) -> Vec<UpstreamStatus> {
         let queued = self.queue.shared_len() as u32;
--- /dev/null
+++ b/crates/node/src/documents.rs
@@ -0,0 +1,278 @@
+//! The configuration document in force: the highest revision wins, and nothing steps down.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Affinity;
+use config::Document;
+use serde_bytes::ByteBuf;
+use units::InstanceName;
+use units::Revision;
+use units::ServiceName;
+use units::Time;
+use units::UpstreamName;
+use wire::Delta;
+use wire::Frame;
+use wire::TicketId;
+
+use crate::Action;
+use crate::Node;
+use crate::Peer;
+use crate::Record;
+use crate::ingress::RETRY_SOON;
+use crate::node::Cx;
+
+/// How many earlier documents are kept, so that others can be told of a change alone.
+const KEPT: usize = 4;
+/// How long to wait for a document that was asked for before it is asked for again.
+const WANT_AGAIN: Duration = Duration::from_millis(250);
+
+/// The document in force and some before it.
+#[derive(Debug, Default)]
+pub(crate) struct Documents {
+    current: Option<Arc<Document>>,
+    earlier: VecDeque<Arc<Document>>,
+    services: BTreeMap<UpstreamName, ServiceName>,
+    wanted: Option<(Revision, Time)>,
+    /// Documents that were refused because they did not pass the checks.
+    pub rejected: u64,
+}
+
+impl Documents {
+    /// The document in force.
+    pub fn current(&self) -> Option<&Arc<Document>> {
+        self.current.as_ref()
+    }
+
+    /// Its revision.
+    pub fn revision(&self) -> Option<Revision> {
+        self.current.as_ref().map(|document| document.revision)
+    }
+
+    /// The service that an upstream serves.
+    pub fn service_of(&self, upstream: &UpstreamName) -> Option<ServiceName> {
+        self.services.get(upstream).cloned()
+    }
+
+    /// Whether the flows of a service keep their upstream.
+    pub fn pins(&self, service: &ServiceName) -> bool {
+        let service = self.current.as_ref().and_then(|document| document.service(service));
+        service.is_some_and(|service| service.sharing.affinity == Affinity::Flow)
+    }
+
+    /// The services that `known` lacks.
+    pub fn missing_from<V>(&self, known: &BTreeMap<ServiceName, V>) -> Vec<ServiceName> {
+        let Some(document) = &self.current else {
+            return Vec::new();
+        };
+        let missing = document
+            .services
+            .iter()
+            .filter(|service| !known.contains_key(&service.name));
+        missing.map(|service| service.name.clone()).collect()
+    }
+
+    fn is_news(&self, revision: Revision) -> bool {
+        self.revision().is_none_or(|held| revision > held)
+    }
+
+    fn install(&mut self, document: Document) -> bool {
+        if !self.is_news(document.revision) {
+            return false;
+        }
+        self.services.clear();
+        for service in &document.services {
+            for upstream in &service.upstreams {
+                self.services.insert(upstream.name.clone(), service.name.clone());
+            }
+        }
+        let before = self.current.replace(Arc::new(document));
+        self.earlier.extend(before);
+        if self.earlier.len() > KEPT {
+            self.earlier.pop_front();
+        }
+        true
+    }
+
+    fn delta_from(&self, revision: Revision) -> Option<Delta> {
+        let base = self.earlier.iter().find(|document| document.revision == revision)?;
+        let current = self.current.as_ref()?;
+        Some(difference(base, current))
+    }
+}
+
+impl Node {
+    /// Takes a document from the platform or from another instance.
+    pub(crate) fn load_document(&mut self, cx: &mut Cx<'_>, revision: Revision, text: &str) {
+        if !self.documents.is_news(revision) {
+            return;
+        }
+        let document = match config::parse(text) {
+            Ok(document) if document.revision == revision => document,
+            Ok(_) | Err(_) => {
+                self.documents.rejected += 1;
+                return;
+            }
+        };
+        let digest = document.digest;
+        if !self.documents.install(document) {
+            return;
+        }
+        cx.record(Record::InForce(revision));
+        let mut outputs = Vec::new();
+        self.membership.set_document(revision, digest, cx.now, &mut outputs);
+        self.take_outputs(cx, outputs);
+        self.configure_homes(cx);
+        self.drop_unknown_services(cx);
+        self.rehome(cx);
+    }
+
+    fn configure_homes(&mut self, cx: &mut Cx<'_>) {
+        let Some(document) = self.documents.current().cloned() else {
+            return;
+        };
+        self.homes.retain(|name, _| document.service(name).is_some());
+        for (name, home) in &mut self.homes {
+            let Some(service) = document.service(name) else {
+                continue;
+            };
+            let mut decisions = Vec::new();
+            home.pool.configure(service, cx.now, &mut decisions);
+            self.decisions.extend(decisions);
+            for upstream in &service.upstreams {
+                let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
+                if self.membership.is_leaving(&upstream.name, incarnation) {
+                    home.pool.leave(&upstream.name);
+                }
+            }
+        }
+    }
+
+    /// Refuses what waits for a service that the document no longer has. What is being called may finish.
+    fn drop_unknown_services(&mut self, cx: &mut Cx<'_>) {
+        let Some(document) = self.documents.current().cloned() else {
+            return;
+        };
+        let unserved =
+            |ticket: &crate::ticket::Ticket| ticket.is_waiting() && document.service(&ticket.claims.service).is_none();
+        let ids: Vec<TicketId> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| unserved(ticket))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.refuse(cx, id, wire::Reason::Unknown, RETRY_SOON);
+        }
+    }
+
+    /// Another instance holds a document of this revision.
+    pub(crate) fn see_document(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: InstanceName,
+        address: SocketAddr,
+        revision: Revision,
+    ) {
+        if !self.documents.is_news(revision) {
+            return;
+        }
+        let waiting = self
+            .documents
+            .wanted
+            .is_some_and(|(wanted, since)| wanted >= revision && cx.now.since(since) < WANT_AGAIN);
+        if waiting {
+            return;
+        }
+        self.documents.wanted = Some((revision, cx.now));
+        let frame = Frame::Want(self.documents.revision());
+        cx.push(Action::Send {
+            to: from,
+            address,
+            frame,
+        });
+    }
+
+    /// Another instance asks for the document.
+    pub(crate) fn take_want(&mut self, cx: &mut Cx<'_>, peer: &Peer, have: Option<Revision>) {
+        let Some(current) = self.documents.current() else {
+            return;
+        };
+        if have.is_some_and(|have| have >= current.revision) {
+            return;
+        }
+        let delta = have.and_then(|have| self.documents.delta_from(have));
+        let frame = match delta {
+            Some(delta) => Frame::Delta(delta),
+            None => Frame::Document(whole(current)),
+        };
+        self.send(cx, peer, frame);
+    }
+
+    pub(crate) fn take_document(&mut self, cx: &mut Cx<'_>, document: &wire::Document) {
+        let Ok(text) = std::str::from_utf8(&document.text) else {
+            self.documents.rejected += 1;
+            return;
+        };
+        self.load_document(cx, document.revision, text);
+    }
+
+    /// Applies a change to the document in force, or asks for the whole if it does not fit.
+    pub(crate) fn take_delta(&mut self, cx: &mut Cx<'_>, peer: &Peer, delta: &Delta) {
+        if !self.documents.is_news(delta.revision) {
+            return;
+        }
+        let text = self.documents.current().and_then(|document| apply(document, delta));
+        match text {
+            Some(text) => self.load_document(cx, delta.revision, &text),
+            None => self.send(cx, peer, Frame::Want(None)),
+        }
+    }
+}
+
+fn whole(document: &Document) -> wire::Document {
+    wire::Document {
+        revision: document.revision,
+        text: ByteBuf::from(document.text.as_bytes()),
+    }
+}
+
+/// The bytes between the common start and the common end of two documents.
+fn difference(base: &Document, current: &Document) -> Delta {
+    let old = base.text.as_bytes();
+    let new = current.text.as_bytes();
+    let start = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+    let rest = old[start..].iter().rev().zip(new[start..].iter().rev());
+    let tail = rest.take_while(|(a, b)| a == b).count();
+    Delta {
+        base: base.digest,
+        revision: current.revision,
+        digest: current.digest,
+        start: start as u64,
+        end: (old.len() - tail) as u64,
+        insert: ByteBuf::from(&new[start..new.len() - tail]),
+    }
+}
+
+/// The text after a change, if the change fits the document and gives what it promises.
+fn apply(document: &Document, delta: &Delta) -> Option<String> {
+    if document.digest != delta.base {
+        return None;
+    }
+    let old = document.text.as_bytes();
+    let start = usize::try_from(delta.start).ok()?;
+    let end = usize::try_from(delta.end).ok()?;
+    if start > end {
+        return None;
+    }
+    let mut new = old.get(..start)?.to_vec();
+    new.extend_from_slice(&delta.insert);
+    new.extend_from_slice(old.get(end..)?);
+    if wire::Digest::of(&new) != delta.digest {
+        return None;
+    }
+    String::from_utf8(new).ok()
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -26,6 +26,10 @@
 
 /// What happened outside a node.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an event is moved once, and most that come are the large ones"
+)]
 pub enum Event {
     /// A datagram came from a caller.
     Datagram(SocketAddr, Vec<u8>),
--- /dev/null
+++ b/crates/node/src/home.rs
@@ -0,0 +1,439 @@
+//! The home's part: the central queue of a service, and the owner's side of asking for its slots.
+//!
+//! What a home knows is soft. Owners ask again, and tell a new home what they hold, so nothing here needs to outlive
+//! the instance. A wrong view costs efficiency and never safety, since an upstream sheds what is too much.
+
+use std::time::Duration;
+
+use balance::Ask;
+use balance::Decision;
+use balance::Pool;
+use rand::RngExt;
+use units::Millis;
+use units::ServiceName;
+use units::Time;
+use units::UpstreamName;
+use units::Weight;
+use wire::Acquire;
+use wire::Deny;
+use wire::Frame;
+use wire::Grant;
+use wire::Hold;
+use wire::LeavingUpstream;
+use wire::Outcome;
+use wire::Reason;
+use wire::Settle;
+use wire::TicketId;
+
+use crate::Action;
+use crate::Node;
+use crate::Peer;
+use crate::Record;
+use crate::Report;
+use crate::ingress::RETRY_SOON;
+use crate::node::Cx;
+use crate::ticket::Phase;
+
+/// How often a home asks its upstreams for health and load.
+const POLL_EVERY: Duration = Duration::from_secs(1);
+
+/// Names a request for a slot at a home.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct SlotKey {
+    /// The owner of the request.
+    pub peer: Peer,
+    /// The owner's name for it.
+    pub ticket: TicketId,
+}
+
+/// A service whose slots this instance lends.
+#[derive(Debug)]
+pub(crate) struct Home {
+    /// The service's central queue.
+    pub pool: Pool<SlotKey>,
+    /// When its upstreams are asked next.
+    next_poll: Time,
+}
+
+impl Node {
+    /// The pool of a service, made if there is none yet.
+    fn home(&mut self, service: &ServiceName, now: Time) -> Option<&mut Home> {
+        if !self.homes.contains_key(service) {
+            let home = self.make_home(service, now)?;
+            self.homes.insert(service.clone(), home);
+        }
+        self.homes.get_mut(service)
+    }
+
+    fn make_home(&mut self, name: &ServiceName, now: Time) -> Option<Home> {
+        let seed = self.rng.random();
+        let document = self.documents.current()?;
+        let service = document.service(name)?;
+        let mut pool = Pool::new(service, seed, now);
+        for upstream in &service.upstreams {
+            // The incarnation may not be known here yet. The first poll readmits an upstream that has begun anew.
+            let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
+            if self.membership.is_leaving(&upstream.name, incarnation) {
+                pool.leave(&upstream.name);
+            }
+        }
+        Some(Home { pool, next_poll: now })
+    }
+
+    /// Runs `change` on a service's pool and queues what the pool decides.
+    fn with_pool(
+        &mut self,
+        service: &ServiceName,
+        now: Time,
+        change: impl FnOnce(&mut Pool<SlotKey>, &mut Vec<Decision<SlotKey>>),
+    ) -> bool {
+        let mut decisions = Vec::new();
+        let Some(home) = self.home(service, now) else {
+            return false;
+        };
+        change(&mut home.pool, &mut decisions);
+        self.decisions.extend(decisions);
+        true
+    }
+
+    /// Asks the present home of a request's service for a slot.
+    pub(crate) fn ask(&mut self, cx: &mut Cx<'_>, id: TicketId) {
+        let Some(service) = self.tickets.get(&id).map(|ticket| ticket.claims.service.clone()) else {
+            return;
+        };
+        let Some((home, address)) = self.find_home(&service) else {
+            return self.refuse(cx, id, Reason::NoUpstream, RETRY_SOON);
+        };
+        let Some(ticket) = self.tickets.get_mut(&id) else {
+            return;
+        };
+        ticket.home = home.clone();
+        ticket.phase = Phase::Waiting(cx.now);
+        let acquire = Acquire {
+            ticket: id,
+            service,
+            kind: ticket.request.kind.clone(),
+            zone: ticket.zone.clone(),
+            remaining: Millis::from(cx.now.until(ticket.deadline)),
+            pinned: ticket.claims.pinned.clone(),
+            avoid: ticket.avoid.clone(),
+        };
+        if home == self.me {
+            let me = self.me.clone();
+            return self.take_acquire(cx, &me, acquire);
+        }
+        cx.push(Action::Send {
+            to: home.name,
+            address,
+            frame: Frame::Acquire(acquire),
+        });
+    }
+
+    pub(crate) fn take_acquire(&mut self, cx: &mut Cx<'_>, peer: &Peer, acquire: Acquire) {
+        let key = SlotKey {
+            peer: peer.clone(),
+            ticket: acquire.ticket,
+        };
+        let weight = self.weight(&acquire);
+        let ask = Ask {
+            key: key.clone(),
+            weight,
+            zone: acquire.zone,
+            deadline: cx.now + acquire.remaining.duration(),
+            pinned: acquire.pinned,
+            avoid: acquire.avoid,
+        };
+        let now = cx.now;
+        let asked = self.with_pool(&acquire.service, now, |pool, out| match pool.lent(&key).cloned() {
+            // The owner asks again because the grant was lost.
+            Some(upstream) => out.push(Decision::Grant {
+                key: key.clone(),
+                upstream,
+            }),
+            None => pool.ask(ask, now, out),
+        });
+        if !asked {
+            let reason = Reason::NoUpstream;
+            self.decisions.push_back(Decision::Deny {
+                key,
+                reason,
+                retry_after: RETRY_SOON,
+            });
+        }
+    }
+
+    fn weight(&self, acquire: &Acquire) -> Weight {
+        let service = self
+            .documents
+            .current()
+            .and_then(|document| document.service(&acquire.service));
+        service
+            .and_then(|service| service.kind(&acquire.kind))
+            .map_or(Weight(1), |kind| kind.weight)
+    }
+
+    /// Takes back a request for a slot.
+    pub(crate) fn withdraw(&mut self, cx: &mut Cx<'_>, id: TicketId) {
+        let Some(ticket) = self.tickets.get(&id) else {
+            return;
+        };
+        let home = ticket.home.clone();
+        if home == self.me {
+            let me = self.me.clone();
+            return self.take_withdraw(cx, &me, id);
+        }
+        self.send(cx, &home, Frame::Withdraw(id));
+    }
+
+    pub(crate) fn take_withdraw(&mut self, cx: &mut Cx<'_>, peer: &Peer, ticket: TicketId) {
+        let key = SlotKey {
+            peer: peer.clone(),
+            ticket,
+        };
+        for home in self.homes.values_mut() {
+            let mut decisions = Vec::new();
+            home.pool.withdraw(&key, cx.now, &mut decisions);
+            self.decisions.extend(decisions);
+        }
+    }
+
+    /// Gives a slot back.
+    pub(crate) fn settle(&mut self, cx: &mut Cx<'_>, id: TicketId, outcome: Outcome, took: Duration) {
+        let Some(ticket) = self.tickets.get(&id) else {
+            return;
+        };
+        let home = ticket.home.clone();
+        let settle = Settle {
+            ticket: id,
+            service: ticket.claims.service.clone(),
+            outcome,
+            took,
+        };
+        if home == self.me {
+            let me = self.me.clone();
+            return self.take_settle(cx, &me, &settle);
+        }
+        self.send(cx, &home, Frame::Settle(settle));
+    }
+
+    pub(crate) fn take_settle(&mut self, cx: &mut Cx<'_>, peer: &Peer, settle: &Settle) {
+        let key = SlotKey {
+            peer: peer.clone(),
+            ticket: settle.ticket,
+        };
+        let now = cx.now;
+        self.with_pool(&settle.service, now, |pool, out| {
+            pool.settle(&key, settle.outcome, settle.took, now, out);
+        });
+    }
+
+    /// Tells the present home of a slot that is in use already.
+    pub(crate) fn tell_hold(&mut self, cx: &mut Cx<'_>, id: TicketId) {
+        let Some(ticket) = self.tickets.get(&id) else {
+            return;
+        };
+        let Phase::Calling { upstream, .. } = &ticket.phase else {
+            return;
+        };
+        let home = ticket.home.clone();
+        let hold = Hold {
+            ticket: id,
+            service: ticket.claims.service.clone(),
+            upstream: upstream.clone(),
+            remaining: Millis::from(cx.now.until(ticket.deadline)),
+        };
+        if home == self.me {
+            let me = self.me.clone();
+            return self.take_hold(cx, &me, hold);
+        }
+        self.send(cx, &home, Frame::Hold(hold));
+    }
+
+    pub(crate) fn take_hold(&mut self, cx: &mut Cx<'_>, peer: &Peer, hold: Hold) {
+        let key = SlotKey {
+            peer: peer.clone(),
+            ticket: hold.ticket,
+        };
+        let now = cx.now;
+        let deadline = now + hold.remaining.duration();
+        self.with_pool(&hold.service, now, |pool, _| {
+            pool.hold(key, hold.upstream, deadline, now);
+        });
+    }
+
+    /// Carries out what the pools have decided, and what follows from that.
+    pub(crate) fn carry_out_decisions(&mut self, cx: &mut Cx<'_>) {
+        while let Some(decision) = self.decisions.pop_front() {
+            match decision {
+                Decision::Grant { key, upstream } => self.lend(cx, &key, upstream),
+                Decision::Deny {
+                    key,
+                    reason,
+                    retry_after,
+                } => self.deny(cx, &key, reason, retry_after),
+            }
+        }
+    }
+
+    fn lend(&mut self, cx: &mut Cx<'_>, key: &SlotKey, upstream: UpstreamName) {
+        let grant = Grant {
+            ticket: key.ticket,
+            upstream,
+        };
+        if key.peer == self.me {
+            return self.take_grant(cx, &key.peer, &grant);
+        }
+        self.send(cx, &key.peer, Frame::Grant(grant));
+    }
+
+    fn deny(&mut self, cx: &mut Cx<'_>, key: &SlotKey, reason: Reason, retry_after: Millis) {
+        let deny = Deny {
+            ticket: key.ticket,
+            reason,
+            retry_after,
+        };
+        if key.peer == self.me {
+            return self.take_deny(cx, &key.peer, &deny);
+        }
+        self.send(cx, &key.peer, Frame::Deny(deny));
+    }
+
+    pub(crate) fn take_grant(&mut self, cx: &mut Cx<'_>, peer: &Peer, grant: &Grant) {
+        let wanted = self
+            .tickets
+            .get(&grant.ticket)
+            .is_some_and(|ticket| &ticket.home == peer && ticket.is_waiting());
+        if wanted {
+            return self.use_slot(cx, grant.ticket, &grant.upstream);
+        }
+        let in_use = self
+            .tickets
+            .get(&grant.ticket)
+            .is_some_and(|ticket| &ticket.home == peer);
+        if in_use {
+            return;
+        }
+        // The request has ended or asks another home by now.
+        let frame = Frame::Withdraw(grant.ticket);
+        if peer == &self.me {
+            return self.take_withdraw(cx, peer, grant.ticket);
+        }
+        self.send(cx, peer, frame);
+    }
+
+    pub(crate) fn take_deny(&mut self, cx: &mut Cx<'_>, peer: &Peer, deny: &Deny) {
+        let wanted = self
+            .tickets
+            .get(&deny.ticket)
+            .is_some_and(|ticket| &ticket.home == peer && ticket.is_waiting());
+        if wanted {
+            self.refuse(cx, deny.ticket, deny.reason, deny.retry_after);
+        }
+    }
+
+    /// Takes what an upstream says of itself.
+    pub(crate) fn take_report(&mut self, cx: &mut Cx<'_>, name: &UpstreamName, report: Option<Report>) {
+        let Some(service) = self.documents.service_of(name) else {
+            return;
+        };
+        let now = cx.now;
+        if let Some(report) = report {
+            let known = self.upstreams.get(name).copied();
+            if known.is_some_and(|known| known > report.incarnation) {
+                // The answer is older than what is known, or belongs to another process.
+                return;
+            }
+            self.upstreams.insert(name.clone(), report.incarnation);
+            if report.draining {
+                self.mark_leaving(cx, name.clone(), report.incarnation);
+            }
+            let fresh = known != Some(report.incarnation);
+            if fresh && !self.membership.is_leaving(name, report.incarnation) {
+                self.with_pool(&service, now, |pool, _| pool.readmit(name, now));
+            }
+        }
+        let said = report.map(|report| balance::Report {
+            healthy: report.healthy,
+            draining: report.draining,
+            busy: report.busy,
+            age: report.age,
+        });
+        self.with_pool(&service, now, |pool, out| pool.report(name, said, now, out));
+    }
+
+    /// Spreads that an incarnation of an upstream gets no new work.
+    pub(crate) fn mark_leaving(&mut self, cx: &mut Cx<'_>, name: UpstreamName, incarnation: units::Incarnation) {
+        if self.membership.is_leaving(&name, incarnation) {
+            return;
+        }
+        let mark = LeavingUpstream { name, incarnation };
+        let mut outputs = Vec::new();
+        self.membership.add_leaving_upstream(mark.clone(), cx.now, &mut outputs);
+        self.upstream_leaves(cx, &mark);
+        self.take_outputs(cx, outputs);
+    }
+
+    /// Stops new work for an upstream that is marked, unless a later incarnation is known.
+    pub(crate) fn upstream_leaves(&mut self, cx: &mut Cx<'_>, mark: &LeavingUpstream) {
+        let later = self
+            .upstreams
+            .get(&mark.name)
+            .is_some_and(|known| *known > mark.incarnation);
+        if later {
+            return;
+        }
+        cx.record(Record::UpstreamLeaving(mark.name.clone(), mark.incarnation));
+        let Some(service) = self.documents.service_of(&mark.name) else {
+            return;
+        };
+        if let Some(home) = self.homes.get_mut(&service) {
+            home.pool.leave(&mark.name);
+        }
+    }
+
+    /// Lets pools expire, asks upstreams for health and load, and drops pools that have moved away.
+    pub(crate) fn tick_homes(&mut self, cx: &mut Cx<'_>) {
+        self.adopt_homes(cx.now);
+        let mut idle = Vec::new();
+        let mut due = Vec::new();
+        for (service, home) in &mut self.homes {
+            let mut decisions = Vec::new();
+            home.pool.tick(cx.now, &mut decisions);
+            self.decisions.extend(decisions);
+            let here = matches!(self.home_cache.get(service), Some(Some((peer, _))) if peer == &self.me);
+            if !here && home.pool.is_idle() {
+                idle.push(service.clone());
+            }
+            if here && home.next_poll <= cx.now {
+                home.next_poll = cx.now + POLL_EVERY;
+                due.push(service.clone());
+            }
+        }
+        for service in idle {
+            self.homes.remove(&service);
+        }
+        for service in due {
+            self.poll(cx, &service);
+        }
+    }
+
+    /// Makes the pools of services whose home is here, so that their upstreams are known before the first request.
+    fn adopt_homes(&mut self, now: Time) {
+        let names: Vec<ServiceName> = self.documents.missing_from(&self.home_cache);
+        for name in names {
+            let home = self.find_home(&name);
+            if home.is_some_and(|(peer, _)| peer == self.me) {
+                self.home(&name, now);
+            }
+        }
+    }
+
+    fn poll(&self, cx: &mut Cx<'_>, service: &ServiceName) {
+        let Some(service) = self.documents.current().and_then(|document| document.service(service)) else {
+            return;
+        };
+        for upstream in &service.upstreams {
+            cx.push(Action::Poll(upstream.name.clone(), upstream.address));
+        }
+    }
+}
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -427,6 +427,15 @@
         true
     }
 
+    /// The incarnation at which a request is in progress, if that is not this one.
+    pub fn elsewhere_at(&self, key: FlowKey, seq: RequestSeq) -> Option<Incarnation> {
+        let line = self.flows.get(&key)?.line(seq)?;
+        match line.state {
+            State::Elsewhere(incarnation) => Some(incarnation),
+            _ => None,
+        }
+    }
+
     /// The requests that are in progress at another incarnation.
     pub fn elsewhere(&self, incarnation: Incarnation) -> Vec<(FlowKey, RequestSeq)> {
         let mut found = Vec::new();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,9 +4,22 @@
 //! randomised tests and the scenarios drive the same code.
 
 mod action;
+mod documents;
 mod event;
+mod fleet;
+mod home;
+mod ingress;
 mod ledger;
+mod limits;
+mod node;
+mod owner;
 mod record;
+mod status;
+mod stop;
+mod takeover;
+mod ticket;
+
+use std::time::Duration;
 
 pub use action::Action;
 pub use action::Call;
@@ -23,9 +36,16 @@
 pub use ledger::Line;
 pub use ledger::Lookup;
 pub use ledger::State;
+pub use limits::Limits;
+pub use node::Node;
+pub use node::Setup;
 pub use record::Record;
-
-use std::time::Duration;
+pub use status::HomeStatus;
+pub use status::MemberStatus;
+pub use status::RefusedCount;
+pub use status::Stage;
+pub use status::Status;
+pub use status::UpstreamLine;
 
 /// The longest time between two ticks.
 pub const TICK: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/crates/node/tests/stop.rs
@@ -0,0 +1,95 @@
+//! Planned stops.
+
+mod support;
+
+use std::time::Duration;
+
+use node::CallResult;
+use node::Event;
+
+use support::Fleet;
+use support::request;
+
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut fleet = Fleet::new(3);
+    let home = fleet.home("availability");
+    let other = fleet.other(&home);
+    let granted = fleet.open(&home, "availability");
+    // Two run, one waits, one has ended.
+    for seq in 1..=2 {
+        fleet.send(&home, &request(&granted, "availability", "hold", seq));
+    }
+    fleet.end_call(CallResult::Answered(b"first".to_vec()));
+    for seq in 3..=4 {
+        fleet.send(&home, &request(&granted, "availability", "hold", seq));
+    }
+    assert_eq!(fleet.calls.len(), 2);
+    assert_eq!(fleet.got(), "chunk 0/1 of 1");
+    fleet.event(&home, Event::Stop);
+    fleet.pass(Duration::from_millis(800));
+    // The one that waited is run by the successor as soon as a slot is free.
+    fleet.end_call(CallResult::Answered(b"second".to_vec()));
+    assert_eq!(fleet.got(), "chunk 0/1 of 2, new token");
+    assert_eq!(fleet.calls.len(), 2);
+    assert_ne!(fleet.calls[1].0, home);
+    fleet.end_call(CallResult::Answered(b"third".to_vec()));
+    fleet.end_call(CallResult::Answered(b"fourth".to_vec()));
+    fleet.pass(Duration::from_secs(2));
+    assert_eq!(fleet.stopped, std::slice::from_ref(&home));
+    fleet.nodes.remove(&home);
+    fleet.replies.clear();
+    // All four are known at the successor, and none runs again.
+    for seq in 1..=4 {
+        fleet.send(&other, &request(&granted, "availability", "hold", seq));
+    }
+    assert!(fleet.calls.is_empty());
+    let got = fleet.got();
+    assert_eq!(got, "chunk 0/1 of 1; chunk 0/1 of 2; chunk 0/1 of 3; chunk 0/1 of 4");
+    // And the flow goes on under its old token.
+    fleet.send(&other, &request(&granted, "availability", "hold", 5));
+    fleet.end_call(CallResult::Answered(Vec::new()));
+    assert_eq!(fleet.got(), "chunk 0/1 of 5, new token");
+}
+
+#[test]
+fn an_old_owner_begins_nothing_after_it_sent_its_ledgers() {
+    let mut fleet = Fleet::new(2);
+    let home = fleet.home("availability");
+    let other = fleet.other(&home);
+    let granted = fleet.open(&home, "availability");
+    fleet.send(&home, &request(&granted, "availability", "hold", 1));
+    fleet.end_call(CallResult::Answered(Vec::new()));
+    fleet.event(&home, Event::Stop);
+    fleet.cut.push((home.clone(), other.clone()));
+    fleet.pass(Duration::from_millis(500));
+    fleet.replies.clear();
+    fleet.send(&home, &request(&granted, "availability", "hold", 2));
+    assert!(fleet.calls.is_empty());
+    fleet.cut.clear();
+    fleet.pass(Duration::from_millis(600));
+    fleet.send(&other, &request(&granted, "availability", "hold", 2));
+    assert_eq!(fleet.calls.len(), 1);
+    assert_eq!(fleet.calls[0].0, other);
+}
+
+#[test]
+fn two_that_stop_at_once_leave_the_third_in_charge() {
+    let mut fleet = Fleet::new(3);
+    let home = fleet.home("availability");
+    let granted = fleet.open(&home, "availability");
+    fleet.send(&home, &request(&granted, "availability", "hold", 1));
+    fleet.end_call(CallResult::Answered(Vec::new()));
+    fleet.replies.clear();
+    let second = fleet.other(&home);
+    fleet.event(&home, Event::Stop);
+    fleet.event(&second, Event::Stop);
+    fleet.pass(Duration::from_secs(5));
+    assert_eq!(fleet.stopped.len(), 2);
+    fleet.nodes.remove(&home);
+    fleet.nodes.remove(&second);
+    let third = fleet.nodes.keys().next().cloned().unwrap();
+    fleet.send(&third, &request(&granted, "availability", "hold", 1));
+    assert_eq!(fleet.got(), "chunk 0/1 of 1");
+    assert!(fleet.calls.is_empty());
+}
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -7,7 +7,7 @@
 use serde_bytes::ByteBuf;
 
 /// How many bytes of an answer one packet carries at most.
-pub const CHUNK_LEN: usize = 900;
+pub const CHUNK_LEN: usize = 800;
 
 /// The first 16 bytes of a BLAKE3 hash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -188,10 +188,10 @@
 /// What a ledger holds of one request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
-    /// It waits for a slot and has not run. The new owner runs it.
+    /// It waits for a slot. The new owner runs it.
     Queued(Body),
-    /// It is in progress at the old owner, which tells how it ends.
-    Running,
+    /// It is in progress at this incarnation, which tells how it ends.
+    Running(Incarnation),
     /// It ended with this answer.
     Answered(Answer),
     /// It ran, and its answer is no longer held.
@@ -200,11 +200,17 @@
     Refused(Verdict, Reason),
 }
 
-/// A request that has not run, as it is handed over.
+/// A request that waits, as it is handed over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Body {
     /// Where the reply goes.
     pub caller: SocketAddr,
+    /// The availability zone in which it arrived.
+    pub zone: ZoneName,
+    /// Whether an earlier call may have run it.
+    pub in_doubt: bool,
+    /// Upstreams that have failed it.
+    pub avoid: Vec<UpstreamName>,
     /// The request, with its token.
     pub request: Request,
     /// How long until its deadline.
@@ -231,8 +237,8 @@
 pub struct Handover {
     /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
-    /// The records that the stopping instance inherited itself.
-    pub inherited: Vec<Successor>,
+    /// The incarnations whose ledgers the stopping instance had taken over itself.
+    pub inherited: Vec<Incarnation>,
     /// This part's ledgers.
     pub flows: Vec<HandoverFlow>,
     /// This part's number, from zero.
@@ -244,6 +250,8 @@
 /// A request that was in progress at hand-over has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resolved {
+    /// The incarnation at which it was in progress.
+    pub at: Incarnation,
     /// The incarnation that issued the flow's token.
     pub owner: Incarnation,
     /// The flow.
--- a/crates/wire/src/verdict.rs
+++ b/crates/wire/src/verdict.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Whether a refused request may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Verdict {
     /// No copy of the request has run or will ever run.
     NotRun,
