Split the node's larger files by job

Owner's side of slots, upstream reports, answers and the packing of ledgers each get a module. Behaviour is unchanged; cargo test -p node, 11 passed before and after.

--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -19,8 +19,6 @@
 use wire::Frame;
 use wire::Grant;
 use wire::Hold;
-use wire::LeavingUpstream;
-use wire::Outcome;
 use wire::Reason;
 use wire::Settle;
 use wire::TicketId;
@@ -28,11 +26,8 @@
 use crate::Action;
 use crate::Node;
 use crate::Peer;
-use crate::Record;
-use crate::Report;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
-use crate::ticket::Phase;
 
 /// How often a home asks its upstreams for health and load.
 const POLL_EVERY: Duration = Duration::from_secs(1);
@@ -81,7 +76,7 @@
     }
 
     /// Runs `change` on a service's pool and queues what the pool decides.
-    fn with_pool(
+    pub(crate) fn with_pool(
         &mut self,
         service: &ServiceName,
         now: Time,
@@ -96,39 +91,6 @@
         true
     }
 
-    /// Asks the present home of a request's service for a slot.
-    pub(crate) fn ask(&mut self, cx: &mut Cx<'_>, id: TicketId) {
-        let Some(service) = self.tickets.get(&id).map(|ticket| ticket.claims.service.clone()) else {
-            return;
-        };
-        let Some((home, address)) = self.find_home(&service) else {
-            return self.refuse(cx, id, Reason::NoUpstream, RETRY_SOON);
-        };
-        let Some(ticket) = self.tickets.get_mut(&id) else {
-            return;
-        };
-        ticket.home = home.clone();
-        ticket.phase = Phase::Waiting(cx.now);
-        let acquire = Acquire {
-            ticket: id,
-            service,
-            kind: ticket.request.kind.clone(),
-            zone: ticket.zone.clone(),
-            remaining: Millis::from(cx.now.until(ticket.deadline)),
-            pinned: ticket.claims.pinned.clone(),
-            avoid: ticket.avoid.clone(),
-        };
-        if home == self.me {
-            let me = self.me.clone();
-            return self.take_acquire(cx, &me, acquire);
-        }
-        cx.push(Action::Send {
-            to: home.name,
-            address,
-            frame: Frame::Acquire(acquire),
-        });
-    }
-
     pub(crate) fn take_acquire(&mut self, cx: &mut Cx<'_>, peer: &Peer, acquire: Acquire) {
         let key = SlotKey {
             peer: peer.clone(),
@@ -172,19 +134,6 @@
             .map_or(Weight(1), |kind| kind.weight)
     }
 
-    /// Takes back a request for a slot.
-    pub(crate) fn withdraw(&mut self, cx: &mut Cx<'_>, id: TicketId) {
-        let Some(ticket) = self.tickets.get(&id) else {
-            return;
-        };
-        let home = ticket.home.clone();
-        if home == self.me {
-            let me = self.me.clone();
-            return self.take_withdraw(cx, &me, id);
-        }
-        self.send(cx, &home, Frame::Withdraw(id));
-    }
-
     pub(crate) fn take_withdraw(&mut self, cx: &mut Cx<'_>, peer: &Peer, ticket: TicketId) {
         let key = SlotKey {
             peer: peer.clone(),
@@ -197,25 +146,6 @@
         }
     }
 
-    /// Gives a slot back.
-    pub(crate) fn settle(&mut self, cx: &mut Cx<'_>, id: TicketId, outcome: Outcome, took: Duration) {
-        let Some(ticket) = self.tickets.get(&id) else {
-            return;
-        };
-        let home = ticket.home.clone();
-        let settle = Settle {
-            ticket: id,
-            service: ticket.claims.service.clone(),
-            outcome,
-            took,
-        };
-        if home == self.me {
-            let me = self.me.clone();
-            return self.take_settle(cx, &me, &settle);
-        }
-        self.send(cx, &home, Frame::Settle(settle));
-    }
-
     pub(crate) fn take_settle(&mut self, cx: &mut Cx<'_>, peer: &Peer, settle: &Settle) {
         let key = SlotKey {
             peer: peer.clone(),
@@ -227,28 +157,6 @@
         });
     }
 
-    /// Tells the present home of a slot that is in use already.
-    pub(crate) fn tell_hold(&mut self, cx: &mut Cx<'_>, id: TicketId) {
-        let Some(ticket) = self.tickets.get(&id) else {
-            return;
-        };
-        let Phase::Calling { upstream, .. } = &ticket.phase else {
-            return;
-        };
-        let home = ticket.home.clone();
-        let hold = Hold {
-            ticket: id,
-            service: ticket.claims.service.clone(),
-            upstream: upstream.clone(),
-            remaining: Millis::from(cx.now.until(ticket.deadline)),
-        };
-        if home == self.me {
-            let me = self.me.clone();
-            return self.take_hold(cx, &me, hold);
-        }
-        self.send(cx, &home, Frame::Hold(hold));
-    }
-
     pub(crate) fn take_hold(&mut self, cx: &mut Cx<'_>, peer: &Peer, hold: Hold) {
         let key = SlotKey {
             peer: peer.clone(),
@@ -298,99 +206,6 @@
         self.send(cx, &key.peer, Frame::Deny(deny));
     }
 
-    pub(crate) fn take_grant(&mut self, cx: &mut Cx<'_>, peer: &Peer, grant: &Grant) {
-        let wanted = self
-            .tickets
-            .get(&grant.ticket)
-            .is_some_and(|ticket| &ticket.home == peer && ticket.is_waiting());
-        if wanted {
-            return self.use_slot(cx, grant.ticket, &grant.upstream);
-        }
-        let in_use = self
-            .tickets
-            .get(&grant.ticket)
-            .is_some_and(|ticket| &ticket.home == peer);
-        if in_use {
-            return;
-        }
-        // The request has ended or asks another home by now.
-        let frame = Frame::Withdraw(grant.ticket);
-        if peer == &self.me {
-            return self.take_withdraw(cx, peer, grant.ticket);
-        }
-        self.send(cx, peer, frame);
-    }
-
-    pub(crate) fn take_deny(&mut self, cx: &mut Cx<'_>, peer: &Peer, deny: &Deny) {
-        let wanted = self
-            .tickets
-            .get(&deny.ticket)
-            .is_some_and(|ticket| &ticket.home == peer && ticket.is_waiting());
-        if wanted {
-            self.refuse(cx, deny.ticket, deny.reason, deny.retry_after);
-        }
-    }
-
-    /// Takes what an upstream says of itself.
-    pub(crate) fn take_report(&mut self, cx: &mut Cx<'_>, name: &UpstreamName, report: Option<Report>) {
-        let Some(service) = self.documents.service_of(name) else {
-            return;
-        };
-        let now = cx.now;
-        if let Some(report) = report {
-            let known = self.upstreams.get(name).copied();
-            if known.is_some_and(|known| known > report.incarnation) {
-                // The answer is older than what is known, or belongs to another process.
-                return;
-            }
-            self.upstreams.insert(name.clone(), report.incarnation);
-            if report.draining {
-                self.mark_leaving(cx, name.clone(), report.incarnation);
-            }
-            let fresh = known != Some(report.incarnation);
-            if fresh && !self.membership.is_leaving(name, report.incarnation) {
-                self.with_pool(&service, now, |pool, _| pool.readmit(name, now));
-            }
-        }
-        let said = report.map(|report| balance::Report {
-            healthy: report.healthy,
-            draining: report.draining,
-            busy: report.busy,
-            age: report.age,
-        });
-        self.with_pool(&service, now, |pool, out| pool.report(name, said, now, out));
-    }
-
-    /// Spreads that an incarnation of an upstream gets no new work.
-    pub(crate) fn mark_leaving(&mut self, cx: &mut Cx<'_>, name: UpstreamName, incarnation: units::Incarnation) {
-        if self.membership.is_leaving(&name, incarnation) {
-            return;
-        }
-        let mark = LeavingUpstream { name, incarnation };
-        let mut outputs = Vec::new();
-        self.membership.add_leaving_upstream(mark.clone(), cx.now, &mut outputs);
-        self.upstream_leaves(cx, &mark);
-        self.take_outputs(cx, outputs);
-    }
-
-    /// Stops new work for an upstream that is marked, unless a later incarnation is known.
-    pub(crate) fn upstream_leaves(&mut self, cx: &mut Cx<'_>, mark: &LeavingUpstream) {
-        let later = self
-            .upstreams
-            .get(&mark.name)
-            .is_some_and(|known| *known > mark.incarnation);
-        if later {
-            return;
-        }
-        cx.record(Record::UpstreamLeaving(mark.name.clone(), mark.incarnation));
-        let Some(service) = self.documents.service_of(&mark.name) else {
-            return;
-        };
-        if let Some(home) = self.homes.get_mut(&service) {
-            home.pool.leave(&mark.name);
-        }
-    }
-
     /// Lets pools expire, asks upstreams for health and load, and drops pools that have moved away.
     pub(crate) fn tick_homes(&mut self, cx: &mut Cx<'_>) {
         self.adopt_homes(cx.now);
--- /dev/null
+++ b/crates/node/src/ledgers.rs
@@ -0,0 +1,381 @@
+//! The ledgers of all flows that an instance owns, and how long they are kept.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use units::Incarnation;
+use units::RequestSeq;
+use units::Time;
+use wire::Answer;
+use wire::Reason;
+use wire::TicketId;
+use wire::Verdict;
+
+use crate::FlowKey;
+use crate::Ledger;
+use crate::Line;
+use crate::State;
+
+/// How long a copy of a datagram may be under way. A closed flow's ledger outlives its last packet by this.
+const PACKET_LIFE: Duration = Duration::from_mins(2);
+/// How soon a flow whose ledger is due but still in use is looked at again.
+const RECHECK: Duration = Duration::from_secs(1);
+
+/// What a ledger says of a request that has just come.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Lookup<'a> {
+    /// It has not come before, and may begin.
+    New,
+    /// It is at or below the floor and no line tells what became of it.
+    TooOld,
+    /// It has come before.
+    Known(&'a State),
+    /// The ledger is full of requests in progress.
+    Full,
+}
+
+#[derive(Debug)]
+struct Expiry {
+    at: Time,
+    key: FlowKey,
+    seq: Option<RequestSeq>,
+}
+
+/// The ledgers of all flows that an instance owns.
+#[derive(Debug)]
+pub struct Ledgers {
+    flows: HashMap<FlowKey, Ledger>,
+    expiries: VecDeque<Expiry>,
+    closed: VecDeque<Expiry>,
+    answer_expiries: VecDeque<Expiry>,
+    answer_bytes: u64,
+    keep_flows: Duration,
+    keep_answers: Duration,
+}
+
+impl Ledgers {
+    /// Ledgers that outlive their flow's last request by `keep_flows`, which must be longer than any token lives,
+    /// and that hold an answer for `keep_answers`.
+    pub fn new(keep_flows: Duration, keep_answers: Duration) -> Self {
+        Self {
+            flows: HashMap::new(),
+            expiries: VecDeque::new(),
+            closed: VecDeque::new(),
+            answer_expiries: VecDeque::new(),
+            answer_bytes: 0,
+            keep_flows,
+            keep_answers,
+        }
+    }
+
+    /// How many flows have a ledger.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow has a ledger.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// How many bytes of answers are held.
+    pub fn answer_bytes(&self) -> u64 {
+        self.answer_bytes
+    }
+
+    /// Whether this flow has a ledger.
+    pub fn contains(&self, key: FlowKey) -> bool {
+        self.flows.contains_key(&key)
+    }
+
+    /// The ledger of a flow.
+    pub fn get(&self, key: FlowKey) -> Option<&Ledger> {
+        self.flows.get(&key)
+    }
+
+    /// Notes that a request has come and tells how it stands. `floor` is the token's, `sent` the packet's.
+    pub fn look_up(
+        &mut self,
+        key: FlowKey,
+        floor: RequestSeq,
+        seq: RequestSeq,
+        sent: RequestSeq,
+        now: Time,
+    ) -> Lookup<'_> {
+        let ledger = match self.flows.entry(key) {
+            std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
+            std::collections::hash_map::Entry::Vacant(entry) => {
+                self.expiries.push_back(Expiry {
+                    at: now + self.keep_flows,
+                    key,
+                    seq: None,
+                });
+                entry.insert(Ledger {
+                    floor,
+                    ..Ledger::default()
+                })
+            }
+        };
+        ledger.touched = now;
+        ledger.sent = ledger.sent.max(sent).max(seq);
+        if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
+            return Lookup::Known(&ledger.lines[index].state);
+        }
+        if seq <= ledger.floor {
+            return Lookup::TooOld;
+        }
+        if !ledger.make_room() {
+            return Lookup::Full;
+        }
+        // Making room may have raised the floor.
+        if seq <= ledger.floor {
+            return Lookup::TooOld;
+        }
+        Lookup::New
+    }
+
+    /// Writes the line of a request that begins. Only a [`Lookup::New`] may lead here.
+    pub fn begin(&mut self, key: FlowKey, seq: RequestSeq, ticket: TicketId) {
+        let ledger = self.flows.entry(key).or_default();
+        assert!(ledger.line(seq).is_none(), "a request begins once in a ledger");
+        assert!(seq > ledger.floor, "a request at or below the floor never begins");
+        ledger.lines.push(Line {
+            seq,
+            state: State::Running(ticket),
+        });
+    }
+
+    /// Writes how a request ended. A request that has ended before keeps its first end.
+    pub fn end(&mut self, key: FlowKey, seq: RequestSeq, state: State, now: Time) {
+        let Some(ledger) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+            return;
+        };
+        if line.state.is_final() {
+            return;
+        }
+        if let State::Answered(answer) = &state {
+            self.answer_bytes += answer.body.len() as u64;
+        }
+        let ended = state.is_final();
+        line.state = state;
+        if ended {
+            self.answer_expiries.push_back(Expiry {
+                at: now + self.keep_answers,
+                key,
+                seq: Some(seq),
+            });
+        }
+    }
+
+    /// Writes the final refusal of a request that never began.
+    pub fn refuse(&mut self, key: FlowKey, seq: RequestSeq, reason: Reason, now: Time) {
+        let ledger = self.flows.entry(key).or_default();
+        assert!(
+            ledger.line(seq).is_none(),
+            "a request that is refused unbegun has no line"
+        );
+        assert!(seq > ledger.floor, "a request at or below the floor may have run");
+        let state = State::Refused(Verdict::NotRun, reason);
+        ledger.lines.push(Line { seq, state });
+        self.answer_expiries.push_back(Expiry {
+            at: now + self.keep_answers,
+            key,
+            seq: Some(seq),
+        });
+    }
+
+    /// The answer of a request, if it is held.
+    pub fn answer(&self, key: FlowKey, seq: RequestSeq) -> Option<&Answer> {
+        let line = self.flows.get(&key)?.line(seq)?;
+        match &line.state {
+            State::Answered(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Lets go of an answer that the caller has whole.
+    pub fn forget_answer(&mut self, key: FlowKey, seq: RequestSeq) {
+        let Some(ledger) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+            return;
+        };
+        if let State::Answered(answer) = &line.state {
+            self.answer_bytes -= answer.body.len() as u64;
+            line.state = State::Forgotten;
+        }
+    }
+
+    /// Forgets what has been kept long enough, and the oldest answers beyond `max_bytes`.
+    pub fn expire(&mut self, now: Time, max_bytes: u64) {
+        while let Some(expiry) = self.answer_expiries.front() {
+            if expiry.at > now && self.answer_bytes <= max_bytes {
+                break;
+            }
+            let Some(expiry) = self.answer_expiries.pop_front() else {
+                break;
+            };
+            self.expire_line(&expiry, now);
+        }
+        while self.expiries.front().is_some_and(|expiry| expiry.at <= now) {
+            let Some(expiry) = self.expiries.pop_front() else {
+                break;
+            };
+            self.expire_flow(expiry.key, now);
+        }
+        while self.closed.front().is_some_and(|expiry| expiry.at <= now) {
+            let Some(expiry) = self.closed.pop_front() else {
+                break;
+            };
+            self.expire_flow(expiry.key, now);
+        }
+    }
+
+    fn expire_line(&mut self, expiry: &Expiry, now: Time) {
+        let Some(seq) = expiry.seq else {
+            return;
+        };
+        self.forget_answer(expiry.key, seq);
+        if expiry.at > now {
+            return;
+        }
+        let Some(ledger) = self.flows.get_mut(&expiry.key) else {
+            return;
+        };
+        let ended = |line: &Line| line.seq == seq && line.state.is_final();
+        let Some(index) = ledger.lines.iter().position(ended) else {
+            return;
+        };
+        // What is still missing below this number is turned away from now on. It has been under way for so long
+        // that nobody waits for it.
+        ledger.sink(index);
+        if ledger.lines.is_empty() {
+            ledger.lines = Vec::new();
+        }
+    }
+
+    fn expire_flow(&mut self, key: FlowKey, now: Time) {
+        let Some(ledger) = self.flows.get(&key) else {
+            return;
+        };
+        let keep = if ledger.closed { PACKET_LIFE } else { self.keep_flows };
+        let due = ledger.touched + keep;
+        let running = ledger.lines.iter().any(|line| !line.state.is_final());
+        if due > now || running {
+            self.expiries.push_back(Expiry {
+                at: due.max(now + RECHECK),
+                key,
+                seq: None,
+            });
+            return;
+        }
+        self.remove(key);
+    }
+
+    /// Notes that the caller has closed a flow. Its ledger stays for as long as copies of its packets may be under way.
+    pub fn close(&mut self, key: FlowKey, now: Time) {
+        let Some(ledger) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if ledger.closed {
+            return;
+        }
+        ledger.closed = true;
+        ledger.touched = now;
+        self.closed.push_back(Expiry {
+            at: now + PACKET_LIFE,
+            key,
+            seq: None,
+        });
+    }
+
+    fn remove(&mut self, key: FlowKey) {
+        let Some(ledger) = self.flows.remove(&key) else {
+            return;
+        };
+        for line in ledger.lines {
+            if let State::Answered(answer) = line.state {
+                self.answer_bytes -= answer.body.len() as u64;
+            }
+        }
+    }
+
+    /// Takes over a ledger. A ledger that is already there is left alone.
+    pub fn install(&mut self, key: FlowKey, ledger: Ledger, now: Time) {
+        if self.flows.contains_key(&key) {
+            return;
+        }
+        self.expiries.push_back(Expiry {
+            at: now + self.keep_flows,
+            key,
+            seq: None,
+        });
+        for line in &ledger.lines {
+            if let State::Answered(answer) = &line.state {
+                self.answer_bytes += answer.body.len() as u64;
+            }
+            if line.state.is_final() {
+                self.answer_expiries.push_back(Expiry {
+                    at: now + self.keep_answers,
+                    key,
+                    seq: Some(line.seq),
+                });
+            }
+        }
+        self.flows.insert(key, ledger);
+    }
+
+    /// Lets a request that was in progress elsewhere begin here, because the other instance never ran it.
+    pub fn resume(&mut self, key: FlowKey, seq: RequestSeq, ticket: TicketId) -> bool {
+        let Some(ledger) = self.flows.get_mut(&key) else {
+            return false;
+        };
+        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+            return false;
+        };
+        if !matches!(line.state, State::Elsewhere(_)) {
+            return false;
+        }
+        line.state = State::Running(ticket);
+        true
+    }
+
+    /// The incarnation at which a request is in progress, if that is not this one.
+    pub fn elsewhere_at(&self, key: FlowKey, seq: RequestSeq) -> Option<Incarnation> {
+        let line = self.flows.get(&key)?.line(seq)?;
+        match line.state {
+            State::Elsewhere(incarnation) => Some(incarnation),
+            _ => None,
+        }
+    }
+
+    /// The requests that are in progress at another incarnation.
+    pub fn elsewhere(&self, incarnation: Incarnation) -> Vec<(FlowKey, RequestSeq)> {
+        let mut found = Vec::new();
+        for (key, ledger) in &self.flows {
+            for line in &ledger.lines {
+                if line.state == State::Elsewhere(incarnation) {
+                    found.push((*key, line.seq));
+                }
+            }
+        }
+        found.sort_unstable();
+        found
+    }
+
+    /// Takes all ledgers out, in a fixed order.
+    pub fn take(&mut self) -> Vec<(FlowKey, Ledger)> {
+        let mut flows: Vec<_> = std::mem::take(&mut self.flows).into_iter().collect();
+        flows.sort_unstable_by_key(|(key, _)| *key);
+        self.expiries.clear();
+        self.closed.clear();
+        self.answer_expiries.clear();
+        self.answer_bytes = 0;
+        flows
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,16 +4,21 @@
 //! randomised tests and the scenarios drive the same code.
 
 mod action;
+mod answers;
 mod documents;
 mod event;
 mod fleet;
 mod home;
 mod ingress;
 mod ledger;
+mod ledgers;
 mod limits;
 mod node;
 mod owner;
+mod pack;
 mod record;
+mod reports;
+mod slots;
 mod status;
 mod stop;
 mod takeover;
@@ -32,10 +37,10 @@
 pub use event::Report;
 pub use ledger::FlowKey;
 pub use ledger::Ledger;
-pub use ledger::Ledgers;
 pub use ledger::Line;
-pub use ledger::Lookup;
 pub use ledger::State;
+pub use ledgers::Ledgers;
+pub use ledgers::Lookup;
 pub use limits::Limits;
 pub use node::Node;
 pub use node::Setup;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde_bytes::ByteBuf;
 use token::Claims;
 use units::Millis;
 use units::RequestSeq;
@@ -11,11 +10,9 @@
 use units::UpstreamName;
 use wire::Accepted;
 use wire::Answer;
-use wire::Chunk;
 use wire::Granted;
 use wire::Outcome;
 use wire::Packet;
-use wire::Pull;
 use wire::Reason;
 use wire::Refused;
 use wire::Reply;
@@ -33,6 +30,7 @@
 use crate::Node;
 use crate::Record;
 use crate::State;
+use crate::answers::push_chunk;
 use crate::ingress::Arrival;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
@@ -301,31 +299,6 @@
         Some(ticket)
     }
 
-    fn take_pull(&mut self, cx: &mut Cx<'_>, key: FlowKey, caller: SocketAddr, pull: &Pull) {
-        let held = self
-            .ledgers
-            .answer(key, pull.seq)
-            .filter(|answer| answer.head.digest == pull.digest);
-        let Some(answer) = held else {
-            let verdict = Verdict::MayHaveRun;
-            let reason = Reason::AnswerGone;
-            self.counters.refuse(verdict, reason);
-            let subject = Subject::Pull(key.flow, pull.seq, pull.digest);
-            let refused = Refused {
-                subject,
-                verdict,
-                reason,
-                retry_after: Millis(0),
-                granted: None,
-            };
-            return cx.push(Action::Reply(caller, Reply::Refused(refused)));
-        };
-        let count = u32::from(pull.count.min(Pull::MAX_COUNT));
-        for index in pull.first..pull.first.saturating_add(count) {
-            push_chunk(cx, caller, key, pull.seq, answer, index, None);
-        }
-    }
-
     #[expect(
         clippy::too_many_arguments,
         reason = "each is a field of the reply, and a struct would only copy it"
@@ -407,27 +380,3 @@
         CallResult::TimedOut => Outcome::TimedOut,
     }
 }
-
-fn push_chunk(
-    cx: &mut Cx<'_>,
-    caller: SocketAddr,
-    key: FlowKey,
-    seq: RequestSeq,
-    answer: &Answer,
-    index: u32,
-    granted: Option<Granted>,
-) {
-    let Some(data) = answer.chunk(index) else {
-        return;
-    };
-    let data = ByteBuf::from(data.to_vec());
-    let chunk = Chunk {
-        flow: key.flow,
-        seq,
-        head: answer.head,
-        index,
-        data,
-        granted,
-    };
-    cx.push(Action::Reply(caller, Reply::Chunk(chunk)));
-}
--- /dev/null
+++ b/crates/node/src/reports.rs
@@ -0,0 +1,72 @@
+//! What upstreams say of themselves, and which of them are leaving.
+
+use units::Incarnation;
+use units::UpstreamName;
+use wire::LeavingUpstream;
+
+use crate::Node;
+use crate::Record;
+use crate::Report;
+use crate::node::Cx;
+
+impl Node {
+    /// Takes what an upstream says of itself.
+    pub(crate) fn take_report(&mut self, cx: &mut Cx<'_>, name: &UpstreamName, report: Option<Report>) {
+        let Some(service) = self.documents.service_of(name) else {
+            return;
+        };
+        let now = cx.now;
+        if let Some(report) = report {
+            let known = self.upstreams.get(name).copied();
+            if known.is_some_and(|known| known > report.incarnation) {
+                // The answer is older than what is known, or belongs to another process.
+                return;
+            }
+            self.upstreams.insert(name.clone(), report.incarnation);
+            if report.draining {
+                self.mark_leaving(cx, name.clone(), report.incarnation);
+            }
+            let fresh = known != Some(report.incarnation);
+            if fresh && !self.membership.is_leaving(name, report.incarnation) {
+                self.with_pool(&service, now, |pool, _| pool.readmit(name, now));
+            }
+        }
+        let said = report.map(|report| balance::Report {
+            healthy: report.healthy,
+            draining: report.draining,
+            busy: report.busy,
+            age: report.age,
+        });
+        self.with_pool(&service, now, |pool, out| pool.report(name, said, now, out));
+    }
+
+    /// Spreads that an incarnation of an upstream gets no new work.
+    pub(crate) fn mark_leaving(&mut self, cx: &mut Cx<'_>, name: UpstreamName, incarnation: Incarnation) {
+        if self.membership.is_leaving(&name, incarnation) {
+            return;
+        }
+        let mark = LeavingUpstream { name, incarnation };
+        let mut outputs = Vec::new();
+        self.membership.add_leaving_upstream(mark.clone(), cx.now, &mut outputs);
+        self.upstream_leaves(cx, &mark);
+        self.take_outputs(cx, outputs);
+    }
+
+    /// Stops new work for an upstream that is marked, unless a later incarnation is known.
+    pub(crate) fn upstream_leaves(&mut self, cx: &mut Cx<'_>, mark: &LeavingUpstream) {
+        let later = self
+            .upstreams
+            .get(&mark.name)
+            .is_some_and(|known| *known > mark.incarnation);
+        if later {
+            return;
+        }
+        cx.record(Record::UpstreamLeaving(mark.name.clone(), mark.incarnation));
+        let Some(service) = self.documents.service_of(&mark.name) else {
+            return;
+        };
+        if let Some(home) = self.homes.get_mut(&service) {
+            home.pool.leave(&mark.name);
+        }
+    }
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -3,15 +3,14 @@
 //! Once a ledger has been sent, this node begins nothing of its flows again, acknowledged or not. Only a refusal by
 //! the chosen successor, which promises that nothing was taken over, lets the node choose another.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use units::Incarnation;
 use units::InstanceName;
-use units::Millis;
 use units::RequestSeq;
 use units::Time;
-use wire::Body;
 use wire::Entry;
 use wire::Frame;
 use wire::Handover;
@@ -23,14 +22,15 @@
 
 use crate::Action;
 use crate::FlowKey;
-use crate::Ledger;
 use crate::Node;
 use crate::Peer;
 use crate::Record;
 use crate::State;
 use crate::fleet::Place;
 use crate::node::Cx;
-use crate::ticket::Ticket;
+use crate::pack::body_of;
+use crate::pack::pack;
+use crate::pack::split;
 
 /// How long the others get to hear of the stop before the ledgers move.
 const NOTICE: Duration = Duration::from_millis(300);
@@ -38,8 +38,6 @@
 const LINGER: Duration = Duration::from_millis(700);
 /// How long to wait for the successor's word before the ledgers are sent again.
 const SEND_AGAIN: Duration = Duration::from_millis(500);
-/// About how many bytes of ledgers go into one frame.
-const PART_BYTES: usize = 128 * 1_024;
 
 /// How far a planned stop has come.
 #[derive(Debug)]
@@ -177,7 +175,7 @@
             .filter(|(_, ticket)| ticket.is_waiting())
             .map(|(id, _)| *id)
             .collect();
-        let mut bodies = std::collections::BTreeMap::new();
+        let mut bodies = BTreeMap::new();
         for id in waiting {
             self.withdraw(cx, id);
             if let Some(ticket) = self.remove_ticket(id) {
@@ -346,73 +344,3 @@
         cx.push(Action::Stopped);
     }
 }
-
-fn body_of(ticket: Ticket, now: Time) -> Body {
-    let remaining = Millis::from(now.until(ticket.deadline));
-    Body {
-        caller: ticket.caller,
-        zone: ticket.zone,
-        in_doubt: ticket.in_doubt,
-        avoid: ticket.avoid,
-        request: ticket.request,
-        remaining,
-    }
-}
-
-fn pack(
-    key: FlowKey,
-    ledger: Ledger,
-    bodies: &mut std::collections::BTreeMap<TicketId, Body>,
-    me: Incarnation,
-) -> HandoverFlow {
-    let mut entries = Vec::new();
-    for line in ledger.lines {
-        let entry = match line.state {
-            State::Running(ticket) => bodies.remove(&ticket).map_or(Entry::Running(me), Entry::Queued),
-            State::Elsewhere(incarnation) => Entry::Running(incarnation),
-            State::Answered(answer) => Entry::Answered(*answer),
-            State::Forgotten => Entry::Forgotten,
-            State::Refused(verdict, reason) => Entry::Refused(verdict, reason),
-        };
-        entries.push((line.seq, entry));
-    }
-    HandoverFlow {
-        owner: key.owner,
-        flow: key.flow,
-        floor: ledger.floor,
-        sent: ledger.sent,
-        entries,
-    }
-}
-
-/// Cuts ledgers into parts of about [`PART_BYTES`]. There is always at least one.
-fn split(flows: &[HandoverFlow]) -> Vec<&[HandoverFlow]> {
-    let mut parts = Vec::new();
-    let mut start = 0;
-    let mut size = 0;
-    for (index, flow) in flows.iter().enumerate() {
-        size += size_of_flow(flow);
-        if size < PART_BYTES {
-            continue;
-        }
-        parts.push(&flows[start..=index]);
-        start = index + 1;
-        size = 0;
-    }
-    if start < flows.len() || parts.is_empty() {
-        parts.push(&flows[start..]);
-    }
-    parts
-}
-
-fn size_of_flow(flow: &HandoverFlow) -> usize {
-    let mut size = 64;
-    for (_, entry) in &flow.entries {
-        size += match entry {
-            Entry::Queued(body) => 256 + body.request.body.len(),
-            Entry::Answered(answer) => 64 + answer.body.len(),
-            Entry::Running(_) | Entry::Forgotten | Entry::Refused(..) => 16,
-        };
-    }
-    size
-}
