--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -5,6 +5,7 @@
 //! line stays until its number lies at or below the floor, where nothing begins. This holds for idempotent requests
 //! too: were they left out, a late copy could run after its refusal had said `not run`.
 
+use thin_vec::ThinVec;
 use units::FlowId;
 use units::Incarnation;
 use units::RequestSeq;
@@ -62,12 +63,10 @@
     pub floor: RequestSeq,
     /// The highest number that the caller is known to have used.
     pub sent: RequestSeq,
-    /// The last time a request came.
-    pub touched: Time,
-    /// Whether the caller has closed the flow.
-    pub closed: bool,
+    /// Until when the ledger is kept. Every request moves this on.
+    pub keep_until: Time,
     /// The requests known one by one, in the order in which they came.
-    pub lines: Vec<Line>,
+    pub lines: ThinVec<Line>,
 }
 
 impl Ledger {
--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use thin_vec::ThinVec;
 use units::Incarnation;
 use units::RequestSeq;
 use units::Time;
@@ -19,6 +20,8 @@
 
 /// How long a copy of a datagram may be under way. A closed flow's ledger outlives its last packet by this.
 const PACKET_LIFE: Duration = Duration::from_mins(2);
+/// How many free places a queue may keep, however short it is.
+const SPARE: usize = 256;
 /// How soon a flow whose ledger is due but still in use is looked at again.
 const RECHECK: Duration = Duration::from_secs(1);
 
@@ -35,20 +38,30 @@
     Full,
 }
 
+/// When a flow's ledger is looked at.
 #[derive(Debug)]
-struct Expiry {
+struct FlowExpiry {
     at: Time,
     key: FlowKey,
-    seq: Option<RequestSeq>,
+}
+
+/// When the line of a request that has ended sinks.
+#[derive(Debug)]
+struct LineExpiry {
+    at: Time,
+    key: FlowKey,
+    seq: RequestSeq,
 }
 
 /// The ledgers of all flows that an instance owns.
 #[derive(Debug)]
 pub struct Ledgers {
     flows: HashMap<FlowKey, Ledger>,
-    expiries: VecDeque<Expiry>,
-    closed: VecDeque<Expiry>,
-    answer_expiries: VecDeque<Expiry>,
+    open: VecDeque<FlowExpiry>,
+    closed: VecDeque<FlowExpiry>,
+    ended: VecDeque<LineExpiry>,
+    /// Answers that may be held, oldest first.
+    answers: VecDeque<(FlowKey, RequestSeq)>,
     answer_bytes: u64,
     keep_flows: Duration,
     keep_answers: Duration,
@@ -60,9 +73,10 @@
     pub fn new(keep_flows: Duration, keep_answers: Duration) -> Self {
         Self {
             flows: HashMap::new(),
-            expiries: VecDeque::new(),
+            open: VecDeque::new(),
             closed: VecDeque::new(),
-            answer_expiries: VecDeque::new(),
+            ended: VecDeque::new(),
+            answers: VecDeque::new(),
             answer_bytes: 0,
             keep_flows,
             keep_answers,
@@ -106,10 +120,9 @@
         let ledger = match self.flows.entry(key) {
             std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
             std::collections::hash_map::Entry::Vacant(entry) => {
-                self.expiries.push_back(Expiry {
+                self.open.push_back(FlowExpiry {
                     at: now + self.keep_flows,
                     key,
-                    seq: None,
                 });
                 entry.insert(Ledger {
                     floor,
@@ -117,7 +130,7 @@
                 })
             }
         };
-        ledger.touched = now;
+        ledger.keep_until = now + self.keep_flows;
         ledger.sent = ledger.sent.max(sent).max(seq);
         if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
             return Lookup::Known(&ledger.lines[index].state);
@@ -159,14 +172,15 @@
         }
         if let State::Answered(answer) = &state {
             self.answer_bytes += answer.body.len() as u64;
+            self.answers.push_back((key, seq));
         }
         let ended = state.is_final();
         line.state = state;
         if ended {
-            self.answer_expiries.push_back(Expiry {
+            self.ended.push_back(LineExpiry {
                 at: now + self.keep_answers,
                 key,
-                seq: Some(seq),
+                seq,
             });
         }
     }
@@ -181,10 +195,10 @@
         assert!(seq > ledger.floor, "a request at or below the floor may have run");
         let state = State::Refused(Verdict::NotRun, reason);
         ledger.lines.push(Line { seq, state });
-        self.answer_expiries.push_back(Expiry {
+        self.ended.push_back(LineExpiry {
             at: now + self.keep_answers,
             key,
-            seq: Some(seq),
+            seq,
         });
     }
 
@@ -213,17 +227,22 @@
 
     /// Forgets what has been kept long enough, and the oldest answers beyond `max_bytes`.
     pub fn expire(&mut self, now: Time, max_bytes: u64) {
-        while let Some(expiry) = self.answer_expiries.front() {
-            if expiry.at > now && self.answer_bytes <= max_bytes {
+        while self.answer_bytes > max_bytes {
+            let Some((key, seq)) = self.answers.pop_front() else {
                 break;
-            }
-            let Some(expiry) = self.answer_expiries.pop_front() else {
+            };
+            self.forget_answer(key, seq);
+        }
+        while self.ended.front().is_some_and(|expiry| expiry.at <= now) {
+            let Some(expiry) = self.ended.pop_front() else {
                 break;
             };
-            self.expire_line(&expiry, now);
+            self.expire_line(&expiry);
         }
-        while self.expiries.front().is_some_and(|expiry| expiry.at <= now) {
-            let Some(expiry) = self.expiries.pop_front() else {
+        shrink(&mut self.ended);
+        shrink(&mut self.answers);
+        while self.open.front().is_some_and(|expiry| expiry.at <= now) {
+            let Some(expiry) = self.open.pop_front() else {
                 break;
             };
             self.expire_flow(expiry.key, now);
@@ -236,18 +255,19 @@
         }
     }
 
-    fn expire_line(&mut self, expiry: &Expiry, now: Time) {
-        let Some(seq) = expiry.seq else {
-            return;
-        };
-        self.forget_answer(expiry.key, seq);
-        if expiry.at > now {
-            return;
+    fn expire_line(&mut self, expiry: &LineExpiry) {
+        self.forget_answer(expiry.key, expiry.seq);
+        // Answers end and expire in the same order, so the front of the queue is this one or an earlier one.
+        while let Some((key, seq)) = self.answers.front() {
+            if self.answer(*key, *seq).is_some() {
+                break;
+            }
+            self.answers.pop_front();
         }
         let Some(ledger) = self.flows.get_mut(&expiry.key) else {
             return;
         };
-        let ended = |line: &Line| line.seq == seq && line.state.is_final();
+        let ended = |line: &Line| line.seq == expiry.seq && line.state.is_final();
         let Some(index) = ledger.lines.iter().position(ended) else {
             return;
         };
@@ -255,7 +275,7 @@
         // that nobody waits for it.
         ledger.sink(index);
         if ledger.lines.is_empty() {
-            ledger.lines = Vec::new();
+            ledger.lines = ThinVec::new();
         }
     }
 
@@ -263,15 +283,10 @@
         let Some(ledger) = self.flows.get(&key) else {
             return;
         };
-        let keep = if ledger.closed { PACKET_LIFE } else { self.keep_flows };
-        let due = ledger.touched + keep;
         let running = ledger.lines.iter().any(|line| !line.state.is_final());
-        if due > now || running {
-            self.expiries.push_back(Expiry {
-                at: due.max(now + RECHECK),
-                key,
-                seq: None,
-            });
+        if ledger.keep_until > now || running {
+            let at = ledger.keep_until.max(now + RECHECK);
+            self.open.push_back(FlowExpiry { at, key });
             return;
         }
         self.remove(key);
@@ -282,16 +297,12 @@
         let Some(ledger) = self.flows.get_mut(&key) else {
             return;
         };
-        if ledger.closed {
+        let keep_until = now + PACKET_LIFE;
+        if ledger.keep_until <= keep_until {
             return;
         }
-        ledger.closed = true;
-        ledger.touched = now;
-        self.closed.push_back(Expiry {
-            at: now + PACKET_LIFE,
-            key,
-            seq: None,
-        });
+        ledger.keep_until = keep_until;
+        self.closed.push_back(FlowExpiry { at: keep_until, key });
     }
 
     fn remove(&mut self, key: FlowKey) {
@@ -305,25 +316,26 @@
         }
     }
 
-    /// Takes over a ledger. A ledger that is already there is left alone.
-    pub fn install(&mut self, key: FlowKey, ledger: Ledger, now: Time) {
+    /// Takes over a ledger and keeps it as if a request had just come. One that is already there is left alone.
+    pub fn install(&mut self, key: FlowKey, mut ledger: Ledger, now: Time) {
         if self.flows.contains_key(&key) {
             return;
         }
-        self.expiries.push_back(Expiry {
-            at: now + self.keep_flows,
+        ledger.keep_until = now + self.keep_flows;
+        self.open.push_back(FlowExpiry {
+            at: ledger.keep_until,
             key,
-            seq: None,
         });
         for line in &ledger.lines {
             if let State::Answered(answer) = &line.state {
                 self.answer_bytes += answer.body.len() as u64;
+                self.answers.push_back((key, line.seq));
             }
             if line.state.is_final() {
-                self.answer_expiries.push_back(Expiry {
+                self.ended.push_back(LineExpiry {
                     at: now + self.keep_answers,
                     key,
-                    seq: Some(line.seq),
+                    seq: line.seq,
                 });
             }
         }
@@ -372,10 +384,18 @@
     pub fn take(&mut self) -> Vec<(FlowKey, Ledger)> {
         let mut flows: Vec<_> = std::mem::take(&mut self.flows).into_iter().collect();
         flows.sort_unstable_by_key(|(key, _)| *key);
-        self.expiries.clear();
+        self.open.clear();
         self.closed.clear();
-        self.answer_expiries.clear();
+        self.ended.clear();
+        self.answers.clear();
         self.answer_bytes = 0;
         flows
     }
 }
+
+/// Gives memory back after a peak.
+fn shrink<T>(queue: &mut VecDeque<T>) {
+    if queue.capacity() > 4 * queue.len() + SPARE {
+        queue.shrink_to(2 * queue.len() + SPARE);
+    }
+}
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use thin_vec::ThinVec;
 use units::Incarnation;
 use units::RequestSeq;
 use units::Time;
@@ -81,7 +82,7 @@
                 owner: flow.owner,
                 flow: flow.flow,
             };
-            let ledger = unpack(key, flow, record.from_incarnation, cx.now, &mut queued);
+            let ledger = unpack(key, flow, record.from_incarnation, &mut queued);
             self.ledgers.install(key, ledger, cx.now);
         }
         self.send(cx, peer, Frame::HandoverDone(record.from_incarnation));
@@ -155,8 +156,8 @@
     }
 }
 
-fn unpack(key: FlowKey, flow: HandoverFlow, from: Incarnation, now: Time, queued: &mut Vec<Queued>) -> Ledger {
-    let mut lines = Vec::new();
+fn unpack(key: FlowKey, flow: HandoverFlow, from: Incarnation, queued: &mut Vec<Queued>) -> Ledger {
+    let mut lines = ThinVec::new();
     for (seq, entry) in flow.entries {
         let state = match entry {
             Entry::Queued(body) => {
@@ -173,8 +174,7 @@
     Ledger {
         floor: flow.floor,
         sent: flow.sent,
-        touched: now,
-        closed: false,
+        keep_until: Time::default(),
         lines,
     }
 }
