--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -83,7 +83,8 @@
 
     /// Writes the document if it still has the revision that the write was made from.
     ///
-    /// A write that is sent again after an earlier copy took effect succeeds with the revision that the copy made.
+    /// The same write may be sent again. If an earlier copy took effect, this succeeds with the revision that the copy
+    /// made, even if other revisions have followed.
     pub async fn write(&self, write: &Write) -> Result<Revision, Error> {
         let put = Put {
             nonce: write.nonce,
@@ -93,13 +94,16 @@
         };
         let condition = Condition::still(write.base);
         let result = self.put(&Key::document(), condition, &put).await;
-        let Err(Error::Conflict { current: Some(current) }) = &result else {
+        let Err(Error::Conflict { .. }) = &result else {
             return result;
         };
-        if current.version == write.revision() && current.nonce == write.nonce {
-            return Ok(current.version);
+        // The revision that this write would have made exists. It may be an earlier copy of this write that made it.
+        match self.settle(write).await {
+            Ok(Settled::TookEffect(revision)) => Ok(revision),
+            Ok(Settled::Lost(_)) => result,
+            Ok(Settled::Open) => Err(Error::InDoubt(format!("revision {} cannot be read", write.revision()))),
+            Err(error) => Err(Error::InDoubt(error.to_string())),
         }
-        result
     }
 
     /// Finds out what became of a write that was in doubt, by reading back the revision that it would have made.
--- /dev/null
+++ b/crates/platform/tests/script/mod.rs
@@ -0,0 +1,205 @@
+//! Short scripts of operators and a misbehaving platform.
+//!
+//! `platform JSON` sets the platform's behaviour, `platform counts` tells what it was asked, and `platform sees N` and
+//! `platform reaches N` wait until it was asked for `N` writes or holds revision `N`. Any other line begins with the
+//! name of an operator, who has a client of his own. The one named `hasty` gives up after a moment, which is only used
+//! where no answer can come. `begin` begins a write and `end` waits for its result.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::Client;
+use platform::Document;
+use platform::Error;
+use platform::Options;
+use platform::Settled;
+use platform::Write;
+use platform::api::Key;
+use standin::platform::Handle;
+use tokio::task::JoinHandle;
+use units::Nonce;
+use units::Revision;
+
+/// How long the hasty one waits.
+const MOMENT: Duration = Duration::from_millis(50);
+
+/// How long a watch waits that is to end without news.
+const SHORT_WATCH: Duration = Duration::from_millis(20);
+
+/// Far longer than any answer takes that is to come.
+const LONG: Duration = Duration::from_mins(1);
+
+/// Runs a script and returns what each line led to.
+pub async fn run(script: &str) -> String {
+    let mut world = World {
+        platform: standin::platform::start(standin::platform::Options::default())
+            .await
+            .expect("loopback has free ports"),
+        operators: BTreeMap::new(),
+    };
+    let mut out = String::new();
+    for line in script.lines().map(str::trim).filter(|line| !line.is_empty()) {
+        let result = world.step(line).await;
+        writeln!(out, "{line} -> {result}").expect("a string takes every write");
+    }
+    out
+}
+
+struct World {
+    platform: Handle,
+    operators: BTreeMap<String, Operator>,
+}
+
+struct Operator {
+    client: Client,
+    write: Option<Write>,
+    begun: Option<JoinHandle<String>>,
+}
+
+impl World {
+    async fn step(&mut self, line: &str) -> String {
+        let (who, what) = line.split_once(' ').expect("a line has a subject");
+        if who == "platform" {
+            return self.tell(what).await;
+        }
+        let address = self.platform.address();
+        let operator = self
+            .operators
+            .entry(who.to_owned())
+            .or_insert_with(|| Operator::new(who, address));
+        let words: Vec<&str> = what.split(' ').collect();
+        match words.as_slice() {
+            ["write", base, nonce, text] => {
+                operator.prepare(who, base, nonce, text);
+                send(&operator.client, operator.last()).await
+            }
+            ["begin", base, nonce, text] => {
+                operator.prepare(who, base, nonce, text);
+                let client = operator.client.clone();
+                let write = operator.last().clone();
+                operator.begun = Some(tokio::spawn(async move { send(&client, &write).await }));
+                "begun".to_owned()
+            }
+            ["end"] => operator.begun.take().expect("begun").await.expect("no panic"),
+            ["again"] => send(&operator.client, operator.last()).await,
+            ["settle"] => operator.settle().await,
+            ["read"] => show(operator.client.document().await),
+            ["watch", newer_than] => show(operator.watch(newer_than, LONG).await),
+            ["glance", newer_than] => show(operator.watch(newer_than, SHORT_WATCH).await),
+            ["history"] => match operator.client.history(10).await {
+                Ok(documents) => documents.iter().map(text).collect::<Vec<_>>().join(", "),
+                Err(error) => cause(&error),
+            },
+            _ => panic!("no such line: {line}"),
+        }
+    }
+
+    async fn tell(&self, what: &str) -> String {
+        if what == "counts" {
+            let counts = self.platform.counts();
+            return format!(
+                "{} writes, {} taken, {} lost",
+                counts.writes, counts.taken, counts.lost_answers
+            );
+        }
+        if let Some(writes) = what.strip_prefix("sees ") {
+            let writes: u64 = writes.parse().expect("a number");
+            while self.platform.counts().writes < writes {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            return "yes".to_owned();
+        }
+        if let Some(revision) = what.strip_prefix("reaches ") {
+            let revision: Revision = revision.parse().expect("a revision");
+            while self
+                .platform
+                .object(&Key::document())
+                .is_none_or(|object| object.version < revision)
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            return "yes".to_owned();
+        }
+        self.platform
+            .behave(serde_json::from_str(what).expect("a behaviour"))
+            .await;
+        "done".to_owned()
+    }
+}
+
+impl Operator {
+    fn new(who: &str, address: SocketAddr) -> Self {
+        // Nothing listens on port 1, so the client has to go on to the address that serves.
+        let dead = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let mut options = Options::new(vec![dead, address]);
+        options.timeout = if who == "hasty" { MOMENT } else { LONG };
+        Self {
+            client: Client::new(options),
+            write: None,
+            begun: None,
+        }
+    }
+
+    fn last(&self) -> &Write {
+        self.write.as_ref().expect("something was written")
+    }
+
+    fn prepare(&mut self, who: &str, base: &str, nonce: &str, text: &str) {
+        self.write = Some(Write {
+            base: base.parse().expect("a revision"),
+            text: text.to_owned(),
+            writer: who.to_owned(),
+            nonce: nonce.parse().expect("a nonce"),
+        });
+    }
+
+    async fn settle(&self) -> String {
+        match self.client.settle(self.last()).await {
+            Ok(Settled::TookEffect(revision)) => format!("took effect as {revision}"),
+            Ok(Settled::Lost(winner)) => format!("lost to {}", text(&winner)),
+            Ok(Settled::Open) => "open".to_owned(),
+            Err(error) => cause(&error),
+        }
+    }
+
+    async fn watch(&self, newer_than: &str, wait: Duration) -> Result<Option<Document>, Error> {
+        let newer_than = newer_than.parse().expect("a revision");
+        self.client.watch(newer_than, wait).await
+    }
+}
+
+async fn send(client: &Client, write: &Write) -> String {
+    match client.write(write).await {
+        Ok(revision) => format!("made {revision}"),
+        Err(error) => cause(&error),
+    }
+}
+
+fn show(result: Result<Option<Document>, Error>) -> String {
+    match result {
+        Ok(Some(document)) if document.stale => format!("{}, stale", text(&document)),
+        Ok(Some(document)) => text(&document),
+        Ok(None) => "nothing".to_owned(),
+        Err(error) => cause(&error),
+    }
+}
+
+fn text(document: &Document) -> String {
+    let Nonce(nonce) = document.nonce;
+    format!(
+        "{} {:?} by {} ({nonce})",
+        document.revision, document.text, document.writer
+    )
+}
+
+/// The kind of an error, without the words that differ between machines.
+fn cause(error: &Error) -> String {
+    match error {
+        Error::Unavailable(_) => "unavailable".to_owned(),
+        Error::InDoubt(_) => "in doubt".to_owned(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/routes.rs
@@ -0,0 +1,210 @@
+//! The object API as HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::platform::api;
+use ::platform::api::Condition;
+use ::platform::api::History;
+use ::platform::api::Key;
+use ::platform::api::Kind;
+use ::platform::api::Listing;
+use ::platform::api::Object;
+use ::platform::api::Put;
+use ::platform::api::Tag;
+use ::platform::api::Written;
+use axum::Extension;
+use axum::Json;
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::Path;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::http::header::ETAG;
+use axum::http::header::IF_MATCH;
+use axum::http::header::IF_NONE_MATCH;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use serde::Deserialize;
+use units::Revision;
+
+use crate::line::Line;
+use crate::platform::Shared;
+use crate::platform::store::Store;
+
+/// How much longer than its value a write may be, in bytes.
+const PUT_OVERHEAD: usize = 4_096;
+
+/// What a read asks for.
+#[derive(Debug, Default, Deserialize)]
+struct Ask {
+    newer_than: Option<Revision>,
+    #[serde(default)]
+    wait_ms: u64,
+    version: Option<Revision>,
+    history: Option<usize>,
+}
+
+/// The routes of the object API.
+pub(crate) fn routes(shared: &Shared) -> Router {
+    let object = format!("{}/{{kind}}/{{name}}", api::OBJECTS);
+    Router::new()
+        .route(&object, get(read).put(write))
+        .route(api::LIST, get(list))
+        .layer(DefaultBodyLimit::max(api::MAX_VALUE_LEN + PUT_OVERHEAD))
+        .with_state(shared.clone())
+}
+
+async fn read(
+    State(shared): State<Shared>,
+    Path((kind, name)): Path<(Kind, String)>,
+    Query(ask): Query<Ask>,
+) -> Response {
+    let key = Key { kind, name };
+    if let Some(newer_than) = ask.newer_than {
+        return watch(&shared, &key, newer_than, Duration::from_millis(ask.wait_ms)).await;
+    }
+    shared.store.count(|counts| counts.reads += 1);
+    if let Some(refusal) = disturb(&shared).await {
+        return refusal;
+    }
+    let behind = shared.behaviour.borrow().behind;
+    if let Some(limit) = ask.history {
+        let versions = shared.store.history(&key, limit, behind);
+        return Json(History { versions }).into_response();
+    }
+    let Some(found) = shared.store.find(&key, ask.version, behind) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    tagged(found)
+}
+
+async fn watch(shared: &Shared, key: &Key, newer_than: Revision, wait: Duration) -> Response {
+    let _waiting = Waiting::new(&shared.store);
+    if let Some(refusal) = disturb(shared).await {
+        return refusal;
+    }
+    let mut changes = shared.store.changes();
+    let mut behaviours = shared.behaviour.subscribe();
+    let end = tokio::time::sleep(wait);
+    tokio::pin!(end);
+    loop {
+        let behind = behaviours.borrow_and_update().behind;
+        if let Some(object) = shared.store.find(key, None, behind)
+            && object.version > newer_than
+        {
+            return tagged(object);
+        }
+        tokio::select! {
+            _changed = changes.changed() => {}
+            _changed = behaviours.changed() => {}
+            () = &mut end => return StatusCode::NOT_MODIFIED.into_response(),
+        }
+    }
+}
+
+async fn write(
+    State(shared): State<Shared>,
+    Extension(line): Extension<Line>,
+    Path((kind, name)): Path<(Kind, String)>,
+    headers: HeaderMap,
+    Json(put): Json<Put>,
+) -> Response {
+    shared.store.count(|counts| counts.writes += 1);
+    let Some(condition) = condition(&headers) else {
+        return (StatusCode::BAD_REQUEST, "the condition cannot be read").into_response();
+    };
+    if put.value.to_string().len() > api::MAX_VALUE_LEN {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    if let Some(refusal) = disturb(&shared).await {
+        return refusal;
+    }
+    let mut behaviour = shared.behaviour.subscribe();
+    let store = Arc::clone(&shared.store);
+    let key = Key { kind, name };
+    // A task of its own takes effect even if the writer goes away meanwhile.
+    let task = tokio::spawn(async move {
+        // A stand-in that is stopped lets what it holds take effect, which nobody can see.
+        drop(behaviour.wait_for(|behaviour| behaviour.hold != Some(put.nonce)).await);
+        store.put(&key, condition, put)
+    });
+    let result = task.await.expect("the store does not panic");
+    if result.is_ok() && take_lost_answer(&shared) {
+        shared.store.count(|counts| counts.lost_answers += 1);
+        return line.cut().await;
+    }
+    match result {
+        Ok(version) => (tag(version), Json(Written { version })).into_response(),
+        Err(current) => (StatusCode::PRECONDITION_FAILED, Json(current)).into_response(),
+    }
+}
+
+async fn list(State(shared): State<Shared>) -> Response {
+    shared.store.count(|counts| counts.lists += 1);
+    if let Some(refusal) = disturb(&shared).await {
+        return refusal;
+    }
+    let lag = shared.behaviour.borrow().list_lag.duration();
+    let entries = shared.store.list(lag);
+    Json(Listing { entries }).into_response()
+}
+
+/// Brings about the faults that any call may meet.
+async fn disturb(shared: &Shared) -> Option<Response> {
+    let mut behaviour = shared.behaviour.subscribe();
+    // The sender lives in `shared`, so this waits for the end of the stall and for nothing else.
+    let now = behaviour.wait_for(|behaviour| !behaviour.stalled).await.ok()?.clone();
+    tokio::time::sleep(now.slow.duration()).await;
+    now.unavailable.then(|| StatusCode::SERVICE_UNAVAILABLE.into_response())
+}
+
+fn take_lost_answer(shared: &Shared) -> bool {
+    shared.behaviour.send_if_modified(|behaviour| {
+        let some = behaviour.lose_answers > 0;
+        behaviour.lose_answers = behaviour.lose_answers.saturating_sub(1);
+        some
+    })
+}
+
+fn condition(headers: &HeaderMap) -> Option<Condition> {
+    if let Some(value) = headers.get(IF_MATCH) {
+        let tag: Tag = value.to_str().ok()?.parse().ok()?;
+        return Some(Condition::Version(tag.0));
+    }
+    if let Some(value) = headers.get(IF_NONE_MATCH) {
+        return (value == "*").then_some(Condition::Absent);
+    }
+    Some(Condition::Any)
+}
+
+fn tagged(object: Object) -> Response {
+    (tag(object.version), Json(object)).into_response()
+}
+
+fn tag(version: Revision) -> [(axum::http::HeaderName, String); 1] {
+    [(ETAG, Tag(version).to_string())]
+}
+
+/// Counts a watch, and that it waits until this is dropped.
+#[derive(Debug)]
+struct Waiting<'a>(&'a Store);
+
+impl<'a> Waiting<'a> {
+    fn new(store: &'a Store) -> Self {
+        store.count(|counts| {
+            counts.watches += 1;
+            counts.waiting += 1;
+        });
+        Self(store)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.count(|counts| counts.waiting -= 1);
+    }
+}
