--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -45,8 +45,10 @@
     Hold(Hold),
     /// A part of the ledgers of an instance that stops.
     Handover(Handover),
-    /// All parts have arrived.
+    /// All parts of this incarnation's ledgers have arrived.
     HandoverDone(Incarnation),
+    /// The receiver stops too: it has taken over nothing of this incarnation and never will.
+    HandoverRefused(Incarnation),
     /// A request that was in progress at hand-over has ended.
     Resolved(Resolved),
     /// Asks whether the receiver is alive.
@@ -70,10 +72,10 @@
 pub struct Forward {
     /// Where the reply goes.
     pub caller: SocketAddr,
+    /// The availability zone in which the packet arrived.
+    pub zone: ZoneName,
     /// The packet.
     pub packet: Packet,
-    /// A token that replaces the packet's own, made because the owner of that one is gone.
-    pub reissued: Option<crate::Sealed>,
     /// How many instances have passed the packet on.
     pub hops: u8,
 }
@@ -186,10 +188,10 @@
 /// What a ledger holds of one request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
-    /// It waits for a slot and has not run. The new owner runs it.
+    /// It waits for a slot. The new owner runs it.
     Queued(Body),
-    /// It is in progress at the old owner, which tells how it ends.
-    Running,
+    /// It is in progress at this incarnation, which tells how it ends.
+    Running(Incarnation),
     /// It ended with this answer.
     Answered(Answer),
     /// It ran, and its answer is no longer held.
@@ -198,11 +200,17 @@
     Refused(Verdict, Reason),
 }
 
-/// A request that has not run, as it is handed over.
+/// A request that waits, as it is handed over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Body {
     /// Where the reply goes.
     pub caller: SocketAddr,
+    /// The availability zone in which it arrived.
+    pub zone: ZoneName,
+    /// Whether an earlier call may have run it.
+    pub in_doubt: bool,
+    /// Upstreams that have failed it.
+    pub avoid: Vec<UpstreamName>,
     /// The request, with its token.
     pub request: Request,
     /// How long until its deadline.
@@ -218,6 +226,8 @@
     pub flow: FlowId,
     /// Requests up to this number have ended or will never run, unless `entries` tells otherwise.
     pub floor: RequestSeq,
+    /// The highest number that the caller is known to have used.
+    pub sent: RequestSeq,
     /// The requests still known one by one.
     pub entries: Vec<(RequestSeq, Entry)>,
 }
@@ -225,19 +235,23 @@
 /// A part of the ledgers of an instance that stops.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
-    /// The successor record that takes effect with the last part.
+    /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
-    /// The records that the stopping instance inherited itself.
-    pub inherited: Vec<Successor>,
+    /// The incarnations whose ledgers the stopping instance had taken over itself.
+    pub inherited: Vec<Incarnation>,
     /// This part's ledgers.
     pub flows: Vec<HandoverFlow>,
-    /// Whether this is the last part.
-    pub last: bool,
+    /// This part's number, from zero.
+    pub part: u32,
+    /// How many parts there are. Nothing takes effect before all have arrived.
+    pub parts: u32,
 }
 
 /// A request that was in progress at hand-over has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resolved {
+    /// The incarnation at which it was in progress.
+    pub at: Incarnation,
     /// The incarnation that issued the flow's token.
     pub owner: Incarnation,
     /// The flow.
