Add the operators' command line with the document's life

`jayquay config check|diff|apply|show|history`. Each subcommand is one module that takes its arguments and gives a report (what goes to stdout, and whether it refuses), so others add theirs beside it. Exit codes are 0 done, 1 refused or failed, 2 bad usage; bpaf's own code for bad usage is 1, so its `run` was not used.

Applying stands in a crate of its own, because the console needs it as well. A write in doubt is read back by its nonce, and sent again only under the same nonce and condition. Who loses a race is told who won, what the winner changed and what the loser's document would still change.

Not run yet: apply, show and history against a platform, which waits for the stand-in.

--- /dev/null
+++ b/crates/apply/src/refusal.rs
@@ -0,0 +1,140 @@
+//! Why a document was not applied, or why that is not known.
+
+use std::fmt;
+
+use config::Change;
+use config::Difference;
+use config::Document;
+use units::Revision;
+
+use crate::Base;
+
+/// Why a document was not applied, or why that is not known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// The document does not follow the revision that was reviewed.
+    Revision {
+        /// The revision that was reviewed.
+        from: Revision,
+        /// The revision that the document states.
+        says: Revision,
+    },
+    /// The platform does not know the revision that was reviewed.
+    Unknown {
+        /// The revision that was reviewed.
+        from: Revision,
+        /// The newest one that the platform knows.
+        newest: Revision,
+    },
+    /// Another document was written first. Nothing was changed.
+    Raced(Box<Race>),
+    /// The platform did not do its part. Nothing was changed.
+    Platform(platform::Error),
+    /// The write was sent, and whether it took effect could not be found out.
+    InDoubt {
+        /// The revision that the write would make.
+        revision: Revision,
+        /// Why it could not be found out.
+        cause: platform::Error,
+    },
+}
+
+impl From<platform::Error> for Refusal {
+    /// For calls before anything was written.
+    fn from(error: platform::Error) -> Self {
+        Self::Platform(error)
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Revision { from, says } => {
+                let makes = from.next();
+                write!(
+                    f,
+                    "nothing was changed: the document states revision {says}, but what follows "
+                )?;
+                write!(f, "revision {from} is revision {makes}")
+            }
+            Self::Unknown { from, newest } => {
+                write!(
+                    f,
+                    "nothing was changed: the platform knows no revision {from}, its newest is {newest}; "
+                )?;
+                f.write_str("if you have seen it, a replica lags, so try again")
+            }
+            Self::Raced(race) => race.fmt(f),
+            Self::Platform(error) => write!(f, "nothing was changed: {error}"),
+            Self::InDoubt { revision, cause } => {
+                write!(f, "it is not known whether revision {revision} was made: {cause}; ")?;
+                f.write_str("apply the same file again to find out, which never makes it twice")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// A document that was written first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Race {
+    /// The revision that both wanted to make.
+    pub revision: Revision,
+    /// Who wrote it.
+    pub writer: String,
+    /// Who changed what and why, if the winner's document passes the checks.
+    pub change: Option<Change>,
+    /// What the winner changed.
+    pub won: Vec<Difference>,
+    /// What the loser's document would change in the winner's.
+    pub left: Vec<Difference>,
+}
+
+impl fmt::Display for Race {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let revision = self.revision;
+        write!(
+            f,
+            "nothing was changed: revision {revision} was made first by {}",
+            self.writer
+        )?;
+        if let Some(change) = &self.change {
+            let Change { approver, reason, .. } = change;
+            write!(f, ", approved by {approver}, because: {reason}")?;
+        }
+        write!(f, "\nThat revision changed:")?;
+        list(f, &self.won)?;
+        write!(f, "\nYour document would change in it:")?;
+        list(f, &self.left)?;
+        write!(f, "\nReview again from revision {revision}.")
+    }
+}
+
+fn list(f: &mut fmt::Formatter<'_>, differences: &[Difference]) -> fmt::Result {
+    if differences.is_empty() {
+        return f.write_str("\n  nothing");
+    }
+    for difference in differences {
+        write!(f, "\n  {difference}")?;
+    }
+    Ok(())
+}
+
+/// Tells the loser who won and what differs.
+pub(crate) fn raced(base: &Base, document: &Document, winner: &platform::Document) -> Refusal {
+    let won = Base::of(&winner.text);
+    let left = won.differences(document);
+    let mut race = Race {
+        revision: winner.revision,
+        writer: winner.writer.clone(),
+        change: None,
+        won: Vec::new(),
+        left,
+    };
+    if let Base::Checked(won) = won {
+        race.won = base.differences(&won);
+        race.change = Some(won.change);
+    }
+    Refusal::Raced(Box::new(race))
+}
--- /dev/null
+++ b/crates/apply/src/write.rs
@@ -0,0 +1,100 @@
+//! The write itself, and finding out what became of it when its answer was lost.
+
+use std::time::Duration;
+
+use platform::Client;
+use platform::Error;
+use platform::Settled;
+use platform::Write;
+use units::Nonce;
+use units::Revision;
+
+use crate::Plan;
+use crate::Refusal;
+use crate::refusal;
+
+/// How often a write in doubt is settled before giving up.
+const SETTLE_TRIES: u32 = 6;
+
+/// How long to wait before the second try to settle. Each further wait is twice as long.
+const FIRST_WAIT: Duration = Duration::from_millis(200);
+
+/// Nonces lie below this, so that every JSON reader keeps them exact.
+const NONCE_END: u64 = 1 << 53;
+
+/// A document came into force at the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Applied {
+    /// The revision that was made.
+    pub revision: Revision,
+    /// Whether the platform's answer was lost, and what it had done was read back.
+    pub read_back: bool,
+}
+
+/// Carries out a plan.
+///
+/// The write is sent again only under its own nonce and condition, so that it never takes effect twice.
+pub async fn apply(client: &Client, plan: &Plan) -> Result<Applied, Refusal> {
+    let revision = plan.document.revision;
+    if plan.in_force {
+        let read_back = true;
+        return Ok(Applied { revision, read_back });
+    }
+    let write = Write {
+        base: plan.from,
+        text: plan.document.text.clone(),
+        writer: plan.document.change.author.clone(),
+        nonce: Nonce(rand::random_range(1..NONCE_END)),
+    };
+    match client.write(&write).await {
+        Ok(revision) => Ok(Applied {
+            revision,
+            read_back: false,
+        }),
+        Err(cause @ Error::InDoubt(_)) => settle(client, plan, &write, cause).await,
+        Err(error @ Error::Conflict { .. }) => Err(lost(client, plan, error).await),
+        Err(error) => Err(Refusal::Platform(error)),
+    }
+}
+
+/// Reads back what became of a write, and sends it again while neither it nor another one has made the revision.
+async fn settle(client: &Client, plan: &Plan, write: &Write, first: Error) -> Result<Applied, Refusal> {
+    let revision = write.revision();
+    let mut cause = first;
+    let mut wait = FIRST_WAIT;
+    for attempt in 0..SETTLE_TRIES {
+        if attempt > 0 {
+            tokio::time::sleep(wait).await;
+            wait *= 2;
+        }
+        log::info!("apply: reading back revision {revision}, {cause}");
+        match client.settle(write).await {
+            Ok(Settled::TookEffect(revision)) => {
+                let read_back = true;
+                return Ok(Applied { revision, read_back });
+            }
+            Ok(Settled::Lost(winner)) => return Err(refusal::raced(&plan.base, &plan.document, &winner)),
+            Ok(Settled::Open) => {}
+            Err(error) => {
+                cause = error;
+                continue;
+            }
+        }
+        match client.write(write).await {
+            Ok(revision) => {
+                let read_back = true;
+                return Ok(Applied { revision, read_back });
+            }
+            Err(error) => cause = error,
+        }
+    }
+    Err(Refusal::InDoubt { revision, cause })
+}
+
+/// Tells who won, as far as the platform tells.
+async fn lost(client: &Client, plan: &Plan, error: Error) -> Refusal {
+    match client.revision(plan.document.revision).await {
+        Ok(Some(winner)) => refusal::raced(&plan.base, &plan.document, &winner),
+        Ok(None) | Err(_) => Refusal::Platform(error),
+    }
+}
--- /dev/null
+++ b/crates/jayquay/src/command.rs
@@ -0,0 +1,41 @@
+//! The subcommands, read from the arguments of the process.
+
+use std::process::ExitCode;
+
+use bpaf::Args;
+use bpaf::Bpaf;
+use bpaf::ParseFailure;
+
+use crate::document;
+use crate::exit;
+
+/// How wide help texts are, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// Operate the jayquay load balancer.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Check, compare, apply and show the configuration document.
+    #[bpaf(command("config"))]
+    Config(#[bpaf(external(document::command))] document::Command),
+}
+
+/// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
+pub fn from_arguments() -> Result<Command, ExitCode> {
+    command().run_inner(Args::current_args()).map_err(|failure| {
+        failure.print_message(HELP_WIDTH);
+        let code = match failure {
+            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => exit::DONE,
+            ParseFailure::Stderr(_) => exit::BAD_USAGE,
+        };
+        ExitCode::from(code)
+    })
+}
+
+/// Runs the command to its end.
+pub async fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Config(command) => exit::finish(document::run(command).await),
+    }
+}
--- /dev/null
+++ b/crates/jayquay/src/output.rs
@@ -0,0 +1,23 @@
+//! Writing results to stdout.
+
+use std::io;
+use std::io::Write;
+
+use serde::Serialize;
+
+/// Writes `text` to stdout. A reader that has gone, as `head` does, is no error.
+pub fn print(text: &str) -> io::Result<()> {
+    let mut stdout = io::stdout().lock();
+    let result = stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush());
+    match result {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        result => result,
+    }
+}
+
+/// Writes an item as JSON for scripts, ending with a line feed.
+pub fn json<T: Serialize>(item: &T) -> String {
+    let mut text = serde_json::to_string_pretty(item).expect("results hold only what has a JSON form");
+    text.push('\n');
+    text
+}
