--- a/crates/balance/tests/scripts.rs
+++ b/crates/balance/tests/scripts.rs
@@ -91,7 +91,12 @@
         "settle" => pool.settle(&name.to_owned(), outcome(words[1]), millis("took", 20), now, out),
         "withdraw" => pool.withdraw(&name.to_owned(), now, out),
         "retain" => pool.retain(|key| key.starts_with(name), now, out),
-        "hold" => pool.hold(name.to_owned(), words[1].parse().unwrap(), now + millis("within", 1_000), now),
+        "hold" => pool.hold(
+            name.to_owned(),
+            words[1].parse().unwrap(),
+            now + millis("within", 1_000),
+            now,
+        ),
         "leave" => pool.leave(&name.parse().unwrap()),
         "readmit" => pool.readmit(&name.parse().unwrap(), now),
         "report" => {
@@ -143,7 +148,11 @@
             zone: words[1].parse().unwrap(),
             address: "127.0.0.1:1".parse().unwrap(),
             slots: words[2].parse().unwrap(),
-            state: if draining { UpstreamState::Draining } else { UpstreamState::Active },
+            state: if draining {
+                UpstreamState::Draining
+            } else {
+                UpstreamState::Active
+            },
         }
     };
     Service {
@@ -170,9 +179,13 @@
 fn states(pool: &Pool<String>) -> String {
     let mut text = String::new();
     for status in pool.states() {
-        let (name, state, busy, slots, pinned) =
-            (status.name, status.state, status.busy, status.slots, status.pinned);
-        writeln!(text, "{name} {state} busy {busy}/{slots} pinned {pinned} queued {}", status.queued).unwrap();
+        let (name, state, busy, slots, pinned) = (status.name, status.state, status.busy, status.slots, status.pinned);
+        writeln!(
+            text,
+            "{name} {state} busy {busy}/{slots} pinned {pinned} queued {}",
+            status.queued
+        )
+        .unwrap();
     }
     text
 }
