Pull an answer under the token of its request

The flow sent pulls under the token that came with the answer's first chunk, on the belief that whoever had issued it held the answer. The node keeps an answer in the ledger of the request's own token: a renewed token names another owner once homes have moved, which would have refused every pull with `answer_gone`. Found by reading the node's owner part.

A request, its pulls and its `Done` now all carry one token, which is also the simpler rule.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -100,7 +100,7 @@
 pub(crate) struct Attempt {
     pub(crate) flow: FlowId,
     pub(crate) seq: RequestSeq,
-    /// The token that pulls carry. The request itself is bound to the one in `packet`.
+    /// The request's token. Its owner keeps the answer, so pulls carry it too, whatever token the flow has since.
     pub(crate) token: Sealed,
     /// The request as it was first sent. Every retransmission repeats it byte for byte.
     pub(crate) packet: Vec<u8>,
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -171,8 +171,6 @@
         let Some(attempt) = self.calls[index].attempt() else {
             return;
         };
-        // Pulls start nothing, so they may follow the answer to whoever holds it.
-        attempt.token = granted.token.clone();
         let flow = attempt.flow;
         let Session::Open(open) = &mut self.session else {
             return;
