Keep a flow's numbers close together

An owner's ledger tells 64 requests of a flow apart, ended ones included; beyond that the oldest ended one sinks, and whatever lies below and has not arrived is refused as `too_old`, which can only be `may have run`. A caller whose first packet is lost while 64 later ones are answered would meet this.

The newest number may now be at most 31 ahead of the oldest one in progress; later work waits, and has surely not run if its deadline passes meanwhile.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// The number of the attempt in progress.
+    pub(crate) fn seq(&self) -> Option<RequestSeq> {
+        match &self.stage {
+            Stage::Waiting(_) => None,
+            Stage::Sent(attempt) => Some(attempt.seq),
+        }
+    }
+
     /// When something is to be done for this work.
     pub(crate) fn due(&self) -> Time {
         let due = match &self.stage {
--- a/crates/caller/src/flow.rs
+++ b/crates/caller/src/flow.rs
@@ -121,19 +121,29 @@
             Session::Idle(_) | Session::Open(_) => None,
         };
         let session_due = opening.into_iter().chain(self.wanted);
-        let calls_due = self.calls.iter().map(|call| self.call_due(call));
+        let stuck = matches!(self.session, Session::Opening(_)) || self.is_spread();
+        let calls_due = self.calls.iter().map(|call| self.call_due(call, stuck));
         calls_due.chain(session_due).min()
     }
 
-    /// When a call needs something; one that waits for a token needs nothing before its deadline.
-    fn call_due(&self, call: &Call) -> Time {
+    /// When a call needs something. One that waits for others needs nothing before its deadline.
+    fn call_due(&self, call: &Call, stuck: bool) -> Time {
         match (&self.session, &call.stage) {
-            (Session::Opening(_), Stage::Waiting(_)) => call.deadline,
+            (_, Stage::Waiting(_)) if stuck => call.deadline,
             (Session::Idle(not_before), Stage::Waiting(_)) => call.due().max(*not_before).min(call.deadline),
             _ => call.due(),
         }
     }
 
+    /// Whether the next number would be too far ahead of the oldest one in progress.
+    fn is_spread(&self) -> bool {
+        let numbers = self.calls.iter().filter_map(Call::seq);
+        let next = self.highest.next();
+        numbers
+            .min()
+            .is_some_and(|oldest| next.0 - oldest.0 >= self.policy.span)
+    }
+
     /// Takes one event and says what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -235,11 +245,16 @@
             return;
         };
         let mut misfits = Vec::new();
+        let mut oldest = self.calls.iter().filter_map(Call::seq).min();
         for call in &mut self.calls {
             if !matches!(call.stage, Stage::Waiting(not_before) if not_before <= now) {
                 continue;
             }
             let seq = self.highest.next();
+            let oldest = *oldest.get_or_insert(seq);
+            if seq.0 - oldest.0 >= self.policy.span {
+                break;
+            }
             let remaining = now.until(call.deadline);
             let margin = self.policy.margin.min(remaining / 10);
             let packet = wire::encode_packet(&Packet::Request(wire::Request {
--- a/crates/caller/src/policy.rs
+++ b/crates/caller/src/policy.rs
@@ -21,6 +21,9 @@
     pub max_answer: u32,
     /// The most requests in progress at a time.
     pub max_in_flight: usize,
+    /// How far the newest request number may be ahead of the oldest one in progress. An owner tells only so many
+    /// numbers of a flow apart, and what is older it must call `may have run`.
+    pub span: u64,
     /// The shortest wait before the first retry. It doubles each time.
     pub retry: Duration,
     /// The most retries, in percent of successes.
@@ -43,6 +46,7 @@
             window: wire::Pull::MAX_COUNT,
             max_answer: 16 * 1_024 * 1_024,
             max_in_flight: 64,
+            span: 32,
             retry: Duration::from_millis(50),
             retry_percent: 10,
             retry_reserve: 3,
--- a/crates/caller/tests/flow.rs
+++ b/crates/caller/tests/flow.rs
@@ -271,6 +271,7 @@
             }
             let mut policy = Policy::default();
             policy.window = opt(case, "window").unwrap_or(policy.window);
+            policy.span = opt(case, "span").unwrap_or(policy.span);
             policy.max_answer = opt(case, "max-answer").unwrap_or(policy.max_answer);
             policy.max_in_flight = opt(case, "max-in-flight").unwrap_or(policy.max_in_flight);
             policy.retry_reserve = opt(case, "retry-reserve").unwrap_or(policy.retry_reserve);
--- a/crates/caller/tests/random.rs
+++ b/crates/caller/tests/random.rs
@@ -110,6 +110,7 @@
         let policy = Policy {
             retry_reserve: 100,
             window: 3,
+            span: 3,
             ..Policy::default()
         };
         Self {
@@ -162,6 +163,7 @@
         }
         let highest = self.sent.last_key_value().map(|(seq, _)| *seq);
         assert!(highest.is_none_or(|highest| highest < request.seq), "numbers only grow");
+        self.check_span(request.seq);
         assert_eq!(request.sent, request.seq);
         let call = CallId(request.body[0].into());
         let earlier = self.sent.values().any(|sent| sent.call == call);
@@ -183,6 +185,21 @@
         );
     }
 
+    /// Checks that no number still in progress is left far behind.
+    fn check_span(&self, newest: RequestSeq) {
+        for (seq, sent) in &self.sent {
+            let latest = !self
+                .sent
+                .iter()
+                .any(|(other, newer)| other > seq && newer.call == sent.call);
+            let ended = self.ended.contains_key(&sent.call) || self.again.contains_key(&sent.call);
+            assert!(
+                !latest || ended || newest.0 - seq.0 < 3,
+                "number {seq} is left behind {newest}"
+            );
+        }
+    }
+
     fn pass(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(wake) = self.flow.next_wake().filter(|wake| *wake <= end) {
