--- a/crates/token/tests/keyring.rs
+++ b/crates/token/tests/keyring.rs
@@ -10,12 +10,14 @@
 use token::TokenError;
 use units::FlowId;
 use units::Incarnation;
+use units::Millis;
 use units::RequestSeq;
 use units::Time;
 use wire::Answer;
 use wire::Chunk;
 use wire::Granted;
 use wire::MAX_PACKET_LEN;
+use wire::Packet;
 use wire::Reply;
 use wire::Sealed;
 
@@ -167,3 +169,20 @@
     let len = wire::encode_reply(&reply).len();
     assert!(len <= MAX_PACKET_LEN, "the reply has {len} bytes");
 }
+
+/// The callers' page promises room for this many bytes of body, whatever the names.
+#[test]
+fn a_promised_body_fits() {
+    let largest = largest();
+    let packet = Packet::Request(wire::Request {
+        token: keyring('a', &[]).seal(&largest),
+        service: largest.service.clone(),
+        seq: RequestSeq(u64::MAX),
+        sent: RequestSeq(u64::MAX),
+        kind: largest.service.as_str().parse().expect("a valid name"),
+        timeout: Millis(u32::MAX),
+        body: ByteBuf::from(vec![0; 700]),
+    });
+    let len = wire::encode_packet(&packet).len();
+    assert!(len <= MAX_PACKET_LEN, "the packet has {len} bytes");
+}
--- a/crates/wire/src/verdict.rs
+++ b/crates/wire/src/verdict.rs
@@ -54,6 +54,22 @@
 }
 
 impl Reason {
+    /// Every reason.
+    pub const ALL: [Self; 12] = [
+        Self::Overload,
+        Self::Deadline,
+        Self::WrongService,
+        Self::Unknown,
+        Self::Token,
+        Self::OwnerGone,
+        Self::TooOld,
+        Self::NoUpstream,
+        Self::Upstream,
+        Self::AnswerGone,
+        Self::NoDocument,
+        Self::Limit,
+    ];
+
     /// The reason as a metric label and in logs.
     pub fn as_str(self) -> &'static str {
         match self {
