--- /dev/null
+++ b/crates/jayquayd/src/bucket.rs
@@ -0,0 +1,94 @@
+//! Token buckets: how often something may happen, per source and in all, in bounded memory.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use units::Time;
+
+/// How often something may happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rate {
+    /// How often per second, in the long run.
+    pub per_second: u32,
+    /// How often at once.
+    pub burst: u32,
+}
+
+/// One token bucket.
+#[derive(Debug, Clone, Copy)]
+pub struct Bucket {
+    tokens: f64,
+    filled: Time,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: Rate, now: Time) -> Self {
+        Self {
+            tokens: rate.burst.into(),
+            filled: now,
+        }
+    }
+
+    /// Takes a token if there is one, and tells whether there was.
+    pub fn take(&mut self, rate: Rate, now: Time) -> bool {
+        let gained = now.since(self.filled).as_secs_f64() * f64::from(rate.per_second);
+        self.tokens = (self.tokens + gained).min(rate.burst.into());
+        self.filled = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// A bucket per source, for at most so many sources.
+///
+/// Sources are held in two generations. When the younger one is half of the capacity, the older one is let go, so
+/// that each step takes constant time. A source that is let go starts again with a full bucket.
+#[derive(Debug)]
+pub struct Table {
+    rate: Rate,
+    capacity: usize,
+    young: HashMap<SocketAddr, Bucket>,
+    old: HashMap<SocketAddr, Bucket>,
+}
+
+impl Table {
+    /// An empty table.
+    pub fn new(rate: Rate, capacity: usize) -> Self {
+        Self {
+            rate,
+            capacity,
+            young: HashMap::new(),
+            old: HashMap::new(),
+        }
+    }
+
+    /// Takes a token of `source` if it has one, and tells whether it had.
+    pub fn take(&mut self, source: SocketAddr, now: Time) -> bool {
+        let rate = self.rate;
+        if let Some(bucket) = self.young.get_mut(&source) {
+            return bucket.take(rate, now);
+        }
+        if self.young.len() >= self.capacity / 2 {
+            self.old = std::mem::take(&mut self.young);
+        }
+        let bucket = self.old.remove(&source);
+        let mut bucket = bucket.unwrap_or_else(|| Bucket::new(rate, now));
+        let taken = bucket.take(rate, now);
+        self.young.insert(source, bucket);
+        taken
+    }
+
+    /// How many sources are held.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no source is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/engine.rs
@@ -0,0 +1,253 @@
+//! The task that owns the node: it takes events, keeps the time, and hands the node's actions to the parts.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use node::Action;
+use node::Event;
+use node::Node;
+use node::Record;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use units::InstanceName;
+
+use crate::callers::Replier;
+use crate::clock::Clock;
+use crate::feed::Wish;
+use crate::intake::Datagram;
+use crate::intake::Input;
+use crate::intake::Queues;
+use crate::metric;
+use crate::sessions::Change;
+use crate::sessions::Sessions;
+use crate::timeline::Hybrid;
+use crate::timeline::Ring;
+use crate::upstreams::Upstreams;
+
+/// How many inputs are taken at once from each queue.
+const BATCH_LEN: usize = 64;
+/// How much longer than its bound a planned stop may take before the process gives up on the node.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+/// How long sessions may take to send what is queued when everything else is done.
+const FLUSH_TIME: Duration = Duration::from_secs(1);
+/// A time that does not come.
+const FAR: Duration = Duration::from_hours(24 * 365);
+
+/// How the engine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The planned stop is done, and so many requests were left in doubt.
+    Stopped(u32),
+    /// The planned stop did not end within its bound.
+    Overdue,
+    /// Nobody is left to tell it anything.
+    Abandoned,
+}
+
+/// What carries out the node's actions.
+#[derive(Debug)]
+pub struct Parts {
+    /// Sends replies.
+    pub replier: Replier,
+    /// Sends frames.
+    pub sessions: Sessions,
+    /// Calls upstreams.
+    pub upstreams: Upstreams,
+    /// Steers the platform's part.
+    pub wish: watch::Sender<Wish>,
+    /// Keeps the time line.
+    pub ring: Ring,
+}
+
+/// The task's state.
+#[derive(Debug)]
+pub struct Engine {
+    node: Node,
+    clock: Clock,
+    hybrid: Hybrid,
+    queues: Queues,
+    parts: Parts,
+    stop_within: Duration,
+    stop_by: Option<tokio::time::Instant>,
+    /// Instances whose frames were lost, to be told to the node at the next step.
+    lost: Vec<InstanceName>,
+    actions: Vec<Action>,
+    end: Option<End>,
+    in_doubt: u32,
+}
+
+impl Engine {
+    /// An engine around `node`.
+    pub fn new(node: Node, clock: Clock, queues: Queues, parts: Parts, stop_within: Duration) -> Self {
+        Self {
+            node,
+            clock,
+            hybrid: Hybrid::default(),
+            queues,
+            parts,
+            stop_within,
+            stop_by: None,
+            lost: Vec::new(),
+            actions: Vec::new(),
+            end: None,
+            in_doubt: 0,
+        }
+    }
+
+    /// Runs until the planned stop is done.
+    pub async fn run(mut self) -> End {
+        let mut inputs = Vec::with_capacity(BATCH_LEN);
+        let mut datagrams = Vec::with_capacity(BATCH_LEN);
+        let mut ticker = tokio::time::interval(node::TICK);
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let stop_by = self.stop_by.unwrap_or_else(|| tokio::time::Instant::now() + FAR);
+            // Which ready branch is taken first is random, so that no queue starves another one or the ticks.
+            tokio::select! {
+                count = self.queues.control.recv_many(&mut inputs, BATCH_LEN) => {
+                    if count == 0 {
+                        return End::Abandoned;
+                    }
+                }
+                Some(datagram) = self.queues.datagrams.recv() => {
+                    datagrams.push(datagram);
+                    self.take_more(&mut datagrams);
+                }
+                _ = ticker.tick() => self.step(Event::Tick),
+                () = tokio::time::sleep_until(stop_by) => return End::Overdue,
+            }
+            self.batch(&mut inputs, &mut datagrams);
+            if let Some(end) = self.end {
+                self.flush().await;
+                return end;
+            }
+        }
+    }
+
+    fn take_more(&mut self, datagrams: &mut Vec<Datagram>) {
+        while datagrams.len() < BATCH_LEN {
+            let Ok(datagram) = self.queues.datagrams.try_recv() else {
+                return;
+            };
+            datagrams.push(datagram);
+        }
+    }
+
+    fn batch(&mut self, inputs: &mut Vec<Input>, datagrams: &mut Vec<Datagram>) {
+        let began = Instant::now();
+        for name in std::mem::take(&mut self.lost) {
+            self.step(Event::Lost(name));
+        }
+        for input in inputs.drain(..) {
+            self.input(input);
+        }
+        for datagram in datagrams.drain(..) {
+            self.step(Event::Datagram(datagram.from, datagram.bytes));
+        }
+        metric::batch_seconds().record(began.elapsed());
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Event(Event::Called(id, _)) if !self.parts.upstreams.ended(id) => {}
+            Input::Event(Event::Stop) => self.stop(),
+            Input::Event(event) => self.step(event),
+            Input::Frame(peer, stamp, frame) => {
+                if !self.hybrid.follow(self.clock.now(), stamp) {
+                    metric::stamps_ahead().increment(1);
+                }
+                self.step(Event::Frame(peer, frame));
+            }
+            Input::Session(change) => self.session(change),
+            Input::Status(ask) => {
+                // Whoever asked may have gone away; then nobody wants the answer.
+                let _unwanted = ask.send(self.node.status(self.clock.now()));
+            }
+            Input::Timeline(since, ask) => {
+                let _unwanted = ask.send(self.parts.ring.page(since));
+            }
+        }
+    }
+
+    fn session(&mut self, change: Change) {
+        if let Some(name) = self.parts.sessions.change(change) {
+            self.step(Event::Lost(name));
+        }
+    }
+
+    fn stop(&mut self) {
+        if self.stop_by.is_some() {
+            return;
+        }
+        log::info!("daemon: planned stop begins");
+        self.stop_by = Some(tokio::time::Instant::now() + self.stop_within + STOP_GRACE);
+        self.parts.wish.send_modify(|wish| wish.leaving = true);
+        self.step(Event::Stop);
+    }
+
+    fn step(&mut self, event: Event) {
+        metric::events().increment(1);
+        let mut actions = std::mem::take(&mut self.actions);
+        self.node.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Reply(to, reply) => self.parts.replier.reply(to, &reply),
+            Action::Send { to, address, frame } => {
+                let stamp = self.hybrid.tick(self.clock.now());
+                if !self.parts.sessions.send(&to, address, stamp, frame) && !self.lost.contains(&to) {
+                    self.lost.push(to);
+                }
+            }
+            Action::Call(call) => self.parts.upstreams.call(call),
+            Action::Cancel(id) => self.parts.upstreams.cancel(id),
+            Action::Poll(name, address) => self.parts.upstreams.poll(name, address),
+            Action::Watch(watching) => self.parts.wish.send_modify(|wish| wish.watching = watching),
+            Action::Record(record) => self.record(record),
+            Action::Stopped => self.end = Some(End::Stopped(self.in_doubt)),
+        }
+    }
+
+    fn record(&mut self, record: Record) {
+        match &record {
+            Record::Opened(..) => metric::opened().increment(1),
+            Record::Answered(..) => metric::answered().increment(1),
+            Record::Refused(_, _, _, reason) => metric::refusals(reason.as_str()).increment(1),
+            Record::InForce(revision) => {
+                metric::revision().set(revision.0 as f64);
+                log::info!("daemon: {record}");
+            }
+            Record::Stopped(in_doubt) => self.in_doubt = *in_doubt,
+            Record::Up(..) | Record::Leaving(..) | Record::Down(..) | Record::HandedOver(..) => {
+                log::info!("daemon: {record}");
+            }
+            Record::UpstreamLeaving(..) | Record::Ejected(..) | Record::Restored(..) => log::info!("daemon: {record}"),
+            Record::Accepted(..) | Record::Called(..) | Record::Ended(..) | Record::Stopping => {}
+        }
+        let stamp = self.hybrid.tick(self.clock.now());
+        self.parts.ring.push(stamp, record);
+    }
+
+    /// Lets the sessions send what is queued, for a while.
+    async fn flush(&mut self) {
+        let mut open = self.parts.sessions.release();
+        let ends = async {
+            while !open.is_empty() {
+                let Some(input) = self.queues.control.recv().await else {
+                    return;
+                };
+                if let Input::Session(Change::Ended { id, .. }) = input {
+                    open.remove(&id);
+                }
+            }
+        };
+        if tokio::time::timeout(FLUSH_TIME, ends).await.is_err() {
+            log::warn!("daemon: {} sessions did not send all that was queued", open.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/feed.rs
@@ -0,0 +1,202 @@
+//! What the platform says: the configuration document, the list of instances, and this instance's own entry on it.
+//!
+//! Only an instance that the node chose as a watcher watches the document and reads the list often; the others learn
+//! from their peers, so that reads grow slowly with the fleet. While the platform is down, pauses grow.
+
+use std::time::Duration;
+
+use node::Event;
+use node::Listed;
+use platform::Client;
+use platform::Document;
+use platform::Error;
+use platform::Lease;
+use tokio::sync::watch;
+use units::Millis;
+use units::Revision;
+
+use crate::intake::Closed;
+use crate::intake::Intake;
+use crate::metric;
+use crate::throttle::Throttle;
+
+/// How long the platform keeps an entry that is not renewed.
+const LEASE_TTL: Millis = Millis(30_000);
+/// How often an entry is renewed.
+const RENEW_EVERY: Duration = Duration::from_secs(10);
+/// How often a watcher reads the list.
+const WATCHER_LIST_EVERY: Duration = Duration::from_secs(2);
+/// How often the other instances read the list.
+const OTHERS_LIST_EVERY: Duration = Duration::from_secs(10);
+/// How long one watch waits.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+/// The first pause after a failure.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+/// The longest pause after failures.
+const MAX_PAUSE: Duration = Duration::from_secs(30);
+/// The exponent at which pauses stop growing.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// What the engine wants of this part.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Wish {
+    /// Whether this instance watches the document.
+    pub watching: bool,
+    /// Whether this instance is leaving.
+    pub leaving: bool,
+}
+
+/// Talks to the platform.
+#[derive(Debug, Clone)]
+pub struct Feed {
+    client: Client,
+    intake: Intake,
+    wish: watch::Receiver<Wish>,
+}
+
+/// Pauses that grow with each failure.
+#[derive(Debug, Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    fn pause(&mut self) -> Duration {
+        let pause = MIN_PAUSE * 2_u32.pow(self.failures.min(MAX_DOUBLINGS));
+        self.failures += 1;
+        jittered(pause.min(MAX_PAUSE))
+    }
+}
+
+impl Feed {
+    /// Calls the platform by `client`, and follows `wish`.
+    pub fn new(client: Client, intake: Intake, wish: watch::Receiver<Wish>) -> Self {
+        Self { client, intake, wish }
+    }
+
+    /// Keeps `entry` on the platform's list, and marks it when this instance is leaving.
+    pub async fn keep_entry(mut self, entry: Listed) -> Result<(), Closed> {
+        let mut lease = Lease::new(entry, LEASE_TTL);
+        let mut backoff = Backoff::default();
+        let throttle = Throttle::default();
+        loop {
+            if self.wish.borrow_and_update().leaving {
+                lease.mark_leaving();
+            }
+            let result = self.client.renew(&mut lease).await;
+            if let Err(error) = &result
+                && let Some(held_back) = throttle.pass()
+            {
+                log::warn!("platform: entry not renewed: {error}; {held_back} more like lines held back");
+            }
+            let pause = self.judge(&result, RENEW_EVERY, &mut backoff).await?;
+            self.wait_or_leave(pause).await?;
+        }
+    }
+
+    /// Reads the list now and then.
+    pub async fn read_list(mut self) -> Result<(), Closed> {
+        let mut backoff = Backoff::default();
+        loop {
+            let result = self.client.list().await;
+            let is_watcher = self.wish.borrow_and_update().watching;
+            let every = if is_watcher {
+                WATCHER_LIST_EVERY
+            } else {
+                OTHERS_LIST_EVERY
+            };
+            let pause = self.judge(&result, every, &mut backoff).await?;
+            if let Ok(list) = result {
+                self.intake.event(Event::List(list)).await?;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                changed = self.wish.changed() => changed.map_err(|_| Closed)?,
+            }
+        }
+    }
+
+    /// Names the instances in the settings while the platform does not answer.
+    pub async fn name_peers(self, peers: Vec<Listed>) -> Result<(), Closed> {
+        if peers.is_empty() {
+            return Ok(());
+        }
+        loop {
+            self.intake.event(Event::List(peers.clone())).await?;
+            tokio::time::sleep(jittered(OTHERS_LIST_EVERY)).await;
+        }
+    }
+
+    /// Reads the document once, and watches it while the engine wishes so.
+    pub async fn read_document(mut self) -> Result<(), Closed> {
+        let mut backoff = Backoff::default();
+        let mut held = Revision::default();
+        let mut is_read = false;
+        loop {
+            let watching = self.wish.borrow_and_update().watching;
+            if is_read && !watching {
+                self.wish.changed().await.map_err(|_| Closed)?;
+                continue;
+            }
+            let result = if is_read {
+                self.client.watch(held, WATCH_TIME).await
+            } else {
+                self.client.document().await
+            };
+            let pause = self.judge(&result, Duration::ZERO, &mut backoff).await?;
+            let is_down = result.is_err();
+            if let Ok(document) = result {
+                is_read = true;
+                self.take(document, &mut held).await?;
+            }
+            if is_down {
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+
+    async fn take(&self, document: Option<Document>, held: &mut Revision) -> Result<(), Closed> {
+        let Some(document) = document else {
+            return Ok(());
+        };
+        *held = document.revision.max(*held);
+        self.intake.event(Event::Loaded(document.revision, document.text)).await
+    }
+
+    /// Tells the node whether the platform answered, and returns how long to wait.
+    async fn judge<T>(
+        &self,
+        result: &Result<T, Error>,
+        every: Duration,
+        backoff: &mut Backoff,
+    ) -> Result<Duration, Closed> {
+        let answers = answers(result);
+        metric::platform_calls(if answers { "ok" } else { "failed" }).increment(1);
+        metric::platform_up().set(if answers { 1.0 } else { 0.0 });
+        self.intake.event(Event::Platform(answers)).await?;
+        if result.is_ok() {
+            backoff.failures = 0;
+            return Ok(jittered(every));
+        }
+        Ok(backoff.pause())
+    }
+
+    /// Waits, but not once this instance has begun to leave.
+    async fn wait_or_leave(&mut self, pause: Duration) -> Result<(), Closed> {
+        let was_leaving = self.wish.borrow().leaving;
+        let leaves = self.wish.wait_for(|wish| wish.leaving != was_leaving);
+        match tokio::time::timeout(pause, leaves).await {
+            Ok(Err(_)) => Err(Closed),
+            Ok(Ok(_)) | Err(_) => Ok(()),
+        }
+    }
+}
+
+/// A refusal is an answer as well.
+fn answers<T>(result: &Result<T, Error>) -> bool {
+    !matches!(result, Err(Error::Unavailable(_) | Error::InDoubt(_)))
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.75..1.25))
+}
--- /dev/null
+++ b/crates/jayquayd/src/lib.rs
@@ -0,0 +1,24 @@
+//! The daemon around a node: it owns the sockets, the sessions, the calls and the clock, and decides nothing about
+//! requests. Everything that the node must judge reaches it as an event, and what it wants done is carried out here.
+
+pub mod admin;
+pub mod bucket;
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod engine;
+pub mod feed;
+pub mod intake;
+pub mod metric;
+pub mod sessions;
+pub mod timeline;
+pub mod upstreams;
+
+mod poll;
+mod throttle;
+
+pub use daemon::Addresses;
+pub use daemon::Handle;
+pub use daemon::StartError;
+pub use daemon::start;
+pub use engine::End;
--- /dev/null
+++ b/crates/jayquayd/src/main.rs
@@ -0,0 +1,143 @@
+//! `jayquayd`: an entry instance as a process.
+//!
+//! It prints one line of JSON with its addresses once it listens, and ends by itself after SIGTERM or SIGINT.
+
+use std::fs;
+use std::io;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use config::Settings;
+use env_logger::Env;
+use jayquayd::Addresses;
+use jayquayd::End;
+use jayquayd::Handle;
+use jayquayd::metric;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use mimalloc::MiMalloc;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// Something failed while the process ran.
+const FAILED: u8 = 1;
+/// The command line or the settings are wrong.
+const USAGE: u8 = 2;
+
+/// The buckets of histograms, in seconds.
+const SECONDS: &[f64] = &[
+    0.0001, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+/// How often the recorder tidies its histograms.
+const UPKEEP_TIME: Duration = Duration::from_secs(5);
+
+/// Runs an entry instance.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version, footer("Example: jayquayd --settings instance.yaml"))]
+struct Options {
+    /// The instance's settings, a YAML file
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and end
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
+    let settings = match read_settings(&options.settings) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("{text}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(&settings) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn read_settings(path: &PathBuf) -> Result<Settings, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    config::parse_settings(&text).map_err(|problems| {
+        let lines = problems.iter().map(|problem| format!("{}: {problem}", path.display()));
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+#[tokio::main]
+async fn run(settings: &Settings) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let metrics = install_recorder()?;
+    // Signals are caught from before the first line on, so that whoever reads it may stop the process at once.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut handle = jayquayd::start(settings, Some(metrics)).await?;
+    print_addresses(handle.addresses())?;
+    log::info!("daemon: {} ({}) started", settings.name, handle.incarnation());
+    let end = tokio::select! {
+        end = handle.ended() => end,
+        _ = terminate.recv() => stop(&mut handle).await,
+        _ = interrupt.recv() => stop(&mut handle).await,
+    };
+    Ok(report(end))
+}
+
+fn install_recorder() -> Result<PrometheusHandle, Box<dyn std::error::Error>> {
+    let handle = PrometheusBuilder::new().set_buckets(SECONDS)?.install_recorder()?;
+    metric::describe();
+    let kept = handle.clone();
+    tokio::spawn(async move {
+        let mut upkeep = tokio::time::interval(UPKEEP_TIME);
+        loop {
+            upkeep.tick().await;
+            kept.run_upkeep();
+        }
+    });
+    Ok(handle)
+}
+
+fn print_addresses(addresses: Addresses) -> io::Result<()> {
+    let line = serde_json::to_string(&addresses)?;
+    let mut stdout = io::stdout().lock();
+    writeln!(stdout, "{line}")?;
+    stdout.flush()
+}
+
+async fn stop(handle: &mut Handle) -> End {
+    handle.stop().await;
+    handle.ended().await
+}
+
+fn report(end: End) -> ExitCode {
+    match end {
+        End::Stopped(0) => {
+            log::info!("daemon: stopped");
+            ExitCode::SUCCESS
+        }
+        End::Stopped(left) => {
+            log::error!("daemon: stopped, {left} requests left in doubt");
+            ExitCode::from(FAILED)
+        }
+        End::Overdue => {
+            log::error!("daemon: the planned stop did not end within its bound");
+            ExitCode::from(FAILED)
+        }
+        End::Abandoned => {
+            log::error!("daemon: the engine ended by itself");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/metric.rs
@@ -0,0 +1,120 @@
+//! The names of all metrics, with their units and the bounds of their labels.
+//!
+//! Nothing here takes a label value from the network: every label is one of a fixed set of words.
+
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::Unit;
+
+macro_rules! metrics {
+    ($($(#[$doc:meta])* $kind:ident $function:ident($($label:ident)?) $name:literal $unit:ident $help:literal;)*) => {
+        $(metrics!(@$kind $(#[$doc])* $function($($label)?) $name);)*
+
+        /// Describes every metric to the recorder that is installed.
+        pub fn describe() {
+            $(metrics!(@describe $kind $name $unit $help);)*
+        }
+
+        /// The names of all metrics, without suffixes that an exporter adds.
+        pub const NAMES: &[&str] = &[$($name),*];
+    };
+    (@counter $(#[$doc:meta])* $function:ident() $name:literal) => {
+        $(#[$doc])*
+        pub fn $function() -> Counter {
+            metrics::counter!($name)
+        }
+    };
+    (@counter $(#[$doc:meta])* $function:ident($label:ident) $name:literal) => {
+        $(#[$doc])*
+        pub fn $function($label: &'static str) -> Counter {
+            metrics::counter!($name, stringify!($label) => $label)
+        }
+    };
+    (@gauge $(#[$doc:meta])* $function:ident() $name:literal) => {
+        $(#[$doc])*
+        pub fn $function() -> Gauge {
+            metrics::gauge!($name)
+        }
+    };
+    (@histogram $(#[$doc:meta])* $function:ident() $name:literal) => {
+        $(#[$doc])*
+        pub fn $function() -> Histogram {
+            metrics::histogram!($name)
+        }
+    };
+    (@describe counter $name:literal $unit:ident $help:literal) => {
+        metrics::describe_counter!($name, Unit::$unit, $help);
+    };
+    (@describe gauge $name:literal $unit:ident $help:literal) => {
+        metrics::describe_gauge!($name, Unit::$unit, $help);
+    };
+    (@describe histogram $name:literal $unit:ident $help:literal) => {
+        metrics::describe_histogram!($name, Unit::$unit, $help);
+    };
+}
+
+metrics! {
+    /// Datagrams that came from callers.
+    counter datagrams_received() "jayquay_datagrams_received_total" Count "Datagrams that came from callers.";
+    /// Datagrams that were dropped unread.
+    counter datagrams_dropped(cause) "jayquay_datagrams_dropped_total" Count
+        "Datagrams dropped unread: too_long, source_rate, total_rate or busy.";
+    /// Replies sent to callers.
+    counter replies_sent() "jayquay_replies_sent_total" Count "Replies sent to callers.";
+    /// Replies dropped because the socket took no more.
+    counter replies_dropped() "jayquay_replies_dropped_total" Count "Replies dropped because the socket took no more.";
+    /// Sessions that are up.
+    gauge sessions_up() "jayquay_sessions" Count "Sessions with other instances that are up.";
+    /// Sessions that were authenticated.
+    counter sessions_begun(side) "jayquay_sessions_begun_total" Count
+        "Sessions that were authenticated, by the side that made them: outgoing or incoming.";
+    /// Sessions that were refused or could not be made.
+    counter sessions_failed(cause) "jayquay_sessions_failed_total" Count
+        "Handshakes that failed: stranger, version, wrong_name, malformed, closed, timeout, connect, busy, limit or old_life.";
+    /// Sessions that ended after they were up.
+    counter sessions_ended(cause) "jayquay_sessions_ended_total" Count
+        "Sessions that ended: idle, closed, silent, stalled, replaced or full.";
+    /// Frames sent to other instances.
+    counter frames_sent() "jayquay_frames_sent_total" Count "Frames sent to other instances.";
+    /// Bytes of frames sent to other instances.
+    counter frame_bytes_sent() "jayquay_frame_bytes_sent_total" Bytes "Bytes of frames sent to other instances.";
+    /// Frames that came from other instances.
+    counter frames_received() "jayquay_frames_received_total" Count "Frames that came from other instances.";
+    /// Bytes of frames that came from other instances.
+    counter frame_bytes_received() "jayquay_frame_bytes_received_total" Bytes
+        "Bytes of frames that came from other instances.";
+    /// Messages from other instances that could not be read.
+    counter frames_unread() "jayquay_frames_unread_total" Count
+        "Messages from other instances that could not be read.";
+    /// Frames that were too long to be sent.
+    counter frames_too_long() "jayquay_frames_too_long_total" Count "Frames that were too long to be sent.";
+    /// Stamps from other instances that lay too far ahead.
+    counter stamps_ahead() "jayquay_stamps_ahead_total" Count
+        "Frames whose stamp lay more than a minute ahead: a clock is wrong.";
+    /// Calls to upstreams that ended.
+    counter calls(result) "jayquay_calls_total" Count
+        "Calls to upstreams, by result: answered, shed, draining, unreachable, failed, mismatched, timed_out or cancelled.";
+    /// How long calls to upstreams took.
+    histogram call_seconds() "jayquay_call_seconds" Seconds "How long calls to upstreams took, from connecting on.";
+    /// Calls to upstreams in progress.
+    gauge calls_running() "jayquay_calls_running" Count "Calls to upstreams in progress.";
+    /// Polls of upstreams.
+    counter polls(result) "jayquay_polls_total" Count "Polls of upstreams, by result: ok or failed.";
+    /// Calls to the platform.
+    counter platform_calls(result) "jayquay_platform_calls_total" Count "Calls to the platform, by result: ok or failed.";
+    /// Whether the platform answers.
+    gauge platform_up() "jayquay_platform_up" Count "1 while the platform answers, else 0.";
+    /// Events that the node handled.
+    counter events() "jayquay_events_total" Count "Events that the node handled.";
+    /// How long the engine took for one batch of events.
+    histogram batch_seconds() "jayquay_batch_seconds" Seconds "How long one batch of events took.";
+    /// The revision in force.
+    gauge revision() "jayquay_revision" Count "The revision of the document in force, 0 without one.";
+    /// Refusals sent to callers.
+    counter refusals(reason) "jayquay_refusals_total" Count "Requests refused, by reason.";
+    /// Requests answered.
+    counter answered() "jayquay_answered_total" Count "Requests answered.";
+    /// Flows opened.
+    counter opened() "jayquay_flows_opened_total" Count "Flows opened.";
+}
--- /dev/null
+++ b/crates/jayquayd/src/poll.rs
@@ -0,0 +1,72 @@
+//! An upstream's own report of its health and load. The report may lag or mislead; judging it is the node's.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use node::PollError;
+use node::Report;
+use reqwest::Client;
+use reqwest::StatusCode;
+use reqwest::redirect::Policy;
+use reqwest::retry;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use units::Incarnation;
+use units::Slots;
+
+use crate::upstreams::body;
+
+/// How long a report may take.
+const POLL_TIME: Duration = Duration::from_millis(500);
+/// The longest report, in bytes.
+const MAX_REPORT_LEN: usize = 4 * 1_024;
+
+#[derive(Debug, Deserialize)]
+struct Health {
+    incarnation: Incarnation,
+    healthy: bool,
+    draining: bool,
+    age_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Load {
+    busy: Slots,
+}
+
+pub(crate) fn client() -> reqwest::Result<Client> {
+    Client::builder()
+        .no_proxy()
+        .redirect(Policy::none())
+        .retry(retry::never())
+        .referer(false)
+        .http1_only()
+        .pool_max_idle_per_host(1)
+        .connect_timeout(POLL_TIME)
+        .timeout(POLL_TIME)
+        .build()
+}
+
+/// Asks the upstream at `address`.
+pub(crate) async fn report(client: &Client, address: SocketAddr) -> Result<Report, PollError> {
+    let health = get::<Health>(client, address, "health");
+    let load = get::<Load>(client, address, "load");
+    let (health, load) = tokio::try_join!(health, load)?;
+    Ok(Report {
+        incarnation: health.incarnation,
+        healthy: health.healthy,
+        draining: health.draining,
+        busy: load.busy,
+        age: Duration::from_millis(health.age_ms),
+    })
+}
+
+async fn get<T: DeserializeOwned>(client: &Client, address: SocketAddr, path: &str) -> Result<T, PollError> {
+    let url = format!("http://{address}/{path}");
+    let response = client.get(url).send().await.map_err(|_| PollError)?;
+    if response.status() != StatusCode::OK {
+        return Err(PollError);
+    }
+    let bytes = body(response, MAX_REPORT_LEN).await.ok_or(PollError)?;
+    serde_json::from_slice(&bytes).map_err(|_| PollError)
+}
--- /dev/null
+++ b/crates/jayquayd/src/sessions.rs
@@ -0,0 +1,400 @@
+//! WebSocket sessions with other instances, made on demand and authenticated.
+//!
+//! The table belongs to the engine's task. Each session has one task of its own, which is told what to send through
+//! a bounded queue. Both sides may have made a session at the same time: each then sends on one of the two and
+//! reads from both, so that frames keep their order. What a frame says is not this part's business.
+
+pub mod handshake;
+
+mod connection;
+mod link;
+mod listener;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use node::Peer;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use units::Incarnation;
+use units::InstanceName;
+use wire::Frame;
+
+use self::connection::Connection;
+use self::handshake::Identity;
+use self::handshake::Keys;
+use self::handshake::Side;
+use self::link::End;
+use self::link::Outgoing;
+use crate::intake::Input;
+use crate::intake::Intake;
+use crate::metric;
+use crate::throttle::Throttle;
+use crate::timeline::Stamp;
+
+pub use self::listener::listen;
+
+/// The longest pause between two attempts to connect to one instance.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// The shortest pause between two attempts to connect to one instance.
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+/// The exponent at which a pause stops growing.
+const MAX_DOUBLINGS: u32 = 6;
+/// How many instances are remembered as unreachable.
+const MAX_FAILURES: usize = 1_024;
+
+/// Names a session within this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct LinkId(u64);
+
+impl LinkId {
+    fn next() -> Self {
+        Self(rand::random())
+    }
+}
+
+/// A session began or ended.
+#[derive(Debug)]
+pub enum Change {
+    /// Another instance connected and proved itself.
+    Arrived {
+        /// Names the session.
+        id: LinkId,
+        /// The other instance.
+        peer: Peer,
+        /// What is put here is sent.
+        queue: mpsc::Sender<(Stamp, Frame)>,
+        /// Frames are taken once this has been told; otherwise the session ends.
+        admit: oneshot::Sender<()>,
+    },
+    /// The instance that was connected to proved itself.
+    Authenticated {
+        /// Names the session.
+        id: LinkId,
+        /// The other instance.
+        peer: Peer,
+    },
+    /// A session ended or could not be made.
+    Ended {
+        /// Names the session.
+        id: LinkId,
+        /// The other instance.
+        name: InstanceName,
+        /// Whether frames may have been lost with it.
+        lost: bool,
+    },
+}
+
+/// Who this instance is, and how it proves that.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// Who this instance is.
+    pub own: Identity,
+    /// How it proves that.
+    pub keys: Keys,
+    /// Where frames and changes go.
+    pub intake: Intake,
+}
+
+#[derive(Debug)]
+struct Link {
+    id: LinkId,
+    /// Unknown while a session is being made.
+    incarnation: Option<Incarnation>,
+    side: Side,
+    queue: mpsc::Sender<Outgoing>,
+}
+
+/// The sessions with one instance.
+#[derive(Debug, Default)]
+struct Pair {
+    /// The one that frames are sent on.
+    active: Option<Link>,
+    /// Another one, which the other side may send on.
+    spare: Option<Link>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Failure {
+    doublings: u32,
+    until: Instant,
+}
+
+/// The table of sessions.
+#[derive(Debug)]
+pub struct Sessions {
+    context: Context,
+    capacity: usize,
+    pairs: HashMap<InstanceName, Pair>,
+    failures: HashMap<InstanceName, Failure>,
+    tasks: JoinSet<()>,
+    throttle: Throttle,
+}
+
+impl Sessions {
+    /// An empty table for at most so many instances.
+    pub fn new(context: Context, capacity: usize) -> Self {
+        Self {
+            context,
+            capacity,
+            pairs: HashMap::new(),
+            failures: HashMap::new(),
+            tasks: JoinSet::new(),
+            throttle: Throttle::default(),
+        }
+    }
+
+    /// Sends a frame, over a session that is made if there is none. Returns whether it could be queued; if not, what
+    /// was queued before it is lost as well.
+    #[must_use]
+    pub fn send(&mut self, to: &InstanceName, address: SocketAddr, stamp: Stamp, frame: Frame) -> bool {
+        while self.tasks.try_join_next().is_some() {}
+        if let Some(link) = self.active(to) {
+            let is_up = link.incarnation.is_some();
+            let queued = link.queue.try_send((stamp, frame)).is_ok();
+            // A session that is still being made fails by itself, with all that waits for it.
+            if !queued && is_up {
+                self.give_up(to);
+            }
+            return queued;
+        }
+        if self.pairs.len() >= self.capacity {
+            metric::sessions_failed("limit").increment(1);
+            return false;
+        }
+        let link = self.connect(to, address);
+        let queued = link.queue.try_send((stamp, frame)).is_ok();
+        self.pairs.entry(to.clone()).or_default().active = Some(link);
+        queued
+    }
+
+    /// Takes note of a change. Returns the instance whose frames may have been lost, if one is concerned.
+    pub fn change(&mut self, change: Change) -> Option<InstanceName> {
+        let lost = match change {
+            Change::Arrived { id, peer, queue, admit } => {
+                let link = Link {
+                    id,
+                    incarnation: Some(peer.incarnation),
+                    side: Side::Acceptor,
+                    queue,
+                };
+                self.arrived(link, peer, admit)
+            }
+            Change::Authenticated { id, peer } => self.authenticated(id, peer),
+            Change::Ended { id, name, lost } => self.ended(id, name, lost),
+        };
+        metric::sessions_up().set(self.up() as f64);
+        lost
+    }
+
+    /// How many instances there are sessions with.
+    pub fn up(&self) -> usize {
+        let is_up = |pair: &&Pair| pair.active.as_ref().is_some_and(|link| link.incarnation.is_some());
+        self.pairs.values().filter(is_up).count()
+    }
+
+    /// Gives all sessions up once they have sent what is queued, and names them.
+    pub fn release(&mut self) -> HashSet<LinkId> {
+        let pairs = std::mem::take(&mut self.pairs);
+        let links = pairs.into_values().flat_map(|pair| [pair.active, pair.spare]);
+        links.flatten().map(|link| link.id).collect()
+    }
+
+    fn active(&self, name: &InstanceName) -> Option<&Link> {
+        self.pairs.get(name)?.active.as_ref()
+    }
+
+    fn give_up(&mut self, name: &InstanceName) {
+        self.pairs.remove(name);
+        metric::sessions_ended("full").increment(1);
+        if let Some(held_back) = self.throttle.pass() {
+            log::warn!("sessions: {name} takes no more frames, session dropped; {held_back} more like lines held back");
+        }
+    }
+
+    fn connect(&mut self, to: &InstanceName, address: SocketAddr) -> Link {
+        let (queue, receiver) = mpsc::channel(link::QUEUE_LEN);
+        let id = LinkId::next();
+        let outgoing = Outward {
+            id,
+            to: to.clone(),
+            address,
+            not_before: self.failures.get(to).map(|failure| failure.until),
+        };
+        self.tasks.spawn(outgoing.run(self.context.clone(), receiver));
+        Link {
+            id,
+            incarnation: None,
+            side: Side::Initiator,
+            queue,
+        }
+    }
+
+    fn arrived(&mut self, link: Link, peer: Peer, admit: oneshot::Sender<()>) -> Option<InstanceName> {
+        let is_new = !self.pairs.contains_key(&peer.name);
+        if is_new && self.pairs.len() >= self.capacity {
+            metric::sessions_failed("limit").increment(1);
+            return None;
+        }
+        self.failures.remove(&peer.name);
+        let pair = self.pairs.entry(peer.name.clone()).or_default();
+        let newest = pair.newest();
+        if newest > Some(peer.incarnation) {
+            metric::sessions_failed("old_life").increment(1);
+            return None;
+        }
+        // The session may have ended meanwhile; its end is on its way then.
+        let _ended = admit.send(());
+        metric::sessions_begun("incoming").increment(1);
+        log::debug!("sessions: {} ({}) connected", peer.name, peer.incarnation);
+        let is_newer_life = newest.is_some_and(|newest| newest < peer.incarnation);
+        pair.add(link, is_newer_life).then_some(peer.name)
+    }
+
+    fn authenticated(&mut self, id: LinkId, peer: Peer) -> Option<InstanceName> {
+        self.failures.remove(&peer.name);
+        let pair = self.pairs.get_mut(&peer.name)?;
+        if pair.newest() > Some(peer.incarnation) {
+            pair.remove(id);
+            metric::sessions_failed("old_life").increment(1);
+            return Some(peer.name);
+        }
+        if let Some(link) = pair.link_mut(id) {
+            link.incarnation = Some(peer.incarnation);
+            metric::sessions_begun("outgoing").increment(1);
+            log::debug!("sessions: connected to {} ({})", peer.name, peer.incarnation);
+        }
+        None
+    }
+
+    fn ended(&mut self, id: LinkId, name: InstanceName, lost: bool) -> Option<InstanceName> {
+        let pair = self.pairs.get_mut(&name)?;
+        let removed = pair.remove(id)?;
+        if pair.active.is_none() {
+            self.pairs.remove(&name);
+        }
+        if removed.incarnation.is_none() {
+            self.remember_failure(&name);
+        }
+        lost.then_some(name)
+    }
+
+    fn remember_failure(&mut self, name: &InstanceName) {
+        let now = Instant::now();
+        if self.failures.len() >= MAX_FAILURES {
+            self.failures.retain(|_, failure| failure.until > now);
+        }
+        let doublings = self.failures.get(name).map_or(0, |failure| failure.doublings + 1);
+        let pause = MIN_BACKOFF * 2_u32.pow(doublings.min(MAX_DOUBLINGS));
+        let jitter = rand::random_range(0.5..1.0);
+        let failure = Failure {
+            doublings,
+            until: now + pause.min(MAX_BACKOFF).mul_f64(jitter),
+        };
+        self.failures.insert(name.clone(), failure);
+    }
+}
+
+impl Pair {
+    fn newest(&self) -> Option<Incarnation> {
+        let links = [&self.active, &self.spare];
+        links.into_iter().flatten().filter_map(|link| link.incarnation).max()
+    }
+
+    fn link_mut(&mut self, id: LinkId) -> Option<&mut Link> {
+        let links = [&mut self.active, &mut self.spare];
+        links.into_iter().flatten().find(|link| link.id == id)
+    }
+
+    /// Adds a session that the other side made, and tells whether the active one was given up for it.
+    fn add(&mut self, link: Link, is_newer_life: bool) -> bool {
+        let replaces = match &self.active {
+            None => true,
+            // The other side makes a second one only when it holds the first for lost.
+            Some(active) => is_newer_life || active.side == Side::Acceptor,
+        };
+        if !replaces {
+            self.spare = Some(link);
+            return false;
+        }
+        if is_newer_life {
+            self.spare = None;
+        }
+        self.active.replace(link).is_some()
+    }
+
+    fn remove(&mut self, id: LinkId) -> Option<Link> {
+        if self.spare.as_ref().is_some_and(|link| link.id == id) {
+            return self.spare.take();
+        }
+        if self.active.as_ref().is_some_and(|link| link.id == id) {
+            return std::mem::replace(&mut self.active, self.spare.take());
+        }
+        None
+    }
+}
+
+/// A session that this side makes.
+struct Outward {
+    id: LinkId,
+    to: InstanceName,
+    address: SocketAddr,
+    not_before: Option<Instant>,
+}
+
+impl Outward {
+    async fn run(self, context: Context, mut queue: mpsc::Receiver<Outgoing>) {
+        if let Some(not_before) = self.not_before {
+            tokio::time::sleep_until(not_before).await;
+        }
+        let result = connection::connect(self.address, &context.own, &context.keys).await;
+        let result = result.and_then(|connection| self.check_name(connection));
+        let lost = match result {
+            Ok(connection) => self.converse(connection, &context, &mut queue).await,
+            Err(error) => {
+                metric::sessions_failed(error.as_str()).increment(1);
+                log::debug!("sessions: no session with {} at {}: {error}", self.to, self.address);
+                true
+            }
+        };
+        let change = Change::Ended {
+            id: self.id,
+            name: self.to,
+            lost,
+        };
+        let _closed = context.intake.put(Input::Session(change)).await;
+    }
+
+    fn check_name(&self, connection: Connection) -> Result<Connection, handshake::Error> {
+        if connection.other.name != self.to {
+            return Err(handshake::Error::WrongName);
+        }
+        Ok(connection)
+    }
+
+    async fn converse(&self, connection: Connection, context: &Context, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
+        let peer = connection.other.peer();
+        let change = Change::Authenticated {
+            id: self.id,
+            peer: peer.clone(),
+        };
+        if context.intake.put(Input::Session(change)).await.is_err() {
+            return true;
+        }
+        let end = link::run(connection.ws, Side::Initiator, &peer, queue, &context.intake).await;
+        note_end(&peer, end, queue)
+    }
+}
+
+/// Counts the end of a session, and tells whether frames may have been lost with it.
+fn note_end(peer: &Peer, end: End, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
+    metric::sessions_ended(end.as_str()).increment(1);
+    log::debug!("sessions: session with {} ended: {}", peer.name, end.as_str());
+    queue.close();
+    let is_empty = queue.try_recv().is_err();
+    !(end.is_quiet() && is_empty)
+}
--- /dev/null
+++ b/crates/jayquayd/src/sessions/connection.rs
@@ -0,0 +1,74 @@
+//! Making a connection to another instance or taking one, up to the end of the handshake.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::Role;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use wire::MAX_FRAME_LEN;
+
+use super::handshake;
+use super::handshake::Error;
+use super::handshake::Identity;
+use super::handshake::Keys;
+use super::handshake::MAX_MESSAGE_LEN;
+
+/// How long a connection and its handshake may take.
+pub(super) const HANDSHAKE_TIME: Duration = Duration::from_secs(2);
+/// What a frame's message holds besides the frame, at most.
+const ENVELOPE_LEN: usize = 64;
+
+/// An authenticated connection.
+pub(super) struct Connection {
+    pub(super) other: Identity,
+    pub(super) ws: WebSocketStream<TcpStream>,
+}
+
+/// Connects to the instance at `address`.
+pub(super) async fn connect(address: SocketAddr, own: &Identity, keys: &Keys) -> Result<Connection, Error> {
+    within_handshake_time(connect_slowly(address, own, keys)).await
+}
+
+/// Takes a connection from whoever made it.
+pub(super) async fn accept(tcp: TcpStream, own: &Identity, keys: &Keys) -> Result<Connection, Error> {
+    within_handshake_time(accept_slowly(tcp, own, keys)).await
+}
+
+async fn within_handshake_time(
+    handshake: impl Future<Output = Result<Connection, Error>>,
+) -> Result<Connection, Error> {
+    let result = tokio::time::timeout(HANDSHAKE_TIME, handshake).await;
+    result.unwrap_or(Err(Error::Timeout))
+}
+
+async fn connect_slowly(address: SocketAddr, own: &Identity, keys: &Keys) -> Result<Connection, Error> {
+    let tcp = TcpStream::connect(address).await.map_err(|_| Error::Connect)?;
+    tcp.set_nodelay(true).map_err(|_| Error::Closed)?;
+    let url = format!("ws://{address}/");
+    let config = Some(limited_to(MAX_FRAME_LEN + ENVELOPE_LEN));
+    let handshake = tokio_tungstenite::client_async_with_config(url, tcp, config).await;
+    let (mut ws, _response) = handshake.map_err(|_| Error::Closed)?;
+    let other = handshake::initiate(&mut ws, own, keys).await?;
+    Ok(Connection { other, ws })
+}
+
+async fn accept_slowly(tcp: TcpStream, own: &Identity, keys: &Keys) -> Result<Connection, Error> {
+    tcp.set_nodelay(true).map_err(|_| Error::Closed)?;
+    // A stranger may make this side hold no more than a handshake needs.
+    let narrow = Some(limited_to(MAX_MESSAGE_LEN));
+    let handshake = tokio_tungstenite::accept_async_with_config(tcp, narrow).await;
+    let mut ws = handshake.map_err(|_| Error::Closed)?;
+    let other = handshake::accept(&mut ws, own, keys).await?;
+    // The other side sends nothing between its proof and ours, so that no byte is lost with the narrow buffers.
+    let wide = Some(limited_to(MAX_FRAME_LEN + ENVELOPE_LEN));
+    let ws = WebSocketStream::from_raw_socket(ws.into_inner(), Role::Server, wide).await;
+    Ok(Connection { other, ws })
+}
+
+fn limited_to(len: usize) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(len))
+        .max_frame_size(Some(len))
+}
--- /dev/null
+++ b/crates/jayquayd/src/sessions/link.rs
@@ -0,0 +1,279 @@
+//! One authenticated session: frames in, frames out, and noticing that the other side is gone.
+//!
+//! Each message is the sender's stamp, then one CBOR frame. A side that has sent something and hears nothing asks
+//! with a ping, and gives up when that stays unanswered too. Idle sessions cost nothing.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::Sink;
+use futures_util::SinkExt;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use node::Peer;
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::Bytes;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use wire::Frame;
+use wire::MAX_FRAME_LEN;
+
+use super::handshake::Side;
+use crate::intake::Input;
+use crate::intake::Intake;
+use crate::metric;
+use crate::timeline::Stamp;
+
+/// How many frames may wait for one session.
+pub(super) const QUEUE_LEN: usize = 1_024;
+/// How many frames are written before a flush.
+const BATCH_LEN: usize = 64;
+/// How long after unanswered frames a ping is sent.
+const PING_AFTER: Duration = Duration::from_secs(2);
+/// How long after unanswered frames a session is given up.
+const DEAD_AFTER: Duration = Duration::from_secs(6);
+/// How long one flush may take.
+const FLUSH_TIME: Duration = Duration::from_secs(5);
+/// How long a session may be idle before the side that made it closes it.
+const IDLE_TIME: Duration = Duration::from_mins(1);
+/// How often silence is checked.
+const CHECK_TIME: Duration = Duration::from_millis(500);
+/// How long the other side may take to confirm a close.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+/// The length of a stamp, in bytes.
+const STAMP_LEN: usize = 8;
+
+/// A frame on its way out.
+pub(super) type Outgoing = (Stamp, Frame);
+
+/// Why a session ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum End {
+    /// Nothing was said for long, and this side closed it.
+    Idle,
+    /// The other side closed it for lack of use.
+    Left,
+    /// The connection ended.
+    Closed,
+    /// The other side no longer answers.
+    Silent,
+    /// The other side no longer reads.
+    Stalled,
+    /// This instance gave it up.
+    Replaced,
+}
+
+impl End {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle | Self::Left => "idle",
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+            Self::Stalled => "stalled",
+            Self::Replaced => "replaced",
+        }
+    }
+
+    /// Whether the end says nothing about the other side's health.
+    pub(super) fn is_quiet(self) -> bool {
+        matches!(self, Self::Idle | Self::Left)
+    }
+}
+
+/// When things were last sent and heard, in milliseconds since the session began.
+struct Activity {
+    start: Instant,
+    /// When the first frame was sent that nothing has been heard since; zero if there is none.
+    unanswered: AtomicU64,
+    /// When a frame was last sent or received.
+    used: AtomicU64,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            unanswered: AtomicU64::new(0),
+            used: AtomicU64::new(0),
+        }
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1)
+    }
+
+    fn heard(&self) {
+        self.unanswered.store(0, Ordering::Relaxed);
+    }
+
+    fn sent(&self) {
+        let now = self.now();
+        self.used.store(now, Ordering::Relaxed);
+        if self.unanswered.load(Ordering::Relaxed) == 0 {
+            self.unanswered.store(now, Ordering::Relaxed);
+        }
+    }
+
+    fn received(&self) {
+        self.used.store(self.now(), Ordering::Relaxed);
+    }
+
+    fn silence(&self) -> Duration {
+        match self.unanswered.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            since => Duration::from_millis(self.now().saturating_sub(since)),
+        }
+    }
+
+    fn idle(&self) -> Duration {
+        Duration::from_millis(self.now().saturating_sub(self.used.load(Ordering::Relaxed)))
+    }
+}
+
+/// Runs a session until it ends. Frames that come are put into the intake; those in `queue` are sent.
+pub(super) async fn run<W>(ws: W, side: Side, peer: &Peer, queue: &mut mpsc::Receiver<Outgoing>, intake: &Intake) -> End
+where
+    W: Stream<Item = tungstenite::Result<Message>> + Sink<Message, Error = tungstenite::Error>,
+{
+    let (mut sink, mut stream) = ws.split();
+    let activity = Activity::new();
+    let reading = read(&mut stream, peer, intake, &activity);
+    let writing = write(&mut sink, side, queue, &activity);
+    tokio::pin!(reading);
+    // What has already arrived counts before a timer that ran out meanwhile, as after a pause of the process.
+    let end = tokio::select! {
+        biased;
+        end = &mut reading => end,
+        end = writing => end,
+    };
+    if end == End::Idle {
+        // What the other side sent before it learnt of the close is still taken.
+        let _late = tokio::time::timeout(CLOSE_TIME, reading).await;
+    }
+    end
+}
+
+async fn read<R>(stream: &mut R, peer: &Peer, intake: &Intake, activity: &Activity) -> End
+where
+    R: Stream<Item = tungstenite::Result<Message>> + Unpin,
+{
+    loop {
+        let Some(Ok(message)) = stream.next().await else {
+            return End::Closed;
+        };
+        activity.heard();
+        let bytes = match message {
+            Message::Binary(bytes) => bytes,
+            Message::Close(Some(frame)) if frame.code == CloseCode::Normal => return End::Left,
+            Message::Close(_) => return End::Closed,
+            _ => continue,
+        };
+        activity.received();
+        metric::frames_received().increment(1);
+        metric::frame_bytes_received().increment(bytes.len() as u64);
+        let Some((stamp, frame)) = decode(&bytes) else {
+            metric::frames_unread().increment(1);
+            continue;
+        };
+        if intake.put(Input::Frame(peer.clone(), stamp, frame)).await.is_err() {
+            return End::Replaced;
+        }
+    }
+}
+
+async fn write<W>(sink: &mut W, side: Side, queue: &mut mpsc::Receiver<Outgoing>, activity: &Activity) -> End
+where
+    W: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    let mut batch = Vec::with_capacity(BATCH_LEN);
+    let mut check = tokio::time::interval(CHECK_TIME);
+    let mut pinged = false;
+    loop {
+        let count = tokio::select! {
+            count = queue.recv_many(&mut batch, BATCH_LEN) => Some(count),
+            _ = check.tick() => None,
+        };
+        let sent = match count {
+            Some(0) => return End::Replaced,
+            Some(_) => {
+                activity.sent();
+                send_all(sink, &mut batch).await
+            }
+            None if activity.silence() > DEAD_AFTER => return End::Silent,
+            None if activity.silence() > PING_AFTER && !pinged => {
+                pinged = true;
+                flush_one(sink, Message::Ping(Bytes::new())).await
+            }
+            None if side == Side::Initiator && activity.idle() > IDLE_TIME => {
+                let close = CloseFrame {
+                    code: CloseCode::Normal,
+                    reason: "idle".into(),
+                };
+                let _closing = flush_one(sink, Message::Close(Some(close))).await;
+                return End::Idle;
+            }
+            None => {
+                pinged &= activity.silence() > PING_AFTER;
+                Ok(())
+            }
+        };
+        if let Err(end) = sent {
+            return end;
+        }
+    }
+}
+
+async fn send_all<W>(sink: &mut W, batch: &mut Vec<Outgoing>) -> Result<(), End>
+where
+    W: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    let sending = async {
+        for (stamp, frame) in batch.drain(..) {
+            let bytes = encode(stamp, &frame);
+            if bytes.len() > STAMP_LEN + MAX_FRAME_LEN {
+                // The other side would end the session for it.
+                metric::frames_too_long().increment(1);
+                log::error!("sessions: a frame of {} bytes is too long to be sent", bytes.len());
+                continue;
+            }
+            metric::frames_sent().increment(1);
+            metric::frame_bytes_sent().increment(bytes.len() as u64);
+            sink.feed(Message::binary(bytes)).await?;
+        }
+        sink.flush().await
+    };
+    within_flush_time(sending).await
+}
+
+async fn flush_one<W>(sink: &mut W, message: Message) -> Result<(), End>
+where
+    W: Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    within_flush_time(sink.send(message)).await
+}
+
+async fn within_flush_time(sending: impl Future<Output = tungstenite::Result<()>>) -> Result<(), End> {
+    match tokio::time::timeout(FLUSH_TIME, sending).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(End::Closed),
+        Err(_) => Err(End::Stalled),
+    }
+}
+
+fn encode(stamp: Stamp, frame: &Frame) -> Vec<u8> {
+    let mut bytes = stamp.0.to_be_bytes().to_vec();
+    bytes.append(&mut wire::encode_frame(frame));
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Option<(Stamp, Frame)> {
+    let (stamp, frame) = bytes.split_first_chunk::<STAMP_LEN>()?;
+    let frame = wire::decode_frame(frame).ok()?;
+    Some((Stamp(u64::from_be_bytes(*stamp)), frame))
+}
--- /dev/null
+++ b/crates/jayquayd/tests/limits.rs
@@ -0,0 +1,104 @@
+//! Limits on datagrams, each tested by exceeding it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jayquayd::bucket::Rate;
+use jayquayd::bucket::Table;
+use jayquayd::callers;
+use jayquayd::callers::Limits;
+use jayquayd::clock::Clock;
+use jayquayd::intake::Intake;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::net::UdpSocket;
+use units::Time;
+
+/// Nothing is gained back, so that no test depends on how fast it runs.
+fn only(burst: u32) -> Rate {
+    Rate { per_second: 0, burst }
+}
+
+/// Sends so many datagrams of so many bytes from each of so many sources, and expects so many to pass.
+async fn check(limits: Limits, sources: usize, count: usize, len: usize, passed: usize) {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let metrics = recorder.handle();
+    let _recording = metrics::set_default_local_recorder(&recorder);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let (intake, mut queues) = Intake::new();
+    let (receiver, _replier) = callers::split(socket, Clock::start(), limits);
+    let receiver = tokio::spawn(receiver.run(intake));
+    for sent in 1..=sources {
+        let source = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        for _ in 0..count {
+            source.send_to(&vec![0; len], address).await.unwrap();
+        }
+        // The next source begins when all of this one's have come, so that the socket's buffer is never full.
+        let expected = format!("jayquay_datagrams_received_total {}", sent * count);
+        while !metrics.render().contains(&expected) {
+            tokio::task::yield_now().await;
+        }
+    }
+    receiver.abort();
+    let mut seen = 0;
+    while queues.datagrams.recv().await.is_some() {
+        seen += 1;
+    }
+    assert_eq!(seen, passed);
+    let dropped = sources * count - passed;
+    let counted = metrics.render();
+    let counts = counted
+        .lines()
+        .filter(|line| line.starts_with("jayquay_datagrams_dropped_total{"));
+    let counted: usize = counts
+        .map(|line| line.rsplit(' ').next().unwrap().parse::<usize>().unwrap())
+        .sum();
+    assert_eq!(counted, dropped);
+}
+
+#[tokio::test]
+async fn datagrams_over_a_limit_are_dropped_and_counted() {
+    let limits = Limits {
+        per_source: only(10),
+        total: only(35),
+        sources: 100,
+    };
+    check(limits, 1, 10, 1_200, 10).await;
+    check(limits, 1, 30, 100, 10).await;
+    check(limits, 3, 30, 100, 30).await;
+    check(limits, 5, 30, 100, 35).await;
+    check(limits, 1, 10, 1_201, 0).await;
+    check(limits, 3, 1, 60_000, 0).await;
+}
+
+#[tokio::test]
+async fn a_full_queue_drops_datagrams() {
+    let limits = Limits {
+        per_source: only(10_000),
+        total: only(10_000),
+        sources: 100,
+    };
+    check(limits, 20, 100, 10, 1_024).await;
+}
+
+#[test]
+fn tokens_come_back_with_time_and_sources_are_forgotten() {
+    let rate = Rate {
+        per_second: 2,
+        burst: 3,
+    };
+    let mut table = Table::new(rate, 10);
+    let source = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let start = Time(1_000_000);
+    let taken = (0..5).filter(|_| table.take(source(1), start)).count();
+    assert_eq!(taken, 3);
+    let later = start + Duration::from_secs(1);
+    let taken = (0..5).filter(|_| table.take(source(1), later)).count();
+    assert_eq!(taken, 2);
+    for port in 2..1_000 {
+        assert!(table.take(source(port), later));
+        assert!(table.len() <= 10);
+    }
+    let taken = (0..5).filter(|_| table.take(source(1), later)).count();
+    assert_eq!(taken, 3);
+}
--- /dev/null
+++ b/crates/jayquayd/tests/sessions.rs
@@ -0,0 +1,177 @@
+//! Sessions over loopback between tables that stand for two instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jayquayd::intake::Input;
+use jayquayd::intake::Intake;
+use jayquayd::intake::Queues;
+use jayquayd::sessions;
+use jayquayd::sessions::Context;
+use jayquayd::sessions::Sessions;
+use jayquayd::sessions::handshake::Identity;
+use jayquayd::sessions::handshake::Keys;
+use jayquayd::timeline::Stamp;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use units::Incarnation;
+use units::InstanceName;
+use units::Revision;
+use wire::Frame;
+
+/// Longer than any step of a test takes, unless it hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Instance {
+    name: InstanceName,
+    address: SocketAddr,
+    sessions: Sessions,
+    queues: Queues,
+    listening: JoinSet<()>,
+}
+
+impl Instance {
+    async fn start(name: &str, incarnation: u64, secret: &str, capacity: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (intake, queues) = Intake::new();
+        let own = Identity {
+            name: name.parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            zone: "zone-a".parse().unwrap(),
+            address,
+        };
+        let context = Context {
+            own,
+            keys: Keys::new(&secret.repeat(32).parse().unwrap(), &[]),
+            intake,
+        };
+        let mut listening = JoinSet::new();
+        listening.spawn(sessions::listen(listener, context.clone()));
+        Self {
+            name: name.parse().unwrap(),
+            address,
+            sessions: Sessions::new(context, capacity),
+            queues,
+            listening,
+        }
+    }
+
+    fn send(&mut self, to: &Instance, number: u64) -> bool {
+        let frame = Frame::Want(Some(Revision(number)));
+        self.sessions.send(&to.name, to.address, Stamp(number), frame)
+    }
+
+    /// The next frame or loss, in words.
+    async fn next(&mut self) -> String {
+        loop {
+            let input = tokio::time::timeout(PATIENCE, self.queues.control.recv()).await;
+            match input.expect("something comes in time").unwrap() {
+                Input::Frame(peer, stamp, Frame::Want(Some(revision))) => {
+                    return format!("{} ({}) sent {revision} at {}", peer.name, peer.incarnation, stamp.0);
+                }
+                Input::Session(change) => {
+                    if let Some(name) = self.sessions.change(change) {
+                        return format!("lost {name}");
+                    }
+                }
+                other => panic!("unexpected: {other:?}"),
+            }
+        }
+    }
+
+    /// The next frame or loss, while the other instance works and gets neither.
+    async fn next_unheard_by(&mut self, other: &mut Self) -> String {
+        tokio::select! {
+            next = self.next() => next,
+            heard = other.next() => panic!("the other one heard: {heard}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn frames_pass_both_ways_over_one_session() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut two = Instance::start("two", 2, "a", 8).await;
+    assert!(one.send(&two, 10));
+    assert!(one.send(&two, 11));
+    assert_eq!(two.next().await, "one (1) sent 10 at 10");
+    assert_eq!(two.next().await, "one (1) sent 11 at 11");
+    assert!(two.send(&one, 20));
+    assert_eq!(one.next().await, "two (2) sent 20 at 20");
+    assert_eq!((one.sessions.up(), two.sessions.up()), (1, 1));
+}
+
+#[tokio::test]
+async fn sessions_made_at_the_same_time_both_work() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut two = Instance::start("two", 2, "a", 8).await;
+    for number in 0..20 {
+        assert!(one.send(&two, number));
+        assert!(two.send(&one, number));
+    }
+    for number in 0..20 {
+        assert_eq!(two.next().await, format!("one (1) sent {number} at {number}"));
+        assert_eq!(one.next().await, format!("two (2) sent {number} at {number}"));
+    }
+}
+
+#[tokio::test]
+async fn the_end_of_a_session_is_told_and_another_one_is_made() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut two = Instance::start("two", 2, "a", 8).await;
+    assert!(one.send(&two, 10));
+    assert_eq!(two.next().await, "one (1) sent 10 at 10");
+    two.listening.abort_all();
+    assert_eq!(one.next().await, "lost two");
+    let mut two = Instance::start("two", 3, "a", 8).await;
+    assert!(one.send(&two, 11));
+    assert_eq!(two.next().await, "one (1) sent 11 at 11");
+}
+
+#[tokio::test]
+async fn an_instance_that_cannot_be_met_is_lost_each_time() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut stranger = Instance::start("two", 2, "b", 8).await;
+    for _ in 0..3 {
+        assert!(one.send(&stranger, 10));
+        assert_eq!(one.next().await, "lost two");
+    }
+    // Another instance answers at the address that was known.
+    let three = Instance::start("three", 3, "a", 8).await;
+    stranger.address = three.address;
+    assert!(one.send(&stranger, 10));
+    assert_eq!(one.next().await, "lost two");
+    assert!(stranger.queues.control.is_empty());
+}
+
+#[tokio::test]
+async fn no_more_sessions_than_allowed() {
+    let mut one = Instance::start("one", 1, "a", 1).await;
+    let mut two = Instance::start("two", 2, "a", 8).await;
+    let mut three = Instance::start("three", 3, "a", 8).await;
+    assert!(one.send(&two, 10));
+    assert_eq!(two.next().await, "one (1) sent 10 at 10");
+    assert!(!one.send(&three, 11));
+    // The one that connects is hung up on, and told so.
+    assert!(three.send(&one, 30));
+    assert_eq!(three.next_unheard_by(&mut one).await, "lost one");
+    assert_eq!(one.sessions.up(), 1);
+}
+
+#[tokio::test]
+async fn a_newer_life_replaces_an_older_one_and_never_the_other_way() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut older = Instance::start("two", 2, "a", 8).await;
+    let mut newer = Instance::start("two", 3, "a", 8).await;
+    assert!(older.send(&one, 10));
+    assert_eq!(one.next().await, "two (2) sent 10 at 10");
+    assert!(newer.send(&one, 20));
+    assert_eq!(one.next().await, "lost two");
+    assert_eq!(one.next().await, "two (3) sent 20 at 20");
+    assert_eq!(older.next().await, "lost one");
+    assert!(older.send(&one, 11));
+    assert_eq!(older.next_unheard_by(&mut one).await, "lost one");
+    assert!(one.send(&newer, 30));
+    assert_eq!(newer.next().await, "one (1) sent 30 at 30");
+}
--- /dev/null
+++ b/crates/jayquayd/tests/timeline.rs
@@ -0,0 +1,78 @@
+//! The ring of the last events, and the stamps that order those of several processes.
+
+use std::time::Duration;
+
+use jayquayd::timeline::Hybrid;
+use jayquayd::timeline::PAGE_LEN;
+use jayquayd::timeline::Ring;
+use jayquayd::timeline::Seq;
+use jayquayd::timeline::Stamp;
+use node::Record;
+use units::Incarnation;
+use units::Revision;
+use units::Time;
+
+/// Keeps `count` records in a ring of `capacity`, and tells the first and last number of a page and its length.
+fn check(capacity: usize, count: u64, since: u64) -> String {
+    let mut ring = Ring::new("one".parse().unwrap(), Incarnation(1), capacity);
+    for number in 1..=count {
+        ring.push(Stamp(number), Record::InForce(Revision(number)));
+    }
+    let page = ring.page(Seq(since)).0;
+    for entry in &page {
+        assert_eq!(entry.record, Record::InForce(Revision(entry.seq.0)));
+    }
+    match (page.first(), page.last()) {
+        (Some(first), Some(last)) => format!("{}..={}, {} entries", first.seq, last.seq, page.len()),
+        _ => "nothing".to_owned(),
+    }
+}
+
+#[test]
+fn the_oldest_go_first_and_the_gap_shows() {
+    assert_eq!(check(10, 0, 0), "nothing");
+    assert_eq!(check(10, 4, 0), "1..=4, 4 entries");
+    assert_eq!(check(10, 4, 3), "4..=4, 1 entries");
+    assert_eq!(check(10, 4, 4), "nothing");
+    assert_eq!(check(10, 25, 0), "16..=25, 10 entries");
+    assert_eq!(check(10, 25, 20), "21..=25, 5 entries");
+    assert_eq!(check(10, 25, 90), "nothing");
+    assert_eq!(check(5_000, 4_000, 0), format!("1..={PAGE_LEN}, {PAGE_LEN} entries"));
+}
+
+#[test]
+fn an_entry_is_one_line_of_json() {
+    let mut ring = Ring::new("one".parse().unwrap(), Incarnation(1), 10);
+    ring.push(Stamp(4_096), Record::InForce(Revision(3)));
+    let entry = ring.page(Seq(0)).0.remove(0);
+    let line = serde_json::to_string(&entry).unwrap();
+    insta::assert_snapshot!(line, @r#"{"seq":1,"stamp":4096,"instance":"one","incarnation":1,"record":{"InForce":3}}"#);
+    assert_eq!(serde_json::from_str::<jayquayd::timeline::Entry>(&line).unwrap(), entry);
+}
+
+#[test]
+fn an_effect_has_a_higher_stamp_than_its_cause() {
+    let behind = Time(1_000_000);
+    let ahead = behind + Duration::from_secs(30);
+    let mut sender = Hybrid::default();
+    let mut receiver = Hybrid::default();
+    let own = receiver.tick(behind);
+    let cause = sender.tick(ahead);
+    assert!(receiver.follow(behind, cause));
+    let effect = receiver.tick(behind);
+    assert!(own < cause && cause < effect);
+    assert!(receiver.tick(behind) > effect);
+    assert_eq!(
+        receiver.tick(ahead + Duration::from_secs(1)).time(),
+        ahead + Duration::from_secs(1)
+    );
+}
+
+#[test]
+fn a_clock_that_is_far_ahead_is_not_followed() {
+    let now = Time(1_000_000);
+    let mut clock = Hybrid::default();
+    let far = Hybrid::default().tick(now + Duration::from_mins(2));
+    assert!(!clock.follow(now, far));
+    assert_eq!(clock.tick(now).time(), now);
+}
