Test whole instances, and the binary as a process

Real sockets, the stand-ins and the caller library in one process: a request through any of three instances, each state of readiness, a planned replacement of all instances under a running flow, the three steps of a rotation of secrets, a newcomer while the platform is down, time line and status. The binary: addresses, signals, exit codes, no secret in errors.

The session table's pairs and outgoing attempts move to modules of their own, and a throttled log line says only then that lines were held back when some were.

--- a/crates/jayquayd/src/callers.rs
+++ b/crates/jayquayd/src/callers.rs
@@ -120,17 +120,14 @@
     fn drop_datagram(&self, cause: Cause, from: SocketAddr) {
         metric::datagrams_dropped(cause.as_str()).increment(1);
         if let Some(held_back) = self.throttle.pass() {
-            log::warn!(
-                "callers: dropped a datagram from {from}: {}; {held_back} more like lines held back",
-                cause.as_str()
-            );
+            log::warn!("callers: dropped a datagram from {from}: {}{held_back}", cause.as_str());
         }
     }
 
     fn log_error(&self, error: &io::Error) {
         // An ICMP refusal of an earlier reply shows up here; it says nothing of the socket.
         if let Some(held_back) = self.throttle.pass() {
-            log::debug!("callers: receive failed: {error}; {held_back} more like lines held back");
+            log::debug!("callers: receive failed: {error}{held_back}");
         }
     }
 }
--- a/crates/jayquayd/src/feed.rs
+++ b/crates/jayquayd/src/feed.rs
@@ -87,7 +87,7 @@
             if let Err(error) = &result
                 && let Some(held_back) = throttle.pass()
             {
-                log::warn!("platform: entry not renewed: {error}; {held_back} more like lines held back");
+                log::warn!("platform: entry not renewed: {error}{held_back}");
             }
             let pause = self.judge(&result, RENEW_EVERY, &mut backoff).await?;
             self.wait_or_leave(pause).await?;
--- a/crates/jayquayd/src/sessions.rs
+++ b/crates/jayquayd/src/sessions.rs
@@ -9,6 +9,8 @@
 mod connection;
 mod link;
 mod listener;
+mod outward;
+mod pair;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -20,17 +22,17 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use units::Incarnation;
 use units::InstanceName;
 use wire::Frame;
 
-use self::connection::Connection;
 use self::handshake::Identity;
 use self::handshake::Keys;
 use self::handshake::Side;
 use self::link::End;
 use self::link::Outgoing;
-use crate::intake::Input;
+use self::outward::Outward;
+use self::pair::Link;
+use self::pair::Pair;
 use crate::intake::Intake;
 use crate::metric;
 use crate::throttle::Throttle;
@@ -100,24 +102,6 @@
     pub intake: Intake,
 }
 
-#[derive(Debug)]
-struct Link {
-    id: LinkId,
-    /// Unknown while a session is being made.
-    incarnation: Option<Incarnation>,
-    side: Side,
-    queue: mpsc::Sender<Outgoing>,
-}
-
-/// The sessions with one instance.
-#[derive(Debug, Default)]
-struct Pair {
-    /// The one that frames are sent on.
-    active: Option<Link>,
-    /// Another one, which the other side may send on.
-    spare: Option<Link>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Failure {
     doublings: u32,
@@ -212,7 +196,7 @@
         self.pairs.remove(name);
         metric::sessions_ended("full").increment(1);
         if let Some(held_back) = self.throttle.pass() {
-            log::warn!("sessions: {name} takes no more frames, session dropped; {held_back} more like lines held back");
+            log::warn!("sessions: {name} takes no more frames, session dropped{held_back}");
         }
     }
 
@@ -299,97 +283,6 @@
     }
 }
 
-impl Pair {
-    fn newest(&self) -> Option<Incarnation> {
-        let links = [&self.active, &self.spare];
-        links.into_iter().flatten().filter_map(|link| link.incarnation).max()
-    }
-
-    fn link_mut(&mut self, id: LinkId) -> Option<&mut Link> {
-        let links = [&mut self.active, &mut self.spare];
-        links.into_iter().flatten().find(|link| link.id == id)
-    }
-
-    /// Adds a session that the other side made, and tells whether the active one was given up for it.
-    fn add(&mut self, link: Link, is_newer_life: bool) -> bool {
-        let replaces = match &self.active {
-            None => true,
-            // The other side makes a second one only when it holds the first for lost.
-            Some(active) => is_newer_life || active.side == Side::Acceptor,
-        };
-        if !replaces {
-            self.spare = Some(link);
-            return false;
-        }
-        if is_newer_life {
-            self.spare = None;
-        }
-        self.active.replace(link).is_some()
-    }
-
-    fn remove(&mut self, id: LinkId) -> Option<Link> {
-        if self.spare.as_ref().is_some_and(|link| link.id == id) {
-            return self.spare.take();
-        }
-        if self.active.as_ref().is_some_and(|link| link.id == id) {
-            return std::mem::replace(&mut self.active, self.spare.take());
-        }
-        None
-    }
-}
-
-/// A session that this side makes.
-struct Outward {
-    id: LinkId,
-    to: InstanceName,
-    address: SocketAddr,
-    not_before: Option<Instant>,
-}
-
-impl Outward {
-    async fn run(self, context: Context, mut queue: mpsc::Receiver<Outgoing>) {
-        if let Some(not_before) = self.not_before {
-            tokio::time::sleep_until(not_before).await;
-        }
-        let result = connection::connect(self.address, &context.own, &context.keys).await;
-        let result = result.and_then(|connection| self.check_name(connection));
-        let lost = match result {
-            Ok(connection) => self.converse(connection, &context, &mut queue).await,
-            Err(error) => {
-                metric::sessions_failed(error.as_str()).increment(1);
-                log::debug!("sessions: no session with {} at {}: {error}", self.to, self.address);
-                true
-            }
-        };
-        let change = Change::Ended {
-            id: self.id,
-            name: self.to,
-            lost,
-        };
-        let _closed = context.intake.put(Input::Session(change)).await;
-    }
-
-    fn check_name(&self, connection: Connection) -> Result<Connection, handshake::Error> {
-        if connection.other.name != self.to {
-            return Err(handshake::Error::WrongName);
-        }
-        Ok(connection)
-    }
-
-    async fn converse(&self, connection: Connection, context: &Context, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
-        let peer = connection.other.peer();
-        let change = Change::Authenticated {
-            id: self.id,
-            peer: peer.clone(),
-        };
-        if context.intake.put(Input::Session(change)).await.is_err() {
-            return true;
-        }
-        let end = link::run(connection.ws, Side::Initiator, &peer, queue, &context.intake).await;
-        note_end(&peer, end, queue)
-    }
-}
-
 /// Counts the end of a session, and tells whether frames may have been lost with it.
 fn note_end(peer: &Peer, end: End, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
     metric::sessions_ended(end.as_str()).increment(1);
--- a/crates/jayquayd/src/sessions/listener.rs
+++ b/crates/jayquayd/src/sessions/listener.rs
@@ -55,7 +55,7 @@
                 Err(error) => {
                     metric::sessions_failed(error.as_str()).increment(1);
                     if let Some(held_back) = throttle.pass() {
-                        log::warn!("sessions: refused {from}: {error}; {held_back} more like lines held back");
+                        log::warn!("sessions: refused {from}: {error}{held_back}");
                     }
                 }
             }
--- /dev/null
+++ b/crates/jayquayd/tests/fleet/mod.rs
@@ -0,0 +1,165 @@
+//! A small fleet in one process: real sockets, stand-ins for platform, upstreams and fabric.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use caller::Client;
+use config::Settings;
+use jayquayd::Handle;
+
+/// Longer than any step of a test takes, unless it hangs.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// How long callers wait for an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
+/// How often a condition is looked at.
+const LOOK_TIME: Duration = Duration::from_millis(20);
+
+/// Stand-ins and the instances among them.
+#[derive(Debug)]
+pub struct Fleet {
+    pub platform: standin::platform::Handle,
+    pub upstreams: Vec<standin::upstream::Handle>,
+    pub fabric: standin::fabric::Handle,
+    pub instances: Vec<Handle>,
+}
+
+impl Fleet {
+    /// Starts stand-ins with two upstreams of one service. The document is not written yet.
+    pub async fn new() -> Self {
+        let platform = standin::platform::start(standin::platform::Options::default())
+            .await
+            .unwrap();
+        let fabric = standin::fabric::start(standin::fabric::Options::new(1)).await.unwrap();
+        let mut upstreams = Vec::new();
+        for name in ["north-1", "north-2"] {
+            let service = "availability".parse().unwrap();
+            let options = standin::upstream::Options::new(name.parse().unwrap(), service);
+            upstreams.push(standin::upstream::start(options).await.unwrap());
+        }
+        Self {
+            platform,
+            upstreams,
+            fabric,
+            instances: Vec::new(),
+        }
+    }
+
+    /// Writes a document that names the upstreams.
+    pub fn put_document(&self, revision: u64) {
+        let service = self.fabric.services()[0];
+        let upstreams = [self.upstreams[0].address(), self.upstreams[1].address()];
+        let text = format!(
+            r#"
+revision: {revision}
+change: {{author: an, approver: joost, reason: "A test"}}
+zones: [{{name: zone-a, region: north}}]
+services:
+  - name: availability
+    addresses: ["{service}"]
+    kinds:
+      - {{name: feed, weight: 1, idempotent: true}}
+      - {{name: hold, weight: 5, idempotent: false}}
+    upstreams:
+      - {{name: north-1, zone: zone-a, address: "{}", slots: 2}}
+      - {{name: north-2, zone: zone-a, address: "{}", slots: 2}}
+"#,
+            upstreams[0], upstreams[1]
+        );
+        self.platform.put_document(text);
+    }
+
+    /// The settings of an instance. Each secret is named by one letter; the first is the current one.
+    pub fn settings(&self, name: &str, secrets: &str) -> Settings {
+        let mut secrets = secrets
+            .chars()
+            .map(|letter| format!("\"{}\"", letter.to_string().repeat(32)));
+        let current = secrets.next().unwrap();
+        let previous = secrets.collect::<Vec<_>>().join(", ");
+        let any = "\"127.0.0.1:0\"";
+        let text = format!(
+            r#"
+name: {name}
+zone: zone-a
+listen: {{callers: {any}, instances: {any}, admin: {any}}}
+platform: ["{}"]
+secrets: {{current: {current}, previous: [{previous}]}}
+stop-within-ms: 10000
+"#,
+            self.platform.address()
+        );
+        config::parse_settings(&text).unwrap()
+    }
+
+    /// Starts an instance that the fabric does not know yet.
+    pub async fn start(&self, name: &str, secrets: &str) -> Handle {
+        jayquayd::start(&self.settings(name, secrets), None).await.unwrap()
+    }
+
+    /// Starts an instance, waits until it is ready, and hands it packets.
+    pub async fn join(&mut self, name: &str, secrets: &str) {
+        let handle = self.start(name, secrets).await;
+        until(async || state(&handle).await == "ready").await;
+        self.instances.push(handle);
+        self.spray();
+    }
+
+    /// Stops an instance in the planned way, and takes it from the fabric.
+    pub async fn leave(&mut self, index: usize) -> jayquayd::End {
+        let mut handle = self.instances.remove(index);
+        handle.stop().await;
+        self.spray();
+        tokio::time::timeout(PATIENCE, handle.ended())
+            .await
+            .expect("it stops in time")
+    }
+
+    fn spray(&self) {
+        let callers = self.instances.iter().map(|handle| handle.addresses().callers);
+        self.fabric.set_instances(callers.collect());
+    }
+
+    /// Opens a flow through the fabric.
+    pub async fn open(&self) -> Client {
+        let address: SocketAddr = self.fabric.services()[0];
+        Client::open("availability".parse().unwrap(), address, address)
+            .await
+            .unwrap()
+    }
+
+    /// How often each request ran, the most.
+    pub fn most_runs(&self) -> u32 {
+        let runs = self.upstreams.iter().flat_map(standin::upstream::Handle::runs);
+        runs.map(|run| run.runs).max().unwrap_or(0)
+    }
+}
+
+/// Sends so many holds, and expects an answer to each.
+pub async fn hold(client: &Client, count: usize) {
+    for number in 0..count {
+        let body = format!("room {number}").into_bytes();
+        let answer = client.request("hold".parse().unwrap(), body, ANSWER_TIME).await;
+        assert!(answer.is_ok(), "hold {number}: {answer:?}");
+    }
+}
+
+/// The state that `/ready` names, and whether its status code agrees.
+pub async fn state(handle: &Handle) -> String {
+    let url = format!("http://{}/ready", handle.addresses().admin);
+    let response = reqwest::get(url).await.unwrap();
+    let is_ok = response.status().is_success();
+    let answer: serde_json::Value = response.json().await.unwrap();
+    assert_eq!(answer["ready"], is_ok);
+    answer["state"].as_str().unwrap().to_owned()
+}
+
+/// Waits until a condition holds.
+pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(LOOK_TIME).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("the condition holds in time");
+}
--- /dev/null
+++ b/crates/jayquayd/tests/process.rs
@@ -0,0 +1,97 @@
+//! The binary as a process: what it prints, how it ends, and what it says of wrong settings.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use jayquayd::Addresses;
+
+const VALID: &str = r#"
+name: one
+zone: zone-a
+listen: {callers: "127.0.0.1:0", instances: "127.0.0.1:0", admin: "127.0.0.1:0"}
+platform: ["127.0.0.1:9"]
+secrets: {current: "0123456789abcdef0123456789abcdef"}
+stop-within-ms: 1000
+"#;
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn command(settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jayquayd"));
+    command.arg("--settings").arg(settings);
+    command
+}
+
+/// Ends the process when a test fails.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ended = self.0.kill();
+        let _reaped = self.0.wait();
+    }
+}
+
+/// Runs a process until it has printed its addresses, sends it a signal, and returns its exit code.
+fn check(signal: &str) -> Option<i32> {
+    let settings = settings_file(&format!("{signal}.yaml"), VALID);
+    let child = command(&settings).stdout(Stdio::piped()).spawn().unwrap();
+    let mut running = Running(child);
+    let mut line = String::new();
+    let stdout = running.0.stdout.take().unwrap();
+    BufReader::new(stdout).read_line(&mut line).unwrap();
+    let addresses: Addresses = serde_json::from_str(&line).unwrap();
+    assert_ne!(addresses.callers.port(), 0);
+    let pid = running.0.id().to_string();
+    let sent = Command::new("kill").args(["-s", signal, &pid]).status().unwrap();
+    assert!(sent.success());
+    running.0.wait().unwrap().code()
+}
+
+#[test]
+fn a_signal_begins_a_planned_stop() {
+    assert_eq!(check("TERM"), Some(0));
+    assert_eq!(check("INT"), Some(0));
+}
+
+#[test]
+fn wrong_settings_are_bad_usage_and_no_secret_is_repeated() {
+    let text = VALID
+        .replace("zone: zone-a", "zone: 7\nport: 3")
+        .replace("f\"", "f\", extra: 1");
+    let settings = settings_file("wrong.yaml", &text);
+    let output = command(&settings).output().unwrap();
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    for part in ["wrong.yaml: 3:", "`port`", "`extra`"] {
+        assert!(errors.contains(part), "{errors}");
+    }
+    assert!(!errors.contains("0123456789abcdef"), "{errors}");
+}
+
+#[test]
+fn an_address_in_use_is_a_failure() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = VALID.replacen("admin: \"127.0.0.1:0\"", &format!("admin: \"{address}\""), 1);
+    let settings = settings_file("taken.yaml", &text);
+    let output = command(&settings).output().unwrap();
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{errors}");
+    assert!(errors.contains(&address), "{errors}");
+}
+
+#[test]
+fn the_example_passes_the_check() {
+    let example = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings.yaml");
+    let output = command(&example).arg("--check").output().unwrap();
+    assert_eq!(output.status.code(), Some(0));
+}
--- /dev/null
+++ b/crates/jayquayd/tests/whole.rs
@@ -0,0 +1,144 @@
+//! Whole instances over real sockets: the path of a request, readiness, planned stops, secrets and outages.
+
+mod fleet;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use jayquayd::End;
+
+use fleet::Fleet;
+use fleet::hold;
+use fleet::state;
+use fleet::until;
+
+#[tokio::test]
+async fn a_request_passes_through_any_instance() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    for name in ["one", "two", "three"] {
+        fleet.join(name, "a").await;
+    }
+    let client = fleet.open().await;
+    hold(&client, 50).await;
+    assert_eq!(fleet.most_runs(), 1);
+    for handle in &fleet.instances {
+        let status = handle.status().await.unwrap();
+        assert_eq!(status.members.len(), 3);
+    }
+}
+
+#[tokio::test]
+async fn readiness_names_what_is_missing() {
+    let fleet = Fleet::new().await;
+    let mut one = fleet.start("one", "a").await;
+    assert_eq!(state(&one).await, "no-document");
+    fleet.put_document(1);
+    until(async || state(&one).await == "ready").await;
+    let down = standin::platform::Behaviour {
+        down: true,
+        ..Default::default()
+    };
+    fleet.platform.behave(down).await;
+    until(async || state(&one).await == "cut-off").await;
+    one.stop().await;
+    assert_eq!(one.ended().await, End::Stopped(0));
+    assert!(one.status().await.is_none());
+}
+
+#[tokio::test]
+async fn replacing_every_instance_breaks_no_flow() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    for name in ["one", "two", "three"] {
+        fleet.join(name, "a").await;
+    }
+    let client = fleet.open().await;
+    let replaced = AtomicBool::new(false);
+    let holding = async {
+        while !replaced.load(Ordering::Relaxed) {
+            hold(&client, 1).await;
+        }
+    };
+    let replacing = async {
+        for name in ["four", "five", "six"] {
+            fleet.join(name, "a").await;
+            assert_eq!(fleet.leave(0).await, End::Stopped(0));
+        }
+        replaced.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(holding, replacing);
+    hold(&client, 10).await;
+    assert_eq!(fleet.most_runs(), 1);
+}
+
+#[tokio::test]
+async fn secrets_are_rotated_one_instance_at_a_time() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    fleet.join("one", "a").await;
+    fleet.join("two", "a").await;
+    let client = fleet.open().await;
+    // First all accept the new secret, then all use it, then none accepts the old one.
+    for (round, secrets) in ["ab", "ba", "b"].iter().enumerate() {
+        for name in ["one", "two"] {
+            fleet.join(&format!("{name}-{round}"), secrets).await;
+            hold(&client, 10).await;
+            assert_eq!(fleet.leave(0).await, End::Stopped(0));
+            hold(&client, 10).await;
+        }
+    }
+    assert_eq!(fleet.most_runs(), 1);
+}
+
+#[tokio::test]
+async fn an_instance_that_starts_while_the_platform_is_down_learns_from_a_peer() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    fleet.join("one", "a").await;
+    let down = standin::platform::Behaviour {
+        down: true,
+        ..Default::default()
+    };
+    fleet.platform.behave(down).await;
+    let mut settings = fleet.settings("two", "a");
+    settings.peers = vec![config::Seed {
+        name: "one".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        address: fleet.instances[0].addresses().instances,
+    }];
+    let two = jayquayd::start(&settings, None).await.unwrap();
+    until(async || state(&two).await == "cut-off").await;
+    let status = two.status().await.unwrap();
+    assert_eq!(status.revision.map(|revision| revision.0), Some(1));
+}
+
+#[tokio::test]
+async fn the_time_line_and_the_status_are_served() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    fleet.join("one", "a").await;
+    let client = fleet.open().await;
+    hold(&client, 3).await;
+    let admin = fleet.instances[0].addresses().admin;
+    let get = async |path: &str| reqwest::get(format!("http://{admin}{path}")).await.unwrap();
+    assert!(get("/live").await.status().is_success());
+    let lines = get("/timeline").await.text().await.unwrap();
+    let entries: Vec<jayquayd::timeline::Entry> =
+        lines.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    let answered = entries
+        .iter()
+        .filter(|entry| matches!(entry.record, node::Record::Answered(..)))
+        .count();
+    assert_eq!(answered, 3);
+    assert!(entries.is_sorted_by(|a, b| a.seq < b.seq && a.stamp < b.stamp));
+    let last = entries[entries.len() - 1].seq;
+    let rest = get(&format!("/timeline?since={last}")).await.text().await.unwrap();
+    assert_eq!(rest, "");
+    let status: serde_json::Value = get("/status").await.json().await.unwrap();
+    assert_eq!(
+        (&status["state"], &status["node"]["revision"]),
+        (&"ready".into(), &1.into())
+    );
+    assert!(get("/metrics").await.status() == 404, "no recorder is installed here");
+}
