Index the document and work homes out only when the view changes

Change: an index by name, address and upstream beside the document; homes and watchers are worked out when the view or the document changes. Ruled out: an index inside the checked document, which other crates build and compare.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -34,6 +34,15 @@
         iter::once(&self.me).chain(self.table.present().map(|known| &known.member))
     }
 
+    /// The member of this name, if it is not dead.
+    pub fn member(&self, name: &InstanceName) -> Option<&Member> {
+        if name == &self.me.name {
+            return Some(&self.me);
+        }
+        let known = self.table.get(name).filter(|known| known.is_present())?;
+        Some(&known.member)
+    }
+
     /// The members that are dead and not yet forgotten.
     pub fn dead(&self) -> impl Iterator<Item = &Member> {
         let dead = self.table.iter().filter(|known| !known.is_present());
--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -1,6 +1,7 @@
 //! The configuration document in force: the highest revision wins, and nothing steps down.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 
 use config::Affinity;
 use config::Document;
+use config::Service;
 use serde_bytes::ByteBuf;
 use units::InstanceName;
 use units::Revision;
@@ -24,6 +26,7 @@
 use crate::Record;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
+use crate::ticket::Ticket;
 
 /// How many earlier documents are kept, so that others can be told of a change alone.
 const KEPT: usize = 4;
@@ -35,7 +38,10 @@
 pub(crate) struct Documents {
     current: Option<Arc<Document>>,
     earlier: VecDeque<Arc<Document>>,
-    services: BTreeMap<UpstreamName, ServiceName>,
+    /// Where each service stands in the document. A document may hold thousands.
+    by_name: HashMap<ServiceName, usize>,
+    by_address: HashMap<SocketAddr, usize>,
+    by_upstream: HashMap<UpstreamName, usize>,
     wanted: Option<(Revision, Time)>,
     /// Documents that were refused because they did not pass the checks.
     pub rejected: u64,
@@ -52,14 +58,25 @@
         self.current.as_ref().map(|document| document.revision)
     }
 
-    /// The service that an upstream serves.
+    /// The service of this name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.current.as_ref()?.services.get(*self.by_name.get(name)?)
+    }
+
+    /// The service at this address.
+    pub fn service_at(&self, address: SocketAddr) -> Option<&Service> {
+        self.current.as_ref()?.services.get(*self.by_address.get(&address)?)
+    }
+
+    /// The name of the service that an upstream serves.
     pub fn service_of(&self, upstream: &UpstreamName) -> Option<ServiceName> {
-        self.services.get(upstream).cloned()
+        let service = self.current.as_ref()?.services.get(*self.by_upstream.get(upstream)?)?;
+        Some(service.name.clone())
     }
 
     /// Whether the flows of a service keep their upstream.
     pub fn pins(&self, service: &ServiceName) -> bool {
-        let service = self.current.as_ref().and_then(|document| document.service(service));
+        let service = self.service(service);
         service.is_some_and(|service| service.sharing.affinity == Affinity::Flow)
     }
 
@@ -83,11 +100,16 @@
         if !self.is_news(document.revision) {
             return false;
         }
-        self.services.clear();
-        for service in &document.services {
-            for upstream in &service.upstreams {
-                self.services.insert(upstream.name.clone(), service.name.clone());
-            }
+        self.by_name.clear();
+        self.by_address.clear();
+        self.by_upstream.clear();
+        for (index, service) in document.services.iter().enumerate() {
+            self.by_name.insert(service.name.clone(), index);
+            self.by_address
+                .extend(service.addresses.iter().map(|address| (*address, index)));
+            let upstreams = service.upstreams.iter();
+            self.by_upstream
+                .extend(upstreams.map(|upstream| (upstream.name.clone(), index)));
         }
         let before = self.current.replace(Arc::new(document));
         self.earlier.extend(before);
@@ -131,12 +153,9 @@
     }
 
     fn configure_homes(&mut self, cx: &mut Cx<'_>) {
-        let Some(document) = self.documents.current().cloned() else {
-            return;
-        };
-        self.homes.retain(|name, _| document.service(name).is_some());
+        self.homes.retain(|name, _| self.documents.service(name).is_some());
         for (name, home) in &mut self.homes {
-            let Some(service) = document.service(name) else {
+            let Some(service) = self.documents.service(name) else {
                 continue;
             };
             let mut decisions = Vec::new();
@@ -153,11 +172,8 @@
 
     /// Refuses what waits for a service that the document no longer has. What is being called may finish.
     fn drop_unknown_services(&mut self, cx: &mut Cx<'_>) {
-        let Some(document) = self.documents.current().cloned() else {
-            return;
-        };
         let unserved =
-            |ticket: &crate::ticket::Ticket| ticket.is_waiting() && document.service(&ticket.claims.service).is_none();
+            |ticket: &Ticket| ticket.is_waiting() && self.documents.service(&ticket.claims.service).is_none();
         let ids: Vec<TicketId> = self
             .tickets
             .iter()
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -124,7 +124,7 @@
 
     /// Sends a frame to an instance, if it is known.
     pub(crate) fn send(&self, cx: &mut Cx<'_>, peer: &Peer, frame: Frame) {
-        let member = self.membership.members().find(|member| member.name == peer.name);
+        let member = self.membership.member(&peer.name);
         let Some(member) = member.filter(|member| member.incarnation == peer.incarnation) else {
             return;
         };
@@ -178,6 +178,9 @@
         let mut outputs = Vec::new();
         self.membership.tick(cx.now, &mut outputs);
         self.take_outputs(cx, outputs);
+        if !self.view_changed {
+            return;
+        }
         let watch = self.membership.is_watcher() && !self.stop.has_begun();
         if watch != self.watching {
             self.watching = watch;
@@ -249,6 +252,7 @@
     /// Works homes out anew and moves requests to them.
     pub(crate) fn rehome(&mut self, cx: &mut Cx<'_>) {
         self.home_cache.clear();
+        self.view_changed = true;
         let ids: Vec<TicketId> = self.tickets.keys().copied().collect();
         for id in ids {
             self.rehome_ticket(cx, id);
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -62,8 +62,7 @@
 
     fn make_home(&mut self, name: &ServiceName, now: Time) -> Option<Home> {
         let seed = self.rng.random();
-        let document = self.documents.current()?;
-        let service = document.service(name)?;
+        let service = self.documents.service(name)?;
         let mut pool = Pool::new(service, seed, now);
         for upstream in &service.upstreams {
             // The incarnation may not be known here yet. The first poll readmits an upstream that has begun anew.
@@ -125,10 +124,7 @@
     }
 
     fn weight(&self, acquire: &Acquire) -> Weight {
-        let service = self
-            .documents
-            .current()
-            .and_then(|document| document.service(&acquire.service));
+        let service = self.documents.service(&acquire.service);
         service
             .and_then(|service| service.kind(&acquire.kind))
             .map_or(Weight(1), |kind| kind.weight)
@@ -208,7 +204,9 @@
 
     /// Lets pools expire, asks upstreams for health and load, and drops pools that have moved away.
     pub(crate) fn tick_homes(&mut self, cx: &mut Cx<'_>) {
-        self.adopt_homes(cx.now);
+        if std::mem::take(&mut self.view_changed) {
+            self.adopt_homes(cx.now);
+        }
         let mut idle = Vec::new();
         let mut due = Vec::new();
         for (service, home) in &mut self.homes {
@@ -244,7 +242,7 @@
     }
 
     fn poll(&self, cx: &mut Cx<'_>, service: &ServiceName) {
-        let Some(service) = self.documents.current().and_then(|document| document.service(service)) else {
+        let Some(service) = self.documents.service(service) else {
             return;
         };
         for upstream in &service.upstreams {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -139,10 +139,10 @@
     }
 
     fn open(&mut self, cx: &mut Cx<'_>, caller: SocketAddr, open: &Open) {
-        let Some(document) = self.documents.current() else {
+        if self.documents.current().is_none() {
             return self.refuse_open(cx, caller, open, Reason::NoDocument, RETRY_SOON);
-        };
-        let Some(service) = document.service_at(open.address) else {
+        }
+        let Some(service) = self.documents.service_at(open.address) else {
             return self.refuse_open(cx, caller, open, Reason::Unknown, RETRY_LATE);
         };
         if service.name != open.service {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -108,6 +108,8 @@
     pub(crate) decisions: VecDeque<Decision<SlotKey>>,
     /// Where homes are, as last worked out for the present view.
     pub(crate) home_cache: BTreeMap<ServiceName, Option<(Peer, SocketAddr)>>,
+    /// Whether the view or the document has changed since the homes were last worked out.
+    pub(crate) view_changed: bool,
     /// The incarnations of upstreams, as they last told.
     pub(crate) upstreams: BTreeMap<UpstreamName, Incarnation>,
     pub(crate) incoming: BTreeMap<Incarnation, crate::takeover::Incoming>,
@@ -152,6 +154,7 @@
             homes: BTreeMap::new(),
             decisions: VecDeque::new(),
             home_cache: BTreeMap::new(),
+            view_changed: true,
             upstreams: BTreeMap::new(),
             incoming: BTreeMap::new(),
             stop: Stop::Serving,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -117,8 +117,10 @@
             reason,
             retry_after: RETRY_SOON,
         };
-        let document = self.documents.current().ok_or(bar(Reason::NoDocument))?;
-        let service = document.service(&request.service).ok_or(bar(Reason::Unknown))?;
+        if self.documents.current().is_none() {
+            return Err(bar(Reason::NoDocument));
+        }
+        let service = self.documents.service(&request.service).ok_or(bar(Reason::Unknown))?;
         let kind = service.kind(&request.kind).ok_or(bar(Reason::Unknown))?;
         if self.tickets.len() >= self.limits.requests {
             return Err(bar(Reason::Limit));
@@ -203,7 +205,7 @@
         if !matches!(ticket.phase, Phase::Waiting(_)) {
             return None;
         }
-        let service = self.documents.current()?.service(&ticket.claims.service)?;
+        let service = self.documents.service(&ticket.claims.service)?;
         service.upstream(upstream).map(|upstream| upstream.address)
     }
 
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -111,8 +111,7 @@
                 .ledgers
                 .end(key, seq, State::Refused(verdict, Reason::Token), cx.now);
         };
-        let document = self.documents.current();
-        let service = document.and_then(|document| document.service(&claims.service));
+        let service = self.documents.service(&claims.service);
         let kind = service.and_then(|service| service.kind(&body.request.kind));
         let idempotent = kind.is_some_and(|kind| kind.idempotent);
         let deadline = cx.now + body.remaining.duration();
