--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -161,10 +161,7 @@
 
     /// Writes how a request ended. A request that has ended before keeps its first end.
     pub fn end(&mut self, key: FlowKey, seq: RequestSeq, state: State, now: Time) {
-        let Some(ledger) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+        let Some(line) = line_mut(&mut self.flows, key, seq) else {
             return;
         };
         if line.state.is_final() {
@@ -213,10 +210,7 @@
 
     /// Lets go of an answer that the caller has whole.
     pub fn forget_answer(&mut self, key: FlowKey, seq: RequestSeq) {
-        let Some(ledger) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+        let Some(line) = line_mut(&mut self.flows, key, seq) else {
             return;
         };
         if let State::Answered(answer) = &line.state {
@@ -344,10 +338,7 @@
 
     /// Lets a request that was in progress elsewhere begin here, because the other instance never ran it.
     pub fn resume(&mut self, key: FlowKey, seq: RequestSeq, ticket: TicketId) -> bool {
-        let Some(ledger) = self.flows.get_mut(&key) else {
-            return false;
-        };
-        let Some(line) = ledger.lines.iter_mut().find(|line| line.seq == seq) else {
+        let Some(line) = line_mut(&mut self.flows, key, seq) else {
             return false;
         };
         if !matches!(line.state, State::Elsewhere(_)) {
@@ -393,6 +384,11 @@
     }
 }
 
+fn line_mut(flows: &mut HashMap<FlowKey, Ledger>, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
+    let ledger = flows.get_mut(&key)?;
+    ledger.lines.iter_mut().find(|line| line.seq == seq)
+}
+
 /// Gives memory back after a peak.
 fn shrink<T>(queue: &mut VecDeque<T>) {
     if queue.capacity() > 4 * queue.len() + SPARE {
