Add `jayquay call` and `jayquay load`

`call` makes one request end to end, prints the answer or the refusal, and ends with 1 on a refusal. `load` drives a service through a fabric address: so many flows, requests that arrive at a rate whether or not earlier ones have ended, kinds with shares and weights. Latency counts from the intended arrival, so that a stall is not hidden. A flow counts as broken if its token was refused, if its owner was gone or had forgotten a request or its answer, or if a request got no final answer at all; being told of overload or a failing service breaks none. For that a `Failure` now tells whether an instance or the caller itself ended the request.

Run by hand so far: help texts, bad arguments (exit 2), a call to a silent address (`not run: deadline`, exit 1).

--- a/crates/caller/src/failure.rs
+++ b/crates/caller/src/failure.rs
@@ -6,6 +6,15 @@
 use wire::Reason;
 use wire::Verdict;
 
+/// Who ended a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// An instance refused it.
+    Instance,
+    /// The caller gave it up: its deadline passed, or a limit of its own was reached.
+    Caller,
+}
+
 /// How a request ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failure {
@@ -15,6 +24,8 @@
     pub reason: Reason,
     /// How long to wait before asking again.
     pub retry_after: Millis,
+    /// Who ended it.
+    pub origin: Origin,
 }
 
 impl fmt::Display for Failure {
@@ -31,6 +42,7 @@
             verdict,
             reason,
             retry_after: Millis(0),
+            origin: Origin::Caller,
         }
     }
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -19,6 +19,7 @@
 pub use client::Client;
 pub use client::OpenError;
 pub use failure::Failure;
+pub use failure::Origin;
 pub use flow::Action;
 pub use flow::CallId;
 pub use flow::Event;
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -17,6 +17,7 @@
 use crate::Action;
 use crate::Failure;
 use crate::Flow;
+use crate::Origin;
 use crate::call::Attempt;
 use crate::call::Call;
 use crate::call::Progress;
@@ -104,6 +105,7 @@
             verdict: refused.verdict,
             reason: refused.reason,
             retry_after: refused.retry_after,
+            origin: Origin::Instance,
         };
         let found = match refused.subject {
             Subject::Open(nonce) => return self.on_open_refused(now, nonce, refusal, out),
--- a/crates/caller/tests/client.rs
+++ b/crates/caller/tests/client.rs
@@ -7,6 +7,7 @@
 use caller::Client;
 use caller::Failure;
 use caller::OpenError;
+use caller::Origin;
 use caller::Policy;
 use caller::Work;
 use rand::RngExt;
@@ -190,6 +191,7 @@
         verdict: Verdict::NotRun,
         reason: Reason::Unknown,
         retry_after: Millis(5),
+        origin: Origin::Instance,
     };
     assert_eq!(client.submit(work).await, Err(refused));
 }
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -6,8 +6,10 @@
 use bpaf::Bpaf;
 use bpaf::ParseFailure;
 
+use crate::call;
 use crate::document;
 use crate::exit;
+use crate::load;
 
 /// How wide help texts are, in characters.
 const HELP_WIDTH: usize = 100;
@@ -19,6 +21,12 @@
     /// Check, compare, apply and show the configuration document.
     #[bpaf(command("config"))]
     Config(#[bpaf(external(document::command))] document::Command),
+    /// Make one request, as a caller would.
+    #[bpaf(command("call"), footer(call::EXAMPLES))]
+    Call(#[bpaf(external(call::args))] call::Args),
+    /// Drive a system with callers' traffic and tell what they saw.
+    #[bpaf(command("load"), header(load::HEADER), footer(load::EXAMPLES))]
+    Load(#[bpaf(external(load::args))] load::Args),
 }
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
@@ -37,5 +45,7 @@
 pub async fn run(command: Command) -> ExitCode {
     match command {
         Command::Config(command) => exit::finish(document::run(command).await),
+        Command::Call(args) => exit::finish(call::run(args).await),
+        Command::Load(args) => exit::finish(load::run(args).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -1,10 +1,13 @@
 //! `jayquay`: the operators' command line.
 
 mod address;
+mod call;
 mod command;
 mod document;
 mod exit;
+mod load;
 mod output;
+mod traffic;
 
 use std::process::ExitCode;
 
