--- a/crates/apply/src/lib.rs
+++ b/crates/apply/src/lib.rs
@@ -14,4 +14,5 @@
 pub use refusal::Race;
 pub use refusal::Refusal;
 pub use write::Applied;
+pub use write::Patience;
 pub use write::apply;
--- a/crates/apply/src/plan.rs
+++ b/crates/apply/src/plan.rs
@@ -27,7 +27,7 @@
     }
 
     /// What `document` changes.
-    pub(crate) fn differences(&self, document: &Document) -> Vec<Difference> {
+    pub fn differences(&self, document: &Document) -> Vec<Difference> {
         match self {
             Self::Checked(base) => config::diff(base, document),
             Self::Absent | Self::Invalid => config::diff(&empty(), document),
--- a/crates/apply/src/write.rs
+++ b/crates/apply/src/write.rs
@@ -13,11 +13,24 @@
 use crate::Refusal;
 use crate::refusal;
 
-/// How often a write in doubt is settled before giving up.
-const SETTLE_TRIES: u32 = 6;
+/// How long to go on reading back a write in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// How often it is tried.
+    pub tries: u32,
+    /// How long to wait before the second try. Each further wait is twice as long.
+    pub first_wait: Duration,
+}
 
-/// How long to wait before the second try to settle. Each further wait is twice as long.
-const FIRST_WAIT: Duration = Duration::from_millis(200);
+impl Default for Patience {
+    /// Some six seconds, on top of the platform's own timeouts.
+    fn default() -> Self {
+        Self {
+            tries: 6,
+            first_wait: Duration::from_millis(200),
+        }
+    }
+}
 
 /// Nonces lie below this, so that every JSON reader keeps them exact.
 const NONCE_END: u64 = 1 << 53;
@@ -34,7 +47,7 @@
 /// Carries out a plan.
 ///
 /// The write is sent again only under its own nonce and condition, so that it never takes effect twice.
-pub async fn apply(client: &Client, plan: &Plan) -> Result<Applied, Refusal> {
+pub async fn apply(client: &Client, plan: &Plan, patience: Patience) -> Result<Applied, Refusal> {
     let revision = plan.document.revision;
     if plan.in_force {
         let read_back = true;
@@ -51,18 +64,24 @@
             revision,
             read_back: false,
         }),
-        Err(cause @ Error::InDoubt(_)) => settle(client, plan, &write, cause).await,
+        Err(cause @ Error::InDoubt(_)) => settle(client, plan, &write, patience, cause).await,
         Err(error @ Error::Conflict { .. }) => Err(lost(client, plan, error).await),
         Err(error) => Err(Refusal::Platform(error)),
     }
 }
 
 /// Reads back what became of a write, and sends it again while neither it nor another one has made the revision.
-async fn settle(client: &Client, plan: &Plan, write: &Write, first: Error) -> Result<Applied, Refusal> {
+async fn settle(
+    client: &Client,
+    plan: &Plan,
+    write: &Write,
+    patience: Patience,
+    first: Error,
+) -> Result<Applied, Refusal> {
     let revision = write.revision();
     let mut cause = first;
-    let mut wait = FIRST_WAIT;
-    for attempt in 0..SETTLE_TRIES {
+    let mut wait = patience.first_wait;
+    for attempt in 0..patience.tries {
         if attempt > 0 {
             tokio::time::sleep(wait).await;
             wait *= 2;
--- /dev/null
+++ b/crates/console/src/page.rs
@@ -0,0 +1,99 @@
+//! The pages, from a session to HTML. Everything that is not a literal of this code is escaped by the templates.
+
+mod form;
+mod layout;
+mod notice;
+mod overview;
+mod review;
+mod service;
+mod zones;
+
+pub use form::BUTTON_FIELD;
+pub use form::VERSION_FIELD;
+pub use notice::notice;
+pub use overview::overview;
+pub use review::list;
+pub use review::review;
+pub use review::ways_on;
+pub use service::service;
+pub use zones::zones;
+
+use config::Field;
+use config::Problem;
+
+use crate::session::Check;
+use crate::session::Session;
+
+/// The path of the overview.
+pub const OVERVIEW: &str = "/";
+/// The path of the zones.
+pub const ZONES: &str = "/zones";
+/// The path of the review.
+pub const REVIEW: &str = "/review";
+/// The path that applies the draft.
+pub const APPLY: &str = "/apply";
+/// The path that starts anew from the platform's document.
+pub const RESTART: &str = "/restart";
+/// The path of the text.
+pub const TEXT: &str = "/document.yaml";
+/// The path of the style sheet.
+pub const STYLE: &str = "/style.css";
+
+/// The value of the button that keeps the draft when the platform's document is loaded anew.
+pub const KEEP: &str = "keep";
+
+/// The path of a service's page.
+pub fn service_path(index: usize) -> String {
+    format!("/services/{index}")
+}
+
+/// What a page is made from.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// What the console works on.
+    pub session: &'a Session,
+    /// What the checks say of it.
+    pub check: Check,
+    /// The token that forms carry.
+    pub token: &'a str,
+}
+
+impl View<'_> {
+    /// The problems that stand at this very field.
+    fn at<'a>(&'a self, field: &'a Field) -> impl Iterator<Item = &'a Problem> {
+        self.check
+            .problems
+            .iter()
+            .filter(move |problem| &problem.field == field)
+    }
+
+    /// How many problems stand at this field or below it.
+    fn below(&self, field: &Field) -> usize {
+        let problems = self.check.problems.iter();
+        problems.filter(|problem| lies_in(&problem.field, field)).count()
+    }
+}
+
+fn lies_in(field: &Field, owner: &Field) -> bool {
+    let Some(rest) = field.as_str().strip_prefix(owner.as_str()) else {
+        return false;
+    };
+    rest.is_empty() || rest.starts_with('.') || rest.starts_with('[')
+}
+
+/// The page on which a problem is mended, and the input's place on it.
+fn place(problem: &Problem, services: usize) -> String {
+    let field = &problem.field;
+    for index in 0..services {
+        if lies_in(field, &crate::draft::service_field(index)) {
+            return format!("{}#{field}", service_path(index));
+        }
+    }
+    if lies_in(field, &crate::draft::zones_field()) {
+        return format!("{ZONES}#{field}");
+    }
+    if lies_in(field, &crate::draft::change_field()) {
+        return format!("{REVIEW}#{field}");
+    }
+    OVERVIEW.to_owned()
+}
--- /dev/null
+++ b/crates/console/src/page/layout.rs
@@ -0,0 +1,77 @@
+//! What all pages have in common.
+
+use maud::DOCTYPE;
+use maud::Markup;
+use maud::html;
+
+use super::OVERVIEW;
+use super::REVIEW;
+use super::STYLE;
+use super::View;
+use super::ZONES;
+use super::service_path;
+
+/// A page with its navigation and the state of the draft.
+pub fn page(view: &View<'_>, current: &str, title: &str, content: &Markup) -> Markup {
+    let services = view.session.draft.services.iter().enumerate();
+    frame(
+        title,
+        &html! {
+            header {
+                nav aria-label="Pages" {
+                    (link(OVERVIEW, "Overview", current))
+                    (link(ZONES, "Zones", current))
+                    @for (index, service) in services {
+                        (link(&service_path(index), label(&service.name), current))
+                    }
+                    (link(REVIEW, "Review and apply", current))
+                }
+                p role="status" { (state(view)) }
+            }
+            main {
+                h1 { (title) }
+                (content)
+            }
+        },
+    )
+}
+
+/// A page without navigation.
+pub fn frame(title: &str, body: &Markup) -> Markup {
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { (title) " · jayquay console" }
+                link rel="stylesheet" href=(STYLE);
+            }
+            body { (body) }
+        }
+    }
+}
+
+/// What a service without a name is called.
+pub fn label(name: &str) -> &str {
+    if name.is_empty() { "(no name)" } else { name }
+}
+
+fn link(path: &str, text: &str, current: &str) -> Markup {
+    html! {
+        a href=(path) aria-current=[(path == current).then_some("page")] { (text) }
+    }
+}
+
+fn state(view: &View<'_>) -> Markup {
+    let from = view.session.from();
+    let problems = view.check.problems.len();
+    let differences = view.check.differences.as_ref().map(Vec::len);
+    html! {
+        @match differences {
+            None => { strong { (problems) " problems" } " in the draft made from revision " (from) "." }
+            Some(0) => { "The draft is the same as revision " (from) "." }
+            Some(count) => { (count) " differences from revision " (from) "." }
+        }
+    }
+}
--- /dev/null
+++ b/crates/console/src/page/overview.rs
@@ -0,0 +1,88 @@
+//! The first page: what is in force, and the services of the draft.
+
+use config::Document;
+use maud::Markup;
+use maud::html;
+
+use crate::draft;
+use crate::draft::Service;
+
+use super::OVERVIEW;
+use super::TEXT;
+use super::View;
+use super::form;
+use super::layout;
+use super::place;
+use super::service_path;
+
+/// The first page.
+pub fn overview(view: &View<'_>) -> Markup {
+    let list = draft::services_field();
+    let services = &view.session.draft.services;
+    let table = html! {
+        table {
+            thead { tr { th { "Service" } th { "Addresses" } th { "Kinds" } th { "Upstreams" } th { "Problems" } th { "" } } }
+            tbody {
+                @for (index, service) in services.iter().enumerate() {
+                    (row(view, index, service))
+                }
+            }
+        }
+        (form::faults(view, &list))
+        (form::add(&list, "Add service"))
+    };
+    let content = html! {
+        (in_force(view.session.base.as_ref()))
+        h2 { "Draft" }
+        (form::form(view, OVERVIEW, &table))
+        (problems(view))
+        p { a href=(TEXT) { "Show the draft as the text of a document" } }
+    };
+    layout::page(view, OVERVIEW, "Configuration", &content)
+}
+
+fn in_force(base: Option<&Document>) -> Markup {
+    html! {
+        @match base {
+            None => p { "The platform holds no document yet." }
+            Some(base) => {
+                dl {
+                    dt { "Reviewed revision" } dd { (base.revision) }
+                    dt { "Digest" } dd { code { (base.digest) } }
+                    dt { "Author" } dd { (base.change.author) }
+                    dt { "Approver" } dd { (base.change.approver) }
+                    dt { "Reason" } dd { (base.change.reason) }
+                }
+            }
+        }
+    }
+}
+
+fn row(view: &View<'_>, index: usize, service: &Service) -> Markup {
+    let item = draft::service_field(index);
+    let name = layout::label(&service.name);
+    html! {
+        tr {
+            th scope="row" { a href=(service_path(index)) { (name) } }
+            td { (service.addresses.join(", ")) }
+            td { (service.kinds.len()) }
+            td { (service.upstreams.len()) }
+            td { (view.below(&item)) }
+            td { (form::remove(&item, name)) }
+        }
+    }
+}
+
+fn problems(view: &View<'_>) -> Markup {
+    let services = view.session.draft.services.len();
+    html! {
+        @if !view.check.problems.is_empty() {
+            h2 { "Problems" }
+            ul.faults {
+                @for problem in &view.check.problems {
+                    li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/console/src/page/review.rs
@@ -0,0 +1,94 @@
+//! The page that shows what would change, asks who changes it and why, and applies it.
+
+use config::Difference;
+use maud::Markup;
+use maud::html;
+
+use crate::draft;
+
+use super::APPLY;
+use super::KEEP;
+use super::RESTART;
+use super::REVIEW;
+use super::View;
+use super::form;
+use super::form::BUTTON_FIELD;
+use super::layout;
+use super::place;
+
+/// The page that shows what would change.
+pub fn review(view: &View<'_>) -> Markup {
+    let from = view.session.from();
+    let to = from.next();
+    let content = html! {
+        h2 { "What changes from revision " (from) " to revision " (to) }
+        @match &view.check.differences {
+            Some(differences) => (list(differences))
+            None => (obstacles(view))
+        }
+        (change(view))
+        h2 { "The document" }
+        p { "The console writes the document anew, so comments of an earlier text are not kept." }
+        pre tabindex="0" { (view.check.text) }
+    };
+    layout::page(view, REVIEW, "Review and apply", &content)
+}
+
+/// Lists differences.
+pub fn list(differences: &[Difference]) -> Markup {
+    html! {
+        @if differences.is_empty() {
+            p { "Nothing differs." }
+        } @else {
+            ul.differences { @for difference in differences { li { (difference) } } }
+        }
+    }
+}
+
+/// How to go on after a refusal: the draft is kept in any case, until the operator drops it.
+pub fn ways_on(view: &View<'_>) -> Markup {
+    let content = html! {
+        p { a href=(REVIEW) { "Back to the draft, to apply it again" } }
+        button name=(BUTTON_FIELD) value=(KEEP) { "Keep the draft, and review it against the platform's document" }
+        " "
+        button name=(BUTTON_FIELD) value="drop" { "Drop the draft, and start from the platform's document" }
+    };
+    form::form(view, RESTART, &content)
+}
+
+fn obstacles(view: &View<'_>) -> Markup {
+    let services = view.session.draft.services.len();
+    html! {
+        p { "The draft has problems, so it cannot be compared or applied yet." }
+        ul.faults {
+            @for problem in &view.check.problems {
+                li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
+            }
+        }
+    }
+}
+
+fn change(view: &View<'_>) -> Markup {
+    let at = draft::change_field();
+    let change = &view.session.draft.change;
+    let changes = view
+        .check
+        .differences
+        .as_ref()
+        .is_some_and(|differences| !differences.is_empty());
+    let content = html! {
+        fieldset id=(at) {
+            legend { "Who changes it, and why" }
+            (form::labelled(view, &at.member("author"), "Author", "", &change.author))
+            (form::labelled(view, &at.member("approver"), "Approver", "somebody else", &change.approver))
+            (form::labelled(view, &at.member("reason"), "Reason", "", &change.reason))
+        }
+        (form::save())
+        @if changes {
+            button.apply formaction=(APPLY) name=(BUTTON_FIELD) value="apply" {
+                "Apply as revision " (view.session.from().next())
+            }
+        }
+    };
+    form::form(view, REVIEW, &content)
+}
--- /dev/null
+++ b/crates/console/src/routes/answer.rs
@@ -0,0 +1,111 @@
+//! Answers to browsers.
+
+use apply::Refusal;
+use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::http::header::SET_COOKIE;
+use axum::response::Html;
+use axum::response::IntoResponse;
+use axum::response::Redirect;
+use axum::response::Response;
+use config::Difference;
+use maud::Markup;
+use maud::html;
+use wire::Digest;
+
+use crate::guard::Intrusion;
+use crate::page;
+use crate::page::View;
+use crate::session::LoadError;
+
+const STYLE: &str = include_str!("../style.css");
+
+/// A page.
+pub fn page(markup: &Markup) -> Response {
+    Html(markup.0.clone()).into_response()
+}
+
+/// The text of a document.
+pub fn text(text: String) -> Response {
+    ([(CONTENT_TYPE, "text/plain; charset=utf-8")], text).into_response()
+}
+
+/// The style sheet.
+pub async fn style() -> Response {
+    ([(CONTENT_TYPE, "text/css; charset=utf-8")], STYLE).into_response()
+}
+
+/// Sends the browser on, so that reloading a page never posts a form again.
+pub fn go_to(path: &str) -> Response {
+    Redirect::to(path).into_response()
+}
+
+/// Lets the browser in.
+pub fn entered(cookie: &str) -> Response {
+    ([(SET_COOKIE, cookie)], Redirect::to(page::OVERVIEW)).into_response()
+}
+
+/// Keeps somebody out.
+pub fn forbidden(intrusion: Intrusion) -> Response {
+    notice(StatusCode::FORBIDDEN, "Refused", &intrusion.to_string(), &html! {})
+}
+
+/// There is no such page.
+pub async fn missing() -> Response {
+    notice(
+        StatusCode::NOT_FOUND,
+        "No such page",
+        "There is no such page, or no such service any more.",
+        &html! {},
+    )
+}
+
+/// The form shows an older draft.
+pub fn outdated() -> Response {
+    let text = "The draft was changed in another window after this form was shown.\n\
+                Nothing of the form was taken. Go back to read what you typed, and reload the page to see the draft.";
+    notice(StatusCode::CONFLICT, "The form is out of date", text, &html! {})
+}
+
+/// The platform's document could not be loaded.
+pub fn unloaded(error: &LoadError) -> Response {
+    let text = format!("{error}\nThe draft is kept.");
+    notice(
+        StatusCode::BAD_GATEWAY,
+        "The document could not be loaded",
+        &text,
+        &html! {},
+    )
+}
+
+/// The draft came into force.
+pub fn applied(differences: &[Difference], text: &str, read_back: bool) -> Response {
+    let digest = Digest::of(text.as_bytes());
+    let words = if read_back {
+        "The document is in force at the platform, as was read back."
+    } else {
+        "The document is in force at the platform."
+    };
+    let more = html! {
+        p { "Digest " code { (digest) } }
+        (page::list(differences))
+    };
+    notice(StatusCode::OK, "Applied", words, &more)
+}
+
+/// The draft was not applied, or whether it was is not known.
+pub fn refused(view: &View<'_>, refusal: &Refusal) -> Response {
+    let status = match refusal {
+        Refusal::Revision { .. } | Refusal::Unknown { .. } | Refusal::Raced(_) => StatusCode::CONFLICT,
+        Refusal::Platform(_) | Refusal::InDoubt { .. } => StatusCode::BAD_GATEWAY,
+    };
+    let title = match refusal {
+        Refusal::InDoubt { .. } => "Not known whether it was applied",
+        _ => "Not applied",
+    };
+    notice(status, title, &refusal.to_string(), &page::ways_on(view))
+}
+
+fn notice(status: StatusCode, title: &str, text: &str, more: &Markup) -> Response {
+    (status, page(&page::notice(title, text, more))).into_response()
+}
--- /dev/null
+++ b/crates/console/src/server.rs
@@ -0,0 +1,90 @@
+//! Listening on loopback.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use platform::Client;
+use tokio::net::TcpListener;
+
+use crate::guard::Guard;
+use crate::routes;
+use crate::routes::Console;
+use crate::session;
+use crate::session::LoadError;
+use crate::session::Session;
+
+/// How a console starts.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Where it listens, on loopback. Port zero asks the operating system for a port.
+    pub address: SocketAddr,
+    /// The platform.
+    pub platform: Client,
+}
+
+/// Why a console could not start.
+#[derive(Debug)]
+pub enum Error {
+    /// The address is reached from other machines.
+    Exposed(SocketAddr),
+    /// The address cannot be listened on.
+    Listen(io::Error),
+    /// The document could not be loaded.
+    Load(LoadError),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Exposed(address) => write!(f, "the console listens on loopback only, and {address} is not"),
+            Self::Listen(error) => write!(f, "the console cannot listen: {error}"),
+            Self::Load(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A console that listens and is ready to run.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    url: String,
+    console: Arc<Console>,
+}
+
+impl Server {
+    /// Loads the document and listens.
+    pub async fn bind(options: Options) -> Result<Self, Error> {
+        if !options.address.ip().is_loopback() {
+            return Err(Error::Exposed(options.address));
+        }
+        let base = session::load(&options.platform).await.map_err(Error::Load)?;
+        let listener = TcpListener::bind(options.address).await.map_err(Error::Listen)?;
+        let address = listener.local_addr().map_err(Error::Listen)?;
+        let guard = Guard::new(address.port());
+        let url = guard.entrance(address);
+        let console = Console::new(options.platform, guard, Session::new(base));
+        Ok(Self {
+            listener,
+            url,
+            console: Arc::new(console),
+        })
+    }
+
+    /// The address that lets the operator in. Whoever knows it can use the console.
+    pub fn url(&self) -> &str {
+        &self.url
+    }
+
+    /// Serves until `stop` is done.
+    pub async fn run<F>(self, stop: F) -> io::Result<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let routes = routes::routes(self.console);
+        axum::serve(self.listener, routes).with_graceful_shutdown(stop).await
+    }
+}
--- a/crates/jayquay/src/document/apply.rs
+++ b/crates/jayquay/src/document/apply.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use apply::Patience;
 use apply::Plan;
 use bpaf::Bpaf;
 use bpaf::ShellComp;
@@ -103,7 +104,7 @@
     if plan.in_force {
         return Ok(Effect::Already);
     }
-    let applied = apply::apply(client, plan).await?;
+    let applied = apply::apply(client, plan, Patience::default()).await?;
     Ok(if applied.read_back {
         Effect::ReadBack
     } else {
