Begin the proofs: a seeded world of fakes around the pure node

The world carries datagrams, frames, calls, polls and the platform's answers between nodes in virtual time, brings faults about by name and checks each promise at each step. It waits for the node itself; nothing has been run yet.

--- /dev/null
+++ b/crates/proof/src/family.rs
@@ -0,0 +1,327 @@
+//! Families of faults, as randomised runs draw them: each has a beginning and, mostly, an end.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use units::ZoneName;
+
+use crate::fault::Behaviour;
+use crate::fault::Fault;
+use crate::fault::Mishap;
+use crate::fault::PlatformState;
+use crate::plan::Plan;
+use crate::random::ZONES;
+use crate::random::plan;
+use crate::violation::Promise;
+use crate::violation::Violation;
+use crate::world::World;
+
+/// A family of faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Family {
+    /// An instance's process is killed and later starts anew.
+    Kill,
+    /// An instance's machine is gone and comes back later.
+    Vanish,
+    /// An instance is frozen, past every timeout at times, and goes on.
+    Freeze,
+    /// An instance is stopped as planned and starts anew.
+    Replace,
+    /// An upstream drains, ends when idle, and starts anew.
+    Drain,
+    /// The platform lists an upstream as leaving.
+    ListLeaving,
+    /// An upstream is killed and starts anew, cold.
+    KillUpstream,
+    /// An upstream lies about its health or load.
+    Lie,
+    /// An upstream fails, sheds or is slow.
+    Fail,
+    /// An upstream answers late, twice or crossed.
+    Answer,
+    /// Packets are lost.
+    Lose,
+    /// Packets are doubled, held back, reordered and replayed.
+    Shuffle,
+    /// A stranger sends altered packets.
+    Tamper,
+    /// Two zones are cut off from each other.
+    Cut,
+    /// A zone is cut off from the platform.
+    CutPlatform,
+    /// The platform is down, slow, stale or lagging.
+    Platform,
+    /// The document changes.
+    Document,
+    /// Two operators change the document from the same revision.
+    Race,
+    /// Secrets are rotated, and all instances replaced.
+    Rotate,
+}
+
+/// All families.
+pub const ALL: [Family; 19] = [
+    Family::Kill,
+    Family::Vanish,
+    Family::Freeze,
+    Family::Replace,
+    Family::Drain,
+    Family::ListLeaving,
+    Family::KillUpstream,
+    Family::Lie,
+    Family::Fail,
+    Family::Answer,
+    Family::Lose,
+    Family::Shuffle,
+    Family::Tamper,
+    Family::Cut,
+    Family::CutPlatform,
+    Family::Platform,
+    Family::Document,
+    Family::Race,
+    Family::Rotate,
+];
+
+/// Pairs that tell more than their halves.
+pub const TELLING: [[Family; 2]; 10] = [
+    [Family::Freeze, Family::Replace],
+    [Family::Freeze, Family::Shuffle],
+    [Family::Replace, Family::Shuffle],
+    [Family::Replace, Family::Cut],
+    [Family::Kill, Family::Lose],
+    [Family::Kill, Family::Replace],
+    [Family::Drain, Family::CutPlatform],
+    [Family::Platform, Family::Document],
+    [Family::Cut, Family::Document],
+    [Family::Answer, Family::Shuffle],
+];
+
+impl fmt::Display for Family {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// What ends a fault, and when.
+#[derive(Debug)]
+pub(crate) struct Ending {
+    /// When, counted from the beginning of the run.
+    pub(crate) at: Duration,
+    how: How,
+}
+
+#[derive(Debug)]
+enum How {
+    Fault(Fault),
+    Approve(Plan),
+}
+
+impl Ending {
+    /// Ends the fault.
+    pub(crate) fn carry_out(self, world: &mut World) -> Result<(), Violation> {
+        match self.how {
+            How::Fault(fault) => world.upset(fault),
+            How::Approve(plan) => world.approve(plan),
+        }
+    }
+}
+
+impl Family {
+    /// Brings a fault of this family about, and tells what is to follow.
+    pub(crate) fn begin(self, world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+        match self {
+            Self::Kill => lose_instance(world, rng, Fault::Kill),
+            Self::Vanish => lose_instance(world, rng, Fault::Vanish),
+            Self::Freeze => freeze(world, rng),
+            Self::Replace => replace(world, rng),
+            Self::Drain => drain(world, rng),
+            Self::ListLeaving => list_leaving(world, rng),
+            Self::KillUpstream => kill_upstream(world, rng),
+            Self::Lie => behave(world, rng, &[Behaviour::LyingLoad, Behaviour::LyingUnhealthy]),
+            Self::Fail => behave(world, rng, &[Behaviour::FailingHealthy, Behaviour::Shedding, Behaviour::Slow]),
+            Self::Answer => behave(world, rng, &[Behaviour::Late, Behaviour::Twice, Behaviour::Crossed]),
+            Self::Lose => mishap(world, rng, &[Mishap::Lose]),
+            Self::Shuffle => mishap(world, rng, &[Mishap::Double, Mishap::Delay, Mishap::Reorder, Mishap::Replay]),
+            Self::Tamper => mishap(world, rng, &[Mishap::Tamper]),
+            Self::Cut => cut(world, rng),
+            Self::CutPlatform => cut_platform(world, rng),
+            Self::Platform => platform(world, rng),
+            Self::Document => document(world, rng),
+            Self::Race => race(world, rng),
+            Self::Rotate => rotate(world, rng),
+        }
+    }
+}
+
+fn after(world: &World, rng: &mut StdRng, low: u64, high: u64, how: How) -> Ending {
+    let wait = Duration::from_millis(rng.random_range(low..high));
+    Ending {
+        at: world.elapsed() + wait,
+        how,
+    }
+}
+
+fn pick<T: Clone>(rng: &mut StdRng, items: &[T]) -> Option<T> {
+    if items.is_empty() {
+        return None;
+    }
+    Some(items[rng.random_range(0..items.len())].clone())
+}
+
+/// At most half of the fleet is away at a time.
+fn lose_instance(
+    world: &mut World,
+    rng: &mut StdRng,
+    fault: fn(units::InstanceName) -> Fault,
+) -> Result<Vec<Ending>, Violation> {
+    let names = world.instance_names();
+    let running = world.running();
+    let Some(name) = pick(rng, &running).filter(|_| running.len() * 2 > names.len()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(fault(name.clone()))?;
+    Ok(vec![after(world, rng, 50, 8_000, How::Fault(Fault::Start(name)))])
+}
+
+fn freeze(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let names = world.instance_names();
+    let running = world.running();
+    let Some(name) = pick(rng, &running).filter(|_| running.len() * 2 > names.len()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::Freeze(name.clone()))?;
+    Ok(vec![after(world, rng, 100, 15_000, How::Fault(Fault::Resume(name)))])
+}
+
+fn replace(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let names = world.instance_names();
+    let running = world.running();
+    let Some(name) = pick(rng, &running).filter(|_| running.len() * 2 > names.len()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::Stop(name.clone()))?;
+    // A planned stop takes ten seconds at most.
+    Ok(vec![after(world, rng, 10_500, 14_000, How::Fault(Fault::Start(name)))])
+}
+
+fn drain(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let Some(name) = pick(rng, &world.upstream_names()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::Drain(name.clone()))?;
+    Ok(vec![after(world, rng, 4_000, 9_000, How::Fault(Fault::StartUpstream(name)))])
+}
+
+fn list_leaving(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let Some(name) = pick(rng, &world.upstream_names()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::ListLeaving(name.clone()))?;
+    Ok(vec![after(world, rng, 8_000, 12_000, How::Fault(Fault::StartUpstream(name)))])
+}
+
+fn kill_upstream(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let Some(name) = pick(rng, &world.upstream_names()) else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::KillUpstream(name.clone()))?;
+    Ok(vec![after(world, rng, 100, 6_000, How::Fault(Fault::StartUpstream(name)))])
+}
+
+fn behave(world: &mut World, rng: &mut StdRng, behaviours: &[Behaviour]) -> Result<Vec<Ending>, Violation> {
+    let picked = pick(rng, &world.upstream_names()).zip(pick(rng, behaviours));
+    let Some((name, behaviour)) = picked else {
+        return Ok(Vec::new());
+    };
+    world.upset(Fault::Behave(name.clone(), behaviour))?;
+    let honest = Fault::Behave(name, Behaviour::Honest);
+    Ok(vec![after(world, rng, 500, 6_000, How::Fault(honest))])
+}
+
+fn mishap(world: &mut World, rng: &mut StdRng, mishaps: &[Mishap]) -> Result<Vec<Ending>, Violation> {
+    let Some(mishap) = pick(rng, mishaps) else {
+        return Ok(Vec::new());
+    };
+    let percent = rng.random_range(5..50);
+    world.upset(Fault::Fabric(mishap, percent))?;
+    Ok(vec![after(world, rng, 500, 6_000, How::Fault(Fault::Fabric(mishap, 0)))])
+}
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().expect("it is a name")
+}
+
+fn cut(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let first = rng.random_range(0..ZONES.len());
+    let other = (first + rng.random_range(1..ZONES.len())) % ZONES.len();
+    let (a, b) = (zone(ZONES[first]), zone(ZONES[other]));
+    world.upset(Fault::Cut(a.clone(), b.clone()))?;
+    Ok(vec![after(world, rng, 200, 10_000, How::Fault(Fault::Join(a, b)))])
+}
+
+fn cut_platform(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let zone = zone(ZONES[rng.random_range(0..ZONES.len())]);
+    world.upset(Fault::CutPlatform(zone.clone()))?;
+    Ok(vec![after(world, rng, 500, 10_000, How::Fault(Fault::JoinPlatform(zone)))])
+}
+
+fn platform(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let states = [PlatformState::Down, PlatformState::Slow, PlatformState::Stale, PlatformState::Lagging];
+    let state = states[rng.random_range(0..states.len())];
+    world.upset(Fault::Platform(state))?;
+    Ok(vec![after(world, rng, 1_000, 8_000, How::Fault(Fault::Platform(PlatformState::Up)))])
+}
+
+/// Changes the plan in one way.
+fn altered(rng: &mut StdRng) -> Plan {
+    let mut plan = plan();
+    let index = rng.random_range(0..plan.upstreams.len());
+    match rng.random_range(0..4) {
+        0 => plan.upstreams[index].draining = true,
+        1 => {
+            plan.upstreams.remove(index);
+        }
+        2 => {
+            let service = index % plan.services.len();
+            plan.services[service].pinned ^= true;
+        }
+        _ => {
+            let address = plan.services[0].address;
+            plan.services[0].address = plan.services[1].address;
+            plan.services[1].address = address;
+        }
+    }
+    plan
+}
+
+fn document(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    if !world.platform_answers() {
+        return Ok(Vec::new());
+    }
+    world.approve(altered(rng))?;
+    Ok(vec![after(world, rng, 100, 6_000, How::Approve(plan()))])
+}
+
+fn race(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    if !world.platform_answers() {
+        return Ok(Vec::new());
+    }
+    let base = world.revision();
+    let first = world.approve_from(base, altered(rng), "Ruth");
+    let second = world.approve_from(base, altered(rng), "Wim");
+    if first.is_err() || second.is_ok() {
+        let text = format!("of two updates from {base:?} not just the first one won");
+        return Err(world.violation(Promise::InForce, None, text));
+    }
+    Ok(vec![after(world, rng, 100, 6_000, How::Approve(plan()))])
+}
+
+/// Rotates in the order that the operators' page gives: accept the new secret, seal with it, drop the old one.
+fn rotate(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    let (current, also) = world.secrets;
+    let next = if current <= also { Fault::Secrets(also, current) } else { Fault::Secrets(current, current + 1) };
+    world.upset(next)?;
+    replace(world, rng)
+}
--- /dev/null
+++ b/crates/proof/src/standing.rs
@@ -0,0 +1,163 @@
+//! The standing checks: documents in force, leaving upstreams, planned stops, and that all is well after a quiet time.
+
+use std::time::Duration;
+
+use node::Call;
+use node::CallResult;
+use node::Event;
+use node::Listed;
+use node::Peer;
+use units::Incarnation;
+use units::Revision;
+use units::UpstreamName;
+
+use crate::violation::Promise;
+use crate::violation::Violation;
+use crate::world::CallRef;
+use crate::world::STOP_WITHIN;
+use crate::world::World;
+
+/// How soon an accepted document is in force.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// How soon a leaving upstream gets no new work.
+const LEAVING_WITHIN: Duration = Duration::from_secs(3);
+/// How much later than its bound a planned stop may end: a tick of the node, and one of this check.
+const STOP_MARGIN: Duration = Duration::from_millis(150);
+
+impl World {
+    /// Notes that an instance gets to know that an upstream leaves.
+    pub(crate) fn note_signs(&mut self, peer: &Peer, event: &Event) {
+        let frozen = |world: &Self| {
+            let life = world.instances.get(&peer.name).and_then(|i| i.life.as_ref());
+            life.is_none_or(|life| life.frozen || life.incarnation != peer.incarnation)
+        };
+        match event {
+            Event::Called(id, CallResult::Draining) => {
+                if frozen(self) {
+                    return;
+                }
+                let call = CallRef {
+                    by: peer.name.clone(),
+                    incarnation: peer.incarnation,
+                    id: *id,
+                };
+                let upstream = self.called(&call);
+                let found = upstream.and_then(|name| self.upstreams.get(&name));
+                if let Some(upstream) = found {
+                    self.note_sign(peer, upstream.spec.name.clone(), upstream.incarnation);
+                }
+            }
+            Event::Polled(name, Ok(report)) if report.draining => {
+                if !frozen(self) {
+                    self.note_sign(peer, name.clone(), report.incarnation);
+                }
+            }
+            Event::List(list) => {
+                if frozen(self) {
+                    return;
+                }
+                for listed in list {
+                    if let Listed::Upstream {
+                        name,
+                        incarnation,
+                        leaving: true,
+                    } = listed
+                    {
+                        self.note_sign(peer, name.clone(), *incarnation);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes the upstreams that a document in force says are draining.
+    pub(crate) fn note_document_signs(&mut self, peer: &Peer, revision: Revision) {
+        if self.platform.revision() != Some(revision) {
+            return;
+        }
+        let draining: Vec<UpstreamName> = self.plan.upstreams.iter().filter(|u| u.draining).map(|u| u.spec.name.clone()).collect();
+        for name in draining {
+            if let Some(upstream) = self.upstreams.get(&name) {
+                let incarnation = upstream.incarnation;
+                self.note_sign(peer, name, incarnation);
+            }
+        }
+    }
+
+    /// A sign counts where it is seen in the upstream's own zone, or anywhere while no zone is cut off.
+    fn note_sign(&mut self, peer: &Peer, name: UpstreamName, incarnation: Incarnation) {
+        let seen_in = self.instances.get(&peer.name).map(|instance| &instance.spec.zone);
+        let zone = self.upstreams.get(&name).map(|upstream| &upstream.spec.zone);
+        if self.cuts.any() && seen_in != zone {
+            return;
+        }
+        let now = self.now;
+        self.signs.entry((name, incarnation)).or_insert(now);
+    }
+
+    /// No call goes to an upstream whose leaving has been known for long enough.
+    pub(crate) fn check_leaving(&self, peer: &Peer, call: &Call) -> Result<(), Violation> {
+        let target = self.upstream_at(call.address).and_then(|name| self.upstreams.get(&name));
+        let instance = self.instances.get(&peer.name);
+        let Some((upstream, instance)) = target.zip(instance) else {
+            return Ok(());
+        };
+        let name = (upstream.spec.name.clone(), upstream.incarnation);
+        let Some(sign) = self.signs.get(&name) else {
+            return Ok(());
+        };
+        if self.cuts.any() && instance.spec.zone != upstream.spec.zone {
+            return Ok(());
+        }
+        let awake = instance.life.as_ref().map_or(*sign, |life| life.awake_since);
+        let known = (*sign).max(awake).max(self.cut_since);
+        if self.now.since(known) <= LEAVING_WITHIN {
+            return Ok(());
+        }
+        let ago = self.now.since(*sign).as_millis();
+        let text = format!("{} calls {} {ago} ms after a sign that it leaves", peer.name, call.upstream);
+        Err(self.violation(Promise::LeavingUpstream, None, text))
+    }
+
+    /// Every instance that reaches the platform has the accepted document in force.
+    pub(crate) fn check_in_force(&self) -> Result<(), Violation> {
+        let Some(accepted) = self.platform.accepted.last() else {
+            return Ok(());
+        };
+        for (name, instance) in &self.instances {
+            let Some(life) = &instance.life else {
+                continue;
+            };
+            if life.frozen || life.stopping.is_some() || !self.platform_reached(name) {
+                continue;
+            }
+            let since = accepted.at.max(life.calm_since);
+            if self.now.since(since) < IN_FORCE_WITHIN || life.in_force >= Some(accepted.revision) {
+                continue;
+            }
+            let text = format!("{name} has {:?} in force, not {}", life.in_force, accepted.revision);
+            return Err(self.violation(Promise::InForce, None, text));
+        }
+        Ok(())
+    }
+
+    /// Every planned stop ends in time.
+    pub(crate) fn check_stops(&self) -> Result<(), Violation> {
+        for (name, instance) in &self.instances {
+            let Some(life) = &instance.life else {
+                continue;
+            };
+            let Some(stopping) = life.stopping else {
+                continue;
+            };
+            let since = stopping.max(life.awake_since);
+            if life.frozen || self.now.since(since) <= STOP_WITHIN + STOP_MARGIN {
+                continue;
+            }
+            let text = format!("{name} has not ended its planned stop");
+            return Err(self.violation(Promise::GracefulStop, None, text));
+        }
+        Ok(())
+    }
+}
