--- a/crates/proof/src/plan.rs
+++ b/crates/proof/src/plan.rs
@@ -78,7 +78,11 @@
         add(text, format_args!("    addresses: [\"{}\"]", service.address));
         add(text, format_args!("    sharing: {{ affinity: {affinity} }}"));
         add(text, format_args!("    kinds:{KINDS}"));
-        let mine: Vec<&UpstreamPlan> = self.upstreams.iter().filter(|u| u.spec.service == service.name).collect();
+        let mine: Vec<&UpstreamPlan> = self
+            .upstreams
+            .iter()
+            .filter(|u| u.spec.service == service.name)
+            .collect();
         if mine.is_empty() {
             add(text, format_args!("    upstreams: []"));
             return;
--- a/crates/proof/src/session.rs
+++ b/crates/proof/src/session.rs
@@ -116,7 +116,11 @@
 
     /// The links on which an instance sends.
     pub(crate) fn of(&self, name: &InstanceName) -> Vec<Link> {
-        self.channels.keys().filter(|link| &link.from == name).cloned().collect()
+        self.channels
+            .keys()
+            .filter(|link| &link.from == name)
+            .cloned()
+            .collect()
     }
 
     /// All links.
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -218,18 +218,19 @@
     }
 
     /// An operator's conditional update from the revision that was reviewed.
-    pub fn approve_from(
-        &mut self,
-        base: Option<units::Revision>,
-        plan: Plan,
-        author: &str,
-    ) -> Result<(), Conflict> {
+    pub fn approve_from(&mut self, base: Option<units::Revision>, plan: Plan, author: &str) -> Result<(), Conflict> {
         let next = base.map_or(units::Revision(1), units::Revision::next);
         let text = plan.text(next, author);
         let revision = self.platform.apply(self.now, base, text.clone())?;
         self.note(None, format!("{author} approves revision {revision}"));
         self.plan = plan;
-        let watchers: Vec<Peer> = self.instances.values().filter(|i| i.life.as_ref().is_some_and(|l| l.watching)).filter_map(crate::instance::Instance::peer).collect();
+        self.withdraw_document_signs();
+        let watchers: Vec<Peer> = self
+            .instances
+            .values()
+            .filter(|i| i.life.as_ref().is_some_and(|l| l.watching))
+            .filter_map(crate::instance::Instance::peer)
+            .collect();
         for peer in watchers {
             if !self.platform_reached(&peer.name) {
                 continue;
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -29,8 +29,8 @@
 use crate::fault::Cuts;
 use crate::flight::Flight;
 use crate::instance::Instance;
-use crate::instance::Life;
 use crate::instance::InstanceSpec;
+use crate::instance::Life;
 use crate::job::JobId;
 use crate::plan::Plan;
 use crate::platform::Platform;
@@ -117,6 +117,7 @@
     pub(crate) drivers: Vec<Driver>,
     pub(crate) flights: BTreeMap<CallRef, Flight>,
     pub(crate) signs: BTreeMap<(UpstreamName, Incarnation), Time>,
+    pub(crate) document_signs: BTreeMap<UpstreamName, Time>,
     pub(crate) cut_since: Time,
     pub(crate) secrets: (u8, u8),
     pub(crate) token_lifetime: Duration,
@@ -142,6 +143,7 @@
             drivers: Vec::new(),
             flights: BTreeMap::new(),
             signs: BTreeMap::new(),
+            document_signs: BTreeMap::new(),
             cut_since: START,
             secrets: (1, 2),
             token_lifetime: TOKEN_LIFETIME,
@@ -286,7 +288,8 @@
             self.close_session(&link);
         }
         self.queue.push(now, Happening::Tick(peer.clone()));
-        self.queue.push(now + millis(&mut self.rng, 1, 20), Happening::List(peer));
+        self.queue
+            .push(now + millis(&mut self.rng, 1, 20), Happening::List(peer));
     }
 
     fn keyring(&self) -> Keyring {
@@ -298,7 +301,10 @@
     }
 
     fn tick(&mut self, peer: Peer) -> Result<(), Violation> {
-        let alive = self.instances.get_mut(&peer.name).is_some_and(|i| i.life_of(peer.incarnation).is_some());
+        let alive = self
+            .instances
+            .get_mut(&peer.name)
+            .is_some_and(|i| i.life_of(peer.incarnation).is_some());
         if !alive {
             return Ok(());
         }
@@ -387,9 +393,25 @@
         self.instances.keys().cloned().collect()
     }
 
-    /// All upstreams.
-    pub fn upstream_names(&self) -> Vec<UpstreamName> {
-        self.upstreams.keys().cloned().collect()
+    /// The upstreams that serve, of services that can do without one of them.
+    pub fn spare_upstreams(&self) -> Vec<UpstreamName> {
+        let serving = |upstream: &&Upstream| upstream.up && !upstream.draining && !upstream.listed_leaving;
+        let mut spare = Vec::new();
+        for upstream in self.upstreams.values().filter(serving) {
+            let fellows = self
+                .upstreams
+                .values()
+                .filter(|u| u.spec.service == upstream.spec.service);
+            if fellows.filter(serving).count() > 2 {
+                spare.push(upstream.spec.name.clone());
+            }
+        }
+        spare
+    }
+
+    /// How many requests an upstream runs.
+    pub fn busy(&self, name: &UpstreamName) -> u16 {
+        self.upstreams.get(name).map_or(0, |upstream| upstream.busy)
     }
 
     /// The instances that run, are not frozen, and are not on a planned stop.
