Queue by arrival, and by deadline only a little

At load 0.9 patient requests waited half a second behind impatient ones, as the earliest deadline went first whenever there was any queue. Now a request waits at most a twentieth of its time behind later ones.

--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -13,6 +13,7 @@
 use crate::Pool;
 use crate::held::Lease;
 use crate::pool::MARGIN;
+use crate::queue::Place;
 use crate::queue::victim;
 use crate::target::Target;
 
@@ -44,7 +45,7 @@
         usable.then(|| name.clone())
     }
 
-    /// Gives free slots to waiting requests, the earliest deadline first.
+    /// Gives free slots to waiting requests, in the order of the queue.
     pub(crate) fn dispatch(&mut self, now: Time, out: &mut Vec<Decision<K>>) {
         while let Some((key, upstream)) = self.next(now) {
             let Some(ask) = self.queue.remove(&key) else {
@@ -132,27 +133,27 @@
         }
     }
 
-    fn next_pinned(&self, now: Time) -> Option<(Time, (K, UpstreamName))> {
-        let mut best: Option<(Time, (K, UpstreamName))> = None;
-        for (name, ask) in self.queue.pinned_heads() {
+    fn next_pinned(&self, now: Time) -> Option<(Place, (K, UpstreamName))> {
+        let mut best: Option<(Place, (K, UpstreamName))> = None;
+        for (name, place, ask) in self.queue.pinned_heads() {
             let free = self
                 .find(name)
                 .is_ok_and(|index| self.is_free(&self.targets[index], now));
-            let earlier = best.as_ref().is_none_or(|(deadline, _)| ask.deadline < *deadline);
+            let earlier = best.as_ref().is_none_or(|(first, _)| place < *first);
             if free && earlier {
-                best = Some((ask.deadline, (ask.key.clone(), name.clone())));
+                best = Some((place, (ask.key.clone(), name.clone())));
             }
         }
         best
     }
 
-    fn next_shared(&self, now: Time) -> Option<(Time, (K, UpstreamName))> {
+    fn next_shared(&self, now: Time) -> Option<(Place, (K, UpstreamName))> {
         if self.queue.shared_len() == 0 {
             return None;
         }
-        for ask in self.queue.line(None)?.values().take(LOOK_AHEAD) {
+        for (place, ask) in self.queue.line(None)?.iter().take(LOOK_AHEAD) {
             if let Some(name) = self.place(&ask.zone, &ask.avoid, now) {
-                return Some((ask.deadline, (ask.key.clone(), name)));
+                return Some((*place, (ask.key.clone(), name)));
             }
         }
         None
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -112,7 +112,7 @@
             return;
         }
         let line = self.line_of(&ask);
-        self.queue.push(ask, line.clone());
+        self.queue.push(ask, line.clone(), now);
         self.dispatch(now, out);
         self.shed(line.as_ref(), now, out);
     }
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -9,10 +9,16 @@
 use crate::Ask;
 use crate::estimate::Estimate;
 
-/// Where a request stands: earliest deadline first, then in order of arrival.
+/// What share of its time to wait a request may be behind a later one that has less time.
+///
+/// With all of it, the earliest deadline goes first, and patient requests wait as soon as there is any queue.
+const PATIENCE: f64 = 0.05;
+
+/// Where a request stands: in order of arrival, but somewhat later if it has much time, and somewhat earlier if it
+/// has little.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Place {
-    deadline: Time,
+    turn: Time,
     arrival: u64,
 }
 
@@ -67,10 +73,10 @@
     }
 
     /// Adds a request to the line of an upstream, or to the shared one.
-    pub(crate) fn push(&mut self, ask: Ask<K>, upstream: Option<UpstreamName>) {
+    pub(crate) fn push(&mut self, ask: Ask<K>, upstream: Option<UpstreamName>, now: Time) {
         self.arrivals += 1;
         let place = Place {
-            deadline: ask.deadline,
+            turn: now + now.until(ask.deadline).mul_f64(PATIENCE),
             arrival: self.arrivals,
         };
         self.places.insert(ask.key.clone(), (upstream.clone(), place));
@@ -96,8 +102,8 @@
     }
 
     /// The first request of each line for one upstream.
-    pub(crate) fn pinned_heads(&self) -> impl Iterator<Item = (&UpstreamName, &Ask<K>)> {
-        let head = |(name, line)| Some((name, Line::first_key_value(line)?.1));
+    pub(crate) fn pinned_heads(&self) -> impl Iterator<Item = (&UpstreamName, Place, &Ask<K>)> {
+        let head = |(name, line)| Line::first_key_value(line).map(|(place, ask)| (name, *place, ask));
         self.pinned.iter().filter_map(head)
     }
 
