Let the settings limit packets in all

A limit per caller's address does not bound what many callers send together. `limits.packets-per-second-in-all` does, with 200,000 as before when it was a constant of the daemon.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -88,6 +88,8 @@
     pub sessions: u32,
     /// Packets per second from one caller's address.
     pub packets_per_second: u32,
+    /// Packets per second in all.
+    pub total_packets_per_second: u32,
 }
 
 impl Default for Limits {
@@ -98,6 +100,7 @@
             answer_bytes: Bytes(256 * 1_024 * 1_024),
             sessions: 512,
             packets_per_second: 5_000,
+            total_packets_per_second: 200_000,
         }
     }
 }
--- a/crates/config/src/settings_check.rs
+++ b/crates/config/src/settings_check.rs
@@ -229,6 +229,7 @@
         "answer-bytes",
         "sessions",
         "packets-per-second-per-caller",
+        "packets-per-second-in-all",
     ];
     let fields = cursor.fields(known, report)?;
     let mut limits = Limits::default();
@@ -247,5 +248,8 @@
     if let Some(value) = fields.optional("packets-per-second-per-caller") {
         limits.packets_per_second = value.number32(COUNTS, report).unwrap_or_default();
     }
+    if let Some(value) = fields.optional("packets-per-second-in-all") {
+        limits.total_packets_per_second = value.number32(COUNTS, report).unwrap_or_default();
+    }
     Some(limits)
 }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -26,7 +26,7 @@
 #[test]
 fn defaults_fill_what_may_be_left_out() {
     let settings = parse_settings(VALID).expect("the text is valid");
-    assert_snapshot!(format!("{:?} {:?} {:?}", settings.limits, settings.stop_within, settings.token_lifetime), @"Limits { flows: 500000, requests: 100000, answer_bytes: Bytes(268435456), sessions: 512, packets_per_second: 5000 } 30s 86400s");
+    assert_snapshot!(format!("{:?} {:?} {:?}", settings.limits, settings.stop_within, settings.token_lifetime), @"Limits { flows: 500000, requests: 100000, answer_bytes: Bytes(268435456), sessions: 512, packets_per_second: 5000, total_packets_per_second: 200000 } 30s 86400s");
 }
 
 #[test]
@@ -40,7 +40,7 @@
   - {name: entry-2, zone: brugge, address: "10.0.0.2:0"}
   - {name: entry-2, address: "10.0.0.2:1"}
 secrets: {current: "short", previous: "short"}
-limits: {flows: 0, requests: many, answer-bytes: 1, sessions: 0, packets-per-second-per-caller: 0}
+limits: {flows: 0, requests: many, answer-bytes: 1, sessions: 0, packets-per-second-per-caller: 0, packets-per-second-in-all: 0}
 stop-within-ms: 1
 token-lifetime-s: 1
 "#;
@@ -63,6 +63,7 @@
     10:50: limits.answer-bytes: this must be from 1000000 to 1000000000000
     10:63: limits.sessions: this must be from 1 to 10000
     10:97: limits.packets-per-second-per-caller: this must be from 1 to 10000000
+    10:127: limits.packets-per-second-in-all: this must be from 1 to 10000000
     11:17: stop-within-ms: this must be from 100 to 3600000
     12:19: token-lifetime-s: this must be from 60 to 2592000
     ");
--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -42,8 +42,6 @@
 const TIMELINE_LEN: usize = 20_000;
 /// How many sources of datagrams are told apart.
 const SOURCES: usize = 65_536;
-/// How many packets per second are taken in all.
-const TOTAL_PACKETS_PER_SECOND: u32 = 200_000;
 
 /// Where a process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -264,16 +262,14 @@
 }
 
 fn caller_limits(settings: &Settings) -> callers::Limits {
-    let per_source = settings.limits.packets_per_second;
+    // What comes within one second may come at once.
+    let rate = |per_second| Rate {
+        per_second,
+        burst: per_second,
+    };
     callers::Limits {
-        per_source: Rate {
-            per_second: per_source,
-            burst: per_source,
-        },
-        total: Rate {
-            per_second: TOTAL_PACKETS_PER_SECOND,
-            burst: TOTAL_PACKETS_PER_SECOND,
-        },
+        per_source: rate(settings.limits.packets_per_second),
+        total: rate(settings.limits.total_packets_per_second),
         sources: SOURCES,
     }
 }
