Document the metrics and crash an instance in a test

The crash test sends holds of 8 callers over a fabric that loses 2%, doubles 5%, delays 5% and reorders 5%, drops two instances while others join, and compares what callers were told with what ran. The limits on handshakes and on their first message have tests that exceed them.

--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::callers::Replier;
 use crate::clock::Clock;
 use crate::feed::Wish;
+use crate::gauges;
 use crate::intake::Datagram;
 use crate::intake::Input;
 use crate::intake::Queues;
@@ -100,6 +101,8 @@
         let mut datagrams = Vec::with_capacity(BATCH_LEN);
         let mut ticker = tokio::time::interval(node::TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut report = tokio::time::interval(gauges::EVERY);
+        report.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let stop_by = self.stop_by.unwrap_or_else(|| tokio::time::Instant::now() + FAR);
             // Which ready branch is taken first is random, so that no queue starves another one or the ticks.
@@ -114,6 +117,7 @@
                     self.take_more(&mut datagrams);
                 }
                 _ = ticker.tick() => self.step(Event::Tick),
+                _ = report.tick() => self.report(),
                 () = tokio::time::sleep_until(stop_by) => return End::Overdue,
             }
             self.batch(&mut inputs, &mut datagrams);
@@ -124,6 +128,11 @@
         }
     }
 
+    fn report(&self) {
+        let now = self.clock.now();
+        gauges::set(&self.node.status(now), now);
+    }
+
     fn take_more(&mut self, datagrams: &mut Vec<Datagram>) {
         while datagrams.len() < BATCH_LEN {
             let Ok(datagram) = self.queues.datagrams.try_recv() else {
--- a/crates/jayquayd/src/lib.rs
+++ b/crates/jayquayd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod timeline;
 pub mod upstreams;
 
+mod gauges;
 mod poll;
 mod throttle;
 
--- a/crates/jayquayd/src/metric.rs
+++ b/crates/jayquayd/src/metric.rs
@@ -37,6 +37,12 @@
             metrics::gauge!($name)
         }
     };
+    (@gauge $(#[$doc:meta])* $function:ident($label:ident) $name:literal) => {
+        $(#[$doc])*
+        pub fn $function($label: &'static str) -> Gauge {
+            metrics::gauge!($name, stringify!($label) => $label)
+        }
+    };
     (@histogram $(#[$doc:meta])* $function:ident() $name:literal) => {
         $(#[$doc])*
         pub fn $function() -> Histogram {
@@ -117,4 +123,26 @@
     counter answered() "jayquay_answered_total" Count "Requests answered.";
     /// Flows opened.
     counter opened() "jayquay_flows_opened_total" Count "Flows opened.";
+    /// Flows with a ledger here.
+    gauge flows() "jayquay_flows" Count "Flows with a ledger here.";
+    /// Requests in progress here.
+    gauge requests() "jayquay_requests" Count "Requests in progress here.";
+    /// Answers that wait to be pulled.
+    gauge answer_bytes() "jayquay_answer_bytes" Bytes "Answers that wait to be pulled.";
+    /// Packets that the node took.
+    counter packets() "jayquay_packets_total" Count "Packets that the node took.";
+    /// Packets that could not be read.
+    counter malformed() "jayquay_packets_malformed_total" Count "Packets that could not be read.";
+    /// Packets passed on to the owner of their flow.
+    counter forwarded() "jayquay_packets_forwarded_total" Count "Packets passed on to the owner of their flow.";
+    /// Documents that did not pass the checks.
+    counter documents_rejected() "jayquay_documents_rejected_total" Count "Documents that did not pass the checks.";
+    /// The process's clock.
+    gauge time() "jayquay_time_seconds" Seconds "The process's clock, since the Unix epoch.";
+    /// The instances that this one knows.
+    gauge members(state) "jayquay_members" Count
+        "Instances that this one knows, itself included: alive, suspect, leaving or dead.";
+    /// The upstreams of the services whose home is here.
+    gauge upstreams(state) "jayquay_upstreams" Count
+        "Upstreams of the services whose home is here: active, warming, ejected, probing, draining or removed.";
 }
--- a/crates/jayquayd/src/sessions.rs
+++ b/crates/jayquayd/src/sessions.rs
@@ -38,6 +38,7 @@
 use crate::throttle::Throttle;
 use crate::timeline::Stamp;
 
+pub use self::listener::MAX_HANDSHAKES;
 pub use self::listener::listen;
 
 /// The longest pause between two attempts to connect to one instance.
--- a/crates/jayquayd/src/sessions/listener.rs
+++ b/crates/jayquayd/src/sessions/listener.rs
@@ -22,7 +22,7 @@
 use crate::throttle::Throttle;
 
 /// How many connections may be in their handshake at a time.
-const MAX_HANDSHAKES: usize = 64;
+pub const MAX_HANDSHAKES: usize = 64;
 /// How long to wait after the system refused to take a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -3,17 +3,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use jayquayd::intake::Input;
 use jayquayd::intake::Intake;
 use jayquayd::intake::Queues;
 use jayquayd::sessions;
 use jayquayd::sessions::Context;
+use jayquayd::sessions::MAX_HANDSHAKES;
 use jayquayd::sessions::Sessions;
 use jayquayd::sessions::handshake::Identity;
 use jayquayd::sessions::handshake::Keys;
 use jayquayd::timeline::Stamp;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio_tungstenite::tungstenite::Message;
 use units::Incarnation;
 use units::InstanceName;
 use units::Revision;
@@ -175,3 +181,42 @@
     assert!(one.send(&newer, 30));
     assert_eq!(newer.next().await, "one (1) sent 30 at 30");
 }
+
+#[tokio::test]
+async fn a_stranger_is_hung_up_on_before_anything_is_read() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let tcp = TcpStream::connect(one.address).await.unwrap();
+    let url = format!("ws://{}/", one.address);
+    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    // More than a handshake may hold, less than a frame may.
+    let frame = Message::binary(vec![0; 1_000_000]);
+    // The other side may hang up before everything is written.
+    let _cut = ws.send(frame).await;
+    let end = tokio::time::timeout(PATIENCE, ws.next())
+        .await
+        .expect("it ends in time");
+    assert!(!matches!(end, Some(Ok(Message::Binary(_)))), "{end:?}");
+    assert!(one.queues.control.is_empty());
+    assert_eq!(one.sessions.up(), 0);
+    one.listening.abort_all();
+}
+
+#[tokio::test]
+async fn silent_strangers_neither_pile_up_nor_keep_instances_out() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let mut two = Instance::start("two", 2, "a", 8).await;
+    let mut strangers = Vec::new();
+    for _ in 0..MAX_HANDSHAKES + 10 {
+        strangers.push(TcpStream::connect(one.address).await.unwrap());
+    }
+    // Those over the limit are hung up on at once, the others when their time is over.
+    for stranger in &mut strangers {
+        let mut buffer = [0; 16];
+        let read = tokio::time::timeout(PATIENCE, stranger.read(&mut buffer)).await;
+        let read = read.expect("it ends in time");
+        assert_eq!(read.unwrap_or(0), 0);
+    }
+    assert!(two.send(&one, 10));
+    assert_eq!(one.next().await, "two (2) sent 10 at 10");
+    assert!(two.queues.control.recv().await.is_some());
+}
--- /dev/null
+++ b/crates/jayquayd/tests/whole/crash.rs
@@ -0,0 +1,105 @@
+//! Holds over a fabric that loses, doubles and reorders packets, while an instance crashes and another one joins.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use caller::Client;
+use standin::upstream::expected_answer;
+use units::Bytes;
+use units::Millis;
+use wire::Verdict;
+
+use crate::fleet::Fleet;
+use crate::fleet::hold;
+
+/// How many callers there are.
+const CALLERS: usize = 8;
+/// How long callers wait for an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
+
+/// What became of a hold: `None` if it was answered.
+type Outcomes = Vec<(Vec<u8>, Option<Verdict>)>;
+
+#[tokio::test]
+async fn a_crash_runs_no_hold_twice_and_no_refusal_lies() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    for name in ["one", "two", "three"] {
+        fleet.join(name, "a").await;
+    }
+    fleet.fabric.behave(standin::fabric::Behaviour {
+        lost: "0.02".parse().unwrap(),
+        doubled: "0.05".parse().unwrap(),
+        delayed: "0.05".parse().unwrap(),
+        delay: Millis(30),
+        reordered: "0.05".parse().unwrap(),
+    });
+    let mut clients = Vec::new();
+    for _ in 0..CALLERS {
+        clients.push(fleet.open().await);
+    }
+    let done = AtomicBool::new(false);
+    let working = clients
+        .iter()
+        .enumerate()
+        .map(|(caller, client)| work(caller, client, &done));
+    let failing = async {
+        fleet.crash(1);
+        fleet.join("four", "a").await;
+        fleet.crash(0);
+        fleet.join("five", "a").await;
+        done.store(true, Ordering::Relaxed);
+    };
+    let (outcomes, ()) = tokio::join!(futures_util::future::join_all(working), failing);
+    let outcomes: Outcomes = outcomes.into_iter().flatten().collect();
+    check(&fleet, &outcomes);
+    for client in &clients {
+        hold(client, 3).await;
+    }
+}
+
+async fn work(caller: usize, client: &Client, done: &AtomicBool) -> Outcomes {
+    let service = "availability".parse().unwrap();
+    let kind: units::KindName = "hold".parse().unwrap();
+    let mut outcomes = Vec::new();
+    while !done.load(Ordering::Relaxed) {
+        let body = format!("caller {caller} room {}", outcomes.len()).into_bytes();
+        let outcome = match client.request(kind.clone(), body.clone(), ANSWER_TIME).await {
+            Ok(answer) => {
+                assert_eq!(answer, expected_answer(&service, &kind, &body, Bytes(100)));
+                None
+            }
+            Err(failure) => Some(failure.verdict),
+        };
+        outcomes.push((body, outcome));
+    }
+    outcomes
+}
+
+/// Compares what callers were told with what ran.
+fn check(fleet: &Fleet, outcomes: &Outcomes) {
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for run in fleet.upstreams.iter().flat_map(standin::upstream::Handle::runs) {
+        *runs.entry(run.body).or_default() += run.runs;
+    }
+    let mut in_doubt = 0;
+    for (body, verdict) in outcomes {
+        let digest = blake3::hash(body).to_hex()[..16].to_owned();
+        let ran = runs.get(&digest).copied().unwrap_or(0);
+        match verdict {
+            None => assert_eq!(ran, 1, "{}", String::from_utf8_lossy(body)),
+            Some(Verdict::NotRun) => assert_eq!(ran, 0, "{}", String::from_utf8_lossy(body)),
+            Some(Verdict::MayHaveRun) => {
+                assert!(ran <= 1, "{}", String::from_utf8_lossy(body));
+                in_doubt += 1;
+            }
+        }
+    }
+    println!("{} holds, {in_doubt} in doubt", outcomes.len());
+    assert!(
+        in_doubt <= 2 * CALLERS,
+        "a crash leaves at most one hold of each caller in doubt"
+    );
+}
--- a/crates/jayquayd/tests/fleet/mod.rs
+++ b/crates/jayquayd/tests/whole/fleet.rs
@@ -113,6 +113,12 @@
             .expect("it stops in time")
     }
 
+    /// Ends an instance at once, and takes it from the fabric.
+    pub fn crash(&mut self, index: usize) {
+        drop(self.instances.remove(index));
+        self.spray();
+    }
+
     fn spray(&self) {
         let callers = self.instances.iter().map(|handle| handle.addresses().callers);
         self.fabric.set_instances(callers.collect());
--- a/crates/jayquayd/tests/whole.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -1,5 +1,6 @@
 //! Whole instances over real sockets: the path of a request, readiness, planned stops, secrets and outages.
 
+mod crash;
 mod fleet;
 
 use std::sync::atomic::AtomicBool;
@@ -7,10 +8,10 @@
 
 use jayquayd::End;
 
-use fleet::Fleet;
-use fleet::hold;
-use fleet::state;
-use fleet::until;
+use crate::fleet::Fleet;
+use crate::fleet::hold;
+use crate::fleet::state;
+use crate::fleet::until;
 
 #[tokio::test]
 async fn a_request_passes_through_any_instance() {
