--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -14,12 +14,14 @@
 use units::UpstreamName;
 use wire::Chunk;
 use wire::Frame;
+use wire::Packet;
 use wire::Refused;
 use wire::Reply;
 use wire::Subject;
 use wire::Verdict;
 
 use crate::fabric::millis;
+use crate::job::Job;
 use crate::job::RequestId;
 use crate::session::Link;
 use crate::violation::Promise;
@@ -153,6 +155,7 @@
 
     fn send(&mut self, from: &Peer, to: &InstanceName, address: SocketAddr, frame: Frame) -> Result<(), Violation> {
         self.check_frame(from, &frame)?;
+        self.note_forward(from, to, &frame);
         let link = Link {
             from: from.name.clone(),
             to: to.clone(),
@@ -175,6 +178,20 @@
         Ok(())
     }
 
+    fn note_forward(&mut self, from: &Peer, to: &InstanceName, frame: &Frame) {
+        let Frame::Forward(forward) = frame else {
+            return;
+        };
+        let Packet::Request(request) = &forward.packet else {
+            return;
+        };
+        let job = Job::parse(&request.body).ok().map(|job| job.id);
+        self.note(
+            job,
+            format!("{} forwards {} to {to}, hop {}", from.name, request.seq, forward.hops),
+        );
+    }
+
     fn check_frame(&self, from: &Peer, frame: &Frame) -> Result<(), Violation> {
         if !matches!(frame, Frame::Handover(_) | Frame::Document(_) | Frame::Delta(_)) {
             return Ok(());
--- a/crates/proof/src/instance.rs
+++ b/crates/proof/src/instance.rs
@@ -16,7 +16,7 @@
 
 /// How many datagrams wait in the socket's buffer of a frozen process.
 const SOCKET_BUFFER: usize = 200;
-/// How long the fabric goes on sending to an instance that has ended.
+/// How long the fabric goes on sending to an instance that is on a planned stop, or that has ended.
 const FABRIC_LAG: Duration = Duration::from_secs(1);
 
 /// Where an instance stands.
@@ -36,13 +36,17 @@
     pub(crate) spec: InstanceSpec,
     pub(crate) life: Option<Life>,
     pub(crate) lives: u64,
+    /// When its last life ended for the fabric: at the beginning of a planned stop, or with the process.
     pub(crate) ended: Time,
 }
 
 impl Instance {
-    /// Whether the fabric sends packets to it.
+    /// Whether the fabric sends packets to it: the fabric is told of planned stops, and finds out about others.
     pub(crate) fn sprayed(&self, now: Time) -> bool {
-        self.life.is_some() || (self.lives > 0 && now.since(self.ended) < FABRIC_LAG)
+        match &self.life {
+            Some(life) => life.stopping.is_none_or(|at| now.since(at) < FABRIC_LAG),
+            None => self.lives > 0 && now.since(self.ended) < FABRIC_LAG,
+        }
     }
 
     /// The life of this incarnation, if it has not ended.
--- a/crates/proof/src/traffic.rs
+++ b/crates/proof/src/traffic.rs
@@ -231,6 +231,16 @@
         noise
     }
 
+    fn note_packet(&mut self, picked: Option<&Peer>, bytes: &[u8]) {
+        let Ok(Packet::Request(request)) = wire::decode_packet(bytes) else {
+            return;
+        };
+        let job = Job::parse(&request.body).ok().map(|job| job.id);
+        let name = picked.map_or("nobody", |peer| peer.name.as_str());
+        let text = format!("{name} gets {}", request.seq);
+        self.note(job, text);
+    }
+
     /// A datagram reaches whatever instance the fabric picks.
     pub(crate) fn spray(&mut self, from: SocketAddr, bytes: Vec<u8>) -> Result<(), Violation> {
         let now = self.now;
@@ -243,7 +253,9 @@
         if sprayed.is_empty() {
             return Ok(());
         }
-        let Some(peer) = &sprayed[self.rng.random_range(0..sprayed.len())] else {
+        let picked = &sprayed[self.rng.random_range(0..sprayed.len())];
+        self.note_packet(picked.as_ref(), &bytes);
+        let Some(peer) = picked else {
             return Ok(());
         };
         let event = node::Event::Datagram(from, bytes);
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -104,7 +104,7 @@
         let Some(life) = instance.life.take() else {
             return;
         };
-        instance.ended = now;
+        instance.ended = life.stopping.unwrap_or(now);
         let mine = |call: &&CallRef| &call.by == name && call.incarnation == life.incarnation;
         let calls: Vec<CallRef> = self.flights.keys().filter(mine).cloned().collect();
         for call in calls {
