--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -107,6 +107,7 @@
     /// The upstream that the flow keeps, if the service pins flows.
     pub pinned: Option<UpstreamName>,
     /// Upstreams that have failed this request.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub avoid: Vec<UpstreamName>,
 }
 
@@ -210,6 +211,7 @@
     /// Whether an earlier call may have run it.
     pub in_doubt: bool,
     /// Upstreams that have failed it.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub avoid: Vec<UpstreamName>,
     /// The request, with its token.
     pub request: Request,
@@ -229,6 +231,7 @@
     /// The highest number that the caller is known to have used.
     pub sent: RequestSeq,
     /// The requests still known one by one.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub entries: Vec<(RequestSeq, Entry)>,
 }
 
@@ -238,8 +241,10 @@
     /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
     /// The incarnations whose ledgers the stopping instance had taken over itself.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub inherited: Vec<Incarnation>,
     /// This part's ledgers.
+    #[serde(deserialize_with = "crate::list::untrusted")]
     pub flows: Vec<HandoverFlow>,
     /// This part's number, from zero.
     pub part: u32,
