--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! It prints one line of JSON with its addresses once it listens, and ends by itself after SIGTERM or SIGINT.
 
+use std::fmt;
 use std::fs;
 use std::io;
 use std::io::Write;
@@ -15,7 +16,9 @@
 use jayquayd::Addresses;
 use jayquayd::End;
 use jayquayd::Handle;
+use jayquayd::StartError;
 use jayquayd::metric;
+use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use mimalloc::MiMalloc;
@@ -48,6 +51,45 @@
     check: bool,
 }
 
+/// Why the process could not run.
+#[derive(Debug)]
+enum RunError {
+    /// The metrics recorder could not be installed.
+    Metrics(BuildError),
+    /// Signals could not be caught, or the addresses not be printed.
+    Io(io::Error),
+    /// The daemon did not start.
+    Start(StartError),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Metrics(error) => write!(f, "metrics: {error}"),
+            Self::Io(error) => error.fmt(f),
+            Self::Start(error) => error.fmt(f),
+        }
+    }
+}
+
+impl From<BuildError> for RunError {
+    fn from(error: BuildError) -> Self {
+        Self::Metrics(error)
+    }
+}
+
+impl From<io::Error> for RunError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+impl From<StartError> for RunError {
+    fn from(error: StartError) -> Self {
+        Self::Start(error)
+    }
+}
+
 fn main() -> ExitCode {
     let options = options().run();
     env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
@@ -79,7 +121,7 @@
 }
 
 #[tokio::main]
-async fn run(settings: &Settings) -> Result<ExitCode, Box<dyn std::error::Error>> {
+async fn run(settings: &Settings) -> Result<ExitCode, RunError> {
     let metrics = install_recorder()?;
     // Signals are caught from before the first line on, so that whoever reads it may stop the process at once.
     let mut terminate = signal(SignalKind::terminate())?;
@@ -95,7 +137,7 @@
     Ok(report(end))
 }
 
-fn install_recorder() -> Result<PrometheusHandle, Box<dyn std::error::Error>> {
+fn install_recorder() -> Result<PrometheusHandle, RunError> {
     let handle = PrometheusBuilder::new().set_buckets(SECONDS)?.install_recorder()?;
     metric::describe();
     let kept = handle.clone();
--- a/crates/proof/src/flight.rs
+++ b/crates/proof/src/flight.rs
@@ -142,7 +142,7 @@
             caller: job.id.caller,
             seq: call.seq,
         };
-        self.book.run(self.now, id, &job.id)
+        self.book.run(self.now, id, job.id)
     }
 
     /// No connection could be made.
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -3,17 +3,19 @@
 //! A scenario is a list of directives. `docs/PROOFS.md` describes them. Each gives a text that the scenario's file
 //! holds as the expected one.
 
-use std::fmt;
 use std::fmt::Display;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::time::Duration;
 
 use units::Revision;
 use units::ServiceName;
 use units::Slots;
 
+use crate::directive::Directive;
+use crate::directive::ScenarioError;
+use crate::directive::read;
+use crate::directive::read_span;
 use crate::fault::Fault;
 use crate::instance::InstanceSpec;
 use crate::job::JobId;
@@ -31,57 +33,6 @@
 /// The length of an answer in scenarios that do not say.
 const ANSWER_LEN: u32 = 60;
 
-/// A scenario could not be read. The text says which line and why.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ScenarioError(String);
-
-impl fmt::Display for ScenarioError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for ScenarioError {}
-
-/// A directive: its name, its arguments as `name` or `name=value`, and the lines below it.
-#[derive(Debug, Clone, Copy)]
-pub struct Directive<'a> {
-    /// Its name.
-    pub name: &'a str,
-    /// Its arguments.
-    pub args: &'a [(String, String)],
-    /// The lines below it.
-    pub input: &'a str,
-}
-
-impl Directive<'_> {
-    fn value<T: FromStr>(&self, name: &str, default: T) -> Result<T, ScenarioError> {
-        let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
-            return Ok(default);
-        };
-        read(text, name)
-    }
-
-    fn span(&self, name: &str, default: Duration) -> Result<Duration, ScenarioError> {
-        let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
-            return Ok(default);
-        };
-        read_span(text)
-    }
-
-    /// The first argument without a value.
-    fn word(&self) -> Result<&str, ScenarioError> {
-        let word = self.args.iter().find(|(_, value)| value.is_empty());
-        word.map(|(name, _)| name.as_str())
-            .ok_or_else(|| ScenarioError(format!("{} needs an argument", self.name)))
-    }
-
-    fn lines(&self) -> impl Iterator<Item = Vec<&str>> {
-        let lines = self.input.lines().map(str::trim).filter(|line| !line.is_empty());
-        lines.map(|line| line.split_whitespace().collect())
-    }
-}
-
 /// A scenario that is being run.
 #[derive(Debug)]
 pub struct Scenario {
@@ -336,7 +287,7 @@
         for line in directive.lines() {
             for word in line {
                 let job: JobId = word.parse().map_err(|_| misread(&[word]))?;
-                add(&mut text, format_args!("{job} {}", self.world.told(&job)));
+                add(&mut text, format_args!("{job} {}", self.world.told(job)));
             }
         }
         Ok(text)
@@ -391,18 +342,6 @@
     ScenarioError(format!("cannot read: {}", words.join(" ")))
 }
 
-fn read<T: FromStr>(text: &str, what: &str) -> Result<T, ScenarioError> {
-    text.parse().map_err(|_| ScenarioError(format!("not {what}: {text}")))
-}
-
 fn read_caller(text: &str) -> Result<u32, ScenarioError> {
     read(text.trim_start_matches('c'), "a caller")
 }
-
-fn read_span(text: &str) -> Result<Duration, ScenarioError> {
-    if let Some(millis) = text.strip_suffix("ms") {
-        return read(millis, "a span").map(Duration::from_millis);
-    }
-    let seconds = text.strip_suffix('s').unwrap_or(text);
-    read(seconds, "a span").map(Duration::from_secs)
-}
--- a/crates/proof/src/standing.rs
+++ b/crates/proof/src/standing.rs
@@ -47,10 +47,8 @@
                     self.note_sign(peer, upstream.spec.name.clone(), upstream.incarnation);
                 }
             }
-            Event::Polled(name, Ok(report)) if report.draining => {
-                if !frozen(self) {
-                    self.note_sign(peer, name.clone(), report.incarnation);
-                }
+            Event::Polled(name, Ok(report)) if report.draining && !frozen(self) => {
+                self.note_sign(peer, name.clone(), report.incarnation);
             }
             Event::List(list) => {
                 if frozen(self) {
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -50,13 +50,13 @@
             Fault::CutPlatform(zone) => self.cuts.set_platform(&zone, true),
             Fault::JoinPlatform(zone) => {
                 self.cuts.set_platform(&zone, false);
-                self.calm(|world, name| world.platform_reached(name));
+                self.calm(Self::platform_reached);
             }
             Fault::Platform(state) => {
                 let answered = self.platform.answers();
                 self.platform.state = state;
                 if !answered {
-                    self.calm(|world, name| world.platform_reached(name));
+                    self.calm(Self::platform_reached);
                 }
             }
             Fault::Secrets(current, also) => self.secrets = (current, also),
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -17,7 +17,6 @@
 use token::Secret;
 use units::Incarnation;
 use units::InstanceName;
-use units::Revision;
 use units::Time;
 use units::UpstreamName;
 
@@ -65,6 +64,10 @@
 
 /// What will happen.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a happening is moved twice, and most are the large ones"
+)]
 pub(crate) enum Happening {
     /// An instance's clock ticks.
     Tick(Peer),
@@ -166,7 +169,7 @@
     }
 
     /// How one operation ended.
-    pub fn told(&self, job: &JobId) -> String {
+    pub fn told(&self, job: JobId) -> String {
         self.book.told(job)
     }
 
@@ -208,7 +211,7 @@
 
     fn happen(&mut self, happening: Happening) -> Result<(), Violation> {
         match happening {
-            Happening::Tick(peer) => self.tick(peer),
+            Happening::Tick(peer) => self.tick(&peer),
             Happening::Event(peer, event) => self.feed(&peer, event),
             Happening::Packet(from, bytes) => self.spray(from, bytes),
             Happening::Reply(caller, bytes) => self.reply(caller, bytes),
@@ -300,7 +303,7 @@
         Keyring::new(&secret(self.secrets.0), &[secret(self.secrets.1)], self.token_lifetime)
     }
 
-    fn tick(&mut self, peer: Peer) -> Result<(), Violation> {
+    fn tick(&mut self, peer: &Peer) -> Result<(), Violation> {
         let alive = self
             .instances
             .get_mut(&peer.name)
@@ -309,7 +312,7 @@
             return Ok(());
         }
         self.queue.push(self.now + node::TICK, Happening::Tick(peer.clone()));
-        self.feed(&peer, Event::Tick)
+        self.feed(peer, Event::Tick)
     }
 
     /// Gives an event to a life, if it has not ended, and carries out what its node wants.
@@ -362,76 +365,4 @@
         }
         list
     }
-
-    /// The revision that the platform holds.
-    pub fn revision(&self) -> Option<Revision> {
-        self.platform.revision()
-    }
-
-    /// Whether the platform answers at all.
-    pub fn platform_answers(&self) -> bool {
-        self.platform.answers()
-    }
-
-    /// Sets how long tokens live that later lives of instances issue.
-    pub fn set_token_lifetime(&mut self, lifetime: Duration) {
-        self.token_lifetime = lifetime;
-    }
-
-    /// How many callers there are. They are numbered from one.
-    pub fn callers(&self) -> u32 {
-        self.drivers.len() as u32
-    }
-
-    /// How many instances and upstreams there are.
-    pub fn population(&self) -> usize {
-        self.instances.len() + self.upstreams.len()
-    }
-
-    /// All instances.
-    pub fn instance_names(&self) -> Vec<InstanceName> {
-        self.instances.keys().cloned().collect()
-    }
-
-    /// The upstreams that serve, of services that can do without one of them.
-    pub fn spare_upstreams(&self) -> Vec<UpstreamName> {
-        let serving = |upstream: &&Upstream| upstream.up && !upstream.draining && !upstream.listed_leaving;
-        let mut spare = Vec::new();
-        for upstream in self.upstreams.values().filter(serving) {
-            let fellows = self
-                .upstreams
-                .values()
-                .filter(|u| u.spec.service == upstream.spec.service);
-            if fellows.filter(serving).count() > 2 {
-                spare.push(upstream.spec.name.clone());
-            }
-        }
-        spare
-    }
-
-    /// How many requests an upstream runs.
-    pub fn busy(&self, name: &UpstreamName) -> u16 {
-        self.upstreams.get(name).map_or(0, |upstream| upstream.busy)
-    }
-
-    /// The instances that run, are not frozen, and are not on a planned stop.
-    pub fn running(&self) -> Vec<InstanceName> {
-        let runs = |instance: &&Instance| {
-            let life = instance.life.as_ref();
-            life.is_some_and(|life| !life.frozen && life.stopping.is_none())
-        };
-        let found = self.instances.values().filter(runs);
-        found.map(|instance| instance.spec.name.clone()).collect()
-    }
-
-    /// The revision in force at each running instance.
-    pub fn in_force(&self) -> BTreeMap<InstanceName, Option<Revision>> {
-        let mut found = BTreeMap::new();
-        for (name, instance) in &self.instances {
-            if let Some(life) = &instance.life {
-                found.insert(name.clone(), life.in_force);
-            }
-        }
-        found
-    }
 }
