Do not call a flow orphaned because its new owner is unheard of

Cause: a token may name an instance that began its life a moment ago. An instance that had not heard of it passed the packet to one other at random, and if that one had not heard either, the request was refused as 'may have run, owner gone' though its owner lived: a flow broken by a planned replacement. Ruled out: a lost hand-over (the ledgers of both stopped instances had arrived), and passing the packet on further, which only makes it rarer. Change: while the token is younger than five seconds, a packet whose owner nobody knows is dropped; the caller sends it again. The verdict was true before as well, so no promise but the survival of the flow was touched.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,6 +3,7 @@
 //! This part never says `not run` of a request; only an owner may.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use rand::RngExt;
 use token::Claims;
@@ -32,6 +33,8 @@
 
 /// How many instances may pass a packet on before it is dropped.
 const MAX_HOPS: u8 = 4;
+/// How long an instance named by a new token may still be unheard of elsewhere.
+const SPREAD: Duration = Duration::from_secs(5);
 /// When to come back after a refusal that time alone may mend.
 pub(crate) const RETRY_SOON: Millis = Millis(200);
 /// When to come back after a refusal that only a change of configuration mends.
@@ -131,7 +134,8 @@
         {
             return self.forward(cx, name, address, arrival);
         }
-        if !self.is_settled(cx.now) {
+        let young = cx.now.since(claims.issued) < SPREAD;
+        if young || !self.is_settled(cx.now) {
             // The caller sends its packet again, and by then more is known.
             return;
         }
