--- a/crates/config/src/cursor.rs
+++ b/crates/config/src/cursor.rs
@@ -54,6 +54,10 @@
         self.node.position
     }
 
+    pub(crate) fn field(&self) -> &Field {
+        &self.field
+    }
+
     /// Notes a problem with this value.
     pub(crate) fn note(&self, report: &mut Report, fault: Fault) {
         report.problems.push(Problem {
@@ -89,7 +93,7 @@
             return self.refuse(report, Fault::Shape(Shape::Sequence));
         };
         if !len.contains(&nodes.len()) {
-            return self.refuse(report, Fault::Length(len));
+            return self.refuse(report, Fault::Count(len));
         }
         let mut items = Vec::new();
         for (index, node) in nodes.iter().enumerate() {
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -126,8 +126,10 @@
     Shape(Shape),
     /// The number does not lie in this range.
     Range(RangeInclusive<u64>),
-    /// The number of items or characters does not lie in this range.
+    /// The number of characters does not lie in this range.
     Length(RangeInclusive<usize>),
+    /// The number of items does not lie in this range.
+    Count(RangeInclusive<usize>),
     /// The text holds a control character.
     Control,
     /// The text is none of these.
@@ -138,8 +140,8 @@
     Address(AddrParseError),
     /// The address is one that nobody can dial.
     Undialable(SocketAddr),
-    /// The value is unique in the text, and stands here already.
-    Taken(String, Position),
+    /// The value must be unique, and stands at this field and place already.
+    Taken(String, Field, Position),
     /// No availability zone has this name; these exist.
     NoZone(String, Vec<String>),
     /// The author approves the change.
@@ -162,13 +164,20 @@
             Self::Missing(name) => write!(f, "the field `{name}` is missing"),
             Self::Shape(shape) => write!(f, "this must be {shape}"),
             Self::Range(range) => write!(f, "this must be from {} to {}", range.start(), range.end()),
-            Self::Length(range) => write!(f, "the length must be from {} to {}", range.start(), range.end()),
+            Self::Length(range) => write!(f, "this must have from {} to {} characters", range.start(), range.end()),
+            Self::Count(range) => write!(f, "this must have from {} to {} items", range.start(), range.end()),
             Self::Control => f.write_str("a control character is not allowed here"),
             Self::Choice(choices) => write!(f, "this must be {}", Listed(choices, "or")),
             Self::Name(error) => error.fmt(f),
             Self::Address(_) => f.write_str("this must be an IP address with a port, such as \"10.1.0.1:4000\""),
             Self::Undialable(address) => write!(f, "nobody can dial {address}: give a host's IP address and its port"),
-            Self::Taken(value, first) => write!(f, "`{value}` must be unique, and stands at {first} already"),
+            Self::Taken(value, field, first) => {
+                write!(
+                    f,
+                    "`{value}` must be unique, and stands at {field} already (line {})",
+                    first.line
+                )
+            }
             Self::NoZone(name, zones) => write!(f, "no zone is named `{name}`; allowed: {}", Listed(zones, "or")),
             Self::SameAuthor => f.write_str("the approver must be somebody else than the author"),
             Self::Secret(error) => error.fmt(f),
--- a/crates/console/src/page.rs
+++ b/crates/console/src/page.rs
@@ -59,18 +59,22 @@
 }
 
 impl View<'_> {
+    /// The problems, but for what is just left open yet.
+    fn problems(&self) -> impl Iterator<Item = &Problem> {
+        let change = crate::draft::change_field();
+        let open = self.session.is_change_open();
+        let problems = self.check.problems.iter();
+        problems.filter(move |problem| !(open && lies_in(&problem.field, &change)))
+    }
+
     /// The problems that stand at this very field.
     fn at<'a>(&'a self, field: &'a Field) -> impl Iterator<Item = &'a Problem> {
-        self.check
-            .problems
-            .iter()
-            .filter(move |problem| &problem.field == field)
+        self.problems().filter(move |problem| &problem.field == field)
     }
 
     /// How many problems stand at this field or below it.
     fn below(&self, field: &Field) -> usize {
-        let problems = self.check.problems.iter();
-        problems.filter(|problem| lies_in(&problem.field, field)).count()
+        self.problems().filter(|problem| lies_in(&problem.field, field)).count()
     }
 }
 
--- a/crates/console/src/page/layout.rs
+++ b/crates/console/src/page/layout.rs
@@ -9,6 +9,7 @@
 use super::STYLE;
 use super::View;
 use super::ZONES;
+use super::place;
 use super::service_path;
 
 /// A page with its navigation and the state of the draft.
@@ -57,6 +58,22 @@
     if name.is_empty() { "(no name)" } else { name }
 }
 
+/// Lists the problems, with links to where they are mended.
+pub fn problems(view: &View<'_>) -> Markup {
+    let services = view.session.draft.services.len();
+    let problems: Vec<_> = view.problems().collect();
+    html! {
+        @if !problems.is_empty() {
+            h2 { "Problems" }
+            ul.faults {
+                @for problem in problems {
+                    li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
+                }
+            }
+        }
+    }
+}
+
 fn link(path: &str, text: &str, current: &str) -> Markup {
     html! {
         a href=(path) aria-current=[(path == current).then_some("page")] { (text) }
@@ -65,7 +82,7 @@
 
 fn state(view: &View<'_>) -> Markup {
     let from = view.session.from();
-    let problems = view.check.problems.len();
+    let problems = view.problems().count();
     let differences = view.check.differences.as_ref().map(Vec::len);
     html! {
         @match differences {
--- a/crates/console/src/page/overview.rs
+++ b/crates/console/src/page/overview.rs
@@ -12,7 +12,6 @@
 use super::View;
 use super::form;
 use super::layout;
-use super::place;
 use super::service_path;
 
 /// The first page.
@@ -35,7 +34,7 @@
         (in_force(view.session.base.as_ref()))
         h2 { "Draft" }
         (form::form(view, OVERVIEW, &table))
-        (problems(view))
+        (layout::problems(view))
         p { a href=(TEXT) { "Show the draft as the text of a document" } }
     };
     layout::page(view, OVERVIEW, "Configuration", &content)
@@ -72,17 +71,3 @@
         }
     }
 }
-
-fn problems(view: &View<'_>) -> Markup {
-    let services = view.session.draft.services.len();
-    html! {
-        @if !view.check.problems.is_empty() {
-            h2 { "Problems" }
-            ul.faults {
-                @for problem in &view.check.problems {
-                    li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
-                }
-            }
-        }
-    }
-}
--- a/crates/console/src/page/review.rs
+++ b/crates/console/src/page/review.rs
@@ -14,7 +14,6 @@
 use super::form;
 use super::form::BUTTON_FIELD;
 use super::layout;
-use super::place;
 
 /// The page that shows what would change.
 pub fn review(view: &View<'_>) -> Markup {
@@ -24,8 +23,9 @@
         h2 { "What changes from revision " (from) " to revision " (to) }
         @match &view.check.differences {
             Some(differences) => (list(differences))
-            None => (obstacles(view))
+            None => p { "The draft has problems, so it cannot be compared or applied yet." }
         }
+        (layout::problems(view))
         (change(view))
         h2 { "The document" }
         p { "The console writes the document anew, so comments of an earlier text are not kept." }
@@ -56,18 +56,6 @@
     form::form(view, RESTART, &content)
 }
 
-fn obstacles(view: &View<'_>) -> Markup {
-    let services = view.session.draft.services.len();
-    html! {
-        p { "The draft has problems, so it cannot be compared or applied yet." }
-        ul.faults {
-            @for problem in &view.check.problems {
-                li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
-            }
-        }
-    }
-}
-
 fn change(view: &View<'_>) -> Markup {
     let at = draft::change_field();
     let change = &view.session.draft.change;
--- a/crates/console/src/routes.rs
+++ b/crates/console/src/routes.rs
@@ -162,6 +162,7 @@
     if let Err(Outdated) = edit(&mut session, &posted) {
         return answer::outdated();
     }
+    session.tried = true;
     let Some(document) = session.check().document else {
         return answer::go_to(page::REVIEW);
     };
--- a/crates/console/src/session.rs
+++ b/crates/console/src/session.rs
@@ -58,6 +58,8 @@
     pub draft: Draft,
     /// Counts the changes of the draft, so that a page that shows an older one is found out.
     pub version: u64,
+    /// Whether it was tried to apply the draft, so that a missing author is a problem and not just left open yet.
+    pub tried: bool,
 }
 
 /// What the checks say of a draft.
@@ -81,6 +83,7 @@
             base,
             draft,
             version: 0,
+            tried: false,
         }
     }
 
@@ -113,6 +116,11 @@
         self.version += 1;
     }
 
+    /// Whether who changes it and why is still left open.
+    pub fn is_change_open(&self) -> bool {
+        !self.tried && self.draft.change == Change::default()
+    }
+
     /// Checks the draft as `jayquay config check` does.
     pub fn check(&self) -> Check {
         let revision = self.from().next();
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 use bpaf::ParseFailure;
 
+use crate::console;
 use crate::document;
 use crate::exit;
 
@@ -19,6 +20,9 @@
     /// Check, compare, apply and show the configuration document.
     #[bpaf(command("config"))]
     Config(#[bpaf(external(document::command))] document::Command),
+    /// Change the configuration document by forms in a browser.
+    #[bpaf(command("console"), header(console::HEADER), footer(console::EXAMPLE))]
+    Console(#[bpaf(external(console::args))] console::Args),
 }
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
@@ -37,5 +41,6 @@
 pub async fn run(command: Command) -> ExitCode {
     match command {
         Command::Config(command) => exit::finish(document::run(command).await),
+        Command::Console(args) => exit::finish(console::run(args).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod command;
+mod console;
 mod document;
 mod exit;
 mod output;
