--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -1,11 +1,14 @@
 //! `jayquay`: the operators' command line.
 
 mod address;
+mod call;
 mod command;
 mod console;
 mod document;
 mod exit;
+mod load;
 mod output;
+mod traffic;
 
 use std::process::ExitCode;
 
