--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -3,6 +3,7 @@
 mod address;
 mod call;
 mod command;
+mod console;
 mod document;
 mod exit;
 mod load;
