node: hold a token's floor against a ledger that is there already

Cause: `Ledgers::look_up` took a token's floor into account only when it made the ledger. When tokens go from A to B and back to A, A has a ledger with the old floor, and a number at or below the new token's floor could begin there, though it had been used under B's token. The caller library never sends a number under two tokens, so this needs a careless caller; but the floor is the promise that numbers up to it never begin under this token.

--- a/crates/model/examples/explore.rs
+++ b/crates/model/examples/explore.rs
@@ -58,6 +58,19 @@
                 ..Scope::default()
             },
         ),
+        (
+            "two requests, careless, tokens going to and fro",
+            Scope {
+                instances: 2,
+                crashes: 0,
+                stops: 0,
+                sheds: 0,
+                careless: true,
+                gives_up: false,
+                homes: vec![0, 1],
+                ..Scope::default()
+            },
+        ),
         ("two requests, three instances", Scope::default()),
     ]
 }
--- a/crates/model/src/action.rs
+++ b/crates/model/src/action.rs
@@ -56,8 +56,8 @@
         if state.used < self.scope.requests {
             steps.push(Step::Send);
         }
-        if self.scope.careless {
-            steps.extend((1..=state.used).map(Step::Restamp));
+        if self.scope.careless && state.used > 0 {
+            steps.push(Step::Restamp(state.used));
         }
         let news = state.replies.iter().filter(|reply| self.adopts(state, **reply));
         steps.extend(news.map(|reply| Step::Receive(*reply)));
--- a/crates/model/src/scope.rs
+++ b/crates/model/src/scope.rs
@@ -17,7 +17,7 @@
     pub gives_up: bool,
     /// Whether ended lines sink below the floor.
     pub sinks: bool,
-    /// Whether the caller also sends a number it has used under the token it holds now, which it should not.
+    /// Whether the caller also sends its last number under the token it holds now, which it should not.
     pub careless: bool,
     /// The instances that new tokens name.
     pub homes: Vec<u8>,
--- a/crates/model/tests/protocol.rs
+++ b/crates/model/tests/protocol.rs
@@ -56,6 +56,20 @@
     });
 }
 
+#[test]
+fn holds_for_a_careless_caller_whose_tokens_go_to_and_fro() {
+    check_holds(Scope {
+        instances: 2,
+        crashes: 0,
+        stops: 0,
+        sheds: 0,
+        careless: true,
+        gives_up: false,
+        homes: vec![0, 1],
+        ..Scope::default()
+    });
+}
+
 #[test]
 fn holds_where_the_mutations_are_tried() {
     check_holds(Scope::for_mutation(Mutation::None));
--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -135,7 +135,8 @@
         if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
             return Lookup::Known(&ledger.lines[index].state);
         }
-        if seq <= ledger.floor {
+        // The token's floor holds for this packet, whatever floor the ledger was made with.
+        if seq <= ledger.floor.max(floor) {
             return Lookup::TooOld;
         }
         if !ledger.make_room() {
