Let a call that surely did not run pay for its own retry

With two homes at once upstreams shed what finds no free slot, and the retries of shed calls soon used up the budget: requests were refused although slots were free. Such a retry repeats no work, so it now costs nothing.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -33,6 +33,11 @@
         self.left = (self.left + self.share).min(self.limit());
     }
 
+    /// An attempt surely did not run, so trying again repeats no work.
+    pub(crate) fn refund(&mut self) {
+        self.left = (self.left + 1.0).min(self.limit());
+    }
+
     /// Whether a retry may be made now; if so, it is paid for.
     pub(crate) fn spend(&mut self) -> bool {
         if self.left < 1.0 {
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -14,6 +14,7 @@
 use units::UpstreamName;
 use wire::Outcome;
 use wire::Reason;
+use wire::Verdict;
 
 use crate::Ask;
 use crate::Decision;
@@ -251,6 +252,9 @@
             self.estimate.add(lease.weight, took);
             self.budget.earn();
         }
+        if outcome.verdict() == Verdict::NotRun {
+            self.budget.refund();
+        }
         let Ok(index) = self.find(&lease.upstream) else {
             return;
         };
