Eject an upstream only if it fails more than others do

When all upstreams failed 30% of their calls alike, runs of failures ejected nearly half of them, and the rest was overloaded. An upstream is now ejected only if its share of failed calls stands out from that of the service's median upstream by 0.3. The retry budget also remembers 100 successes instead of 200, so that a storm begins with less.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -3,7 +3,7 @@
 /// Retries that are always allowed at first, so that a quiet service can retry at all.
 const RESERVE: f64 = 3.0;
 /// How many successes a budget remembers at most, so that a long calm does not pay for a storm.
-const REMEMBERED: f64 = 200.0;
+const REMEMBERED: f64 = 100.0;
 
 /// Counts what successes have earned and retries have spent.
 #[derive(Debug, Clone)]
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -9,9 +9,11 @@
 
 use crate::Report;
 
-/// Failures in a row after which an upstream is ejected.
+/// Failures in a row after which an upstream is ejected, if others do better.
 const MAX_CONSECUTIVE: u32 = 5;
-/// The smoothed share of failed calls above which an upstream is ejected.
+/// How much larger its smoothed share of failed calls must be than is usual for the service.
+const WORSE: f64 = 0.3;
+/// The smoothed share of failed calls above which an upstream is ejected without failures in a row.
 const MAX_FAILURES: f64 = 0.6;
 /// How much one call counts in the smoothed share of failed calls.
 const GAIN: f64 = 0.1;
@@ -66,10 +68,12 @@
     }
 
     /// A call ended. Outcomes that say nothing about health change nothing.
-    pub(crate) fn settle(&mut self, outcome: Outcome, now: Time, rng: &mut SmallRng) {
+    ///
+    /// `usual` is the share of failed calls of the service's median upstream.
+    pub(crate) fn settle(&mut self, outcome: Outcome, usual: f64, now: Time, rng: &mut SmallRng) {
         match outcome {
             Outcome::Completed => self.succeed(now),
-            Outcome::Failed | Outcome::Unreachable | Outcome::TimedOut => self.fail(now, rng),
+            Outcome::Failed | Outcome::Unreachable | Outcome::TimedOut => self.fail(usual, now, rng),
             Outcome::Shed | Outcome::Draining | Outcome::Unused => {}
         }
     }
@@ -90,11 +94,11 @@
         self.failures = 0.0;
     }
 
-    fn fail(&mut self, now: Time, rng: &mut SmallRng) {
+    fn fail(&mut self, usual: f64, now: Time, rng: &mut SmallRng) {
         self.consecutive += 1;
         self.failures += (1.0 - self.failures) * GAIN;
         let eject = match self.verdict {
-            Verdict::Fit => self.consecutive >= MAX_CONSECUTIVE || self.failures > MAX_FAILURES,
+            Verdict::Fit => self.stands_out(usual),
             Verdict::Probing(_) => true,
             Verdict::Ejected(_) => false,
         };
@@ -103,6 +107,12 @@
         }
     }
 
+    /// Whether it fails so much more than others that it is to blame, and not what they share.
+    fn stands_out(&self, usual: f64) -> bool {
+        let bad = self.consecutive >= MAX_CONSECUTIVE || self.failures > MAX_FAILURES;
+        bad && self.failures > usual + WORSE
+    }
+
     fn eject(&mut self, now: Time, rng: &mut SmallRng) {
         if now.since(self.last_ejection) > FORGIVEN {
             self.ejections = 0;
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -274,10 +274,24 @@
         // A deadline that was short from the start says nothing about the upstream.
         let hurried = outcome == Outcome::TimedOut && took.as_secs_f64() < 2.0 * mean;
         if !hurried {
-            target.health.settle(outcome, now, &mut self.rng);
+            // Only a failure is compared with others, so the usual call costs nothing here.
+            let usual = if outcome == Outcome::Completed {
+                0.0
+            } else {
+                self.usual_failures()
+            };
+            self.targets[index].health.settle(outcome, usual, now, &mut self.rng);
         }
     }
 
+    /// The share of failed calls of the median upstream.
+    fn usual_failures(&self) -> f64 {
+        let mut shares: Vec<f64> = self.targets.iter().map(|target| target.health.failures).collect();
+        let middle = shares.len() / 2;
+        let (_, median, _) = shares.select_nth_unstable_by(middle, f64::total_cmp);
+        *median
+    }
+
     /// Refuses an ask, and spreads the time at which its caller comes back.
     pub(crate) fn deny(&mut self, key: K, reason: Reason, out: &mut Vec<Decision<K>>) {
         const LEAST: f64 = 0.05;
