--- a/crates/wire/src/verdict.rs
+++ b/crates/wire/src/verdict.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Whether a refused request may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Verdict {
     /// No copy of the request has run or will ever run.
     NotRun,
@@ -54,6 +54,22 @@
 }
 
 impl Reason {
+    /// Every reason.
+    pub const ALL: [Self; 12] = [
+        Self::Overload,
+        Self::Deadline,
+        Self::WrongService,
+        Self::Unknown,
+        Self::Token,
+        Self::OwnerGone,
+        Self::TooOld,
+        Self::NoUpstream,
+        Self::Upstream,
+        Self::AnswerGone,
+        Self::NoDocument,
+        Self::Limit,
+    ];
+
     /// The reason as a metric label and in logs.
     pub fn as_str(self) -> &'static str {
         match self {
