--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -3,7 +3,7 @@
 /// Retries that are always allowed at first, so that a quiet service can retry at all.
 const RESERVE: f64 = 3.0;
 /// How many successes a budget remembers at most, so that a long calm does not pay for a storm.
-const REMEMBERED: f64 = 200.0;
+const REMEMBERED: f64 = 100.0;
 
 /// Counts what successes have earned and retries have spent.
 #[derive(Debug, Clone)]
@@ -33,6 +33,11 @@
         self.left = (self.left + self.share).min(self.limit());
     }
 
+    /// An attempt surely did not run, so trying again repeats no work.
+    pub(crate) fn refund(&mut self) {
+        self.left = (self.left + 1.0).min(self.limit());
+    }
+
     /// Whether a retry may be made now; if so, it is paid for.
     pub(crate) fn spend(&mut self) -> bool {
         if self.left < 1.0 {
