Add `jayquay demo`: a whole system in one process

Stand-ins for the platform, the fabric and four upstreams of two services, three entry instances of the daemon's library, and callers, on real sockets on loopback. Under traffic, the instance that owns the first service's flows is replaced, an upstream drains, and for a second more requests come than the one left can do. Then both ends are compared: what callers were told, and what upstreams ran. Exit code 0 only if each of eight promises held and each was put to the test.

--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -7,6 +7,7 @@
 use bpaf::ParseFailure;
 
 use crate::call;
+use crate::demo;
 use crate::document;
 use crate::exit;
 use crate::load;
@@ -21,6 +22,9 @@
     /// Check, compare, apply and show the configuration document.
     #[bpaf(command("config"))]
     Config(#[bpaf(external(document::command))] document::Command),
+    /// Show a whole system under traffic, failing if it breaks a promise.
+    #[bpaf(command("demo"), header(demo::HEADER))]
+    Demo(#[bpaf(external(demo::args))] demo::Args),
     /// Make one request, as a caller would.
     #[bpaf(command("call"), footer(call::EXAMPLES))]
     Call(#[bpaf(external(call::args))] call::Args),
@@ -45,6 +49,7 @@
 pub async fn run(command: Command) -> ExitCode {
     match command {
         Command::Config(command) => exit::finish(document::run(command).await),
+        Command::Demo(args) => exit::finish(demo::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
     }
--- a/crates/jayquay/src/load.rs
+++ b/crates/jayquay/src/load.rs
@@ -109,6 +109,7 @@
         service: args.service,
         flows: args.flows,
         rate: args.rate,
+        surge: None,
         duration: Duration::from_secs(args.seconds.into()),
         kinds: args.kinds,
         timeout: args.timeout.duration(),
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -3,6 +3,7 @@
 mod address;
 mod call;
 mod command;
+mod demo;
 mod document;
 mod exit;
 mod load;
--- a/crates/jayquay/src/traffic.rs
+++ b/crates/jayquay/src/traffic.rs
@@ -8,6 +8,8 @@
 
 pub use arrivals::Ended;
 pub use arrivals::Plan;
+pub use arrivals::Surge;
 pub use arrivals::drive;
 pub use kind::Kind;
+pub use summary::Report;
 pub use summary::Summary;
--- a/crates/jayquay/src/traffic/arrivals.rs
+++ b/crates/jayquay/src/traffic/arrivals.rs
@@ -22,6 +22,17 @@
 /// How many flows are opened at a time.
 const OPENING: usize = 64;
 
+/// A time in which more requests begin.
+#[derive(Debug, Clone, Copy)]
+pub struct Surge {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// How many requests begin per second meanwhile.
+    pub rate: f64,
+}
+
 /// What callers do.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -35,6 +46,8 @@
     pub flows: usize,
     /// How many requests begin per second, over all flows.
     pub rate: f64,
+    /// A time in which more of them begin, if there is one.
+    pub surge: Option<Surge>,
     /// How long requests begin.
     pub duration: Duration,
     /// The kinds of request.
@@ -47,6 +60,16 @@
     pub seed: u64,
 }
 
+impl Plan {
+    /// How many requests begin per second at this time of the run.
+    fn rate_at(&self, elapsed: Duration) -> f64 {
+        let surge = self
+            .surge
+            .filter(|surge| (surge.at..surge.at + surge.lasts).contains(&elapsed));
+        surge.map_or(self.rate, |surge| surge.rate)
+    }
+}
+
 /// A request that has ended.
 #[derive(Debug, Clone)]
 pub struct Ended {
@@ -74,7 +97,7 @@
     let start = Instant::now();
     let mut due = start;
     for number in 0_u64.. {
-        due += gap(plan.rate, &mut random);
+        due += gap(plan.rate_at(due.duration_since(start)), &mut random);
         if due.duration_since(start) > plan.duration {
             break;
         }
--- a/crates/jayquay/src/traffic/summary.rs
+++ b/crates/jayquay/src/traffic/summary.rs
@@ -100,6 +100,11 @@
         self.elapsed = elapsed;
     }
 
+    /// How many flows there were.
+    pub fn flows(&self) -> usize {
+        self.flows
+    }
+
     /// How many flows were cut.
     pub fn broken(&self) -> usize {
         self.broken.len()
