--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod command;
 mod console;
+mod demo;
 mod document;
 mod exit;
 mod load;
