--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -92,7 +92,7 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
+    init_log();
     let settings = match read_settings(&options.settings) {
         Ok(settings) => settings,
         Err(text) => {
@@ -112,6 +112,12 @@
     }
 }
 
+/// Each line begins with the name of its part, so that the module's path is left out.
+fn init_log() {
+    let env = Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(env).format_target(false).init();
+}
+
 fn read_settings(path: &PathBuf) -> Result<Settings, String> {
     let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     config::parse_settings(&text).map_err(|problems| {
