--- a/crates/proof/src/traffic.rs
+++ b/crates/proof/src/traffic.rs
@@ -65,7 +65,7 @@
         let job = driver.job(kind, answer_len);
         let actions = driver.ask(now, &job, timeout, idempotent);
         self.note(Some(job.id), format!("asked for: a {}", job.kind));
-        self.book.ask(job.clone(), idempotent, now + timeout);
+        self.book.ask(&job, idempotent, now + timeout);
         self.drive(caller, actions)?;
         Ok(job.id)
     }
@@ -133,7 +133,7 @@
         let address = self.drivers[caller as usize - 1].address;
         for action in actions {
             match action {
-                Action::Send(bytes) => self.launch(address, bytes),
+                Action::Send(bytes) => self.launch(address, &bytes),
                 Action::Opened(_) | Action::NotOpened(_) => {}
                 Action::Ended(call, result) => {
                     let job = self.drivers[caller as usize - 1].job_id(call);
@@ -166,13 +166,13 @@
     }
 
     /// Puts a caller's datagram on its way.
-    fn launch(&mut self, from: SocketAddr, bytes: Vec<u8>) {
+    fn launch(&mut self, from: SocketAddr, bytes: &[u8]) {
         for delay in self.fabric.copies(&mut self.rng) {
             self.queue
-                .push(self.now + delay, Happening::Packet(from, bytes.clone()));
+                .push(self.now + delay, Happening::Packet(from, bytes.to_vec()));
         }
         if hit(&mut self.rng, self.fabric.tamper) {
-            let altered = self.tamper(&bytes);
+            let altered = self.tamper(bytes);
             self.queue.push(
                 self.now + Duration::from_millis(2),
                 Happening::Packet(STRANGER, altered),
@@ -231,6 +231,16 @@
         noise
     }
 
+    fn note_packet(&mut self, picked: Option<&Peer>, bytes: &[u8]) {
+        let Ok(Packet::Request(request)) = wire::decode_packet(bytes) else {
+            return;
+        };
+        let job = Job::parse(&request.body).ok().map(|job| job.id);
+        let name = picked.map_or("nobody", |peer| peer.name.as_str());
+        let text = format!("{name} gets {}", request.seq);
+        self.note(job, text);
+    }
+
     /// A datagram reaches whatever instance the fabric picks.
     pub(crate) fn spray(&mut self, from: SocketAddr, bytes: Vec<u8>) -> Result<(), Violation> {
         let now = self.now;
@@ -243,7 +253,9 @@
         if sprayed.is_empty() {
             return Ok(());
         }
-        let Some(peer) = &sprayed[self.rng.random_range(0..sprayed.len())] else {
+        let picked = &sprayed[self.rng.random_range(0..sprayed.len())];
+        self.note_packet(picked.as_ref(), &bytes);
+        let Some(peer) = picked else {
             return Ok(());
         };
         let event = node::Event::Datagram(from, bytes);
