--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,7 @@
-//! An HTTP server that can be taken down and brought back at the same address.
+//! An HTTP server that can be taken down and brought back at the same address, on Linux.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 
 use axum::Extension;
@@ -8,8 +9,10 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use socket2::SockAddr;
+use socket2::Socket;
+use socket2::Type;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -19,7 +22,7 @@
 use crate::task::Task;
 
 /// How many connections may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+const BACKLOG: i32 = 1_024;
 
 /// What a server is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +45,13 @@
 impl Server {
     /// Starts a server. Handlers find the [`Line`] of their connection among the request's extensions.
     pub(crate) fn start(address: SocketAddr, router: Router) -> io::Result<Self> {
-        let reservation = bind(address)?;
-        let address = reservation.local_addr()?;
-        let listener = listen(address)?;
+        let socket = reserve(address)?;
+        let listener = listen(&socket)?;
+        let address = listener.local_addr()?;
         let state = State { up: true, cuts: 0 };
         let (wanted, changes) = watch::channel(state);
         let (reports, reached) = watch::channel(state);
-        let task = Task::spawn(run(reservation, listener, router, changes, reports));
+        let task = Task::spawn(run(socket, listener, router, changes, reports));
         Ok(Self {
             address,
             wanted,
@@ -84,20 +87,30 @@
     }
 }
 
-/// A bound socket that does not listen. Such a socket keeps the port for this process while the server is down.
-fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
+/// A bound socket, which keeps the port for this process while the server is down.
+///
+/// The system takes back a port that it chose when the socket stops listening, but not one that it was asked for. So a
+/// first socket gets a port chosen, and a second one asks for it.
+fn reserve(address: SocketAddr) -> io::Result<Socket> {
+    let chosen = bind(&address.into())?;
+    bind(&chosen.local_addr()?)
+}
+
+fn bind(address: &SockAddr) -> io::Result<Socket> {
+    let socket = Socket::new(address.domain(), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
     socket.bind(address)?;
     Ok(socket)
 }
 
+fn listen(socket: &Socket) -> io::Result<TcpListener> {
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.try_clone()?.into())
+}
+
 async fn run(
-    reservation: TcpSocket,
+    socket: Socket,
     listener: TcpListener,
     router: Router,
     mut wanted: watch::Receiver<State>,
@@ -105,28 +118,30 @@
 ) {
     let mut listener = Some(listener);
     loop {
-        if let Some(listener) = listener.take() {
-            accept(&listener, &router, &mut wanted).await;
+        if let Some(listener) = &listener {
+            accept(listener, &router, &mut wanted).await;
+        } else if wanted.changed().await.is_err() {
+            return;
         }
         let state = *wanted.borrow_and_update();
-        if state.up {
-            match reservation.local_addr().and_then(listen) {
-                Ok(bound) => listener = Some(bound),
-                Err(error) => {
-                    log::error!("stand-in: cannot listen again: {error}");
-                    return;
-                }
-            }
-        }
-        reached.send_replace(state);
-        if !state.up && wanted.changed().await.is_err() {
+        if let Err(error) = bring(&socket, &mut listener, state.up) {
+            log::error!("stand-in: a server cannot be taken up or down: {error}");
             return;
         }
+        reached.send_replace(state);
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    bind(address)?.listen(BACKLOG)
+/// Makes the socket listen, or refuse connections.
+fn bring(socket: &Socket, listener: &mut Option<TcpListener>, up: bool) -> io::Result<()> {
+    if up && listener.is_none() {
+        *listener = Some(listen(socket)?);
+    }
+    if !up && listener.take().is_some() {
+        // Closing the descriptor would leave it to the system when it refuses connections; this takes effect at once.
+        socket.shutdown(Shutdown::Read)?;
+    }
+    Ok(())
 }
 
 /// Serves until the server is told something. The connections end with this.
--- a/crates/standin/src/upstream/time.rs
+++ b/crates/standin/src/upstream/time.rs
@@ -23,7 +23,7 @@
 
 impl ServiceTime {
     /// Draws the time of the next request.
-    pub(crate) fn draw<R: Rng>(self, random: &mut R) -> Duration {
+    pub fn draw<R: Rng>(self, random: &mut R) -> Duration {
         match self {
             Self::Fixed(time) => time.duration(),
             Self::Lognormal { mean, sigma } => {
