--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -26,7 +26,7 @@
 #[test]
 fn defaults_fill_what_may_be_left_out() {
     let settings = parse_settings(VALID).expect("the text is valid");
-    assert_snapshot!(format!("{:?} {:?} {:?}", settings.limits, settings.stop_within, settings.token_lifetime), @"Limits { flows: 500000, requests: 100000, answer_bytes: Bytes(268435456), sessions: 512, packets_per_second: 5000 } 30s 86400s");
+    assert_snapshot!(format!("{:?} {:?} {:?}", settings.limits, settings.stop_within, settings.token_lifetime), @"Limits { flows: 500000, requests: 100000, answer_bytes: Bytes(268435456), sessions: 512, packets_per_second: 5000, total_packets_per_second: 200000 } 30s 86400s");
 }
 
 #[test]
@@ -40,7 +40,7 @@
   - {name: entry-2, zone: brugge, address: "10.0.0.2:0"}
   - {name: entry-2, address: "10.0.0.2:1"}
 secrets: {current: "short", previous: "short"}
-limits: {flows: 0, requests: many, answer-bytes: 1, sessions: 0, packets-per-second-per-caller: 0}
+limits: {flows: 0, requests: many, answer-bytes: 1, sessions: 0, packets-per-second-per-caller: 0, packets-per-second-in-all: 0}
 stop-within-ms: 1
 token-lifetime-s: 1
 "#;
@@ -52,10 +52,10 @@
     3:59: listen.admin: this must be a loopback address, unless `listen.admin-on-any-address` is `true`
     3:76: listen: no such field: `port`; allowed: `callers`, `instances`, `admin` and `admin-on-any-address`
     4:22: advertise.callers: nobody can dial 0.0.0.0:1: give a host's IP address and its port
-    5:11: platform: the length must be from 1 to 16
+    5:11: platform: this must have from 1 to 16 items
     7:44: peers[0].address: nobody can dial 10.0.0.2:0: give a host's IP address and its port
     8:5: peers[1]: the field `zone` is missing
-    8:12: peers[1].name: `entry-2` must be unique, and stands at 7:12 already
+    8:12: peers[1].name: `entry-2` must be unique, and stands at peers[0].name already (line 7)
     9:20: secrets.current: a secret has at least 32 characters
     9:39: secrets.previous: this must be a list
     10:17: limits.flows: this must be from 1 to 10000000
@@ -63,6 +63,7 @@
     10:50: limits.answer-bytes: this must be from 1000000 to 1000000000000
     10:63: limits.sessions: this must be from 1 to 10000
     10:97: limits.packets-per-second-per-caller: this must be from 1 to 10000000
+    10:127: limits.packets-per-second-in-all: this must be from 1 to 10000000
     11:17: stop-within-ms: this must be from 100 to 3600000
     12:19: token-lifetime-s: this must be from 60 to 2592000
     ");
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -72,13 +72,25 @@
     #[serde(default, skip_serializing_if = "is_zero")]
     pub view: u64,
     /// News of members.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "crate::list::untrusted"
+    )]
     pub members: Vec<Member>,
     /// News of hand-overs.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "crate::list::untrusted"
+    )]
     pub successors: Vec<Successor>,
     /// News of leaving upstreams.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "crate::list::untrusted"
+    )]
     pub leaving: Vec<LeavingUpstream>,
     /// The sender's configuration document, if it holds one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
