Add `jayquay stand-in platform|upstream|fabric`

Trials of separate processes need the outside world as processes too. Its first behaviour is the same JSON that its control address takes, so there is one way to name a fault.

--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -11,6 +11,7 @@
 use crate::document;
 use crate::exit;
 use crate::load;
+use crate::stand_in;
 
 /// How wide help texts are, in characters.
 const HELP_WIDTH: usize = 100;
@@ -31,6 +32,9 @@
     /// Drive a system with callers' traffic and tell what they saw.
     #[bpaf(command("load"), header(load::HEADER), footer(load::EXAMPLES))]
     Load(#[bpaf(external(load::args))] load::Args),
+    /// Run a stand-in for a part of the outside world, for trials.
+    #[bpaf(command("stand-in"), header(stand_in::HEADER))]
+    StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
 }
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
@@ -52,5 +56,6 @@
         Command::Console(args) => exit::finish(console::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
+        Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -8,6 +8,7 @@
 mod exit;
 mod load;
 mod output;
+mod stand_in;
 mod traffic;
 
 use std::process::ExitCode;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -45,6 +45,8 @@
 pub use crate::upstream::routes::Health;
 pub use crate::upstream::routes::Load;
 pub use crate::upstream::time::ColdStart;
+pub use crate::upstream::time::ParseColdStartError;
+pub use crate::upstream::time::ParseServiceTimeError;
 pub use crate::upstream::time::ServiceTime;
 
 /// How a stand-in starts.
