Hold back new work while a flow's owner may be gone

After the crash of an owner, callers went on sending holds to it until the fleet held it for dead, and each of them could only end as `may have run`.

A living owner answers a repeated request at once, so this costs one round trip. What waits has never been sent: if its deadline passes, it is `not run`, and else it goes to the next owner under the reissued token. That token may come with the reply to a request which the caller has given up; it is now taken from there too, as only the floor decides.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether the attempt in progress waits for a sign of life.
+    pub(crate) fn is_silent(&self) -> bool {
+        matches!(&self.stage, Stage::Sent(attempt) if attempt.silent)
+    }
+
     /// When something is to be done for this work.
     pub(crate) fn due(&self) -> Time {
         let due = match &self.stage {
@@ -113,6 +118,8 @@
     /// The request as it was first sent. Every retransmission repeats it byte for byte.
     pub(crate) packet: Vec<u8>,
     pub(crate) accepted: bool,
+    /// Whether a packet was sent again and nothing has come since, as when the flow's owner is gone.
+    pub(crate) silent: bool,
     pub(crate) timer: Timer,
     pub(crate) answer: Option<Assembly>,
 }
@@ -131,6 +138,7 @@
 impl Attempt {
     /// Retransmission can slow down: the request has arrived.
     pub(crate) fn accept(&mut self, now: Time, policy: &Policy, rng: &mut SmallRng) {
+        self.silent = false;
         if self.accepted || self.answer.is_some() {
             return;
         }
@@ -147,6 +155,7 @@
         policy: &Policy,
         tally: &mut Tally,
     ) -> Progress {
+        self.silent = false;
         let answer = self.answer.get_or_insert_with(|| Assembly::new(head, policy.window));
         if answer.head != head {
             tally.crossed += 1;
@@ -180,6 +189,7 @@
 
     /// The packets to send when the timer is due.
     pub(crate) fn overdue(&mut self, service: &ServiceName) -> Vec<Vec<u8>> {
+        self.silent = true;
         let Some(answer) = &mut self.answer else {
             return vec![self.packet.clone()];
         };
--- a/crates/caller/src/flow.rs
+++ b/crates/caller/src/flow.rs
@@ -121,7 +121,7 @@
             Session::Idle(_) | Session::Open(_) => None,
         };
         let session_due = opening.into_iter().chain(self.wanted);
-        let stuck = matches!(self.session, Session::Opening(_)) || self.is_spread();
+        let stuck = matches!(self.session, Session::Opening(_)) || self.is_spread() || self.is_silent();
         let calls_due = self.calls.iter().map(|call| self.call_due(call, stuck));
         calls_due.chain(session_due).min()
     }
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether a request in progress waits for a sign of life. If the owner is gone, whatever is sent to it meanwhile
+    /// ends in doubt; what waits goes to the next owner and has surely not run before.
+    fn is_silent(&self) -> bool {
+        self.calls.iter().any(Call::is_silent)
+    }
+
     /// Whether the next number would be too far ahead of the oldest one in progress.
     fn is_spread(&self) -> bool {
         let numbers = self.calls.iter().filter_map(Call::seq);
@@ -241,6 +247,9 @@
 
     /// Sends the work that waits for nothing any more, each under a number of its own.
     fn send(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.is_silent() {
+            return;
+        }
         let Session::Open(open) = &self.session else {
             return;
         };
@@ -278,6 +287,7 @@
                 token: open.token.clone(),
                 packet,
                 accepted: false,
+                silent: false,
                 timer: Timer::start(now, self.policy.retransmit, self.policy.retransmit_max, &mut self.rng),
                 answer: None,
             });
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -64,7 +64,7 @@
 
     fn on_accepted(&mut self, now: Time, accepted: &Accepted) {
         let Some(index) = self.find(accepted.flow, accepted.seq) else {
-            return self.count_stray(accepted.flow, accepted.seq);
+            return self.take_stray(accepted.flow, accepted.seq, None);
         };
         if let Some(attempt) = self.calls[index].attempt() {
             attempt.accept(now, &self.policy, &mut self.rng);
@@ -73,13 +73,13 @@
 
     fn on_chunk(&mut self, now: Time, chunk: Chunk, out: &mut Vec<Action>) {
         let Some(index) = self.find(chunk.flow, chunk.seq) else {
-            return self.count_stray(chunk.flow, chunk.seq);
+            return self.take_stray(chunk.flow, chunk.seq, chunk.granted);
         };
         if chunk.head.len > self.policy.max_answer {
             let refusal = Failure::local(Verdict::MayHaveRun, Reason::Limit);
             return self.fail(index, refusal, out);
         }
-        self.adopt(index, chunk.granted);
+        self.adopt(chunk.flow, chunk.granted);
         let Some(attempt) = self.calls[index].attempt() else {
             return;
         };
@@ -119,7 +119,7 @@
         };
         let index = match found {
             Ok(index) => index,
-            Err((flow, seq)) => return self.count_stray(flow, seq),
+            Err((flow, seq)) => return self.take_stray(flow, seq, refused.granted),
         };
         let is_pull = matches!(refused.subject, Subject::Pull(..));
         let answering = self.calls[index].attempt().is_some_and(|a| a.answer.is_some());
@@ -128,7 +128,9 @@
             self.tally.crossed += 1;
             return;
         }
-        self.adopt(index, refused.granted);
+        if let Some(flow) = self.calls[index].attempt().map(|attempt| attempt.flow) {
+            self.adopt(flow, refused.granted);
+        }
         if refused.reason == Reason::Token {
             self.drop_token(now, index);
         }
@@ -165,15 +167,12 @@
         }
     }
 
-    /// Takes a reissued token for the flow, unless a number above its floor is in use under another token.
-    fn adopt(&mut self, index: usize, granted: Option<Granted>) {
+    /// Takes a reissued token for the flow, unless a number above its floor is in use under another token. It may come
+    /// with a packet about a request that has ended here.
+    fn adopt(&mut self, flow: FlowId, granted: Option<Granted>) {
         let Some(granted) = granted else {
             return;
         };
-        let Some(attempt) = self.calls[index].attempt() else {
-            return;
-        };
-        let flow = attempt.flow;
         let Session::Open(open) = &mut self.session else {
             return;
         };
@@ -234,11 +233,12 @@
     }
 
     /// Counts a packet about a request that is not in progress.
-    fn count_stray(&mut self, flow: FlowId, seq: RequestSeq) {
-        if flow == self.flow_id() && seq <= self.highest {
-            self.tally.late += 1;
+    fn take_stray(&mut self, flow: FlowId, seq: RequestSeq, granted: Option<Granted>) {
+        if flow != self.flow_id() || seq > self.highest {
+            self.tally.foreign += 1;
             return;
         }
-        self.tally.foreign += 1;
+        self.tally.late += 1;
+        self.adopt(flow, granted);
     }
 }
