--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -13,6 +13,8 @@
 use reqwest::StatusCode;
 use reqwest::header::IF_MATCH;
 use reqwest::header::IF_NONE_MATCH;
+use reqwest::redirect::Policy;
+use reqwest::retry;
 use serde::de::DeserializeOwned;
 use units::Revision;
 
@@ -27,6 +29,9 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long one address may take to answer, unless the options say otherwise.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Where the platform is and how long to wait for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -37,11 +42,11 @@
 }
 
 impl Options {
-    /// Options with the usual timeout of two seconds.
+    /// Options with the usual timeout.
     pub fn new(addresses: Vec<SocketAddr>) -> Self {
         Self {
             addresses,
-            timeout: Duration::from_secs(2),
+            timeout: TIMEOUT,
         }
     }
 }
@@ -60,6 +65,10 @@
     pub fn new(options: Options) -> Self {
         let http = reqwest::Client::builder()
             .no_proxy()
+            .redirect(Policy::none())
+            .retry(retry::never())
+            .referer(false)
+            .http1_only()
             .connect_timeout(CONNECT_TIMEOUT)
             .build()
             .expect("a client without TLS, proxies and resolvers needs nothing from the system");
--- /dev/null
+++ b/crates/platform/tests/answers.rs
@@ -0,0 +1,158 @@
+//! What the client concludes from each answer, and whether it goes on to the next address.
+
+use std::net::SocketAddr;
+
+use platform::Client;
+use platform::Error;
+use platform::Options;
+use platform::Write;
+use platform::api::Key;
+use standin::platform::Handle;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use units::Nonce;
+use units::Revision;
+
+/// A server that gives this answer to whatever it is asked, an empty one being a closed connection.
+async fn canned(answer: String, tasks: &mut JoinSet<()>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    let address = listener.local_addr().expect("bound");
+    tasks.spawn(async move {
+        loop {
+            let (mut connection, _from) = listener.accept().await.expect("loopback works");
+            let mut seen = Vec::new();
+            while !is_whole(&seen) {
+                connection.read_buf(&mut seen).await.expect("the client sends");
+            }
+            connection.write_all(answer.as_bytes()).await.expect("the client waits");
+        }
+    });
+    address
+}
+
+/// Whether a request has come with its body, which ends in a brace if there is one.
+fn is_whole(request: &[u8]) -> bool {
+    let is_read = request.starts_with(b"GET");
+    request.ends_with(if is_read { b"\r\n\r\n" } else { b"}" })
+}
+
+fn kind(error: &Error) -> &'static str {
+    match error {
+        Error::Unavailable(_) => "unavailable",
+        Error::Conflict { .. } => "conflict",
+        Error::Rejected { .. } => "rejected",
+        Error::InDoubt(_) => "in doubt",
+        Error::Malformed(_) => "malformed",
+    }
+}
+
+async fn served() -> Handle {
+    let handle = standin::platform::start(standin::platform::Options::default()).await;
+    handle.expect("loopback has free ports")
+}
+
+/// What a read and a write come to when the first address answers like this, alone and with a second one that serves.
+async fn check(answer: &str, alone: [&str; 2], with_another: [&str; 2]) {
+    let mut tasks = JoinSet::new();
+    let first = canned(answer.to_owned(), &mut tasks).await;
+    let platform = served().await;
+    for (addresses, expected) in [(vec![first], alone), (vec![first, platform.address()], with_another)] {
+        // A new client each time, as one keeps to the address that served it.
+        let read = Client::new(Options::new(addresses.clone())).document().await;
+        let read = read.map_or_else(
+            |error| kind(&error),
+            |document| document.map_or("nothing", |_document| "document"),
+        );
+        let write = Write {
+            base: Revision(0),
+            text: "text".to_owned(),
+            writer: "ann".to_owned(),
+            nonce: Nonce(1),
+        };
+        let written = Client::new(Options::new(addresses)).write(&write).await;
+        let written = written.map_or_else(|error| kind(&error), |_revision| "written");
+        assert_eq!([read, written], expected, "{answer}");
+    }
+    let reached = platform.object(&Key::document()).is_some();
+    assert_eq!(reached, with_another[1] == "written", "{answer}");
+}
+
+#[tokio::test]
+async fn each_answer_is_judged() {
+    let lost = ["unavailable", "in doubt"];
+    let passed_on = ["nothing", "in doubt"];
+    check(
+        "HTTP/1.1 503 \r\ncontent-length: 0\r\n\r\n",
+        ["unavailable"; 2],
+        ["nothing", "written"],
+    )
+    .await;
+    check(
+        "HTTP/1.1 429 \r\ncontent-length: 0\r\n\r\n",
+        ["unavailable"; 2],
+        ["nothing", "written"],
+    )
+    .await;
+    check("HTTP/1.1 500 \r\ncontent-length: 0\r\n\r\n", lost, passed_on).await;
+    check("HTTP/1.1 504 \r\ncontent-length: 0\r\n\r\n", lost, passed_on).await;
+    check("", lost, passed_on).await;
+    check("HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{", lost, passed_on).await;
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+        ["malformed", "in doubt"],
+        ["malformed", "in doubt"],
+    )
+    .await;
+    check(
+        "HTTP/1.1 400 \r\ncontent-length: 0\r\n\r\n",
+        ["rejected"; 2],
+        ["rejected"; 2],
+    )
+    .await;
+    check(
+        "HTTP/1.1 302 \r\ncontent-length: 0\r\n\r\n",
+        ["rejected", "in doubt"],
+        ["rejected", "in doubt"],
+    )
+    .await;
+}
+
+#[tokio::test]
+async fn redirects_are_not_followed() {
+    let platform = served().await;
+    let target = format!("http://{}{}", platform.address(), Key::document().path());
+    let answer = format!("HTTP/1.1 307 \r\nlocation: {target}\r\ncontent-length: 0\r\n\r\n");
+    check(&answer, ["rejected", "in doubt"], ["rejected", "in doubt"]).await;
+    assert_eq!(platform.counts(), standin::platform::Counts::default());
+}
+
+#[tokio::test]
+async fn without_addresses_nothing_is_available() {
+    let client = Client::new(Options::new(Vec::new()));
+    let read = client.document().await.map_err(|error| kind(&error));
+    assert_eq!(read, Err("unavailable"));
+}
+
+#[tokio::test]
+async fn a_client_keeps_to_the_address_that_serves() {
+    let (first, second) = (served().await, served().await);
+    let client = Client::new(Options::new(vec![first.address(), second.address()]));
+    let down = standin::platform::Behaviour {
+        down: true,
+        ..Default::default()
+    };
+    for (going_down, serving) in [(&first, &second), (&second, &first)] {
+        going_down.behave(down.clone()).await;
+        serving.behave(standin::platform::Behaviour::default()).await;
+        let before = serving.counts().lists;
+        for _read in 0..3 {
+            client.list().await.expect("one of them serves");
+        }
+        assert_eq!(serving.counts().lists, before + 3);
+        going_down.behave(standin::platform::Behaviour::default()).await;
+        client.list().await.expect("both serve");
+        assert_eq!(serving.counts().lists, before + 4, "the address in use is kept");
+    }
+}
