Mend what a real browser and a closed pipe showed

A text is measured as a JSON string, which is how the platform holds it, so that a document that `check` takes is not too long for `apply`.

--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -112,7 +112,7 @@
 /// What is wrong, and what is allowed instead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
-    /// The text is longer than this many bytes.
+    /// The text is longer than this many bytes as a JSON string.
     TooLong(usize),
     /// The text is not the YAML that is taken here.
     Syntax(String),
@@ -157,7 +157,7 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::TooLong(max) => write!(f, "the text is longer than {max} bytes"),
+            Self::TooLong(max) => write!(f, "the text is longer than {max} bytes as a JSON string"),
             Self::Syntax(message) => f.write_str(message),
             Self::Unknown(name, known) => write_unknown(f, name, known),
             Self::Repeated(first) => write!(f, "the field stands twice, first at {first}"),
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -20,7 +20,7 @@
 use crate::Position;
 use crate::Problem;
 
-/// The longest text that is read, in bytes. The platform holds no longer value.
+/// The longest text that is read, in bytes as a JSON string, which is how the platform holds it.
 pub const MAX_TEXT_LEN: usize = 1_000_000;
 
 /// How deeply a text may nest.
@@ -67,7 +67,7 @@
 
 /// Reads `text` as a tree.
 pub(crate) fn read(text: &str, quoting: Quoting) -> Result<Node, Problem> {
-    if text.len() > MAX_TEXT_LEN {
+    if json_len(text) > MAX_TEXT_LEN {
         return Err(top_problem(
             Position { line: 1, column: 1 },
             Fault::TooLong(MAX_TEXT_LEN),
@@ -89,6 +89,19 @@
     serde_saphyr::from_str_with_options(text, options).map_err(|error| syntax_problem(&error, quoting))
 }
 
+/// The length of `text` as a JSON string, with its quotes and escapes.
+fn json_len(text: &str) -> usize {
+    let mut len = 2;
+    for byte in text.bytes() {
+        len += match byte {
+            b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+            0..0x20 => 6,
+            _ => 1,
+        };
+    }
+    len
+}
+
 fn syntax_problem(error: &serde_saphyr::Error, quoting: Quoting) -> Problem {
     let error = error.without_snippet();
     let position = error.location().map_or(START, position_of);
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -114,7 +114,8 @@
     1:2: this must be text (in quotes if it looks like a number)
     ");
     assert_snapshot!(problems(&"[".repeat(100)), @"1:17: this is not valid YAML: recursion limit exceeded");
-    assert_snapshot!(problems(&"#".repeat(MAX_TEXT_LEN + 1)), @"1:1: the text is longer than 1000000 bytes");
+    assert_snapshot!(problems(&"#\n".repeat(MAX_TEXT_LEN / 3)), @"1:1: the text is longer than 1000000 bytes as a JSON string");
+    assert_snapshot!(problems(&"#".repeat(MAX_TEXT_LEN)), @"1:1: the text is longer than 1000000 bytes as a JSON string");
 }
 
 #[test]
--- a/crates/console/src/page/layout.rs
+++ b/crates/console/src/page/layout.rs
@@ -86,9 +86,14 @@
     let differences = view.check.differences.as_ref().map(Vec::len);
     html! {
         @match differences {
-            None => { strong { (problems) " problems" } " in the draft made from revision " (from) "." }
+            None => { strong { (counted(problems, "problem")) } " in the draft made from revision " (from) "." }
             Some(0) => { "The draft is the same as revision " (from) "." }
-            Some(count) => { (count) " differences from revision " (from) "." }
+            Some(count) => { (counted(count, "difference")) " from revision " (from) "." }
         }
     }
 }
+
+fn counted(count: usize, noun: &str) -> String {
+    let plural = if count == 1 { "" } else { "s" };
+    format!("{count} {noun}{plural}")
+}
--- a/crates/console/src/page/overview.rs
+++ b/crates/console/src/page/overview.rs
@@ -8,9 +8,11 @@
 use crate::draft::Service;
 
 use super::OVERVIEW;
+use super::RESTART;
 use super::TEXT;
 use super::View;
 use super::form;
+use super::form::BUTTON_FIELD;
 use super::layout;
 use super::service_path;
 
@@ -30,12 +32,16 @@
         (form::faults(view, &list))
         (form::add(&list, "Add service"))
     };
+    let restart = html! {
+        button name=(BUTTON_FIELD) value="drop" { "Drop the draft, and load the platform's document" }
+    };
     let content = html! {
         (in_force(view.session.base.as_ref()))
         h2 { "Draft" }
         (form::form(view, OVERVIEW, &table))
         (layout::problems(view))
         p { a href=(TEXT) { "Show the draft as the text of a document" } }
+        (form::form(view, RESTART, &restart))
     };
     layout::page(view, OVERVIEW, "Configuration", &content)
 }
--- a/crates/console/src/page/service.rs
+++ b/crates/console/src/page/service.rs
@@ -53,7 +53,7 @@
 pub fn service(view: &View<'_>, index: usize, service: &Service) -> Markup {
     let at = draft::service_field(index);
     let path = service_path(index);
-    let title = layout::label(&service.name);
+    let title = format!("Service {}", layout::label(&service.name));
     let content = html! {
         (form::save())
         (form::faults(view, &at))
@@ -63,7 +63,11 @@
         (kinds(view, &at.member("kinds"), &service.kinds))
         (upstreams(view, &at.member("upstreams"), &service.upstreams))
     };
-    layout::page(view, &path, title, &form::form(view, &path, &content))
+    let content = html! {
+        (layout::problems(view))
+        (form::form(view, &path, &content))
+    };
+    layout::page(view, &path, &title, &content)
 }
 
 fn addresses(view: &View<'_>, list: &Field, addresses: &[String]) -> Markup {
--- a/crates/console/src/page/zones.rs
+++ b/crates/console/src/page/zones.rs
@@ -32,5 +32,9 @@
         (form::faults(view, &list))
         (form::add(&list, "Add zone"))
     };
-    layout::page(view, ZONES, "Zones", &form::form(view, ZONES, &content))
+    let content = html! {
+        (layout::problems(view))
+        (form::form(view, ZONES, &content))
+    };
+    layout::page(view, ZONES, "Zones", &content)
 }
--- a/crates/console/src/routes.rs
+++ b/crates/console/src/routes.rs
@@ -72,8 +72,8 @@
         .route(page::APPLY, post(apply_draft))
         .route(page::RESTART, post(restart))
         .route(page::TEXT, get(text))
-        .route(page::STYLE, get(answer::style))
         .layer(middleware::from_fn_with_state(Arc::clone(&console), guarded::cookie))
+        .route(page::STYLE, get(answer::style))
         .route("/enter", get(guarded::enter))
         .fallback(answer::missing)
         .layer(middleware::from_fn_with_state(Arc::clone(&console), guarded::site))
@@ -168,9 +168,9 @@
     };
     match carry_out(&console, &session, document).await {
         Ok(applied) => {
-            let text = applied.document.text.clone();
+            let told = answer::applied(&applied.document, &applied.differences, applied.read_back);
             session.restart(Some(applied.document));
-            answer::applied(&applied.differences, &text, applied.read_back)
+            told
         }
         Err(refusal) => answer::refused(&console.view(&session), &refusal),
     }
--- a/crates/console/src/routes/answer.rs
+++ b/crates/console/src/routes/answer.rs
@@ -9,9 +9,9 @@
 use axum::response::Redirect;
 use axum::response::Response;
 use config::Difference;
+use config::Document;
 use maud::Markup;
 use maud::html;
-use wire::Digest;
 
 use crate::guard::Intrusion;
 use crate::page;
@@ -79,18 +79,23 @@
 }
 
 /// The draft came into force.
-pub fn applied(differences: &[Difference], text: &str, read_back: bool) -> Response {
-    let digest = Digest::of(text.as_bytes());
-    let words = if read_back {
-        "The document is in force at the platform, as was read back."
+pub fn applied(document: &Document, differences: &[Difference], read_back: bool) -> Response {
+    let revision = document.revision;
+    let note = if read_back {
+        ", as was read back after the answer was lost"
     } else {
-        "The document is in force at the platform."
+        ""
     };
     let more = html! {
-        p { "Digest " code { (digest) } }
+        p { "Digest " code { (document.digest) } }
         (page::list(differences))
     };
-    notice(StatusCode::OK, "Applied", words, &more)
+    notice(
+        StatusCode::OK,
+        "Applied",
+        &format!("Revision {revision} is in force at the platform{note}."),
+        &more,
+    )
 }
 
 /// The draft was not applied, or whether it was is not known.
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -37,7 +37,7 @@
     assert_eq!(applied.status, StatusCode::OK);
     assert_snapshot!(applied.words(), @r"
     Applied
-    The document is in force at the platform.
+    Revision 2 is in force at the platform.
     Digest
     4a4c4a66fbce81c6d8cc12bb012b0620
     service availability: affinity changed from flow to request
@@ -97,6 +97,7 @@
     Remove
     Add service
     Show the draft as the text of a document
+    Drop the draft, and load the platform's document
     ");
 }
 
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -1,5 +1,6 @@
 //! The subcommands, read from the arguments of the process.
 
+use std::convert::Infallible;
 use std::process::ExitCode;
 
 use bpaf::Args;
@@ -10,11 +11,9 @@
 use crate::console;
 use crate::document;
 use crate::exit;
+use crate::exit::Report;
 use crate::load;
 
-/// How wide help texts are, in characters.
-const HELP_WIDTH: usize = 100;
-
 /// Operate the jayquay load balancer.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -35,14 +34,19 @@
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
 pub fn from_arguments() -> Result<Command, ExitCode> {
-    command().run_inner(Args::current_args()).map_err(|failure| {
-        failure.print_message(HELP_WIDTH);
-        let code = match failure {
-            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => exit::DONE,
-            ParseFailure::Stderr(_) => exit::BAD_USAGE,
-        };
-        ExitCode::from(code)
-    })
+    command().run_inner(Args::current_args()).map_err(explain)
+}
+
+fn explain(failure: ParseFailure) -> ExitCode {
+    let text = match failure {
+        ParseFailure::Stdout(help, full) => format!("{}\n", help.monochrome(full)),
+        ParseFailure::Completion(completion) => completion,
+        ParseFailure::Stderr(message) => {
+            eprintln!("jayquay: {}", message.monochrome(true));
+            return ExitCode::from(exit::BAD_USAGE);
+        }
+    };
+    exit::finish::<Infallible>(Ok(Report::done(text)))
 }
 
 /// Runs the command to its end.
--- a/crates/jayquay/tests/files.rs
+++ b/crates/jayquay/tests/files.rs
@@ -122,19 +122,19 @@
 #[test]
 fn bad_usage_has_its_own_exit_code() {
     assert_snapshot!(shown(&[]), @r"
-    Error: expected `COMMAND ...`, pass `--help` for usage information
+    jayquay: expected `COMMAND ...`, pass `--help` for usage information
     exit 2
     ");
     assert_snapshot!(shown(&["config", "check"]), @r"
-    Error: expected `FILE`, pass `--help` for usage information
+    jayquay: expected `FILE`, pass `--help` for usage information
     exit 2
     ");
     assert_snapshot!(shown(&["config", "apply", "--from", "x", "--platform", "127.0.0.1:1", "f"]), @r"
-    Error: couldn't parse `x`: not an identifier: invalid digit found in string
+    jayquay: couldn't parse `x`: not an identifier: invalid digit found in string
     exit 2
     ");
     assert_snapshot!(shown(&["config", "show", "--platform", "platform:1"]), @r"
-    Error: couldn't parse `platform:1`: invalid socket address syntax, such as 10.20.9.1:7000, or several with
+    jayquay: couldn't parse `platform:1`: invalid socket address syntax, such as 10.20.9.1:7000, or several with
     commas between
     exit 2
     ");
