Tell a document that was applied before from one that is in force

Applying a file again said that it was in force already, also when a later revision had replaced it, and a dry run said that it would come into force. The plan now holds the newest revision if the text was made before, and each message says no more than is known.

Two tests more: mutated settings, and texts that YAML could take for something else, typed into each input of an upstream, where each must be a problem of that input alone.

Run: cargo test -p config -p apply -p console -p jayquay, all passed.

--- a/crates/apply/src/plan.rs
+++ b/crates/apply/src/plan.rs
@@ -46,8 +46,8 @@
     pub document: Document,
     /// What it changes.
     pub differences: Vec<Difference>,
-    /// Whether the platform holds this very text under this revision already.
-    pub in_force: bool,
+    /// The newest revision at the platform, if this very text was made before and so nothing is left to do.
+    pub made: Option<Revision>,
 }
 
 /// Plans to apply `document` in place of the revision `from`, which is the one that was reviewed.
@@ -62,9 +62,9 @@
         return Err(Refusal::Unknown { from, newest });
     }
     let base = read_base(client, from).await?;
-    let in_force = match client.revision(document.revision).await? {
-        None => false,
-        Some(made) if made.text == document.text => true,
+    let made = match client.revision(document.revision).await? {
+        None => None,
+        Some(made) if made.text == document.text => Some(newest.max(made.revision)),
         Some(winner) => return Err(refusal::raced(&base, &document, &winner)),
     };
     let differences = base.differences(&document);
@@ -73,7 +73,7 @@
         base,
         document,
         differences,
-        in_force,
+        made,
     })
 }
 
--- a/crates/apply/src/write.rs
+++ b/crates/apply/src/write.rs
@@ -35,7 +35,7 @@
 /// Nonces lie below this, so that every JSON reader keeps them exact.
 const NONCE_END: u64 = 1 << 53;
 
-/// A document came into force at the platform.
+/// A document came into force at the platform. If that was read back, a later one may be in force by now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Applied {
     /// The revision that was made.
@@ -49,7 +49,7 @@
 /// The write is sent again only under its own nonce and condition, so that it never takes effect twice.
 pub async fn apply(client: &Client, plan: &Plan, patience: Patience) -> Result<Applied, Refusal> {
     let revision = plan.document.revision;
-    if plan.in_force {
+    if plan.made.is_some() {
         let read_back = true;
         return Ok(Applied { revision, read_back });
     }
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use config::parse_settings;
 use insta::assert_snapshot;
+use proptest::prelude::*;
 
 const VALID: &str = r#"
 name: entry-1
@@ -108,3 +109,17 @@
     3:1: no such field; allowed: `name`, `zone`, `listen`, `advertise`, `platform`, `peers`, `secrets`, `limits`, `stop-within-ms` and `token-lifetime-s`
     ");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn mutated_text_is_taken_or_refused(at in 0..VALID.len(), len in 0..20_usize, insert in "[\\PC\n]{0,8}") {
+        let mut text = VALID.to_owned();
+        let end = (at + len).min(text.len());
+        text.replace_range(at..end, &insert);
+        if let Err(problems) = parse_settings(&text) {
+            prop_assert!(!problems.is_empty());
+        }
+    }
+}
--- a/crates/console/src/routes/answer.rs
+++ b/crates/console/src/routes/answer.rs
@@ -81,10 +81,10 @@
 /// The draft came into force.
 pub fn applied(document: &Document, differences: &[Difference], read_back: bool) -> Response {
     let revision = document.revision;
-    let note = if read_back {
-        ", as was read back after the answer was lost"
+    let words = if read_back {
+        "came into force at the platform, as was read back after the answer was lost."
     } else {
-        ""
+        "is in force at the platform."
     };
     let more = html! {
         p { "Digest " code { (document.digest) } }
@@ -93,7 +93,7 @@
     notice(
         StatusCode::OK,
         "Applied",
-        &format!("Revision {revision} is in force at the platform{note}."),
+        &format!("Revision {revision} {words}"),
         &more,
     )
 }
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -152,6 +152,37 @@
     assert_eq!(handle.counts().writes, 0);
 }
 
+/// What an upstream's inputs hold at first.
+const UPSTREAM: [(&str, &str); 5] = [
+    ("services[0].upstreams[0].name", "search-1"),
+    ("services[0].upstreams[0].zone", "brugge"),
+    ("services[0].upstreams[0].address", "10.2.0.1:8080"),
+    ("services[0].upstreams[0].slots", "2"),
+    ("services[0].upstreams[0].state", "active"),
+];
+
+#[tokio::test]
+async fn no_value_leaks_into_another_field() {
+    let (_handle, browser) = start().await;
+    let texts = [
+        "\"", "#", "a: b", "- a", "*a", "&a", "!a", "~", "null", "true", "|", "{}", "\\", "a\nb", "\u{85}", "---", "é",
+    ];
+    for (field, valid) in UPSTREAM {
+        for text in texts {
+            let page = browser.press(SERVICE, SERVICE, "save", &[(field, text)]).await;
+            let listed = page.between("<h2>Problems</h2>", "</ul>");
+            let is_name = field == UPSTREAM[0].0 && ["null", "true"].contains(&text);
+            assert_eq!(
+                listed.matches("<li>").count(),
+                usize::from(!is_name),
+                "{field}: {text:?}"
+            );
+            assert_eq!(listed.contains(&format!(">{field}</a>")), !is_name, "{field}: {text:?}");
+        }
+        browser.press(SERVICE, SERVICE, "save", &[(field, valid)]).await;
+    }
+}
+
 #[tokio::test]
 async fn items_are_added_and_removed() {
     let (_handle, browser) = start().await;
--- a/crates/jayquay/src/document/apply.rs
+++ b/crates/jayquay/src/document/apply.rs
@@ -1,11 +1,13 @@
 //! `jayquay config apply`.
 
+use std::fmt;
 use std::path::PathBuf;
 
 use apply::Patience;
 use apply::Plan;
 use bpaf::Bpaf;
 use bpaf::ShellComp;
+use platform::Client;
 use serde::Serialize;
 use units::Revision;
 
@@ -57,17 +59,24 @@
     Applied,
     /// It came into force, as was read back because the platform's answer was lost.
     ReadBack,
-    /// It had come into force before.
-    Already,
+    /// It had come into force before, and this revision is the newest now.
+    Already(Revision),
 }
 
-impl Effect {
-    fn sentence(self) -> &'static str {
+impl fmt::Display for Effect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::DryRun => "would come into force; nothing was changed",
-            Self::Applied => "is in force at the platform",
-            Self::ReadBack => "is in force at the platform, as was read back after the answer was lost",
-            Self::Already => "was in force at the platform already; nothing was changed",
+            Self::DryRun => f.write_str("would come into force; nothing was changed"),
+            Self::Applied => f.write_str("is in force at the platform"),
+            Self::ReadBack => {
+                f.write_str("came into force at the platform, as was read back after the answer was lost")
+            }
+            Self::Already(newest) => {
+                write!(
+                    f,
+                    "had come into force already; nothing was changed, and revision {newest} is the newest"
+                )
+            }
         }
     }
 }
@@ -88,11 +97,7 @@
     };
     let client = args.platform.client();
     let plan = apply::plan(&client, args.from, document).await?;
-    let effect = if args.dry_run {
-        Effect::DryRun
-    } else {
-        carry_out(&client, &plan).await?
-    };
+    let effect = carry_out(&client, &plan, args.dry_run).await?;
     Ok(Report::done(if args.json {
         as_json(&plan, effect)
     } else {
@@ -100,9 +105,12 @@
     }))
 }
 
-async fn carry_out(client: &platform::Client, plan: &Plan) -> Result<Effect, Error> {
-    if plan.in_force {
-        return Ok(Effect::Already);
+async fn carry_out(client: &Client, plan: &Plan, dry_run: bool) -> Result<Effect, Error> {
+    if let Some(newest) = plan.made {
+        return Ok(Effect::Already(newest));
+    }
+    if dry_run {
+        return Ok(Effect::DryRun);
     }
     let applied = apply::apply(client, plan, Patience::default()).await?;
     Ok(if applied.read_back {
@@ -117,8 +125,7 @@
     let revision = plan.document.revision;
     let digest = plan.document.digest;
     let list = diff::lines(&plan.differences);
-    let sentence = effect.sentence();
-    format!("from revision {from} to revision {revision}\n{list}revision {revision}, digest {digest}, {sentence}\n")
+    format!("from revision {from} to revision {revision}\n{list}revision {revision}, digest {digest}, {effect}\n")
 }
 
 fn as_json(plan: &Plan, effect: Effect) -> String {
