--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -9,6 +9,7 @@
 
 use crate::call;
 use crate::console;
+use crate::demo;
 use crate::document;
 use crate::exit;
 use crate::exit::Report;
@@ -24,6 +25,9 @@
     /// Change the configuration document by forms in a browser.
     #[bpaf(command("console"), header(console::HEADER), footer(console::EXAMPLE))]
     Console(#[bpaf(external(console::args))] console::Args),
+    /// Show a whole system under traffic, failing if it breaks a promise.
+    #[bpaf(command("demo"), header(demo::HEADER))]
+    Demo(#[bpaf(external(demo::args))] demo::Args),
     /// Make one request, as a caller would.
     #[bpaf(command("call"), footer(call::EXAMPLES))]
     Call(#[bpaf(external(call::args))] call::Args),
@@ -54,6 +58,7 @@
     match command {
         Command::Config(command) => exit::finish(document::run(command).await),
         Command::Console(args) => exit::finish(console::run(args).await),
+        Command::Demo(args) => exit::finish(demo::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
     }
