Prove two mechanisms whose loss no test noticed

Sixteen mechanisms of the document, its application and the console were disabled in turn. Two losses went unnoticed: a wrong value in the console's cookie, and sending a write again that got lost before it took effect. Each has a test now that fails without its mechanism.

--- a/crates/apply/tests/apply.rs
+++ b/crates/apply/tests/apply.rs
@@ -1,5 +1,6 @@
 //! What becomes of a document under races, lost answers and outages.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use apply::Applied;
@@ -12,6 +13,7 @@
 use standin::platform as stand_in;
 use standin::platform::Behaviour;
 use standin::platform::Handle;
+use tokio::net::TcpListener;
 use units::Revision;
 
 const PATIENCE: Patience = Patience {
@@ -109,6 +111,28 @@
     assert_eq!(taken(&handle), 1);
 }
 
+/// Takes connections and answers nothing.
+async fn silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            drop(connection);
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_write_that_got_lost_itself_is_sent_again() {
+    let (handle, client) = platform().await;
+    let plan = apply::plan(&client, Revision(1), document(2, "an", 2)).await;
+    let plan = plan.expect("the platform serves");
+    let client = Client::new(Options::new(vec![silent().await, handle.address()]));
+    assert_snapshot!(told(apply::apply(&client, &plan, PATIENCE).await), @"revision 2 made, read back: true");
+    assert_eq!(taken(&handle), 1);
+}
+
 #[tokio::test]
 async fn an_outage_changes_nothing() {
     let (handle, client) = platform().await;
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -5,6 +5,7 @@
 use insta::assert_snapshot;
 use reqwest::Method;
 use reqwest::StatusCode;
+use reqwest::header::COOKIE;
 use reqwest::header::HOST;
 use support::Browser;
 use support::DOCUMENT;
@@ -252,6 +253,9 @@
     }
     let stranger = fetch(browser.bare(Method::GET, "/")).await;
     assert_eq!(stranger.status, StatusCode::FORBIDDEN);
+    let cookie = browser.wrong_cookie();
+    let impostor = fetch(browser.bare(Method::GET, "/").header(COOKIE, cookie)).await;
+    assert_eq!(impostor.status, StatusCode::FORBIDDEN);
     let guess = fetch(browser.bare(Method::GET, "/enter?key=0")).await;
     assert_eq!(guess.status, StatusCode::FORBIDDEN);
     let rebound = fetch(browser.bare(Method::GET, "/").header(HOST, "evil.example")).await;
--- a/crates/console/tests/support/mod.rs
+++ b/crates/console/tests/support/mod.rs
@@ -78,6 +78,12 @@
         self.http.request(method, format!("{}{path}", self.origin))
     }
 
+    /// A cookie of the right name.
+    pub fn wrong_cookie(&self) -> String {
+        let name = self.cookie.split('=').next().unwrap_or_default();
+        format!("{name}=0")
+    }
+
     pub async fn get(&self, path: &str) -> Page {
         fetch(self.bare(Method::GET, path).header(COOKIE, &self.cookie)).await
     }
