--- a/crates/jayquay/tests/files.rs
+++ b/crates/jayquay/tests/files.rs
@@ -186,3 +186,14 @@
     exit 0
     ");
 }
+
+#[test]
+fn the_shell_completes_commands() {
+    assert_snapshot!(shown(&["--bpaf-complete-rev=8", "config", "a"]), @r"
+    COMPREPLY+=( 'apply' )
+
+    exit 0
+    ");
+    let script = shown(&["--bpaf-complete-style-bash"]);
+    assert!(script.contains("complete"), "{script}");
+}
