membership: let nobody be taken for dead on hearsay when a partition heals

Cause 1: a member that had refuted a doubt already ignored the same doubt from somebody who had not heard of that, and was then taken for dead there. A member in doubt is now probed directly two probe timeouts before its time is up; whoever lives answers that at once. The whole time to refute is the same as before. Ruled out: telling a suspect at once by everybody who hears of it (n frames per suspicion).

The state can be copied now (for the model): the random source is `SmallRng`, since `StdRng` can't be copied. Nothing secret is drawn from it.

--- a/crates/membership/src/lasting.rs
+++ b/crates/membership/src/lasting.rs
@@ -38,7 +38,7 @@
 }
 
 /// The known hand-overs.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct Successors {
     records: BTreeMap<Life, Life>,
     pub(crate) view: u64,
@@ -121,7 +121,7 @@
 }
 
 /// The highest leaving incarnation of each upstream.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct Marks {
     highest: BTreeMap<UpstreamName, Incarnation>,
     pub(crate) view: u64,
--- a/crates/membership/src/learn.rs
+++ b/crates/membership/src/learn.rs
@@ -1,11 +1,12 @@
 //! Merging what others say into the view.
 
-use units::Time;
+use units::InstanceName;
 use wire::Gossip;
 use wire::Member;
 use wire::MemberState;
 
 use crate::lasting::Life;
+use crate::membership::Deadline;
 use crate::membership::Membership;
 use crate::news::Topic;
 use crate::output::Output;
@@ -13,9 +14,6 @@
 use crate::table::Known;
 use crate::table::weigh;
 
-/// How many probe timeouts a member has to refute that others take it for dead.
-const HURRY: u32 = 2;
-
 impl Membership {
     /// Takes in a frame's gossip, and the proof of life that the frame itself is.
     pub(crate) fn hear(&mut self, from: &Life, gossip: &Gossip, out: &mut Vec<Output>) {
@@ -67,8 +65,15 @@
 
     /// Makes a member that others take for dead a suspect with little time, and tells it so that it can refute.
     fn doubt(&mut self, report: &Member, out: &mut Vec<Output>) {
-        let deadline = self.now + self.timing.probe_timeout * HURRY;
-        if self.deadlines.get(&report.name).is_some_and(|held| *held <= deadline) {
+        let deadline = Deadline {
+            at: self.now + self.timing.last_chance(),
+            told: true,
+        };
+        if self
+            .deadlines
+            .get(&report.name)
+            .is_some_and(|held| held.at <= deadline.at)
+        {
             return;
         }
         let member = Member {
@@ -87,9 +92,15 @@
             return;
         }
         let doubted = matches!(report.state, MemberState::Suspect | MemberState::Dead);
-        let outdated = doubted && report.refutation < self.me.refutation;
-        let in_order = !doubted && report.refutation <= self.me.refutation;
-        if outdated || in_order {
+        if doubted && report.refutation < self.me.refutation {
+            // It was refuted already, but the teller has not heard of that and may be about to take it for true.
+            let gossip = Gossip {
+                members: vec![self.me.clone()],
+                ..Gossip::default()
+            };
+            return self.send_news(&from.name, gossip, out);
+        }
+        if !doubted && report.refutation <= self.me.refutation {
             return;
         }
         let before = self.me.refutation;
@@ -172,11 +183,14 @@
 
     /// Gives a member in doubt time to refute, or a part of it.
     pub(crate) fn give_time(&mut self, member: &Member, divisor: u32) {
-        let patience = self.timing.patience(self.table.present_len() + 1);
-        let deadline = self.now + patience / divisor;
-        let held = self.deadlines.get(&member.name).copied();
-        let earliest = held.map_or(deadline, |held| held.min(deadline));
-        self.deadlines.insert(member.name.clone(), earliest);
+        let patience = self.timing.patience(self.table.present_len() + 1) / divisor;
+        let until_told = patience.saturating_sub(self.timing.last_chance());
+        let at = self.now + until_told;
+        if self.deadlines.get(&member.name).is_some_and(|held| held.at <= at) {
+            return;
+        }
+        let deadline = Deadline { at, told: false };
+        self.deadlines.insert(member.name.clone(), deadline);
     }
 
     /// Notes that a frame came from this incarnation itself, so it is not dead.
@@ -196,20 +210,35 @@
     }
 
     /// Takes those for dead that did not refute in time.
+    ///
+    /// Most suspicions are hearsay, and the refutation may not have come through. So before its time is up, a member
+    /// is probed directly, and whoever lives answers that at once.
     pub(crate) fn expire_suspects(&mut self, out: &mut Vec<Output>) {
         let now = self.now;
-        let due = |(name, deadline): (&_, &Time)| (*deadline <= now).then(|| Clone::clone(name));
-        let names: Vec<units::InstanceName> = self.deadlines.iter().filter_map(due).collect();
+        let due = |(name, deadline): (&InstanceName, &Deadline)| (deadline.at <= now).then(|| name.clone());
+        let names: Vec<InstanceName> = self.deadlines.iter().filter_map(due).collect();
         for name in names {
-            self.deadlines.remove(&name);
-            let Some(known) = self.table.get(&name) else {
+            let Some(deadline) = self.deadlines.remove(&name) else {
                 continue;
             };
-            let member = Member {
-                state: MemberState::Dead,
-                ..known.member.clone()
-            };
-            self.change(member, out);
+            if !deadline.told {
+                let at = now + self.timing.last_chance();
+                self.deadlines.insert(name.clone(), Deadline { at, told: true });
+                self.probe_once(&name, out);
+                continue;
+            }
+            self.bury(&name, out);
         }
     }
+
+    fn bury(&mut self, name: &InstanceName, out: &mut Vec<Output>) {
+        let Some(known) = self.table.get(name) else {
+            return;
+        };
+        let member = Member {
+            state: MemberState::Dead,
+            ..known.member.clone()
+        };
+        self.change(member, out);
+    }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use rand::SeedableRng;
-use rand::rngs::StdRng;
+use rand::rngs::SmallRng;
 use units::Incarnation;
 use units::InstanceName;
 use units::Revision;
@@ -29,17 +29,25 @@
 use crate::table::Table;
 use crate::timing::Timing;
 
+/// How long a member in doubt has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Deadline {
+    pub(crate) at: Time,
+    /// Whether it has been told directly, so that it counts as dead when this is over.
+    pub(crate) told: bool,
+}
+
 /// One instance's part in the fleet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Membership {
     pub(crate) me: Member,
     pub(crate) my_key: u64,
     pub(crate) timing: Timing,
-    pub(crate) rng: StdRng,
+    pub(crate) rng: SmallRng,
     pub(crate) now: Time,
     pub(crate) table: Table,
     /// When a member that is suspected, or leaving and silent, counts as dead.
-    pub(crate) deadlines: BTreeMap<InstanceName, Time>,
+    pub(crate) deadlines: BTreeMap<InstanceName, Deadline>,
     pub(crate) successors: Successors,
     pub(crate) marks: Marks,
     pub(crate) news: News,
@@ -61,7 +69,7 @@
         };
         let mut news = News::default();
         news.push(Topic::Member(me.name.clone()));
-        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
         Self {
             my_key: member_key(&me.name),
             probes: Probes::new(&timing, now, &mut rng),
@@ -209,7 +217,7 @@
         if pause > self.timing.probe_timeout {
             self.probes.postpone(pause);
             for deadline in self.deadlines.values_mut() {
-                *deadline = *deadline + pause;
+                deadline.at = deadline.at + pause;
             }
         }
         self.now = self.now.max(now);
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -21,7 +21,7 @@
 /// How many topics wait at most. When more comes at once, exchanges of all that is known tell it cheaper.
 const MAX_ITEMS: usize = 48;
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Item {
     topic: Topic,
     sent: u32,
@@ -29,7 +29,7 @@
 }
 
 /// What is still to be told.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct News {
     items: Vec<Item>,
     serial: u64,
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use rand::rngs::StdRng;
+use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::seq::SliceRandom;
 use units::InstanceName;
@@ -34,7 +34,7 @@
 }
 
 /// A probe of one's own that is not answered yet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Pending {
     target: Life,
     /// What of this instance's own record the probe tells.
@@ -45,7 +45,7 @@
 }
 
 /// A probe on behalf of another member.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Errand {
     requester: InstanceName,
     seq: u64,
@@ -53,7 +53,7 @@
 }
 
 /// The probes in progress, and whose turn it is next.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Probes {
     seq: u64,
     next: Time,
@@ -64,7 +64,7 @@
 
 impl Probes {
     /// Starts at a random point of the period, so that members that start together don't probe in step.
-    pub(crate) fn new(timing: &Timing, now: Time, rng: &mut StdRng) -> Self {
+    pub(crate) fn new(timing: &Timing, now: Time, rng: &mut SmallRng) -> Self {
         Self {
             seq: 0,
             next: now + timing.probe_every.mul_f64(rng.random()),
@@ -167,6 +167,17 @@
         self.probes.pending.insert(seq, pending);
     }
 
+    /// Probes a member that is in doubt already. Its answer clears it; its silence adds nothing.
+    pub(crate) fn probe_once(&mut self, name: &InstanceName, out: &mut Vec<Output>) {
+        let Some(known) = self.table.get(name) else {
+            return;
+        };
+        let member = known.member.clone();
+        let seq = self.probes.next_seq();
+        let gossip = self.gossip_for(&member);
+        out.push(send(&member, Frame::Probe(seq, gossip)));
+    }
+
     /// Takes in the answer to a probe, from its target or from a helper.
     pub(crate) fn acked(&mut self, from: &Life, seq: u64, out: &mut Vec<Output>) {
         if let Some(errand) = self.probes.errands.remove(&seq) {
--- a/crates/membership/src/seed.rs
+++ b/crates/membership/src/seed.rs
@@ -24,7 +24,7 @@
 const MAX_SEEDS: usize = 256;
 
 /// Where an instance may be found.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Seed {
     zone: ZoneName,
     address: SocketAddr,
@@ -32,7 +32,7 @@
 }
 
 /// The hints, and when to follow them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Seeds {
     hints: BTreeMap<InstanceName, Seed>,
     /// How many contacts may still be made without waiting, right after the start.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -102,7 +102,7 @@
 }
 
 /// The other instances by name.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct Table {
     known: BTreeMap<InstanceName, Known>,
     present: usize,
--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -50,4 +50,8 @@
         let decades = (members.max(10) as f64).log10();
         self.suspect_for.mul_f64(decades)
     }
+    /// How long before its time is up a member in doubt is told so directly.
+    pub fn last_chance(&self) -> Duration {
+        self.probe_timeout * 2
+    }
 }
--- a/crates/membership/tests/faults.rs
+++ b/crates/membership/tests/faults.rs
@@ -100,3 +100,25 @@
         assert!(fleet.is_converged(), "pause of {seconds} s");
     }
 }
+
+fn check_heals_without_a_false_death(count: usize, seed: u64) {
+    let mut fleet = Fleet::new(ZONES, seed);
+    fleet.start_all(count, count);
+    fleet.run(Duration::from_secs(20));
+    fleet.cut(&[seed as usize % ZONES]);
+    fleet.run(Duration::from_secs(30));
+    fleet.cut(&[]);
+    fleet.run(Duration::from_mins(1));
+    assert!(fleet.is_converged(), "{count} members, seed {seed}");
+    assert_eq!(fleet.false_deaths, 0, "{count} members, seed {seed}");
+}
+
+#[test]
+fn a_partition_heals_without_a_false_death() {
+    for seed in 0..60 {
+        check_heals_without_a_false_death(9, seed);
+    }
+    for seed in 0..6 {
+        check_heals_without_a_false_death(32, seed);
+    }
+}
