node: let a node be copied

The model explores whole nodes and needs copies of their state. The random source is `SmallRng`, since `StdRng` can't be copied; flow numbers drawn from it are no secret, the token's MAC is what callers can't make.

--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -34,7 +34,7 @@
 const WANT_AGAIN: Duration = Duration::from_millis(250);
 
 /// The document in force and some before it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct Documents {
     current: Option<Arc<Document>>,
     earlier: VecDeque<Arc<Document>>,
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -42,7 +42,7 @@
 }
 
 /// A service whose slots this instance lends.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Home {
     /// The service's central queue.
     pub pool: Pool<SlotKey>,
--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -26,7 +26,7 @@
 const RECHECK: Duration = Duration::from_secs(1);
 
 /// What a ledger says of a request that has just come.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup<'a> {
     /// It has not come before, and may begin.
     New,
@@ -39,14 +39,14 @@
 }
 
 /// When a flow's ledger is looked at.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct FlowExpiry {
     at: Time,
     key: FlowKey,
 }
 
 /// When the line of a request that has ended sinks.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct LineExpiry {
     at: Time,
     key: FlowKey,
@@ -54,7 +54,7 @@
 }
 
 /// The ledgers of all flows that an instance owns.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Ledgers {
     flows: HashMap<FlowKey, Ledger>,
     open: VecDeque<FlowExpiry>,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,7 +11,7 @@
 use membership::Membership;
 use membership::Timing;
 use rand::SeedableRng;
-use rand::rngs::StdRng;
+use rand::rngs::SmallRng;
 use token::Keyring;
 use units::Incarnation;
 use units::InstanceName;
@@ -84,7 +84,7 @@
 }
 
 /// An entry instance.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     pub(crate) me: Peer,
     pub(crate) started: Time,
@@ -92,7 +92,7 @@
     pub(crate) keyring: Keyring,
     pub(crate) limits: Limits,
     pub(crate) stop_within: Duration,
-    pub(crate) rng: StdRng,
+    pub(crate) rng: SmallRng,
     pub(crate) documents: Documents,
     pub(crate) membership: Membership,
     /// The incarnations whose flows this node owns: its own, and those whose ledgers it has taken over.
@@ -140,7 +140,7 @@
             zone: setup.zone,
             keyring: setup.keyring,
             stop_within: setup.stop_within,
-            rng: StdRng::seed_from_u64(setup.seed),
+            rng: SmallRng::seed_from_u64(setup.seed),
             documents: Documents::default(),
             membership: Membership::new(me, Timing::default(), setup.seed, now),
             owned: BTreeSet::from([setup.incarnation]),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -40,7 +40,7 @@
 const SEND_AGAIN: Duration = Duration::from_millis(500);
 
 /// How far a planned stop has come.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Stop {
     /// None has begun.
     Serving,
@@ -53,14 +53,14 @@
 }
 
 /// A stop that the others are told of.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Announced {
     handover_at: Time,
     end_by: Time,
 }
 
 /// A stop whose ledgers have been sent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct HandedOver {
     successor: Peer,
     refused_by: BTreeSet<Peer>,
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -27,7 +27,7 @@
 use crate::ticket::Ticket;
 
 /// The parts of a hand-over that have arrived so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct Incoming {
     parts: BTreeMap<u32, Vec<HandoverFlow>>,
 }
