--- a/crates/jayquay/tests/stand_in.rs
+++ b/crates/jayquay/tests/stand_in.rs
@@ -121,7 +121,7 @@
     exit 1
     ");
     assert_snapshot!(shown(&["stand-in", "fabric"]), @r"
-    Error: at least one --listen is needed
+    jayquay: at least one --listen is needed
     exit 2
     ");
     assert_snapshot!(shown(&["stand-in", "fabric", "--listen", "127.0.0.1:0", "--behaviour", r#"{"lots": 1}"#]), @r#"
