Read fields of a document in one way

Required and optional fields were read in three ways, one of which filled in zeros after a problem. `read` and `read_or` of a mapping do it now, and names and addresses that must be unique are read by the cursor for both kinds of text.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -25,7 +25,6 @@
 use crate::UpstreamState;
 use crate::Zone;
 use crate::cursor::Cursor;
-use crate::cursor::Fields;
 use crate::cursor::Report;
 use crate::tree;
 use crate::tree::Quoting;
@@ -77,18 +76,10 @@
 fn document(top: &Cursor<'_>, text: &str, report: &mut Report) -> Option<Document> {
     let fields = top.fields(&["revision", "change", "zones", "services"], report)?;
     let mut seen = Seen::default();
-    let revision = fields
-        .required("revision", report)
-        .and_then(|value| value.number(REVISIONS, report));
-    let change = fields
-        .required("change", report)
-        .and_then(|value| change(&value, report));
-    let zones = fields
-        .required("zones", report)
-        .and_then(|value| zones(&value, &mut seen, report));
-    let services = fields
-        .required("services", report)
-        .and_then(|value| services(&value, &mut seen, report));
+    let revision = fields.read("revision", report, |value, report| value.number(REVISIONS, report));
+    let change = fields.read("change", report, change);
+    let zones = fields.read("zones", report, |value, report| zones(value, &mut seen, report));
+    let services = fields.read("services", report, |value, report| services(value, &mut seen, report));
     Some(Document {
         revision: Revision(revision?),
         digest: Digest::of(text.as_bytes()),
@@ -101,13 +92,11 @@
 
 fn change(cursor: &Cursor<'_>, report: &mut Report) -> Option<Change> {
     let fields = cursor.fields(&["author", "approver", "reason"], report)?;
-    let author = fields
-        .required("author", report)
-        .and_then(|value| value.prose(PERSON_LEN, report));
-    let approver = approver(&fields, author.as_deref(), report);
-    let reason = fields
-        .required("reason", report)
-        .and_then(|value| value.prose(REASON_LEN, report));
+    let author = fields.read("author", report, |value, report| value.prose(PERSON_LEN, report));
+    let approver = fields.read("approver", report, |value, report| {
+        approver(value, author.as_deref(), report)
+    });
+    let reason = fields.read("reason", report, |value, report| value.prose(REASON_LEN, report));
     Some(Change {
         author: author?,
         approver: approver?,
@@ -115,8 +104,7 @@
     })
 }
 
-fn approver(fields: &Fields<'_>, author: Option<&str>, report: &mut Report) -> Option<String> {
-    let value = fields.required("approver", report)?;
+fn approver(value: &Cursor<'_>, author: Option<&str>, report: &mut Report) -> Option<String> {
     let approver = value.prose(PERSON_LEN, report)?;
     if author.is_some_and(|author| author.to_lowercase() == approver.to_lowercase()) {
         value.note(report, Fault::SameAuthor);
@@ -134,8 +122,10 @@
 
 fn zone(cursor: &Cursor<'_>, seen: &mut Seen, report: &mut Report) -> Option<Zone> {
     let fields = cursor.fields(&["name", "region"], report)?;
-    let name = unique_name(&fields, &mut seen.zones, report);
-    let region = fields.required("region", report).and_then(|value| value.name(report));
+    let name = fields.read("name", report, |value, report| {
+        value.unique_name(&mut seen.zones, report)
+    });
+    let region = fields.read("region", report, Cursor::name);
     Some(Zone {
         name: name?,
         region: region?,
@@ -152,18 +142,13 @@
 
 fn service(cursor: &Cursor<'_>, seen: &mut Seen, report: &mut Report) -> Option<Service> {
     let fields = cursor.fields(&["name", "addresses", "sharing", "kinds", "upstreams"], report)?;
-    let name = unique_name(&fields, &mut seen.services, report);
-    let addresses = fields
-        .required("addresses", report)
-        .and_then(|value| addresses(&value, seen, report));
-    let sharing = match fields.optional("sharing") {
-        Some(value) => sharing(&value, report),
-        None => Some(Sharing::default()),
-    };
-    let kinds = fields.required("kinds", report).and_then(|value| kinds(&value, report));
-    let upstreams = fields
-        .required("upstreams", report)
-        .and_then(|value| upstreams(&value, seen, report));
+    let name = fields.read("name", report, |value, report| {
+        value.unique_name(&mut seen.services, report)
+    });
+    let addresses = fields.read("addresses", report, |value, report| addresses(value, seen, report));
+    let sharing = fields.read_or("sharing", Sharing::default(), report, sharing);
+    let kinds = fields.read("kinds", report, kinds);
+    let upstreams = fields.read("upstreams", report, |value, report| upstreams(value, seen, report));
     Some(Service {
         name: name?,
         addresses: addresses?,
@@ -176,7 +161,7 @@
 fn addresses(cursor: &Cursor<'_>, seen: &mut Seen, report: &mut Report) -> Option<Vec<SocketAddr>> {
     let mut addresses = Vec::new();
     for item in cursor.items(ADDRESS_COUNT, report)? {
-        addresses.extend(unique_address(&item, &mut seen.service_addresses, report));
+        addresses.extend(item.unique_address(&mut seen.service_addresses, report));
     }
     Some(addresses)
 }
@@ -190,23 +175,28 @@
         "slow-start-ms",
     ];
     let fields = cursor.fields(known, report)?;
-    let mut sharing = Sharing::default();
-    if let Some(value) = fields.optional("affinity") {
-        sharing.affinity = affinity(&value, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("prefer-local-zone") {
-        sharing.prefer_local_zone = value.flag(report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("queue-limit") {
-        sharing.queue_limit = value.number32(QUEUE_LIMITS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("retry-budget-percent") {
-        sharing.retry_budget_percent = value.number32(PERCENTS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("slow-start-ms") {
-        sharing.slow_start = Millis(value.number32(SLOW_STARTS, report).unwrap_or_default()).duration();
-    }
-    Some(sharing)
+    let default = Sharing::default();
+    let number = |range| move |value: &Cursor<'_>, report: &mut Report| value.number32(range, report);
+    let affinity = fields.read_or("affinity", default.affinity, report, affinity);
+    let local = fields.read_or("prefer-local-zone", default.prefer_local_zone, report, Cursor::flag);
+    let queue = fields.read_or("queue-limit", default.queue_limit, report, number(QUEUE_LIMITS));
+    let retries = fields.read_or(
+        "retry-budget-percent",
+        default.retry_budget_percent,
+        report,
+        number(PERCENTS),
+    );
+    let slow_start = fields.read_or("slow-start-ms", default.slow_start, report, |value, report| {
+        let millis = value.number32(SLOW_STARTS, report)?;
+        Some(Millis(millis).duration())
+    });
+    Some(Sharing {
+        affinity: affinity?,
+        prefer_local_zone: local?,
+        queue_limit: queue?,
+        retry_budget_percent: retries?,
+        slow_start: slow_start?,
+    })
 }
 
 fn affinity(cursor: &Cursor<'_>, report: &mut Report) -> Option<Affinity> {
@@ -225,13 +215,9 @@
 
 fn kind(cursor: &Cursor<'_>, names: &mut Unique<KindName>, report: &mut Report) -> Option<Kind> {
     let fields = cursor.fields(&["name", "weight", "idempotent"], report)?;
-    let name = unique_name(&fields, names, report);
-    let weight = fields
-        .required("weight", report)
-        .and_then(|value| value.number32(WEIGHTS, report));
-    let idempotent = fields
-        .required("idempotent", report)
-        .and_then(|value| value.flag(report));
+    let name = fields.read("name", report, |value, report| value.unique_name(names, report));
+    let weight = fields.read("weight", report, |value, report| value.number32(WEIGHTS, report));
+    let idempotent = fields.read("idempotent", report, Cursor::flag);
     Some(Kind {
         name: name?,
         weight: Weight(weight?),
@@ -249,20 +235,15 @@
 
 fn upstream(cursor: &Cursor<'_>, seen: &mut Seen, report: &mut Report) -> Option<Upstream> {
     let fields = cursor.fields(&["name", "zone", "address", "slots", "state"], report)?;
-    let name = unique_name(&fields, &mut seen.upstreams, report);
-    let zone = fields
-        .required("zone", report)
-        .and_then(|value| known_zone(&value, &seen.zones, report));
-    let address = fields
-        .required("address", report)
-        .and_then(|value| unique_address(&value, &mut seen.upstream_addresses, report));
-    let slots = fields
-        .required("slots", report)
-        .and_then(|value| value.number32(SLOTS, report));
-    let state = match fields.optional("state") {
-        Some(value) => state(&value, report),
-        None => Some(UpstreamState::default()),
-    };
+    let name = fields.read("name", report, |value, report| {
+        value.unique_name(&mut seen.upstreams, report)
+    });
+    let zone = fields.read("zone", report, |value, report| known_zone(value, &seen.zones, report));
+    let address = fields.read("address", report, |value, report| {
+        value.unique_address(&mut seen.upstream_addresses, report)
+    });
+    let slots = fields.read("slots", report, |value, report| value.number32(SLOTS, report));
+    let state = fields.read_or("state", UpstreamState::default(), report, state);
     Some(Upstream {
         name: name?,
         zone: zone?,
@@ -285,20 +266,3 @@
     }
     Some(name)
 }
-
-/// The name of what `fields` describe, which must be unique among `seen`.
-fn unique_name<T>(fields: &Fields<'_>, seen: &mut Unique<T>, report: &mut Report) -> Option<T>
-where
-    T: std::str::FromStr<Err = units::NameError> + Ord + Clone + std::fmt::Display,
-{
-    let value = fields.required("name", report)?;
-    let name = value.name(report)?;
-    seen.add(&name, &value, report);
-    Some(name)
-}
-
-fn unique_address(cursor: &Cursor<'_>, seen: &mut Unique<SocketAddr>, report: &mut Report) -> Option<SocketAddr> {
-    let address = cursor.dialable(report)?;
-    seen.add(&address, cursor, report);
-    Some(address)
-}
--- a/crates/config/src/cursor.rs
+++ b/crates/config/src/cursor.rs
@@ -2,6 +2,7 @@
 //!
 //! A method that returns `None` has noted a problem, so a caller may drop what it was building.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
@@ -16,6 +17,7 @@
 use crate::tree::Entry;
 use crate::tree::Node;
 use crate::tree::Value;
+use crate::unique::Unique;
 
 /// The problems found so far.
 #[derive(Debug, Default)]
@@ -175,6 +177,23 @@
         }
         Some(address)
     }
+
+    /// A name that stands nowhere else among `seen`.
+    pub(crate) fn unique_name<T>(&self, seen: &mut Unique<T>, report: &mut Report) -> Option<T>
+    where
+        T: FromStr<Err = NameError> + Ord + Clone + fmt::Display,
+    {
+        let name = self.name(report)?;
+        seen.add(&name, self, report);
+        Some(name)
+    }
+
+    /// An address that others can dial and that stands nowhere else among `seen`.
+    pub(crate) fn unique_address(&self, seen: &mut Unique<SocketAddr>, report: &mut Report) -> Option<SocketAddr> {
+        let address = self.dialable(report)?;
+        seen.add(&address, self, report);
+        Some(address)
+    }
 }
 
 /// The fields of a mapping.
@@ -220,16 +239,32 @@
     }
 
     /// The value of a field that may be left out.
-    pub(crate) fn optional(&self, name: &str) -> Option<Cursor<'a>> {
+    pub(crate) fn find(&self, name: &str) -> Option<Cursor<'a>> {
         let member = self.members.iter().find(|member| member.name == name)?;
         let field = self.owner.field.member(name);
         let node = member.value;
         Some(Cursor { node, field })
     }
 
-    /// The value of a field that must be there.
-    pub(crate) fn required(&self, name: &str, report: &mut Report) -> Option<Cursor<'a>> {
-        let value = self.optional(name);
-        value.or_else(|| self.owner.refuse(report, Fault::Missing(name.to_owned())))
+    /// Reads a field that must be there.
+    pub(crate) fn read<T, F>(&self, name: &str, report: &mut Report, read: F) -> Option<T>
+    where
+        F: FnOnce(&Cursor<'a>, &mut Report) -> Option<T>,
+    {
+        match self.find(name) {
+            Some(value) => read(&value, report),
+            None => self.owner.refuse(report, Fault::Missing(name.to_owned())),
+        }
+    }
+
+    /// Reads a field that may be left out, and then has the value `default`.
+    pub(crate) fn read_or<T, F>(&self, name: &str, default: T, report: &mut Report, read: F) -> Option<T>
+    where
+        F: FnOnce(&Cursor<'a>, &mut Report) -> Option<T>,
+    {
+        match self.find(name) {
+            Some(value) => read(&value, report),
+            None => Some(default),
+        }
     }
 }
--- a/crates/config/src/settings_check.rs
+++ b/crates/config/src/settings_check.rs
@@ -11,7 +11,6 @@
 use crate::Fault;
 use crate::Problem;
 use crate::cursor::Cursor;
-use crate::cursor::Fields;
 use crate::cursor::Report;
 use crate::settings::Advertise;
 use crate::settings::Limits;
@@ -64,37 +63,18 @@
         "token-lifetime-s",
     ];
     let fields = top.fields(known, report)?;
-    let name = fields.required("name", report).and_then(|value| value.name(report));
-    let zone = fields.required("zone", report).and_then(|value| value.name(report));
-    let advertise = match fields.optional("advertise") {
-        Some(value) => advertise(&value, report),
-        None => Some(Advertise::default()),
-    };
-    let listen = fields
-        .required("listen", report)
-        .and_then(|value| listen(&value, advertise.as_ref(), report));
-    let platform = fields
-        .required("platform", report)
-        .and_then(|value| platform(&value, report));
-    let peers = match fields.optional("peers") {
-        Some(value) => peers(&value, report),
-        None => Some(Vec::new()),
-    };
-    let secrets = fields
-        .required("secrets", report)
-        .and_then(|value| secrets(&value, report));
-    let limits = match fields.optional("limits") {
-        Some(value) => limits(&value, report),
-        None => Some(Limits::default()),
-    };
-    let stop_within = match fields.optional("stop-within-ms") {
-        Some(value) => value.number(STOPS, report).map(Duration::from_millis),
-        None => Some(DEFAULT_STOP),
-    };
-    let token_lifetime = match fields.optional("token-lifetime-s") {
-        Some(value) => value.number(LIFETIMES, report).map(Duration::from_secs),
-        None => Some(DEFAULT_LIFETIME),
-    };
+    let name = fields.read("name", report, Cursor::name);
+    let zone = fields.read("zone", report, Cursor::name);
+    let advertise = fields.read_or("advertise", Advertise::default(), report, advertise);
+    let listen = fields.read("listen", report, |value, report| {
+        listen(value, advertise.as_ref(), report)
+    });
+    let platform = fields.read("platform", report, platform);
+    let peers = fields.read_or("peers", Vec::new(), report, peers);
+    let secrets = fields.read("secrets", report, secrets);
+    let limits = fields.read_or("limits", Limits::default(), report, limits);
+    let stop_within = fields.read_or("stop-within-ms", DEFAULT_STOP, report, stop_within);
+    let token_lifetime = fields.read_or("token-lifetime-s", DEFAULT_LIFETIME, report, token_lifetime);
     Some(Settings {
         name: name?,
         zone: zone?,
@@ -109,23 +89,34 @@
     })
 }
 
+fn stop_within(value: &Cursor<'_>, report: &mut Report) -> Option<Duration> {
+    value.number(STOPS, report).map(Duration::from_millis)
+}
+
+fn token_lifetime(value: &Cursor<'_>, report: &mut Report) -> Option<Duration> {
+    value.number(LIFETIMES, report).map(Duration::from_secs)
+}
+
 fn advertise(cursor: &Cursor<'_>, report: &mut Report) -> Option<Advertise> {
     let fields = cursor.fields(&["callers", "instances", "admin"], report)?;
-    let mut address = |name| fields.optional(name).and_then(|value| value.dialable(report));
+    let dialable = |value: &Cursor<'_>, report: &mut Report| value.dialable(report).map(Some);
+    let callers = fields.read_or("callers", None, report, dialable);
+    let instances = fields.read_or("instances", None, report, dialable);
+    let admin = fields.read_or("admin", None, report, dialable);
+    // One bad address must not hide that another one is missing, so the rest is kept.
     Some(Advertise {
-        callers: address("callers"),
-        instances: address("instances"),
-        admin: address("admin"),
+        callers: callers.flatten(),
+        instances: instances.flatten(),
+        admin: admin.flatten(),
     })
 }
 
 fn listen(cursor: &Cursor<'_>, advertise: Option<&Advertise>, report: &mut Report) -> Option<Listen> {
     let fields = cursor.fields(&["callers", "instances", "admin", "admin-on-any-address"], report)?;
-    let callers = fields
-        .required("callers", report)
-        .and_then(|value| value.address(report));
-    let instances = instances(&fields, advertise, report);
-    let admin = admin(&fields, report);
+    let callers = fields.read("callers", report, Cursor::address);
+    let instances = fields.read("instances", report, |value, report| instances(value, advertise, report));
+    let anywhere = fields.read_or("admin-on-any-address", false, report, Cursor::flag);
+    let admin = fields.read("admin", report, |value, report| admin(value, anywhere, report));
     Some(Listen {
         callers: callers?,
         instances: instances?,
@@ -134,8 +125,7 @@
 }
 
 /// Other instances must be told an address that they can dial.
-fn instances(fields: &Fields<'_>, advertise: Option<&Advertise>, report: &mut Report) -> Option<SocketAddr> {
-    let value = fields.required("instances", report)?;
+fn instances(value: &Cursor<'_>, advertise: Option<&Advertise>, report: &mut Report) -> Option<SocketAddr> {
     let address = value.address(report)?;
     let named = advertise.is_none_or(|advertise| advertise.instances.is_some());
     if address.ip().is_unspecified() && !named {
@@ -144,14 +134,10 @@
     Some(address)
 }
 
-fn admin(fields: &Fields<'_>, report: &mut Report) -> Option<SocketAddr> {
-    let anywhere = match fields.optional("admin-on-any-address") {
-        Some(value) => value.flag(report)?,
-        None => false,
-    };
-    let value = fields.required("admin", report)?;
+/// Operators' endpoints leave loopback only on purpose. `anywhere` is `None` if what it says is a problem itself.
+fn admin(value: &Cursor<'_>, anywhere: Option<bool>, report: &mut Report) -> Option<SocketAddr> {
     let address = value.address(report)?;
-    if !address.ip().is_loopback() && !anywhere {
+    if !address.ip().is_loopback() && anywhere == Some(false) {
         value.note(report, Fault::Exposed);
     }
     Some(address)
@@ -161,11 +147,7 @@
     let mut seen = Unique::default();
     let mut addresses = Vec::new();
     for item in cursor.items(PLATFORM_COUNT, report)? {
-        let Some(address) = item.dialable(report) else {
-            continue;
-        };
-        seen.add(&address, &item, report);
-        addresses.push(address);
+        addresses.extend(item.unique_address(&mut seen, report));
     }
     Some(addresses)
 }
@@ -181,15 +163,9 @@
 
 fn seed(cursor: &Cursor<'_>, names: &mut Unique<InstanceName>, report: &mut Report) -> Option<Seed> {
     let fields = cursor.fields(&["name", "zone", "address"], report)?;
-    let name = fields.required("name", report).and_then(|value| {
-        let name: InstanceName = value.name(report)?;
-        names.add(&name, &value, report);
-        Some(name)
-    });
-    let zone = fields.required("zone", report).and_then(|value| value.name(report));
-    let address = fields
-        .required("address", report)
-        .and_then(|value| value.dialable(report));
+    let name = fields.read("name", report, |value, report| value.unique_name(names, report));
+    let zone = fields.read("zone", report, Cursor::name);
+    let address = fields.read("address", report, Cursor::dialable);
     Some(Seed {
         name: name?,
         zone: zone?,
@@ -199,17 +175,20 @@
 
 fn secrets(cursor: &Cursor<'_>, report: &mut Report) -> Option<Secrets> {
     let fields = cursor.fields(&["current", "previous"], report)?;
-    let current = fields
-        .required("current", report)
-        .and_then(|value| secret(&value, report));
-    let mut previous = Vec::new();
-    if let Some(value) = fields.optional("previous") {
-        for item in value.items(PREVIOUS_COUNT, report)? {
-            previous.extend(secret(&item, report));
-        }
+    let current = fields.read("current", report, secret);
+    let previous = fields.read_or("previous", Vec::new(), report, previous);
+    Some(Secrets {
+        current: current?,
+        previous: previous?,
+    })
+}
+
+fn previous(cursor: &Cursor<'_>, report: &mut Report) -> Option<Vec<Secret>> {
+    let mut secrets = Vec::new();
+    for item in cursor.items(PREVIOUS_COUNT, report)? {
+        secrets.extend(secret(&item, report));
     }
-    let current = current?;
-    Some(Secrets { current, previous })
+    Some(secrets)
 }
 
 fn secret(cursor: &Cursor<'_>, report: &mut Report) -> Option<Secret> {
@@ -232,24 +211,26 @@
         "packets-per-second-in-all",
     ];
     let fields = cursor.fields(known, report)?;
-    let mut limits = Limits::default();
-    if let Some(value) = fields.optional("flows") {
-        limits.flows = value.number32(COUNTS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("requests") {
-        limits.requests = value.number32(COUNTS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("answer-bytes") {
-        limits.answer_bytes = Bytes(value.number(ANSWER_BYTES, report).unwrap_or_default());
-    }
-    if let Some(value) = fields.optional("sessions") {
-        limits.sessions = value.number32(SESSIONS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("packets-per-second-per-caller") {
-        limits.packets_per_second = value.number32(COUNTS, report).unwrap_or_default();
-    }
-    if let Some(value) = fields.optional("packets-per-second-in-all") {
-        limits.total_packets_per_second = value.number32(COUNTS, report).unwrap_or_default();
-    }
-    Some(limits)
+    let default = Limits::default();
+    let count = |value: &Cursor<'_>, report: &mut Report| value.number32(COUNTS, report);
+    let flows = fields.read_or("flows", default.flows, report, count);
+    let requests = fields.read_or("requests", default.requests, report, count);
+    let answer_bytes = fields.read_or("answer-bytes", default.answer_bytes, report, |value, report| {
+        value.number(ANSWER_BYTES, report).map(Bytes)
+    });
+    let sessions = fields.read_or("sessions", default.sessions, report, |value, report| {
+        value.number32(SESSIONS, report)
+    });
+    let caller = default.packets_per_second;
+    let caller = fields.read_or("packets-per-second-per-caller", caller, report, count);
+    let total = default.total_packets_per_second;
+    let total = fields.read_or("packets-per-second-in-all", total, report, count);
+    Some(Limits {
+        flows: flows?,
+        requests: requests?,
+        answer_bytes: answer_bytes?,
+        sessions: sessions?,
+        packets_per_second: caller?,
+        total_packets_per_second: total?,
+    })
 }
