--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -14,26 +14,30 @@
 use crate::exit;
 use crate::exit::Report;
 use crate::load;
+use crate::stand_in;
 
 /// Operate the jayquay load balancer.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Show a whole system under traffic, failing if it breaks a promise.
+    #[bpaf(command("demo"), header(demo::HEADER))]
+    Demo(#[bpaf(external(demo::args))] demo::Args),
     /// Check, compare, apply and show the configuration document.
     #[bpaf(command("config"))]
     Config(#[bpaf(external(document::command))] document::Command),
     /// Change the configuration document by forms in a browser.
     #[bpaf(command("console"), header(console::HEADER), footer(console::EXAMPLE))]
     Console(#[bpaf(external(console::args))] console::Args),
-    /// Show a whole system under traffic, failing if it breaks a promise.
-    #[bpaf(command("demo"), header(demo::HEADER))]
-    Demo(#[bpaf(external(demo::args))] demo::Args),
     /// Make one request, as a caller would.
     #[bpaf(command("call"), footer(call::EXAMPLES))]
     Call(#[bpaf(external(call::args))] call::Args),
     /// Drive a system with callers' traffic and tell what they saw.
     #[bpaf(command("load"), header(load::HEADER), footer(load::EXAMPLES))]
     Load(#[bpaf(external(load::args))] load::Args),
+    /// Run a stand-in for a part of the outside world, for trials.
+    #[bpaf(command("stand-in"), header(stand_in::HEADER))]
+    StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
 }
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
@@ -56,10 +60,11 @@
 /// Runs the command to its end.
 pub async fn run(command: Command) -> ExitCode {
     match command {
+        Command::Demo(args) => exit::finish(demo::run(args).await),
         Command::Config(command) => exit::finish(document::run(command).await),
         Command::Console(args) => exit::finish(console::run(args).await),
-        Command::Demo(args) => exit::finish(demo::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
+        Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
