Freeze an instance and disturb the fabric in the tests of processes

SIGSTOP of the flows' owner until the others hold it for dead, then SIGCONT while the fabric still uses it; and a fabric that loses 2% of packets, doubles 10%, delays 10% by 30 ms and reorders 10%. Both compare what callers were told with what upstreams ran. Fleets run one after the other now, so that they do not slow one another down.

--- a/crates/jayquay/tests/fleet/mod.rs
+++ b/crates/jayquay/tests/fleet/mod.rs
@@ -6,6 +6,9 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,8 +34,12 @@
     pub process: Process,
 }
 
+/// Fleets run one after the other, so that they do not slow one another down.
+static TURN: Mutex<()> = Mutex::new(());
+
 /// A whole system.
 pub struct Fleet {
+    _turn: MutexGuard<'static, ()>,
     folder: PathBuf,
     platform: Process,
     fabric: Process,
@@ -45,6 +52,8 @@
 impl Fleet {
     /// Starts everything, brings a document into force as an operator would, and waits until the instances serve.
     pub fn start(test: &str) -> Self {
+        // A test that failed leaves nothing behind that the next one would meet.
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
         fs::create_dir_all(&folder).expect("the folder for tests can be written");
         let platform = Process::stand_in(&["platform"]);
@@ -64,6 +73,7 @@
         });
         let any = "127.0.0.1:0";
         let mut fleet = Self {
+            _turn: turn,
             upstreams: upstreams.collect(),
             fabric: Process::stand_in(&["fabric", "--listen", any, "--listen", any]),
             platform,
@@ -150,7 +160,29 @@
     /// Lets the fabric spray over the present instances.
     pub fn spray(&self) {
         let callers = self.instances.iter().map(|instance| instance.process.text("/callers"));
-        self.fabric.put("/control", "/instances", &callers.collect());
+        self.fabric.put("/control", "/instances", &callers.collect::<Vec<_>>());
+    }
+
+    /// Lets the fabric lose, double, delay and reorder packets from now on.
+    pub fn disturb(&self, behaviour: &Value) {
+        self.fabric.put("/control", "/behaviour", behaviour);
+    }
+
+    /// How many packets the fabric disturbed so far.
+    pub fn disturbed(&self) -> u64 {
+        let counts = self.fabric.get("/control", "/counts").expect("the fabric serves");
+        let count = |name: &str| counts[name].as_u64().expect("the fabric counts this");
+        count("lost") + count("doubled") + count("delayed") + count("reordered")
+    }
+
+    /// Whether every instance that is left holds this one for dead.
+    pub fn is_held_for_dead(&self, name: &str) -> bool {
+        self.instances.iter().all(|instance| {
+            let status = instance.process.get("/admin", "/status").unwrap_or_default();
+            let members = status["node"]["members"].as_array().cloned().unwrap_or_default();
+            let member = members.iter().find(|member| member["name"] == name);
+            member.is_none_or(|member| member["state"] == "Dead")
+        })
     }
 
     /// Where packets of the first or the second service are sent.
--- a/crates/jayquay/tests/fleet/process.rs
+++ b/crates/jayquay/tests/fleet/process.rs
@@ -14,6 +14,7 @@
 use std::process::Stdio;
 use std::sync::OnceLock;
 
+use serde::Serialize;
 use serde_json::Value;
 
 /// A process that prints its addresses as one line of JSON. It is killed, by its id, when this is dropped.
@@ -71,7 +72,7 @@
     }
 
     /// Gives one of its addresses an order over HTTP.
-    pub fn put(&self, address: &str, path: &str, order: &Vec<String>) {
+    pub fn put(&self, address: &str, path: &str, order: &impl Serialize) {
         let body = serde_json::to_string(order).expect("an order has a JSON form");
         let len = body.len();
         let head = format!("PUT {path} HTTP/1.0\r\ncontent-type: application/json\r\ncontent-length: {len}\r\n\r\n");
--- a/crates/jayquay/tests/system.rs
+++ b/crates/jayquay/tests/system.rs
@@ -11,6 +11,7 @@
 use fleet::jayquay;
 use fleet::wait_for;
 use serde_json::Value;
+use serde_json::json;
 use standin::upstream::expected_answer;
 use units::Bytes;
 use wire::Digest;
@@ -140,3 +141,30 @@
     let (_, result) = result(load);
     check_holds(&fleet, &result);
 }
+
+#[test]
+fn an_owner_that_wakes_from_a_freeze_runs_no_hold_twice() {
+    let mut fleet = Fleet::start("freeze");
+    let load = load(&fleet, "hold");
+    wait_for("the load is under way", || fleet.answered() > UNDER_WAY);
+    let home = fleet.take_home("availability");
+    home.process.signal("-STOP");
+    wait_for("the frozen instance is held for dead", || {
+        fleet.is_held_for_dead(&home.name)
+    });
+    // It wakes with packets in its socket that were answered elsewhere meanwhile, and the fabric still uses it.
+    home.process.signal("-CONT");
+    let (_, result) = result(load);
+    check_holds(&fleet, &result);
+}
+
+#[test]
+fn a_bad_fabric_breaks_nothing() {
+    let fleet = Fleet::start("fabric");
+    fleet.disturb(&json!({"lost": 0.02, "doubled": 0.1, "delayed": 0.1, "delay": 30, "reordered": 0.1}));
+    let (code, result) = result(load(&fleet, "hold"));
+    assert!(fleet.disturbed() > UNDER_WAY);
+    assert_eq!(code, Some(0), "{result}");
+    assert_eq!(refused(&result, "may have run"), 0, "{result}");
+    check_holds(&fleet, &result);
+}
