Bound what waits, and ask the platform no more than needed

Read through the daemon for what a fault makes grow: - Frames that wait for the engine were bounded in number only, at up to 4 MB each. They now take room of 32 MB together, before they are read. - A platform without a document was asked once and never again by an instance that does not watch; one that answers a watch at once would have been asked in a tight loop. Both have pauses now. - The settings allow a current secret and four more, a proof held four MACs: the fifth secret was silently unused. - A stop that begins while the entry is renewed is marked at once. - An overdue stop says how many requests it leaves.

--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::feed::Wish;
 use crate::gauges;
+use crate::intake::Arrival;
 use crate::intake::Datagram;
 use crate::intake::Input;
 use crate::intake::Queues;
@@ -39,8 +40,8 @@
 pub enum End {
     /// The planned stop is done, and so many requests were left in doubt.
     Stopped(u32),
-    /// The planned stop did not end within its bound.
-    Overdue,
+    /// The planned stop did not end within its bound, and so many requests were left in progress.
+    Overdue(usize),
     /// Nobody is left to tell it anything.
     Abandoned,
 }
@@ -118,7 +119,7 @@
                 }
                 _ = ticker.tick() => self.step(Event::Tick),
                 _ = report.tick() => self.report(),
-                () = tokio::time::sleep_until(stop_by) => return End::Overdue,
+                () = tokio::time::sleep_until(stop_by) => return End::Overdue(self.node.status(self.clock.now()).requests),
             }
             self.batch(&mut inputs, &mut datagrams);
             if let Some(end) = self.end {
@@ -161,12 +162,7 @@
             Input::Event(Event::Called(id, _)) if !self.parts.upstreams.ended(id) => {}
             Input::Event(Event::Stop) => self.stop(),
             Input::Event(event) => self.step(event),
-            Input::Frame(peer, stamp, frame) => {
-                if !self.hybrid.follow(self.clock.now(), stamp) {
-                    metric::stamps_ahead().increment(1);
-                }
-                self.step(Event::Frame(peer, frame));
-            }
+            Input::Frame(arrival) => self.frame(arrival),
             Input::Session(change) => self.session(change),
             Input::Status(ask) => {
                 // Whoever asked may have gone away; then nobody wants the answer.
@@ -178,6 +174,13 @@
         }
     }
 
+    fn frame(&mut self, arrival: Arrival) {
+        if !self.hybrid.follow(self.clock.now(), arrival.stamp) {
+            metric::stamps_ahead().increment(1);
+        }
+        self.step(Event::Frame(arrival.peer, arrival.frame));
+    }
+
     fn session(&mut self, change: Change) {
         if let Some(name) = self.parts.sessions.change(change) {
             self.step(Event::Lost(name));
--- a/crates/jayquayd/src/feed.rs
+++ b/crates/jayquayd/src/feed.rs
@@ -12,6 +12,7 @@
 use platform::Error;
 use platform::Lease;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use units::Millis;
 use units::Revision;
 
@@ -30,6 +31,8 @@
 const OTHERS_LIST_EVERY: Duration = Duration::from_secs(10);
 /// How long one watch waits.
 const WATCH_TIME: Duration = Duration::from_secs(20);
+/// The shortest time from one read of the document to the next, unless it brought something new.
+const MIN_READ_TIME: Duration = Duration::from_secs(1);
 /// The first pause after a failure.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// The longest pause after failures.
@@ -80,7 +83,8 @@
         let mut backoff = Backoff::default();
         let throttle = Throttle::default();
         loop {
-            if self.wish.borrow_and_update().leaving {
+            let leaving = self.wish.borrow_and_update().leaving;
+            if leaving {
                 lease.mark_leaving();
             }
             let result = self.client.renew(&mut lease).await;
@@ -90,7 +94,11 @@
                 log::warn!("platform: entry not renewed: {error}{held_back}");
             }
             let pause = self.judge(&result, RENEW_EVERY, &mut backoff).await?;
-            self.wait_or_leave(pause).await?;
+            // Only this change is not waited out: the others see at once that this instance is leaving.
+            let changed = self.wish.wait_for(|wish| wish.leaving != leaving);
+            if let Ok(Err(_)) = tokio::time::timeout(pause, changed).await {
+                return Err(Closed);
+            }
         }
     }
 
@@ -109,14 +117,11 @@
             if let Ok(list) = result {
                 self.intake.event(Event::List(list)).await?;
             }
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                changed = self.wish.changed() => changed.map_err(|_| Closed)?,
-            }
+            self.wait_or_change(pause).await?;
         }
     }
 
-    /// Names the instances in the settings while the platform does not answer.
+    /// Names the instances in the settings now and then, so that they are found without the platform.
     pub async fn name_peers(self, peers: Vec<Listed>) -> Result<(), Closed> {
         if peers.is_empty() {
             return Ok(());
@@ -127,40 +132,60 @@
         }
     }
 
-    /// Reads the document once, and watches it while the engine wishes so.
+    /// Reads the document until there is one, and watches it while the engine wishes so.
     pub async fn read_document(mut self) -> Result<(), Closed> {
         let mut backoff = Backoff::default();
+        let mut absent = Backoff::default();
         let mut held = Revision::default();
         let mut is_read = false;
         loop {
             let watching = self.wish.borrow_and_update().watching;
-            if is_read && !watching {
+            let is_held = held > Revision::default();
+            if is_held && !watching {
                 self.wish.changed().await.map_err(|_| Closed)?;
                 continue;
             }
-            let result = if is_read {
+            let began = Instant::now();
+            let result = if watching && is_read {
                 self.client.watch(held, WATCH_TIME).await
             } else {
                 self.client.document().await
             };
-            let pause = self.judge(&result, Duration::ZERO, &mut backoff).await?;
-            let is_down = result.is_err();
+            let mut pause = self.judge(&result, Duration::ZERO, &mut backoff).await?;
             if let Ok(document) = result {
                 is_read = true;
-                self.take(document, &mut held).await?;
-            }
-            if is_down {
-                tokio::time::sleep(pause).await;
+                let is_newer = self.take(document, &mut held).await?;
+                // A platform that answers a watch at once, and with nothing new, is not asked in a tight loop. Where
+                // there is no document yet, only watchers keep asking often.
+                pause = match (is_newer, watching) {
+                    (true, _) => Duration::ZERO,
+                    (false, true) => jittered(MIN_READ_TIME.saturating_sub(began.elapsed())),
+                    (false, false) => absent.pause(),
+                };
             }
+            self.wait_or_change(pause).await?;
+        }
+    }
+
+    /// Waits, but not once the engine wishes something else.
+    async fn wait_or_change(&mut self, pause: Duration) -> Result<(), Closed> {
+        match tokio::time::timeout(pause, self.wish.changed()).await {
+            Ok(Err(_)) => Err(Closed),
+            Ok(Ok(())) | Err(_) => Ok(()),
         }
     }
 
-    async fn take(&self, document: Option<Document>, held: &mut Revision) -> Result<(), Closed> {
+    /// Hands a document to the node, and tells whether it is newer than what was held.
+    async fn take(&self, document: Option<Document>, held: &mut Revision) -> Result<bool, Closed> {
         let Some(document) = document else {
-            return Ok(());
+            return Ok(false);
         };
+        let is_newer = document.revision > *held;
         *held = document.revision.max(*held);
-        self.intake.event(Event::Loaded(document.revision, document.text)).await
+        self.intake
+            .event(Event::Loaded(document.revision, document.text))
+            .await?;
+        Ok(is_newer)
     }
 
     /// Tells the node whether the platform answered, and returns how long to wait.
@@ -180,16 +205,6 @@
         }
         Ok(backoff.pause())
     }
-
-    /// Waits, but not once this instance has begun to leave.
-    async fn wait_or_leave(&mut self, pause: Duration) -> Result<(), Closed> {
-        let was_leaving = self.wish.borrow().leaving;
-        let leaves = self.wish.wait_for(|wish| wish.leaving != was_leaving);
-        match tokio::time::timeout(pause, leaves).await {
-            Ok(Err(_)) => Err(Closed),
-            Ok(Ok(_)) | Err(_) => Ok(()),
-        }
-    }
 }
 
 /// A refusal is an answer as well.
--- a/crates/jayquayd/src/intake.rs
+++ b/crates/jayquayd/src/intake.rs
@@ -4,9 +4,12 @@
 //! results of calls nor costs unbounded memory.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use node::Event;
 use node::Peer;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use wire::Frame;
@@ -18,6 +21,8 @@
 
 /// How many inputs other than datagrams may wait.
 const CONTROL_LEN: usize = 4_096;
+/// How many bytes of frames from other instances may wait, over all sessions.
+const FRAME_ROOM: usize = 32 * 1_024 * 1_024;
 /// How many datagrams may wait.
 const DATAGRAMS_LEN: usize = 1_024;
 
@@ -35,8 +40,8 @@
 pub enum Input {
     /// An event for the node.
     Event(Event),
-    /// A frame from another instance, with the sender's stamp.
-    Frame(Peer, Stamp, Frame),
+    /// A frame from another instance.
+    Frame(Arrival),
     /// A session began or ended.
     Session(Change),
     /// Asks for the node's status.
@@ -45,6 +50,19 @@
     Timeline(Seq, oneshot::Sender<Page>),
 }
 
+/// A frame from another instance.
+#[derive(Debug)]
+pub struct Arrival {
+    /// The sender.
+    pub peer: Peer,
+    /// The sender's stamp.
+    pub stamp: Stamp,
+    /// The frame.
+    pub frame: Frame,
+    /// The room that it takes until the engine has handled it.
+    pub room: OwnedSemaphorePermit,
+}
+
 /// The engine is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Closed;
@@ -54,6 +72,7 @@
 pub struct Intake {
     control: mpsc::Sender<Input>,
     datagrams: mpsc::Sender<Datagram>,
+    frame_room: Arc<Semaphore>,
 }
 
 /// The engine's ends of the queues.
@@ -74,7 +93,12 @@
             control: control_end,
             datagrams: datagrams_end,
         };
-        (Self { control, datagrams }, queues)
+        let intake = Self {
+            control,
+            datagrams,
+            frame_room: Arc::new(Semaphore::new(FRAME_ROOM)),
+        };
+        (intake, queues)
     }
 
     /// Waits for room, then puts an input.
@@ -87,6 +111,13 @@
         self.put(Input::Event(event)).await
     }
 
+    /// Waits until frames of so many bytes together may wait.
+    pub async fn room(&self, len: usize) -> Result<OwnedSemaphorePermit, Closed> {
+        let len = u32::try_from(len.min(FRAME_ROOM)).map_err(|_| Closed)?;
+        let room = Arc::clone(&self.frame_room).acquire_many_owned(len).await;
+        room.map_err(|_| Closed)
+    }
+
     /// Puts a datagram if there is room, and tells whether there was.
     pub fn datagram(&self, datagram: Datagram) -> bool {
         self.datagrams.try_send(datagram).is_ok()
--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -179,8 +179,8 @@
             log::error!("daemon: stopped, {left} requests left in doubt");
             ExitCode::from(FAILED)
         }
-        End::Overdue => {
-            log::error!("daemon: the planned stop did not end within its bound");
+        End::Overdue(left) => {
+            log::error!("daemon: the planned stop did not end within its bound, {left} requests left in progress");
             ExitCode::from(FAILED)
         }
         End::Abandoned => {
--- a/crates/jayquayd/src/sessions/handshake.rs
+++ b/crates/jayquayd/src/sessions/handshake.rs
@@ -30,8 +30,8 @@
 const VERSION: u8 = 1;
 /// The longest handshake message, in bytes.
 pub const MAX_MESSAGE_LEN: usize = 1_024;
-/// How many MACs a proof may hold.
-const MAX_MACS: usize = 4;
+/// How many MACs a proof may hold: the settings name a current secret and at most four others.
+const MAX_MACS: usize = 5;
 
 /// Who an instance is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,7 +100,6 @@
     pub fn new(current: &Secret, previous: &[Secret]) -> Self {
         let mut keys = vec![current.derive(KEY_CONTEXT)];
         keys.extend(previous.iter().map(|secret| secret.derive(KEY_CONTEXT)));
-        keys.truncate(MAX_MACS);
         Self(keys)
     }
 }
--- a/crates/jayquayd/src/sessions/link.rs
+++ b/crates/jayquayd/src/sessions/link.rs
@@ -23,6 +23,7 @@
 use wire::MAX_FRAME_LEN;
 
 use super::handshake::Side;
+use crate::intake::Arrival;
 use crate::intake::Input;
 use crate::intake::Intake;
 use crate::metric;
@@ -177,11 +178,21 @@
         activity.received();
         metric::frames_received().increment(1);
         metric::frame_bytes_received().increment(bytes.len() as u64);
+        // Room is taken before the frame is read, so that what waits is bounded in bytes as well.
+        let Ok(room) = intake.room(bytes.len()).await else {
+            return End::Replaced;
+        };
         let Some((stamp, frame)) = decode(&bytes) else {
             metric::frames_unread().increment(1);
             continue;
         };
-        if intake.put(Input::Frame(peer.clone(), stamp, frame)).await.is_err() {
+        let arrival = Arrival {
+            peer: peer.clone(),
+            stamp,
+            frame,
+            room,
+        };
+        if intake.put(Input::Frame(arrival)).await.is_err() {
             return End::Replaced;
         }
     }
--- a/crates/jayquayd/tests/handshake.rs
+++ b/crates/jayquayd/tests/handshake.rs
@@ -76,6 +76,7 @@
     check(("one", "ba"), ("two", "a"), ("met two", "met one")).await;
     check(("one", "a"), ("two", "ba"), ("met two", "met one")).await;
     check(("one", "ab"), ("two", "cb"), ("met two", "met one")).await;
+    check(("one", "abcde"), ("two", "fghie"), ("met two", "met one")).await;
     check(("one", "ab"), ("two", "cd"), ("closed", "stranger")).await;
     check(("one", "a"), ("one", "a"), ("closed", "wrong_name")).await;
 }
--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -73,8 +73,15 @@
         loop {
             let input = tokio::time::timeout(PATIENCE, self.queues.control.recv()).await;
             match input.expect("something comes in time").unwrap() {
-                Input::Frame(peer, stamp, Frame::Want(Some(revision))) => {
-                    return format!("{} ({}) sent {revision} at {}", peer.name, peer.incarnation, stamp.0);
+                Input::Frame(arrival) => {
+                    let Frame::Want(Some(revision)) = arrival.frame else {
+                        panic!("unexpected: {arrival:?}");
+                    };
+                    let peer = arrival.peer;
+                    return format!(
+                        "{} ({}) sent {revision} at {}",
+                        peer.name, peer.incarnation, arrival.stamp.0
+                    );
                 }
                 Input::Session(change) => {
                     if let Some(name) = self.sessions.change(change) {
