node: begin nothing after the planned stop has ended

Cause: once a planned stop had ended, the node no longer knew its successor and took itself for the owner again, with ledgers that it had given away. Until the process was gone, a late copy of a request could run a second time. The daemon leaves its loop soon after `Stopped`, so the window is short, but nothing in the node kept to it.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -46,10 +46,12 @@
     /// Finds the owner of a flow.
     pub(crate) fn locate(&self, claims: &Claims) -> Place {
         if self.owned.contains(&claims.incarnation) {
-            return self
-                .stop
-                .successor()
-                .map_or(Place::Here, |successor| self.locate_successor(successor));
+            return match self.stop.successor() {
+                Some(successor) => self.locate_successor(successor),
+                // The ledgers end with this process, which may take a moment.
+                None if self.stop.has_ended() => Place::Gone,
+                None => Place::Here,
+            };
         }
         match self.membership.standing(&claims.owner, claims.incarnation) {
             Standing::Alive(member)
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -166,7 +166,7 @@
             Stop::Serving if self.documents.current().is_none() || !self.is_settled(now) => Stage::Starting,
             Stop::Serving => Stage::Serving,
             Stop::Announced(_) | Stop::HandedOver(_) => Stage::Draining,
-            Stop::Ended => Stage::Stopped,
+            Stop::Ended(_) => Stage::Stopped,
         }
     }
 
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -48,8 +48,8 @@
     Announced(Announced),
     /// The ledgers have been sent.
     HandedOver(HandedOver),
-    /// The process may end.
-    Ended,
+    /// The process may end. The ledgers are with this successor, if there is one.
+    Ended(Option<Peer>),
 }
 
 /// A stop that the others are told of.
@@ -81,11 +81,17 @@
         matches!(self, Self::HandedOver(_))
     }
 
+    /// Whether the process may end, so that nothing begins here any more.
+    pub(crate) fn has_ended(&self) -> bool {
+        matches!(self, Self::Ended(_))
+    }
+
     /// Who owns this node's flows, if that is no longer the node itself.
     pub(crate) fn successor(&self) -> Option<&Peer> {
         match self {
             Self::HandedOver(state) => Some(&state.successor),
-            _ => None,
+            Self::Ended(successor) => successor.as_ref(),
+            Self::Serving | Self::Announced(_) => None,
         }
     }
 }
@@ -107,7 +113,7 @@
 
     pub(crate) fn tick_stop(&mut self, cx: &mut Cx<'_>) {
         match &self.stop {
-            Stop::Serving | Stop::Ended => {}
+            Stop::Serving | Stop::Ended(_) => {}
             Stop::Announced(state) => {
                 let end_by = state.end_by;
                 if cx.now >= end_by {
@@ -339,7 +345,7 @@
         for id in left {
             self.give_up(cx, id, Reason::Deadline);
         }
-        self.stop = Stop::Ended;
+        self.stop = Stop::Ended(self.stop.successor().cloned());
         cx.record(Record::Stopped(count));
         cx.push(Action::Stopped);
     }
