model: explore whole nodes within small bounds

The model of the protocol has the node's ledger but its own hand-over, so a fault in the node's hand-over escapes it. Ruled out: replaying each way from the start, which costs a document's parsing a state. The states include the nodes' counters and random sources, so equal ones are told apart more often than need be.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,8 @@
 //! more, in its barest form. What is *not* here: time, slots, documents, long answers, and the membership's views,
 //! in whose place an instance may take any other for gone at any moment.
 //!
+//! [`Whole`] does the same with whole nodes, a smaller number of events, and time that passes in steps.
+//!
 //! A [`Mutation`] takes one mechanism away, to show that the search finds what it is there for.
 
 mod action;
@@ -15,7 +17,10 @@
 mod protocol;
 mod scope;
 mod search;
+mod setup;
 mod state;
+mod whole;
+mod world;
 
 pub use action::Action;
 pub use protocol::Protocol;
@@ -25,4 +30,9 @@
 pub use search::Model;
 pub use search::Report;
 pub use search::explore;
+pub use search::explore_deep;
 pub use state::State;
+pub use whole::Bounds;
+pub use whole::Event;
+pub use whole::Whole;
+pub use world::World;
--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -117,6 +117,62 @@
     report
 }
 
+/// A state on the way to the one that is being looked at.
+struct Stage<M: Model> {
+    state: M::State,
+    reached_by: Option<M::Action>,
+    left: std::vec::IntoIter<M::Action>,
+}
+
+/// Explores a model as [`explore`] does, but depth first. It holds only the states on one way, so they may be large;
+/// the way to a violation is not the shortest. The model must bound the length of every way.
+pub fn explore_deep<M: Model>(model: &M, max_states: usize) -> Report {
+    let mut report = Report {
+        states: 1,
+        steps: 0,
+        depth: 0,
+        complete: true,
+        found: None,
+    };
+    let start = model.start();
+    let mut seen = HashSet::from([fingerprint(&start)]);
+    let mut stages: Vec<Stage<M>> = vec![stage(model, start, None)];
+    while let Some(last) = stages.last_mut() {
+        let Some(action) = last.left.next() else {
+            stages.pop();
+            continue;
+        };
+        report.steps += 1;
+        let next = model.step(&last.state, &action);
+        if !seen.insert(fingerprint(&next)) {
+            continue;
+        }
+        report.states += 1;
+        let violation = model.violation(&next);
+        stages.push(stage(model, next, Some(action)));
+        report.depth = report.depth.max(stages.len() - 1);
+        if let Some(violation) = violation {
+            let steps = stages.iter().filter_map(|stage| stage.reached_by.as_ref());
+            let trace = steps.map(ToString::to_string).collect();
+            report.found = Some(Found { violation, trace });
+        }
+        if report.found.is_some() || report.states >= max_states {
+            report.complete = false;
+            return report;
+        }
+    }
+    report
+}
+
+fn stage<M: Model>(model: &M, state: M::State, reached_by: Option<M::Action>) -> Stage<M> {
+    let left = model.actions(&state).into_iter();
+    Stage {
+        state,
+        reached_by,
+        left,
+    }
+}
+
 fn trace<A: fmt::Display>(origins: &[Origin<A>], last: usize) -> Vec<String> {
     let mut steps = Vec::new();
     let mut index = last;
