--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -5,6 +5,7 @@
 use insta::assert_snapshot;
 use reqwest::Method;
 use reqwest::StatusCode;
+use reqwest::header::COOKIE;
 use reqwest::header::HOST;
 use support::Browser;
 use support::DOCUMENT;
@@ -37,7 +38,7 @@
     assert_eq!(applied.status, StatusCode::OK);
     assert_snapshot!(applied.words(), @r"
     Applied
-    The document is in force at the platform.
+    Revision 2 is in force at the platform.
     Digest
     4a4c4a66fbce81c6d8cc12bb012b0620
     service availability: affinity changed from flow to request
@@ -97,6 +98,7 @@
     Remove
     Add service
     Show the draft as the text of a document
+    Drop the draft, and load the platform's document
     ");
 }
 
@@ -151,6 +153,37 @@
     assert_eq!(handle.counts().writes, 0);
 }
 
+/// What an upstream's inputs hold at first.
+const UPSTREAM: [(&str, &str); 5] = [
+    ("services[0].upstreams[0].name", "search-1"),
+    ("services[0].upstreams[0].zone", "brugge"),
+    ("services[0].upstreams[0].address", "10.2.0.1:8080"),
+    ("services[0].upstreams[0].slots", "2"),
+    ("services[0].upstreams[0].state", "active"),
+];
+
+#[tokio::test]
+async fn no_value_leaks_into_another_field() {
+    let (_handle, browser) = start().await;
+    let texts = [
+        "\"", "#", "a: b", "- a", "*a", "&a", "!a", "~", "null", "true", "|", "{}", "\\", "a\nb", "\u{85}", "---", "é",
+    ];
+    for (field, valid) in UPSTREAM {
+        for text in texts {
+            let page = browser.press(SERVICE, SERVICE, "save", &[(field, text)]).await;
+            let listed = page.between("<h2>Problems</h2>", "</ul>");
+            let is_name = field == UPSTREAM[0].0 && ["null", "true"].contains(&text);
+            assert_eq!(
+                listed.matches("<li>").count(),
+                usize::from(!is_name),
+                "{field}: {text:?}"
+            );
+            assert_eq!(listed.contains(&format!(">{field}</a>")), !is_name, "{field}: {text:?}");
+        }
+        browser.press(SERVICE, SERVICE, "save", &[(field, valid)]).await;
+    }
+}
+
 #[tokio::test]
 async fn items_are_added_and_removed() {
     let (_handle, browser) = start().await;
@@ -220,6 +253,9 @@
     }
     let stranger = fetch(browser.bare(Method::GET, "/")).await;
     assert_eq!(stranger.status, StatusCode::FORBIDDEN);
+    let cookie = browser.wrong_cookie();
+    let impostor = fetch(browser.bare(Method::GET, "/").header(COOKIE, cookie)).await;
+    assert_eq!(impostor.status, StatusCode::FORBIDDEN);
     let guess = fetch(browser.bare(Method::GET, "/enter?key=0")).await;
     assert_eq!(guess.status, StatusCode::FORBIDDEN);
     let rebound = fetch(browser.bare(Method::GET, "/").header(HOST, "evil.example")).await;
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -4,10 +4,12 @@
 mod call;
 mod command;
 mod console;
+mod demo;
 mod document;
 mod exit;
 mod load;
 mod output;
+mod stand_in;
 mod traffic;
 
 use std::process::ExitCode;
