Count weighted completions when they happen

Completions were counted by when their requests arrived, so a rule that kept a deep queue was credited with seconds of work done after the overload.

--- a/crates/experiment/src/job.rs
+++ b/crates/experiment/src/job.rs
@@ -58,6 +58,8 @@
     /// How often its caller came back after a refusal.
     pub(crate) returns: u16,
     pub(crate) progress: Progress,
+    /// When its last attempt ended.
+    pub(crate) ended: Option<Time>,
 }
 
 impl Job {
@@ -77,12 +79,14 @@
             runs: 0,
             returns: 0,
             progress: Progress::Open,
+            ended: None,
         }
     }
 
     /// An attempt has ended. Tells whether there is to be another.
     pub(crate) fn end(&mut self, upstream: usize, outcome: Outcome, idempotent: bool, now: Time) -> bool {
         self.granted = None;
+        self.ended = Some(now);
         let in_time = now <= self.deadline;
         if outcome == Outcome::Completed && in_time {
             self.progress = Progress::Completed;
--- a/crates/experiment/src/measure.rs
+++ b/crates/experiment/src/measure.rs
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Metric {
-    /// Weight of requests completed in time, per second.
+    /// Weight of requests completed in time, per second, whenever they arrived.
     Weighted,
     /// Weight of requests offered, per second.
     Offered,
@@ -163,6 +163,9 @@
         let mut count = Count::default();
         let mut waits = histogram();
         for job in jobs {
+            if completion(job).is_some_and(|at| span.contains(&at)) {
+                count.weighted += weight(job, workload);
+            }
             if !span.contains(&arrival(job)) {
                 continue;
             }
@@ -220,11 +223,10 @@
 
 impl Count {
     fn add(&mut self, job: &Job, workload: &Workload) {
-        let weight = f64::from(workload.kinds[job.arrival.kind].weight.0);
         self.all += 1;
-        self.offered += weight;
+        self.offered += weight(job, workload);
         match job.progress {
-            Progress::Completed => self.weighted += weight,
+            Progress::Completed => {}
             Progress::Open | Progress::Missed => self.missed += 1,
             Progress::Refused(Reason::Overload | Reason::Deadline) => self.overload += 1,
             Progress::Refused(_) => self.refused += 1,
@@ -241,6 +243,16 @@
     job.arrival.at.0 as f64 / 1e6
 }
 
+/// When a request was completed in time, if it was.
+fn completion(job: &Job) -> Option<f64> {
+    let ended = job.ended.filter(|_| job.progress == Progress::Completed)?;
+    Some(ended.0 as f64 / 1e6)
+}
+
+fn weight(job: &Job, workload: &Workload) -> f64 {
+    f64::from(workload.kinds[job.arrival.kind].weight.0)
+}
+
 /// Maximum over mean and coefficient of variation.
 fn spread(loads: &[f64]) -> (f64, f64) {
     let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
