Keep a standing queue short

Under a long overload requests waited for nearly all the time they had, which gained nothing, and the backlog took up to 16.5 s to clear after the load had gone. A queue that has stood for 5 s now shrinks, until after 10 s a request is refused that would wait for more than a quarter of its time. Short bursts are served as before.

--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -19,6 +19,10 @@
 
 /// How much more loaded an upstream in the request's own availability zone may look and still go first.
 const LOCAL_BONUS: f64 = 0.2;
+/// For how many seconds a queue may stand before requests are refused that could still be met.
+const BURST: f64 = 5.0;
+/// What share of its time a request may wait when the queue has stood for long.
+const LEAST_PATIENCE: f64 = 0.25;
 /// How many waiting requests are looked at when the first ones can use none of the free slots.
 const LOOK_AHEAD: usize = 8;
 
@@ -59,6 +63,9 @@
             self.lend(key.clone(), lease, now);
             out.push(Decision::Grant { key, upstream });
         }
+        if self.queue.len() == 0 {
+            self.idle_at = now;
+        }
     }
 
     /// Refuses requests of a line until the rest can be started in time.
@@ -72,7 +79,8 @@
                 return;
             };
             let full = self.queue.len() > self.sharing.queue_limit as usize;
-            let Some(key) = victim(line, &self.estimate, servers, full, now) else {
+            let patience = self.patience(now);
+            let Some(key) = victim(line, &self.estimate, servers, full, patience, now) else {
                 return;
             };
             let Some(ask) = self.queue.remove(&key) else {
@@ -87,6 +95,13 @@
         }
     }
 
+    /// What share of its time a request may wait: all of it in a short burst, less when the queue has stood long.
+    fn patience(&self, now: Time) -> f64 {
+        let standing = now.since(self.idle_at).as_secs_f64();
+        let excess = (standing - BURST) / BURST;
+        1.0 - (1.0 - LEAST_PATIENCE) * excess.clamp(0.0, 1.0)
+    }
+
     /// How many requests the service can have in progress, at least one.
     pub(crate) fn servers(&self, now: Time) -> f64 {
         let capacity = |target: &Target| target.capacity(self.sharing.slow_start, self.distrust, now);
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -46,6 +46,8 @@
     budget: Budget,
     /// Most upstreams look unhealthy, so this view is more likely wrong than they are.
     pub(crate) distrust: bool,
+    /// When nobody last waited.
+    pub(crate) idle_at: Time,
     rng: SmallRng,
     /// The latest time that was told.
     now: Time,
@@ -68,6 +70,7 @@
             estimate: Estimate::default(),
             budget: Budget::new(service.sharing.retry_budget_percent),
             distrust: false,
+            idle_at: now,
             rng: SmallRng::seed_from_u64(seed),
             now,
         }
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -141,7 +141,14 @@
 ///
 /// The line is served by `servers` slots. The first request that would start too late is found, and of those up to
 /// it the one is named that brings least per second of a slot; of equals, the one that came last.
-pub(crate) fn victim<K: Clone>(line: &Line<K>, estimate: &Estimate, servers: f64, full: bool, now: Time) -> Option<K> {
+pub(crate) fn victim<K: Clone>(
+    line: &Line<K>,
+    estimate: &Estimate,
+    servers: f64,
+    full: bool,
+    patience: f64,
+    now: Time,
+) -> Option<K> {
     let mut start = estimate.mean().unwrap_or(0.0) / servers;
     let mut least: Option<(f64, Place, &K)> = None;
     for (place, ask) in line {
@@ -156,7 +163,7 @@
         }
         let service = estimate.mean_of(ask.weight);
         let remaining = now.until(ask.deadline).as_secs_f64();
-        if start + service > remaining {
+        if start > (remaining - service) * patience {
             return least.map(|(_, _, key)| key.clone());
         }
         start += service / servers;
