--- a/crates/experiment/src/homes.rs
+++ b/crates/experiment/src/homes.rs
@@ -107,7 +107,7 @@
         let ask = Ask {
             key: ticket,
             weight: self.weights[job.arrival.kind],
-            zone: self.zones[job.home % self.zones.len()].clone(),
+            zone: self.zones[job.zone].clone(),
             deadline: job.deadline,
             pinned: job.pinned.as_ref().map(name),
             avoid: job.avoid.iter().map(name).collect(),
