Let an instance's entry name its admin address

Cause: an operator's commands have to find every instance, and a list of addresses kept by hand goes stale with each replacement. The platform's list names all instances already, so an optional field in `Listed::Entry` costs some 30 bytes an instance and no call.

Ruled out: spreading it by gossip (bytes in every introduction, for something no instance needs), and always listing it (an admin address on loopback, the default, would point every operator at their own host).

Contract change: `node::Listed::Entry` has `admin: Option<SocketAddr>`, left out of the JSON when there is none.

--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -220,6 +220,7 @@
         incarnation: own.incarnation,
         zone: own.zone.clone(),
         address: own.address,
+        admin: admin_address(settings),
         leaving: false,
     };
     // Each of these ends only when the engine is gone.
@@ -241,6 +242,13 @@
     });
 }
 
+/// Where operators on other hosts reach this instance, if they do.
+fn admin_address(settings: &Settings) -> Option<SocketAddr> {
+    let listen = settings.listen.admin;
+    let is_reached = !listen.ip().is_loopback() && !listen.ip().is_unspecified() && listen.port() != 0;
+    settings.advertise.admin.or(is_reached.then_some(listen))
+}
+
 /// The instances in the settings. Their lives are unknown, so that any life that is heard of is newer.
 fn seeds(settings: &Settings) -> Vec<Listed> {
     let entries = settings.peers.iter().map(|seed| Listed::Entry {
@@ -248,6 +256,7 @@
         incarnation: Incarnation::default(),
         zone: seed.zone.clone(),
         address: seed.address,
+        admin: None,
         leaving: false,
     });
     entries.collect()
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -104,6 +104,9 @@
         zone: ZoneName,
         /// Where it listens for other instances.
         address: SocketAddr,
+        /// Where operators reach it, if it says so.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        admin: Option<SocketAddr>,
         /// Whether it is leaving.
         leaving: bool,
     },
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -247,6 +247,7 @@
         incarnation,
         zone,
         address: address(name),
+        admin: None,
         leaving: false,
     }
 }
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -39,6 +39,7 @@
         incarnation: Incarnation(incarnation),
         zone: "north".parse().expect("a name"),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7)),
+        admin: None,
         leaving: false,
     }
 }
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -353,6 +353,7 @@
                 incarnation: life.incarnation,
                 zone: instance.spec.zone.clone(),
                 address: instance.spec.address,
+                admin: None,
                 leaving: life.stopping.is_some(),
             });
         }
