Show what is in force where, and one time line over all instances

Cause: an operator had to ask each instance's `/status` and `/timeline` by hand and compare by eye.

`jayquay status` holds revision and digest of every instance against the approved document at the platform and the instances' views of one another against each other, and tells homes, upstreams with the reason for their state, flows, requests in flight and refusals by cause. It ends with 1 when anything differs, is not reached or is not known. `jayquay timeline` fetches every instance's events, merges them by their hybrid logical clocks, filters by flow, request, instance and time, and draws an SVG with a lane for each instance. Events that an instance dropped, that were not fetched, or whose instance has ended stay visible as gaps; a filter leaves out only gaps that cannot hide what was asked for.

Ruled out: shapes of their own for reading `/status` (they would drift from what the daemon writes; the daemon's types are read back instead, for which an upstream's state is the enum and no longer a text, with the same JSON); a picture to scale of time (events of one request lie microseconds apart and requests lie minutes apart).

--- a/crates/balance/src/status.rs
+++ b/crates/balance/src/status.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use units::Slots;
 use units::UpstreamName;
 
@@ -20,7 +22,8 @@
 }
 
 /// Whether an upstream gets new work, and why not.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It does.
     Active,
@@ -48,6 +51,18 @@
             Self::Removed => "removed",
         }
     }
+
+    /// Why the upstream gets new work or not, for operators.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Active => "it gets new work",
+            Self::Warming => "it started lately and gets a growing share",
+            Self::Ejected => "it failed and gets nothing for some time",
+            Self::Probing => "it failed, and a few requests try whether it serves again",
+            Self::Draining => "it or an operator said that it takes no new work",
+            Self::Removed => "it is no longer in the document",
+        }
+    }
 }
 
 impl fmt::Display for State {
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -15,6 +15,8 @@
 use crate::exit::Report;
 use crate::load;
 use crate::stand_in;
+use crate::status;
+use crate::timeline;
 
 /// Operate the jayquay load balancer.
 #[derive(Debug, Clone, Bpaf)]
@@ -35,6 +37,12 @@
     /// Drive a system with callers' traffic and tell what they saw.
     #[bpaf(command("load"), header(load::HEADER), footer(load::EXAMPLES))]
     Load(#[bpaf(external(load::args))] load::Args),
+    /// Show what is in force where, failing if it is not what was approved.
+    #[bpaf(command("status"), header(status::HEADER), footer(status::EXAMPLES))]
+    Status(#[bpaf(external(status::args))] status::Args),
+    /// Show what happened, over all instances.
+    #[bpaf(command("timeline"), header(timeline::HEADER), footer(timeline::EXAMPLES))]
+    Timeline(#[bpaf(external(timeline::args))] timeline::Args),
     /// Run a stand-in for a part of the outside world, for trials.
     #[bpaf(command("stand-in"), header(stand_in::HEADER))]
     StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
@@ -65,6 +73,8 @@
         Command::Console(args) => exit::finish(console::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
+        Command::Status(args) => exit::finish(status::run(args).await),
+        Command::Timeline(args) => exit::finish(timeline::run(args).await),
         Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -7,9 +7,12 @@
 mod demo;
 mod document;
 mod exit;
+mod instance;
 mod load;
 mod output;
 mod stand_in;
+mod status;
+mod timeline;
 mod traffic;
 
 use std::process::ExitCode;
--- a/crates/jayquay/tests/fleet/mod.rs
+++ b/crates/jayquay/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A whole system as separate processes on ports that the operating system gives. Each process is ended by its id.
 
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
 mod process;
 
 use std::fmt::Write;
@@ -157,6 +159,11 @@
         }
     }
 
+    /// Where the platform is.
+    pub fn platform_address(&self) -> String {
+        self.platform.text("/address")
+    }
+
     /// Lets the fabric spray over the present instances.
     pub fn spray(&self) {
         let callers = self.instances.iter().map(|instance| instance.process.text("/callers"));
--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -43,7 +43,7 @@
 }
 
 /// Why an instance should get no packets, or that it should.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Readiness {
     /// It serves.
@@ -70,6 +70,17 @@
         }
     }
 
+    /// The state as it stands in JSON and on status pages.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::CutOff => "cut-off",
+            Self::Starting => "starting",
+            Self::NoDocument => "no-document",
+            Self::Draining => "draining",
+        }
+    }
+
     /// Whether packets may be handed to the instance.
     pub fn is_ready(self) -> bool {
         matches!(self, Self::Ready | Self::CutOff)
@@ -84,14 +95,20 @@
 }
 
 /// The answer of `/status`.
-#[derive(Debug, Serialize)]
-struct Report {
-    state: Readiness,
-    addresses: Addresses,
-    now: Time,
-    uptime_ms: u64,
-    version: &'static str,
-    node: Status,
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Whether packets may be handed to it, and why not.
+    pub state: Readiness,
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// Its own clock.
+    pub now: Time,
+    /// How long it runs, in milliseconds.
+    pub uptime_ms: u64,
+    /// The version of the program.
+    pub version: String,
+    /// What its node tells of itself.
+    pub node: Status,
 }
 
 #[derive(Debug, Deserialize)]
@@ -149,7 +166,7 @@
         addresses: context.addresses,
         now: context.clock.now(),
         uptime_ms: u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
-        version: env!("CARGO_PKG_VERSION"),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
         node: status,
     };
     Json(report).into_response()
--- a/crates/jayquayd/src/gauges.rs
+++ b/crates/jayquayd/src/gauges.rs
@@ -38,7 +38,7 @@
         metric::members(label).set(count as f64);
     }
     for state in UPSTREAM_STATES {
-        let of_state = |line: &&UpstreamLine| line.state == state;
+        let of_state = |line: &&UpstreamLine| line.state.as_str() == state;
         metric::upstreams(state).set(status.upstreams.iter().filter(of_state).count() as f64);
     }
 }
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -52,6 +52,28 @@
     Stopped(u32),
 }
 
+impl Record {
+    /// The flow that it is about, if it is about one.
+    pub fn flow(&self) -> Option<FlowId> {
+        match self {
+            Self::Opened(_, flow) => Some(*flow),
+            _ => self.request().map(|(flow, _)| flow),
+        }
+    }
+
+    /// The request that it is about, if it is about one.
+    pub fn request(&self) -> Option<(FlowId, RequestSeq)> {
+        match self {
+            Self::Accepted(_, flow, seq)
+            | Self::Called(_, flow, seq)
+            | Self::Ended(_, flow, seq, _)
+            | Self::Answered(flow, seq)
+            | Self::Refused(flow, seq, _, _) => Some((*flow, *seq)),
+            _ => None,
+        }
+    }
+}
+
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use balance::State;
 use balance::UpstreamStatus;
+use serde::Deserialize;
 use serde::Serialize;
 use units::Incarnation;
 use units::InstanceName;
@@ -38,7 +40,7 @@
 }
 
 /// How far a node is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
     /// It holds no configuration document, or has just begun.
@@ -52,7 +54,7 @@
 }
 
 /// What a node tells of itself.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: InstanceName,
@@ -101,7 +103,7 @@
 }
 
 /// An instance as another sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Its name.
     pub name: InstanceName,
@@ -114,7 +116,7 @@
 }
 
 /// Where the home of a service is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HomeStatus {
     /// The service.
     pub service: ServiceName,
@@ -123,7 +125,7 @@
 }
 
 /// An upstream as the home of its service sees it.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamLine {
     /// The service.
     pub service: ServiceName,
@@ -132,7 +134,7 @@
     /// Its life, as it last told.
     pub incarnation: Option<Incarnation>,
     /// Its state: why it gets new work or not.
-    pub state: &'static str,
+    pub state: State,
     /// Slots in use.
     pub busy: u32,
     /// Slots in all.
@@ -144,7 +146,7 @@
 }
 
 /// How often a node refused for one reason with one verdict.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedCount {
     /// Whether the requests may have run.
     pub verdict: Verdict,
@@ -240,7 +242,7 @@
             service: service.clone(),
             incarnation: self.upstreams.get(&status.name).copied(),
             upstream: status.name,
-            state: status.state.as_str(),
+            state: status.state,
             busy: status.busy,
             slots: status.slots,
             utilisation: status.utilisation,
