--- a/crates/jayquayd/src/sessions/link.rs
+++ b/crates/jayquayd/src/sessions/link.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use futures_util::Sink;
 use futures_util::SinkExt;
@@ -14,6 +13,7 @@
 use futures_util::StreamExt;
 use node::Peer;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Bytes;
 use tokio_tungstenite::tungstenite::Message;
--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -12,6 +12,7 @@
 use jayquayd::sessions::Context;
 use jayquayd::sessions::MAX_HANDSHAKES;
 use jayquayd::sessions::Sessions;
+use jayquayd::sessions::handshake;
 use jayquayd::sessions::handshake::Identity;
 use jayquayd::sessions::handshake::Keys;
 use jayquayd::timeline::Stamp;
@@ -189,6 +190,35 @@
     assert_eq!(newer.next().await, "one (1) sent 30 at 30");
 }
 
+#[tokio::test]
+async fn a_frozen_instance_is_given_up() {
+    let mut one = Instance::start("one", 1, "a", 8).await;
+    let tcp = TcpStream::connect(one.address).await.unwrap();
+    let url = format!("ws://{}/", one.address);
+    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    let own = Identity {
+        name: "two".parse().unwrap(),
+        incarnation: Incarnation(2),
+        zone: "zone-a".parse().unwrap(),
+        address: one.address,
+    };
+    let keys = Keys::new(&"a".repeat(32).parse().unwrap(), &[]);
+    handshake::initiate(&mut ws, &own, &keys).await.unwrap();
+    let arrived = one.queues.control.recv().await;
+    let Some(Input::Session(change)) = arrived else {
+        panic!("unexpected: {arrived:?}");
+    };
+    assert_eq!(one.sessions.change(change), None);
+    assert_eq!(one.sessions.up(), 1);
+    let frame = Frame::Want(Some(Revision(10)));
+    assert!(one.sessions.send(&own.name, own.address, Stamp(10), frame));
+    // From here on the other side neither reads nor answers, and keeps its connection open.
+    tokio::time::pause();
+    assert_eq!(one.next().await, "lost two");
+    assert_eq!(one.sessions.up(), 0);
+    drop(ws);
+}
+
 #[tokio::test]
 async fn a_stranger_is_hung_up_on_before_anything_is_read() {
     let mut one = Instance::start("one", 1, "a", 8).await;
