--- a/crates/jayquayd/tests/whole/fleet.rs
+++ b/crates/jayquayd/tests/whole/fleet.rs
@@ -26,6 +26,11 @@
 impl Fleet {
     /// Starts stand-ins with two upstreams of one service. The document is not written yet.
     pub async fn new() -> Self {
+        Self::with(|_| {}).await
+    }
+
+    /// Starts stand-ins with two upstreams of one service, changed in some way.
+    pub async fn with(change: impl Fn(&mut standin::upstream::Options)) -> Self {
         let platform = standin::platform::start(standin::platform::Options::default())
             .await
             .unwrap();
@@ -33,7 +38,8 @@
         let mut upstreams = Vec::new();
         for name in ["north-1", "north-2"] {
             let service = "availability".parse().unwrap();
-            let options = standin::upstream::Options::new(name.parse().unwrap(), service);
+            let mut options = standin::upstream::Options::new(name.parse().unwrap(), service);
+            change(&mut options);
             upstreams.push(standin::upstream::start(options).await.unwrap());
         }
         Self {
@@ -97,7 +103,12 @@
 
     /// Starts an instance, waits until it is ready, and hands it packets.
     pub async fn join(&mut self, name: &str, secrets: &str) {
-        let handle = self.start(name, secrets).await;
+        self.enter(&self.settings(name, secrets)).await;
+    }
+
+    /// Starts an instance with these settings, waits until it is ready, and hands it packets.
+    pub async fn enter(&mut self, settings: &Settings) {
+        let handle = jayquayd::start(settings, None).await.unwrap();
         until(async || state(&handle).await == "ready").await;
         self.instances.push(handle);
         self.spray();
--- /dev/null
+++ b/crates/jayquayd/tests/whole/limits.rs
@@ -0,0 +1,162 @@
+//! Limits of a whole instance, each tested by exceeding it, with packets made by hand.
+
+use std::net::SocketAddr;
+
+use config::Settings;
+use serde_bytes::ByteBuf;
+use tokio::net::UdpSocket;
+use units::Bytes;
+use units::Millis;
+use units::Nonce;
+use units::RequestSeq;
+use wire::Chunk;
+use wire::Packet;
+use wire::Reason;
+use wire::Reply;
+use wire::Request;
+use wire::Sealed;
+use wire::Verdict;
+
+use crate::fleet::Fleet;
+use crate::fleet::PATIENCE;
+use crate::fleet::until;
+
+/// A flow of which nothing is sent again and nothing is pulled by itself.
+struct Flow {
+    socket: UdpSocket,
+    instance: SocketAddr,
+    token: Sealed,
+}
+
+impl Flow {
+    async fn open(fleet: &Fleet) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let mut flow = Self {
+            socket,
+            instance: fleet.instances[0].addresses().callers,
+            token: Sealed(ByteBuf::new()),
+        };
+        let open = Packet::Open(wire::Open {
+            nonce: Nonce(1),
+            service: "availability".parse().unwrap(),
+            address: fleet.fabric.services()[0],
+        });
+        let Reply::Opened(opened) = flow.ask(&open).await else {
+            panic!("the flow was not opened");
+        };
+        flow.token = opened.granted.token;
+        flow
+    }
+
+    fn hold(&self, seq: u64) -> Packet {
+        Packet::Request(Request {
+            token: self.token.clone(),
+            service: "availability".parse().unwrap(),
+            seq: RequestSeq(seq),
+            sent: RequestSeq(seq),
+            kind: "hold".parse().unwrap(),
+            timeout: Millis(20_000),
+            body: ByteBuf::from(format!("room {seq}").into_bytes()),
+        })
+    }
+
+    fn pull(&self, chunk: &Chunk) -> Packet {
+        Packet::Pull(wire::Pull {
+            token: self.token.clone(),
+            service: "availability".parse().unwrap(),
+            seq: chunk.seq,
+            digest: chunk.head.digest,
+            first: 1,
+            count: 1,
+        })
+    }
+
+    async fn send(&self, packet: &Packet) {
+        let bytes = wire::encode_packet(packet);
+        self.socket.send_to(&bytes, self.instance).await.unwrap();
+    }
+
+    /// Sends a packet, and takes the first reply that is more than a note that the request is known.
+    async fn ask(&self, packet: &Packet) -> Reply {
+        self.send(packet).await;
+        let mut buffer = [0; wire::MAX_PACKET_LEN];
+        loop {
+            let received = tokio::time::timeout(PATIENCE, self.socket.recv(&mut buffer)).await;
+            let len = received.expect("a reply comes in time").unwrap();
+            let reply = wire::decode_reply(&buffer[..len]).unwrap();
+            if !matches!(reply, Reply::Accepted(_)) {
+                return reply;
+            }
+        }
+    }
+}
+
+async fn fleet(service_ms: u32, answer_len: u64, limit: impl Fn(&mut Settings)) -> Fleet {
+    let mut fleet = Fleet::with(|options| {
+        options.service_time = standin::upstream::ServiceTime::Fixed(Millis(service_ms));
+        options.answer_len = Bytes(answer_len);
+    })
+    .await;
+    fleet.put_document(1);
+    let mut settings = fleet.settings("one", "a");
+    limit(&mut settings);
+    fleet.enter(&settings).await;
+    fleet
+}
+
+fn refusal(reply: &Reply) -> Option<(Verdict, Reason)> {
+    match reply {
+        Reply::Refused(refused) => Some((refused.verdict, refused.reason)),
+        _ => None,
+    }
+}
+
+#[tokio::test]
+async fn no_more_flows_than_allowed() {
+    let fleet = fleet(5, 100, |settings| settings.limits.flows = 2).await;
+    let flows = [
+        Flow::open(&fleet).await,
+        Flow::open(&fleet).await,
+        Flow::open(&fleet).await,
+    ];
+    for flow in &flows[..2] {
+        let reply = flow.ask(&flow.hold(1)).await;
+        assert!(matches!(reply, Reply::Chunk(_)), "{reply:?}");
+    }
+    let reply = flows[2].ask(&flows[2].hold(1)).await;
+    assert_eq!(refusal(&reply).map(|(_, reason)| reason), Some(Reason::Limit));
+    let reply = flows[0].ask(&flows[0].hold(2)).await;
+    assert!(matches!(reply, Reply::Chunk(_)), "{reply:?}");
+    assert_eq!(fleet.instances[0].status().await.unwrap().flows, 2);
+}
+
+#[tokio::test]
+async fn no_more_requests_than_allowed() {
+    let fleet = fleet(10_000, 100, |settings| settings.limits.requests = 3).await;
+    let flow = Flow::open(&fleet).await;
+    for seq in 1..=3 {
+        flow.send(&flow.hold(seq)).await;
+    }
+    until(async || fleet.instances[0].status().await.unwrap().requests == 3).await;
+    let reply = flow.ask(&flow.hold(4)).await;
+    assert_eq!(refusal(&reply), Some((Verdict::NotRun, Reason::Limit)));
+    assert_eq!(fleet.instances[0].status().await.unwrap().requests, 3);
+}
+
+#[tokio::test]
+async fn no_more_answers_kept_than_allowed() {
+    let fleet = fleet(5, 400_000, |settings| settings.limits.answer_bytes = Bytes(1_000_000)).await;
+    let flow = Flow::open(&fleet).await;
+    let mut first_chunks = Vec::new();
+    for seq in 1..=5 {
+        let Reply::Chunk(chunk) = flow.ask(&flow.hold(seq)).await else {
+            panic!("hold {seq} was not answered");
+        };
+        first_chunks.push(chunk);
+    }
+    until(async || fleet.instances[0].status().await.unwrap().answer_bytes <= 1_000_000).await;
+    let newest = flow.ask(&flow.pull(&first_chunks[4])).await;
+    assert!(matches!(newest, Reply::Chunk(_)), "{newest:?}");
+    let oldest = flow.ask(&flow.pull(&first_chunks[0])).await;
+    assert_eq!(refusal(&oldest), Some((Verdict::MayHaveRun, Reason::AnswerGone)));
+}
--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod fleet;
+mod limits;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
