Keep a summary of each availability zone at the platform

Whoever can reach no instance had nothing to look at. A lease for the writer was ruled out: when two instances differ on who is first both write, which does no harm.

--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -35,6 +35,7 @@
 use crate::sessions::Sessions;
 use crate::sessions::handshake::Identity;
 use crate::sessions::handshake::Keys;
+use crate::summary;
 use crate::timeline::Ring;
 use crate::upstreams::Upstreams;
 
@@ -214,6 +215,7 @@
 
 fn feed(settings: &Settings, own: &Identity, intake: &Intake, wish: &watch::Receiver<Wish>, tasks: &mut JoinSet<()>) {
     let client = Client::new(platform::Options::new(settings.platform.clone()));
+    tasks.spawn(summary::keep(client.clone(), intake.clone()));
     let feed = Feed::new(client, intake.clone(), wish.clone());
     let entry = Listed::Entry {
         name: own.name.clone(),
--- a/crates/jayquayd/src/lib.rs
+++ b/crates/jayquayd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod intake;
 pub mod metric;
 pub mod sessions;
+pub mod summary;
 pub mod timeline;
 pub mod upstreams;
 
--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use jayquayd::End;
+use jayquayd::summary::Summary;
 
 use crate::fleet::Fleet;
 use crate::fleet::hold;
@@ -144,3 +145,24 @@
     );
     assert!(get("/metrics").await.status() == 404, "no recorder is installed here");
 }
+
+#[tokio::test]
+async fn one_instance_of_a_zone_writes_its_summary() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    fleet.join("one", "a").await;
+    fleet.join("two", "a").await;
+    let key = platform::api::Key {
+        kind: platform::api::Kind::Status,
+        name: "zone-a".to_owned(),
+    };
+    until(async || fleet.platform.object(&key).is_some()).await;
+    let object = fleet.platform.object(&key).unwrap();
+    let summary: Summary = serde_json::from_value(object.value).unwrap();
+    assert_eq!(
+        (object.writer.as_str(), summary.revision),
+        ("one", Some(units::Revision(1)))
+    );
+    let status = fleet.instances[1].status().await.unwrap();
+    assert_eq!(Summary::of(&status), None);
+}
