Probe with one request while a flow's owner is lost

The wait for a sign of life ended too early: once the silent request itself had passed its deadline, all that had waited behind it was sent to the frozen owner with little time left, and ended as `may have run`.

After such an end one request at a time finds out whether there is an owner again, that with the most time left; the others wait, and are `not run` if their deadline passes.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether it waits for nothing but to be sent.
+    pub(crate) fn is_due(&self, now: Time) -> bool {
+        matches!(self.stage, Stage::Waiting(not_before) if not_before <= now)
+    }
+
     /// Whether the attempt in progress waits for a sign of life.
     pub(crate) fn is_silent(&self) -> bool {
         matches!(&self.stage, Stage::Sent(attempt) if attempt.silent)
--- a/crates/caller/src/flow.rs
+++ b/crates/caller/src/flow.rs
@@ -88,6 +88,8 @@
     pub(crate) wanted: Option<Time>,
     /// The highest request number used, or ruled out by a token's floor. It outlives reopening.
     pub(crate) highest: RequestSeq,
+    /// Whether a request ended without a sign of life, and none has come since.
+    pub(crate) lost: bool,
     pub(crate) calls: Vec<Call>,
 }
 
@@ -104,6 +106,7 @@
             session: Session::Idle(Time::default()),
             wanted: None,
             highest: RequestSeq::default(),
+            lost: false,
             calls: Vec::new(),
         }
     }
@@ -121,7 +124,8 @@
             Session::Idle(_) | Session::Open(_) => None,
         };
         let session_due = opening.into_iter().chain(self.wanted);
-        let stuck = matches!(self.session, Session::Opening(_)) || self.is_spread() || self.is_silent();
+        let stuck =
+            matches!(self.session, Session::Opening(_)) || self.is_spread() || self.is_silent() || self.is_probing();
         let calls_due = self.calls.iter().map(|call| self.call_due(call, stuck));
         calls_due.chain(session_due).min()
     }
@@ -141,6 +145,20 @@
         self.calls.iter().any(Call::is_silent)
     }
 
+    /// Whether one request finds out if there is an owner again.
+    fn is_probing(&self) -> bool {
+        self.lost && self.calls.iter().any(|call| call.seq().is_some())
+    }
+
+    /// The one to send while the owner is lost. It has the most time left, so that few end in doubt.
+    fn probe(&self, now: Time) -> Option<CallId> {
+        if !self.lost {
+            return None;
+        }
+        let due = self.calls.iter().filter(|call| call.is_due(now));
+        due.max_by_key(|call| call.deadline).map(|call| call.id)
+    }
+
     /// Whether the next number would be too far ahead of the oldest one in progress.
     fn is_spread(&self) -> bool {
         let numbers = self.calls.iter().filter_map(Call::seq);
@@ -195,6 +213,7 @@
             out.push(Action::NotOpened(failure));
         }
         for call in self.calls.extract_if(.., |call| call.deadline <= now) {
+            self.lost |= call.is_silent();
             out.push(Action::Ended(call.id, Err(call.lapse())));
         }
     }
@@ -224,8 +243,7 @@
 
     /// Asks for a token if one is needed.
     fn open(&mut self, now: Time, out: &mut Vec<Action>) {
-        let due = |call: &Call| matches!(call.stage, Stage::Waiting(not_before) if not_before <= now);
-        let needed = self.wanted.is_some() || self.calls.iter().any(due);
+        let needed = self.wanted.is_some() || self.calls.iter().any(|call| call.is_due(now));
         match &self.session {
             Session::Idle(not_before) if needed && *not_before <= now => {}
             // Nobody waits for the token any more.
@@ -247,16 +265,17 @@
 
     /// Sends the work that waits for nothing any more, each under a number of its own.
     fn send(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.is_silent() {
+        if self.is_silent() || self.is_probing() {
             return;
         }
+        let probe = self.probe(now);
         let Session::Open(open) = &self.session else {
             return;
         };
         let mut misfits = Vec::new();
         let mut oldest = self.calls.iter().filter_map(Call::seq).min();
         for call in &mut self.calls {
-            if !matches!(call.stage, Stage::Waiting(not_before) if not_before <= now) {
+            if !call.is_due(now) || probe.is_some_and(|probe| probe != call.id) {
                 continue;
             }
             let seq = self.highest.next();
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -55,6 +55,7 @@
             flow: opened.flow,
             token: opened.granted.token,
         });
+        self.lost = false;
         // Numbers are never used twice, whatever flow they were used in.
         self.highest = self.highest.max(opened.granted.floor);
         if self.wanted.take().is_some() {
@@ -66,6 +67,7 @@
         let Some(index) = self.find(accepted.flow, accepted.seq) else {
             return self.take_stray(accepted.flow, accepted.seq, None);
         };
+        self.lost = false;
         if let Some(attempt) = self.calls[index].attempt() {
             attempt.accept(now, &self.policy, &mut self.rng);
         }
@@ -79,6 +81,7 @@
             let refusal = Failure::local(Verdict::MayHaveRun, Reason::Limit);
             return self.fail(index, refusal, out);
         }
+        self.lost = false;
         self.adopt(chunk.flow, chunk.granted);
         let Some(attempt) = self.calls[index].attempt() else {
             return;
@@ -128,6 +131,7 @@
             self.tally.crossed += 1;
             return;
         }
+        self.lost &= refused.reason == Reason::OwnerGone;
         if let Some(flow) = self.calls[index].attempt().map(|attempt| attempt.flow) {
             self.adopt(flow, refused.granted);
         }
@@ -184,6 +188,7 @@
             return;
         }
         open.token = granted.token;
+        self.lost = false;
         self.highest = granted.floor;
         self.tally.adopted += 1;
     }
--- a/crates/jayquay/src/traffic/summary.rs
+++ b/crates/jayquay/src/traffic/summary.rs
@@ -59,6 +59,8 @@
 struct Refusal {
     may_have_run: bool,
     reason: Reason,
+    /// Whether no instance said so, and the caller gave up by itself.
+    given_up: bool,
 }
 
 impl Summary {
@@ -76,6 +78,7 @@
         let refusal = Refusal {
             may_have_run: failure.verdict == Verdict::MayHaveRun,
             reason: failure.reason,
+            given_up: failure.origin == Origin::Caller,
         };
         *self.refusals.entry(refusal).or_default() += 1;
         if breaks_flow(failure) {
@@ -118,6 +121,7 @@
         let refusals = self.refusals.iter().map(|(refusal, count)| RefusalReport {
             verdict: verdict(refusal.may_have_run).to_string(),
             reason: refusal.reason.as_str(),
+            given_up: refusal.given_up,
             count: *count,
         });
         Report {
@@ -191,6 +195,8 @@
 struct RefusalReport {
     verdict: String,
     reason: &'static str,
+    /// Whether no instance said so, and the caller gave up by itself.
+    given_up: bool,
     count: u64,
 }
 
@@ -205,7 +211,8 @@
             )?;
         }
         for refusal in &self.refusals {
-            writeln!(f, "refused: {}, {}: {}", refusal.verdict, refusal.reason, refusal.count)?;
+            let who = if refusal.given_up { "given up" } else { "refused" };
+            writeln!(f, "{who}: {}, {}: {}", refusal.verdict, refusal.reason, refusal.count)?;
         }
         writeln!(
             f,
