Send packets again more often as the deadline nears

Doubling waits left room for five transmissions in 2 s, and three once a request was accepted.

A wait is now at most a third of the time left, down to the first wait of 100 ms.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -45,7 +45,7 @@
     /// It waits for a token and for this time.
     Waiting(Time),
     /// An attempt is in progress.
-    Sent(Attempt),
+    Sent(Box<Attempt>),
 }
 
 impl Call {
@@ -148,7 +148,7 @@
             return;
         }
         self.accepted = true;
-        self.timer = Timer::start(now, policy.retransmit_accepted, policy.retransmit_max, rng);
+        self.timer = Timer::start(now, policy.retransmit_accepted, policy, rng);
     }
 
     /// Takes a chunk.
--- a/crates/caller/src/flow.rs
+++ b/crates/caller/src/flow.rs
@@ -222,7 +222,8 @@
         if let Session::Opening(opening) = &mut self.session
             && opening.timer.due <= now
         {
-            opening.timer.back_off(now, &mut self.rng);
+            // An opening has no deadline of its own.
+            opening.timer.back_off(now, Time(u64::MAX), &mut self.rng);
             self.tally.retransmitted += 1;
             out.push(Action::Send(opening.packet.clone()));
         }
@@ -233,7 +234,7 @@
             if attempt.timer.due > now {
                 continue;
             }
-            attempt.timer.back_off(now, &mut self.rng);
+            attempt.timer.back_off(now, call.deadline, &mut self.rng);
             for packet in attempt.overdue(&self.service) {
                 self.tally.retransmitted += 1;
                 out.push(Action::Send(packet));
@@ -300,16 +301,16 @@
             }
             self.highest = seq;
             out.push(Action::Send(packet.clone()));
-            call.stage = Stage::Sent(Attempt {
+            call.stage = Stage::Sent(Box::new(Attempt {
                 flow: open.flow,
                 seq,
                 token: open.token.clone(),
                 packet,
                 accepted: false,
                 silent: false,
-                timer: Timer::start(now, self.policy.retransmit, self.policy.retransmit_max, &mut self.rng),
+                timer: Timer::start(now, self.policy.retransmit, &self.policy, &mut self.rng),
                 answer: None,
-            });
+            }));
         }
         for call in self.calls.extract_if(.., |call| misfits.contains(&call.id)) {
             let failure = Failure::local(call.verdict(), Reason::Limit);
--- a/crates/caller/src/policy.rs
+++ b/crates/caller/src/policy.rs
@@ -7,7 +7,8 @@
 pub struct Policy {
     /// How long to wait for the answer to an `Open`.
     pub open_timeout: Duration,
-    /// The wait before the first retransmission of a packet. It doubles each time.
+    /// The wait before the first retransmission of a packet. It doubles each time, but is cut to a third of the time
+    /// left until the deadline, down to this wait.
     pub retransmit: Duration,
     /// The wait before the first retransmission of a request that is known to be accepted.
     pub retransmit_accepted: Duration,
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -97,7 +97,7 @@
         } else {
             self.policy.retransmit
         };
-        attempt.timer = Timer::start(now, wait, self.policy.retransmit_max, &mut self.rng);
+        attempt.timer = Timer::start(now, wait, &self.policy, &mut self.rng);
         if let Some(packet) = attempt.next_pull(&self.service) {
             out.push(Action::Send(packet));
         }
--- a/crates/caller/src/session.rs
+++ b/crates/caller/src/session.rs
@@ -44,7 +44,7 @@
             service: service.clone(),
             address,
         }));
-        let timer = Timer::start(now, policy.retransmit, policy.retransmit_max, rng);
+        let timer = Timer::start(now, policy.retransmit, policy, rng);
         Self { nonce, packet, timer }
     }
 }
