Race writers under random faults, and hold each to what it was told

The scripted tests show chosen cases; this one runs four writers of twenty writes each under faults drawn from a seed, and compares what each was told of each write with the history. Four seeds run by default.

An error tells of one call, so its page says what that means for a write sent before.

--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -5,6 +5,9 @@
 use crate::api::Object;
 
 /// Why a call did not succeed, and for a write whether it may have taken effect.
+///
+/// This tells of the call that failed. If the same write was sent before and was in doubt, it still is, unless
+/// [`Conflict`](Self::Conflict) says otherwise.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
     /// No platform address served the call. A write has not taken effect and never will.
--- /dev/null
+++ b/crates/platform/tests/race.rs
@@ -0,0 +1,149 @@
+//! Writers who race under random faults: whatever each of them is told must be what the history shows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use platform::Client;
+use platform::Error;
+use platform::Options;
+use platform::Settled;
+use platform::Write;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standin::platform::Behaviour;
+use standin::platform::Handle;
+use tokio::task::JoinSet;
+use units::Millis;
+use units::Nonce;
+use units::Revision;
+
+/// How many runs there are, each with its own seed. `JAYQUAY_SEEDS` asks for more.
+const SEEDS: u64 = 4;
+
+/// How many operators race.
+const WRITERS: u64 = 4;
+
+/// How often each of them writes. The stand-in keeps all versions of one run.
+const WRITES: u64 = 20;
+
+/// How long an operator waits for an answer.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// How long a fault lasts.
+const FAULT: Duration = Duration::from_millis(10);
+
+/// What a writer was told of a write in the end: the revision that it made, or none for ever.
+type Verdict = Option<Revision>;
+
+fn draw(random: &mut StdRng) -> Behaviour {
+    let mut behaviour = Behaviour::default();
+    match random.random_range(0..8) {
+        0 => behaviour.down = true,
+        1 => behaviour.unavailable = true,
+        2 => behaviour.stalled = true,
+        3 => behaviour.slow = Millis(5),
+        4 => behaviour.lose_answers = random.random_range(1..4),
+        5 => behaviour.hold = Some(Nonce(random.random_range(1..=WRITERS * WRITES))),
+        6 => behaviour.behind = random.random_range(1..4),
+        _ => {}
+    }
+    behaviour
+}
+
+/// Misbehaves in one way after another, until this is dropped.
+async fn misbehave(platform: &Handle, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    loop {
+        platform.behave(draw(&mut random)).await;
+        tokio::time::sleep(FAULT).await;
+    }
+}
+
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(2)).await;
+}
+
+async fn base(client: &Client) -> Revision {
+    loop {
+        match client.document().await {
+            Ok(document) => return document.map(|document| document.revision).unwrap_or_default(),
+            Err(_) => pause().await,
+        }
+    }
+}
+
+/// Writes, and follows up a write in doubt until it is decided.
+async fn write(client: &Client, write: &Write) -> Verdict {
+    match client.write(write).await {
+        Ok(revision) => return Some(revision),
+        Err(error) if !error.may_have_taken_effect() => return None,
+        Err(_) => {}
+    }
+    loop {
+        // Both ways have to work: reading back first, and only sending again.
+        if write.nonce.0.is_multiple_of(2) {
+            match client.settle(write).await {
+                Ok(Settled::TookEffect(revision)) => return Some(revision),
+                Ok(Settled::Lost(_)) => return None,
+                Ok(Settled::Open) => {}
+                Err(_) => pause().await,
+            }
+        }
+        match client.write(write).await {
+            Ok(revision) => return Some(revision),
+            Err(Error::Conflict { .. }) => return None,
+            // This copy did nothing, but an earlier one may still take effect.
+            Err(_) => pause().await,
+        }
+    }
+}
+
+async fn operate(client: Client, writer: u64) -> Vec<(Nonce, Verdict)> {
+    let mut told = Vec::new();
+    for number in 1..=WRITES {
+        let nonce = Nonce(writer * WRITES + number);
+        let draft = Write {
+            base: base(&client).await,
+            text: format!("text {nonce}"),
+            writer: format!("writer {writer}"),
+            nonce,
+        };
+        told.push((nonce, write(&client, &draft).await));
+    }
+    told
+}
+
+async fn check(seed: u64) {
+    let platform = standin::platform::start(standin::platform::Options::default()).await;
+    let platform = platform.expect("loopback has free ports");
+    let mut operators = JoinSet::new();
+    for writer in 0..WRITERS {
+        let mut options = Options::new(vec![platform.address()]);
+        options.timeout = PATIENCE;
+        operators.spawn(operate(Client::new(options), writer));
+    }
+    let told = tokio::select! {
+        told = operators.join_all() => told,
+        () = misbehave(&platform, seed) => unreachable!("faults go on until the operators are done"),
+    };
+    platform.behave(Behaviour::default()).await;
+    let client = Client::new(Options::new(vec![platform.address()]));
+    let history = client.history(1_000).await.expect("the faults have ended");
+    let made: BTreeMap<Nonce, Revision> = history.iter().map(|made| (made.nonce, made.revision)).collect();
+    assert_eq!(made.len(), history.len(), "seed {seed}: no write took effect twice");
+    for (nonce, verdict) in told.into_iter().flatten() {
+        assert_eq!(verdict, made.get(&nonce).copied(), "seed {seed}: write {nonce}");
+    }
+    let revisions: Vec<u64> = history.iter().rev().map(|made| made.revision.0).collect();
+    let whole: Vec<u64> = (1..=platform.counts().taken).collect();
+    assert_eq!(revisions, whole, "seed {seed}: every revision is there, once");
+}
+
+#[tokio::test]
+async fn writers_under_faults_are_told_the_truth() {
+    let seeds = std::env::var("JAYQUAY_SEEDS").map_or(SEEDS, |seeds| seeds.parse().expect("a number of seeds"));
+    for seed in 1..=seeds {
+        check(seed).await;
+    }
+}
