Pace a watch that the platform ends early

A platform, or something in front of it, that ends watches at once, or answers them with what is known already, was asked again without a pause: the daemon's loop relies on the watch to wait, and the platform counts each call. The client now begins such a watch again after half a second until the time asked for is over, and passes on only news. The new test failed before, as the old revision was passed on as news. cargo test -p platform -p jayquayd -p apply -p console: all passed.

--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -1,6 +1,7 @@
 //! The configuration document at the platform.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use units::Nonce;
@@ -16,6 +17,9 @@
 use crate::api::Object;
 use crate::api::Put;
 
+/// How long to wait before a watch that ended early is begun again.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
 /// A revision of the document, as the platform holds it. Its text is not checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
@@ -75,10 +79,20 @@
     /// Waits until there is a revision above `newer_than`. `None` if none came within `wait`.
     pub async fn watch(&self, newer_than: Revision, wait: Duration) -> Result<Option<Document>, Error> {
         let path = Key::document().path();
-        let millis = wait.as_millis();
-        let path = format!("{path}?{}={newer_than}&{}={millis}", api::NEWER_THAN, api::WAIT_MS);
-        let object = self.get(&path, wait).await?;
-        self.document_from(object)
+        let end = Instant::now() + wait;
+        loop {
+            let rest = end.saturating_duration_since(Instant::now());
+            let millis = rest.as_millis();
+            let path = format!("{path}?{}={newer_than}&{}={millis}", api::NEWER_THAN, api::WAIT_MS);
+            let object: Option<Object> = self.get(&path, rest).await?;
+            let news = object.filter(|object| object.version > newer_than);
+            let rest = end.saturating_duration_since(Instant::now());
+            if news.is_some() || rest.is_zero() {
+                return self.document_from(news);
+            }
+            // The platform ended the watch early, and may do so again at once.
+            tokio::time::sleep(rest.min(WATCH_PAUSE)).await;
+        }
     }
 
     /// Writes the document if it still has the revision that the write was made from.
--- a/crates/platform/tests/answers.rs
+++ b/crates/platform/tests/answers.rs
@@ -1,6 +1,10 @@
 //! What the client concludes from each answer, and whether it goes on to the next address.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use platform::Client;
 use platform::Error;
@@ -17,8 +21,15 @@
 
 /// A server that gives this answer to whatever it is asked, an empty one being a closed connection.
 async fn canned(answer: String, tasks: &mut JoinSet<()>) -> SocketAddr {
+    counted(answer, tasks).await.0
+}
+
+/// The same, and how often it was asked.
+async fn counted(answer: String, tasks: &mut JoinSet<()>) -> (SocketAddr, Arc<AtomicU32>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
     let address = listener.local_addr().expect("bound");
+    let asked = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&asked);
     tasks.spawn(async move {
         loop {
             let (mut connection, _from) = listener.accept().await.expect("loopback works");
@@ -26,10 +37,11 @@
             while !is_whole(&seen) {
                 connection.read_buf(&mut seen).await.expect("the client sends");
             }
+            count.fetch_add(1, Ordering::Relaxed);
             connection.write_all(answer.as_bytes()).await.expect("the client waits");
         }
     });
-    address
+    (address, asked)
 }
 
 /// Whether a request has come with its body, which ends in a brace if there is one.
@@ -119,6 +131,23 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_watch_that_ends_early_is_not_begun_again_in_a_tight_loop() {
+    let old = r#"{"version": 2, "nonce": 1, "writer": "ann", "written_at": 0, "value": "old"}"#;
+    let old = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{old}", old.len());
+    let ended = "HTTP/1.1 304 \r\ncontent-length: 0\r\n\r\n".to_owned();
+    for answer in [ended, old] {
+        let mut tasks = JoinSet::new();
+        let (address, asked) = counted(answer, &mut tasks).await;
+        let client = Client::new(Options::new(vec![address]));
+        let news = client.watch(Revision(2), Duration::from_millis(700)).await;
+        assert_eq!(news, Ok(None));
+        // At the start, after the pause, and at the end.
+        let asked = asked.load(Ordering::Relaxed);
+        assert!((1..=3).contains(&asked), "{asked} calls");
+    }
+}
+
 #[tokio::test]
 async fn redirects_are_not_followed() {
     let platform = served().await;
