node: keep the ends of requests when a hand-over is refused

Cause: ends of requests that wait for the successor's word were dropped when that successor refused and another was chosen. The ledger there said for ever "in progress elsewhere", so copies of an answered request got `accepted` until the stopped instance was taken for dead, and then `may have run`; one that had been turned away and passed on was lost.

Found by reading, when the hand-over was modelled; the model of the protocol sends ends without waiting and so can't show it. Test `what_ends_before_a_refused_hand_over_is_told_to_the_next_successor`: before "accepted 1", now "chunk 0/1 of 1".

--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -157,9 +157,10 @@
             }
             return;
         };
-        let flows = match std::mem::replace(&mut self.stop, Stop::Serving) {
-            Stop::HandedOver(state) => state.flows,
-            _ => self.pack_ledgers(cx),
+        // What has ended since the ledgers were packed is not in them, and goes along to the next successor.
+        let (flows, resolved) = match std::mem::replace(&mut self.stop, Stop::Serving) {
+            Stop::HandedOver(state) => (state.flows, state.resolved),
+            _ => (self.pack_ledgers(cx), Vec::new()),
         };
         self.stop = Stop::HandedOver(HandedOver {
             successor,
@@ -168,7 +169,7 @@
             sent_at: cx.now,
             end_by,
             acknowledged: None,
-            resolved: Vec::new(),
+            resolved,
         });
         self.send_ledgers(cx);
     }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -93,3 +93,30 @@
     assert_eq!(fleet.got(), "chunk 0/1 of 1");
     assert!(fleet.calls.is_empty());
 }
+
+#[test]
+fn what_ends_before_a_refused_hand_over_is_told_to_the_next_successor() {
+    let mut fleet = Fleet::new(3);
+    let home = fleet.home("availability");
+    let granted = fleet.open(&home, "availability");
+    fleet.send(&home, &request(&granted, "availability", "hold", 1));
+    fleet.event(&home, Event::Stop);
+    // The ledgers are lost on their way, and the one who should have got them stops too.
+    let others: Vec<_> = fleet.nodes.keys().filter(|name| **name != home).cloned().collect();
+    for other in &others {
+        fleet.cut.push((home.clone(), other.clone()));
+    }
+    fleet.pass(Duration::from_millis(400));
+    fleet.end_call(CallResult::Answered(b"first".to_vec()));
+    assert_eq!(fleet.got(), "chunk 0/1 of 1, new token");
+    // The younger of the two others was chosen.
+    let [third, chosen] = others.as_slice() else {
+        panic!("two others");
+    };
+    fleet.event(chosen, Event::Stop);
+    fleet.cut.clear();
+    fleet.pass(Duration::from_secs(1));
+    fleet.replies.clear();
+    fleet.send(third, &request(&granted, "availability", "hold", 1));
+    assert_eq!(fleet.got(), "chunk 0/1 of 1");
+}
