--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -142,7 +142,7 @@
             return;
         }
         self.me.state = MemberState::Leaving;
-        self.me.refutation += 1;
+        self.me.refutation = self.me.refutation.saturating_add(1);
         self.news.push(Topic::Member(self.me.name.clone()));
         let gossip = Gossip {
             members: vec![self.me.clone()],
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -164,13 +164,19 @@
                 } => {
                     self.membership.add_seed(&name, &zone, address, &mut outputs);
                 }
+                Listed::Entry {
+                    name,
+                    incarnation,
+                    leaving: true,
+                    ..
+                } => self.membership.list_leaving(&name, incarnation),
                 Listed::Upstream {
                     name,
                     incarnation,
                     leaving: true,
                 } => self.mark_leaving(cx, name, incarnation),
                 // Absence and a plain entry say nothing, since the list lags.
-                Listed::Entry { .. } | Listed::Upstream { .. } => {}
+                Listed::Upstream { leaving: false, .. } => {}
             }
         }
         self.take_outputs(cx, outputs);
