--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -46,13 +46,6 @@
     pub(crate) fn line_of(&self, ask: &Ask<K>) -> Option<UpstreamName> {
         let name = ask.pinned.as_ref()?;
         let usable = self.keeps(name) && !ask.avoid.contains(name);
-        if usable {
-            let index = self.find(name).ok()?;
-            let deep = self.queue.pinned_len(name) >= usize::from(self.targets[index].slots.0);
-            if deep && self.targets.iter().any(|target| self.is_free(target, self.now)) {
-                return None;
-            }
-        }
         usable.then(|| name.clone())
     }
 
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -50,7 +50,7 @@
     pub(crate) idle_at: Time,
     rng: SmallRng,
     /// The latest time that was told.
-    pub(crate) now: Time,
+    now: Time,
 }
 
 impl<K: Clone + Ord + Hash + Debug> Pool<K> {
