--- a/crates/balance/src/estimate.rs
+++ b/crates/balance/src/estimate.rs
@@ -57,10 +57,4 @@
         let own = self.weights.get(&weight).and_then(Mean::get);
         own.or_else(|| self.all.get()).unwrap_or(0.0)
     }
-
-    /// What a second of a slot brings when it is spent on requests of this weight.
-    pub(crate) fn density(&self, weight: Weight) -> f64 {
-        const FLOOR: f64 = 1e-6;
-        f64::from(weight.0) / self.mean_of(weight).max(FLOOR)
-    }
 }
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -141,6 +141,10 @@
 
     /// The next request to start, and where.
     fn next(&self, now: Time) -> Option<(K, UpstreamName)> {
+        let any_free = self.queue.len() > 0 && self.targets.iter().any(|target| self.is_free(target, now));
+        if !any_free {
+            return None;
+        }
         let pinned = self.next_pinned(now);
         let shared = self.next_shared(now);
         match (pinned, shared) {
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -5,6 +5,7 @@
 
 use units::Time;
 use units::UpstreamName;
+use units::Weight;
 
 use crate::Ask;
 use crate::estimate::Estimate;
@@ -152,7 +153,8 @@
     let mut start = estimate.mean().unwrap_or(0.0) / servers;
     let mut least: Option<(f64, Place, &K)> = None;
     for (place, ask) in line {
-        let density = estimate.density(ask.weight);
+        let service = estimate.mean_of(ask.weight);
+        let density = density(ask.weight, service);
         let gives_way =
             |(value, other, _): (f64, Place, &K)| density < value || density <= value && place.arrival > other.arrival;
         if least.is_none_or(gives_way) {
@@ -161,7 +163,6 @@
         if ask.deadline <= now {
             return Some(ask.key.clone());
         }
-        let service = estimate.mean_of(ask.weight);
         let remaining = now.until(ask.deadline).as_secs_f64();
         if start > (remaining - service) * patience {
             return least.map(|(_, _, key)| key.clone());
@@ -175,6 +176,12 @@
     }
 }
 
+/// What a second of a slot brings when it is spent on requests of this weight and mean service time.
+fn density(weight: Weight, service: f64) -> f64 {
+    const FLOOR: f64 = 1e-6;
+    f64::from(weight.0) / service.max(FLOOR)
+}
+
 /// The point in time that lies `span` before `time`.
 pub(crate) fn before(time: Time, span: Duration) -> Time {
     let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
--- a/crates/balance/tests/invariants.rs
+++ b/crates/balance/tests/invariants.rs
@@ -254,8 +254,8 @@
             let Decision::Grant { upstream, .. } = decision else {
                 continue;
             };
-            let states = self.pool.states();
-            let status = states.iter().find(|status| status.name == *upstream).unwrap();
+            let all = self.pool.states();
+            let status = all.iter().find(|status| status.name == *upstream).unwrap();
             assert!(
                 status.busy <= u32::from(SLOTS),
                 "{upstream} was given more than its slots"
