--- a/crates/console/src/page/overview.rs
+++ b/crates/console/src/page/overview.rs
@@ -8,11 +8,12 @@
 use crate::draft::Service;
 
 use super::OVERVIEW;
+use super::RESTART;
 use super::TEXT;
 use super::View;
 use super::form;
+use super::form::BUTTON_FIELD;
 use super::layout;
-use super::place;
 use super::service_path;
 
 /// The first page.
@@ -31,12 +32,16 @@
         (form::faults(view, &list))
         (form::add(&list, "Add service"))
     };
+    let restart = html! {
+        button name=(BUTTON_FIELD) value="drop" { "Drop the draft, and load the platform's document" }
+    };
     let content = html! {
         (in_force(view.session.base.as_ref()))
         h2 { "Draft" }
         (form::form(view, OVERVIEW, &table))
-        (problems(view))
+        (layout::problems(view))
         p { a href=(TEXT) { "Show the draft as the text of a document" } }
+        (form::form(view, RESTART, &restart))
     };
     layout::page(view, OVERVIEW, "Configuration", &content)
 }
@@ -72,17 +77,3 @@
         }
     }
 }
-
-fn problems(view: &View<'_>) -> Markup {
-    let services = view.session.draft.services.len();
-    html! {
-        @if !view.check.problems.is_empty() {
-            h2 { "Problems" }
-            ul.faults {
-                @for problem in &view.check.problems {
-                    li { a href=(place(problem, services)) { (problem.field) } ": " (problem.fault) }
-                }
-            }
-        }
-    }
-}
--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -14,6 +14,8 @@
 use crate::callers::Replier;
 use crate::clock::Clock;
 use crate::feed::Wish;
+use crate::gauges;
+use crate::intake::Arrival;
 use crate::intake::Datagram;
 use crate::intake::Input;
 use crate::intake::Queues;
@@ -38,8 +40,8 @@
 pub enum End {
     /// The planned stop is done, and so many requests were left in doubt.
     Stopped(u32),
-    /// The planned stop did not end within its bound.
-    Overdue,
+    /// The planned stop did not end within its bound, and so many requests were left in progress.
+    Overdue(usize),
     /// Nobody is left to tell it anything.
     Abandoned,
 }
@@ -100,6 +102,8 @@
         let mut datagrams = Vec::with_capacity(BATCH_LEN);
         let mut ticker = tokio::time::interval(node::TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut report = tokio::time::interval(gauges::EVERY);
+        report.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let stop_by = self.stop_by.unwrap_or_else(|| tokio::time::Instant::now() + FAR);
             // Which ready branch is taken first is random, so that no queue starves another one or the ticks.
@@ -114,7 +118,8 @@
                     self.take_more(&mut datagrams);
                 }
                 _ = ticker.tick() => self.step(Event::Tick),
-                () = tokio::time::sleep_until(stop_by) => return End::Overdue,
+                _ = report.tick() => self.report(),
+                () = tokio::time::sleep_until(stop_by) => return End::Overdue(self.node.status(self.clock.now()).requests),
             }
             self.batch(&mut inputs, &mut datagrams);
             if let Some(end) = self.end {
@@ -124,6 +129,11 @@
         }
     }
 
+    fn report(&self) {
+        let now = self.clock.now();
+        gauges::set(&self.node.status(now), now);
+    }
+
     fn take_more(&mut self, datagrams: &mut Vec<Datagram>) {
         while datagrams.len() < BATCH_LEN {
             let Ok(datagram) = self.queues.datagrams.try_recv() else {
@@ -152,12 +162,7 @@
             Input::Event(Event::Called(id, _)) if !self.parts.upstreams.ended(id) => {}
             Input::Event(Event::Stop) => self.stop(),
             Input::Event(event) => self.step(event),
-            Input::Frame(peer, stamp, frame) => {
-                if !self.hybrid.follow(self.clock.now(), stamp) {
-                    metric::stamps_ahead().increment(1);
-                }
-                self.step(Event::Frame(peer, frame));
-            }
+            Input::Frame(arrival) => self.frame(arrival),
             Input::Session(change) => self.session(change),
             Input::Status(ask) => {
                 // Whoever asked may have gone away; then nobody wants the answer.
@@ -169,6 +174,13 @@
         }
     }
 
+    fn frame(&mut self, arrival: Arrival) {
+        if !self.hybrid.follow(self.clock.now(), arrival.stamp) {
+            metric::stamps_ahead().increment(1);
+        }
+        self.step(Event::Frame(arrival.peer, arrival.frame));
+    }
+
     fn session(&mut self, change: Change) {
         if let Some(name) = self.parts.sessions.change(change) {
             self.step(Event::Lost(name));
