--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -46,7 +46,7 @@
     budget: Budget,
     /// Most upstreams look unhealthy, so this view is more likely wrong than they are.
     pub(crate) distrust: bool,
-    /// When nobody last waited.
+    /// When no request last waited for any upstream.
     pub(crate) idle_at: Time,
     rng: SmallRng,
     /// The latest time that was told.
@@ -143,6 +143,7 @@
         let lease = Lease {
             upstream,
             weight: None,
+            deadline,
             expiry: deadline + MARGIN,
         };
         self.lend(key, lease, now);
@@ -163,7 +164,7 @@
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool, now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         self.queue.retain(&keep);
-        self.held.hasten(&keep, MARGIN);
+        self.held.hasten(&keep);
         self.expire(now);
         self.settle_view(now, out);
     }
--- a/crates/model/src/setup.rs
+++ b/crates/model/src/setup.rs
@@ -79,6 +79,7 @@
         incarnation: *incarnation,
         zone: "brugge".parse().expect("a zone"),
         address: address(index),
+        admin: None,
         leaving: false,
     };
     incarnations.iter().enumerate().map(entry).collect()
