Run experiments on the decisions from the command line

Cause: the experiments could be run only as an example of a crate, from the source tree.

An option for the load was ruled out for now: a scenario sets the load over time, and the crate's options have no load to set.

--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -13,6 +13,7 @@
 use crate::document;
 use crate::exit;
 use crate::exit::Report;
+use crate::experiment;
 use crate::load;
 use crate::stand_in;
 use crate::status;
@@ -43,6 +44,9 @@
     /// Show what happened, over all instances.
     #[bpaf(command("timeline"), header(timeline::HEADER), footer(timeline::EXAMPLES))]
     Timeline(#[bpaf(external(timeline::args))] timeline::Args),
+    /// Compare the decisions under load with other rules, in virtual time.
+    #[bpaf(command("experiment"), header(experiment::HEADER), footer(experiment::EXAMPLES))]
+    Experiment(#[bpaf(external(experiment::args))] experiment::Args),
     /// Run a stand-in for a part of the outside world, for trials.
     #[bpaf(command("stand-in"), header(stand_in::HEADER))]
     StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
@@ -75,6 +79,7 @@
         Command::Load(args) => exit::finish(load::run(args).await),
         Command::Status(args) => exit::finish(status::run(args).await),
         Command::Timeline(args) => exit::finish(timeline::run(args).await),
+        Command::Experiment(args) => exit::finish(experiment::run(args).await),
         Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod document;
 mod exit;
+mod experiment;
 mod instance;
 mod load;
 mod output;
