Write a zone's summary only when it changed, and read it where instances are silent

Cause: the summary was written every 30 s whether or not it had changed, over whatever stood there, and held the writer's revision alone; nobody read it.

It now holds revision and digest per instance of the zone as each told of it last (kept by membership from the gossip that comes anyway), the upstreams that get no new work and why, and refusals by cause. Instances are grouped by document, so that a zone of hundreds stays a few kilobytes. `jayquay status` shows it of instances that it could not ask.

What it can't tell: an instance that was not heard of lately may have a newer document in force; a writer knows the upstreams of only those services whose home it is. Ruled out: asking all of a zone before each write (24 probes a second in a zone of 240, most of an instance's 3 KB a second), and a lease for the writer.

Contract changes: `node::MemberStatus` has `revision` and `digest`; `platform::Client::write_status` takes the version that is written over, and `platform::Status` tells it. The test that the last writer of a summary wins is replaced by one that a writer of an old version loses, which is stricter.

--- a/crates/jayquay/src/status.rs
+++ b/crates/jayquay/src/status.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 
 use bpaf::Bpaf;
+use jayquayd::summary::Summary;
 use observe::status::Approved;
 use observe::status::Asked;
 use observe::status::Finding;
 use observe::status::Fleet;
 use observe::status::Silence;
+use observe::status::Zone;
 use platform::Client;
 use platform::Listed;
 use serde::Serialize;
@@ -76,7 +78,17 @@
     let listed = client.list().await.unwrap_or_default();
     let given = args.instances.into_iter().flat_map(|addresses| addresses.0);
     let instances = ask(targets(given.collect(), listed)).await;
-    let fleet = Fleet { approved, instances };
+    let is_silent = instances.iter().any(|asked| asked.answer.is_err());
+    let summaries = if is_silent {
+        summaries(&client, &approved).await
+    } else {
+        Vec::new()
+    };
+    let fleet = Fleet {
+        approved,
+        instances,
+        summaries,
+    };
     let findings = fleet.findings();
     let is_as_approved = findings.is_empty();
     let text = if args.json {
@@ -104,6 +116,28 @@
     Ok(document.map(|document| Approved::new(document.revision, &document.text)))
 }
 
+/// What the platform holds of each availability zone. One that cannot be read tells nothing.
+async fn summaries(client: &Client, approved: &Result<Option<Approved>, String>) -> Vec<Zone> {
+    let Ok(Some(approved)) = approved else {
+        return Vec::new();
+    };
+    let zones = approved.document.iter().flat_map(|document| &document.zones);
+    let mut summaries = Vec::new();
+    for zone in zones {
+        let found = client.status::<Summary>(&zone.name).await;
+        let Ok(Some(found)) = found else {
+            continue;
+        };
+        summaries.push(Zone {
+            zone: zone.name.clone(),
+            writer: found.writer,
+            written_at: found.written_at,
+            summary: found.value,
+        });
+    }
+    summaries
+}
+
 /// The instances that were given, and those on the list.
 fn targets(given: Vec<SocketAddr>, listed: Vec<Listed>) -> Vec<Target> {
     let mut targets = Vec::new();
--- a/crates/jayquay/tests/observe.rs
+++ b/crates/jayquay/tests/observe.rs
@@ -60,6 +60,11 @@
     let (code, text) = status(&fleet, first);
     assert_eq!(code, Some(1), "{text}");
     assert!(text.contains("entry-2: no admin address is known"), "{text}");
+    // The platform tells of those that cannot be asked.
+    wait_for("the zones are summarised", || {
+        let (_, text) = status(&fleet, first);
+        text.contains("NO ANSWER") && text.contains("zone-b") && text.contains("zone-c")
+    });
     let killed = fleet.take_home("availability");
     killed.process.signal("-KILL");
     let (code, text) = status(&fleet, &all);
--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -199,7 +199,7 @@
     let (receiver, replier) = callers::split(socket, clock, caller_limits(settings));
     tasks.spawn(receiver.run(intake.clone()));
     let (wish, wished) = watch::channel(Wish::default());
-    feed(settings, own, intake, &wished, tasks);
+    feed(settings, own, clock, intake, &wished, tasks);
     let upstreams = Upstreams::new(own.name.clone(), own.incarnation, intake.clone()).map_err(StartError::Client)?;
     let context = session_context(settings, own.clone(), intake);
     let parts = Parts {
@@ -213,9 +213,16 @@
     Ok(Engine::new(node, clock, queues, parts, settings.stop_within))
 }
 
-fn feed(settings: &Settings, own: &Identity, intake: &Intake, wish: &watch::Receiver<Wish>, tasks: &mut JoinSet<()>) {
+fn feed(
+    settings: &Settings,
+    own: &Identity,
+    clock: Clock,
+    intake: &Intake,
+    wish: &watch::Receiver<Wish>,
+    tasks: &mut JoinSet<()>,
+) {
     let client = Client::new(platform::Options::new(settings.platform.clone()));
-    tasks.spawn(summary::keep(client.clone(), intake.clone()));
+    tasks.spawn(summary::keep(client.clone(), clock, intake.clone()));
     let feed = Feed::new(client, intake.clone(), wish.clone());
     let entry = Listed::Entry {
         name: own.name.clone(),
--- a/crates/jayquayd/src/summary.rs
+++ b/crates/jayquayd/src/summary.rs
@@ -1,26 +1,28 @@
 //! A small summary of an availability zone, kept at the platform for those who can reach no instance.
 //!
-//! The first live instance of the zone by name writes it. When two differ on who that is both write, and the later one
-//! stands: nothing is decided by a summary.
+//! The first live instance of the zone by name writes it, when it has changed and not too often. Two that differ on who
+//! that is write over the version that they know, so that neither undoes what it has not seen: nothing is decided by a
+//! summary.
 
-use std::time::Duration;
+mod keeper;
 
+use std::collections::BTreeMap;
+
+use balance::State;
+use node::RefusedCount;
 use node::Status;
-use platform::Client;
 use serde::Deserialize;
 use serde::Serialize;
 use units::Incarnation;
 use units::InstanceName;
 use units::Revision;
+use units::ServiceName;
+use units::UpstreamName;
 use wire::MemberState;
 
-use crate::intake::Intake;
-use crate::metric;
-
-/// How often a summary is written: with ten zones, one write in three seconds.
-const WRITE_EVERY: Duration = Duration::from_secs(30);
-/// How long after its start an instance looks for the first time.
-const FIRST_LOOK: Duration = Duration::from_secs(3);
+pub use self::keeper::Keeper;
+pub use self::keeper::WRITE_EVERY;
+pub use self::keeper::keep;
 
 /// What one instance sees of its availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +33,15 @@
     pub digest: Option<String>,
     /// The instances of the zone that the writer knows.
     pub members: Vec<Member>,
+    /// What those instances told of last, by revision. An instance may have a newer one in force by now.
+    #[serde(default)]
+    pub in_force: Vec<InForce>,
+    /// The upstreams that get no new work, of the services whose home is the writer.
+    #[serde(default)]
+    pub upstreams: Vec<Upstream>,
+    /// What the writer refused, over its life.
+    #[serde(default)]
+    pub refused: Vec<RefusedCount>,
 }
 
 /// An instance, as the writer sees it.
@@ -44,6 +55,28 @@
     pub state: MemberState,
 }
 
+/// Instances that have the same document in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its digest, in hexadecimal.
+    pub digest: String,
+    /// The instances.
+    pub instances: Vec<InstanceName>,
+}
+
+/// An upstream that gets no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// The service.
+    pub service: ServiceName,
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Why.
+    pub state: State,
+}
+
 impl Summary {
     /// The summary that this instance has to write, if it is the first of its zone.
     pub fn of(status: &Status) -> Option<Self> {
@@ -64,18 +97,41 @@
             revision: status.revision,
             digest: status.digest.clone(),
             members,
+            in_force: in_force(status),
+            upstreams: upstreams(status),
+            refused: status.refused.clone(),
         })
     }
 }
 
-/// Writes the summary now and then, until the engine is gone.
-pub async fn keep(client: Client, intake: Intake) {
-    tokio::time::sleep(FIRST_LOOK).await;
-    while let Some(status) = intake.status().await {
-        if let Some(summary) = Summary::of(&status) {
-            let written = client.write_status(&status.zone, status.name.as_str(), &summary).await;
-            metric::platform_calls(if written.is_ok() { "ok" } else { "failed" }).increment(1);
+/// Groups the instances of the zone, so that a zone of hundreds stays a few kilobytes.
+fn in_force(status: &Status) -> Vec<InForce> {
+    let mut groups: BTreeMap<(Revision, &str), Vec<InstanceName>> = BTreeMap::new();
+    for member in &status.members {
+        let (Some(revision), Some(digest)) = (member.revision, &member.digest) else {
+            continue;
+        };
+        if member.zone == status.zone {
+            groups.entry((revision, digest)).or_default().push(member.name.clone());
         }
-        tokio::time::sleep(WRITE_EVERY.mul_f64(rand::random_range(0.75..1.25))).await;
     }
+    let groups = groups.into_iter().map(|((revision, digest), instances)| InForce {
+        revision,
+        digest: digest.to_owned(),
+        instances,
+    });
+    groups.collect()
+}
+
+fn upstreams(status: &Status) -> Vec<Upstream> {
+    let idle = status
+        .upstreams
+        .iter()
+        .filter(|line| !matches!(line.state, State::Active | State::Warming));
+    let lines = idle.map(|line| Upstream {
+        service: line.service.clone(),
+        upstream: line.upstream.clone(),
+        state: line.state,
+    });
+    lines.collect()
 }
--- a/crates/membership/src/learn.rs
+++ b/crates/membership/src/learn.rs
@@ -39,6 +39,9 @@
             out.push(Output::UpstreamLeaving(mark.clone()));
         }
         self.note_life(from);
+        if let Some(document) = gossip.document {
+            self.table.set_document(&from.name, from.incarnation, document);
+        }
         self.compare_documents(from, gossip, out);
         self.compare_views(from, stranger, gossip, out);
     }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -4,7 +4,9 @@
 
 use units::Incarnation;
 use units::InstanceName;
+use units::Revision;
 use units::Time;
+use wire::Digest;
 use wire::Member;
 use wire::MemberState;
 
@@ -28,6 +30,8 @@
     pub(crate) left: bool,
     /// The platform's list says that it is leaving.
     pub(crate) listed_leaving: bool,
+    /// The configuration document that it told of last.
+    pub(crate) document: Option<(Revision, Digest)>,
 }
 
 impl Known {
@@ -39,6 +43,7 @@
             dead_since: dead.then_some(now),
             left: member.state == MemberState::Leaving,
             listed_leaving: false,
+            document: None,
             member,
         }
     }
@@ -155,6 +160,14 @@
         }
     }
 
+    /// Notes the configuration document that an incarnation tells of.
+    pub(crate) fn set_document(&mut self, name: &InstanceName, incarnation: Incarnation, held: (Revision, Digest)) {
+        let known = self.known.get_mut(name);
+        if let Some(known) = known.filter(|known| known.member.incarnation == incarnation) {
+            known.document = Some(held);
+        }
+    }
+
     /// Notes that the platform's list says that an incarnation is leaving.
     pub(crate) fn set_listed_leaving(&mut self, name: &InstanceName, incarnation: Incarnation) {
         let known = self.known.get_mut(name);
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -6,8 +6,10 @@
 
 use units::Incarnation;
 use units::InstanceName;
+use units::Revision;
 use units::ServiceName;
 use units::ZoneName;
+use wire::Digest;
 use wire::Member;
 use wire::MemberState;
 
@@ -43,6 +45,14 @@
         Some(&known.member)
     }
 
+    /// The configuration document that a member told of last. It may hold a newer one by now, and never an older one.
+    pub fn document_of(&self, name: &InstanceName) -> Option<(Revision, Digest)> {
+        if name == &self.me.name {
+            return self.document;
+        }
+        self.table.get(name)?.document
+    }
+
     /// The members that are dead and not yet forgotten.
     pub fn dead(&self) -> impl Iterator<Item = &Member> {
         let dead = self.table.iter().filter(|known| !known.is_present());
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -113,6 +113,12 @@
     pub zone: ZoneName,
     /// How it fares.
     pub state: MemberState,
+    /// The revision that it told of last. It may have a newer one in force by now, and never an older one.
+    #[serde(default)]
+    pub revision: Option<Revision>,
+    /// The digest of that document, in hexadecimal.
+    #[serde(default)]
+    pub digest: Option<String>,
 }
 
 /// Where the home of a service is.
@@ -204,11 +210,14 @@
     fn member_status(&self) -> Vec<MemberStatus> {
         let mut lines = Vec::new();
         for member in self.membership.members() {
+            let document = self.membership.document_of(&member.name);
             lines.push(MemberStatus {
                 name: member.name.clone(),
                 incarnation: member.incarnation,
                 zone: member.zone.clone(),
                 state: member.state,
+                revision: document.map(|(revision, _)| revision),
+                digest: document.map(|(_, digest)| digest.to_string()),
             });
         }
         lines.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod timeline;
 
 mod table;
+mod time;
--- a/crates/observe/src/status.rs
+++ b/crates/observe/src/status.rs
@@ -8,9 +8,11 @@
 
 use config::Document;
 use jayquayd::admin::Report;
+use jayquayd::summary::Summary;
 use serde::Serialize;
 use units::InstanceName;
 use units::Revision;
+use units::Time;
 use units::ZoneName;
 use wire::Digest;
 
@@ -95,6 +97,21 @@
     pub approved: Result<Option<Approved>, String>,
     /// The instances.
     pub instances: Vec<Asked>,
+    /// What stands at the platform of availability zones with instances that told nothing.
+    pub summaries: Vec<Zone>,
+}
+
+/// A zone's summary, as it stands at the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Zone {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Who wrote the summary.
+    pub writer: String,
+    /// When it changed last.
+    pub written_at: Time,
+    /// What it tells.
+    pub summary: Summary,
 }
 
 impl Fleet {
--- a/crates/observe/src/status/columns.rs
+++ b/crates/observe/src/status/columns.rs
@@ -9,6 +9,7 @@
 use wire::MemberState;
 
 use crate::table::Table;
+use crate::time::seconds;
 
 use super::Asked;
 use super::Fleet;
@@ -23,6 +24,7 @@
         self.write_homes(f)?;
         self.write_upstreams(f)?;
         self.write_refusals(f)?;
+        self.write_summaries(f)?;
         let findings = self.findings();
         if findings.is_empty() {
             return f.write_str("What was approved is in force everywhere, and all instances agree.\n");
@@ -104,6 +106,37 @@
         write!(f, "{table}")
     }
 
+    /// What the platform holds of instances that told nothing themselves.
+    fn write_summaries(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let answered: Vec<_> = self.reports().map(|report| &report.node.name).collect();
+        let mut table = Table::new(&[
+            "NO ANSWER",
+            "ZONE",
+            "STATE",
+            "REVISION",
+            "DIGEST",
+            "SUMMARY BY",
+            "LAST CHANGED",
+        ]);
+        for zone in &self.summaries {
+            let silent = zone.summary.members.iter();
+            for member in silent.filter(|member| !answered.contains(&&member.name)) {
+                let mut groups = zone.summary.in_force.iter();
+                let group = groups.find(|group| group.instances.contains(&member.name));
+                table.push(vec![
+                    member.name.to_string(),
+                    zone.zone.to_string(),
+                    format!("{:?}", member.state).to_lowercase(),
+                    group.map_or_else(|| "-".to_owned(), |group| group.revision.to_string()),
+                    group.map_or_else(|| "-".to_owned(), |group| short(&group.digest)),
+                    zone.writer.clone(),
+                    seconds(zone.written_at),
+                ]);
+            }
+        }
+        write!(f, "{table}")
+    }
+
     fn write_refusals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut table = Table::new(&["REFUSED AT", "CAUSE", "VERDICT", "COUNT"]);
         for report in self.reports() {
--- a/crates/observe/src/timeline/columns.rs
+++ b/crates/observe/src/timeline/columns.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 
 use jayquayd::timeline::Stamp;
-use jiff::Timestamp;
 
 use crate::table::Table;
+use crate::time::micros;
 
 use super::Item;
 use super::Line;
@@ -37,9 +37,5 @@
     if stamp == Stamp::default() {
         return "?".to_owned();
     }
-    let micros = i64::try_from(stamp.time().0).unwrap_or(i64::MAX);
-    let Ok(timestamp) = Timestamp::from_microsecond(micros) else {
-        return stamp.time().to_string();
-    };
-    timestamp.strftime("%Y-%m-%dT%H:%M:%S%.6fZ").to_string()
+    micros(stamp.time())
 }
--- a/crates/observe/tests/status.rs
+++ b/crates/observe/tests/status.rs
@@ -10,6 +10,7 @@
 use observe::status::Asked;
 use observe::status::Fleet;
 use observe::status::Silence;
+use observe::status::Zone;
 use serde_json::Value;
 use serde_json::json;
 use units::Revision;
@@ -58,6 +59,7 @@
     Fleet {
         approved: Ok(Some(Approved::new(Revision(3), TEXT))),
         instances: asked.collect(),
+        summaries: Vec::new(),
     }
 }
 
@@ -120,6 +122,35 @@
     assert_snapshot!(check(&silent), @"entry-3 is seen as alive (incarnation 3) by entry-1, entry-2");
 }
 
+#[test]
+fn silent_instances_are_told_from_their_zones_summary() {
+    let mut silent = fleet(&[]);
+    silent.instances.truncate(1);
+    let member = |name: &str, state: &str| json!({"name": name, "incarnation": 1, "state": state});
+    let summary = json!({
+        "revision": 3, "digest": "0a",
+        "members": [member("entry-1", "Alive"), member("entry-2", "Alive"), member("entry-3", "Leaving")],
+        "in_force": [{"revision": 2, "digest": "0b", "instances": ["entry-2"]}]
+    });
+    silent.summaries.push(Zone {
+        zone: "north".parse().expect("a name"),
+        writer: "entry-1".to_owned(),
+        written_at: units::Time(1_790_000_000_000_000),
+        summary: serde_json::from_value(summary).expect("the summary is whole"),
+    });
+    let text = silent.to_string();
+    let start = text.find("NO ANSWER").expect("there is such a table");
+    assert_snapshot!(text[start..], @r"
+    NO ANSWER  ZONE   STATE    REVISION  DIGEST  SUMMARY BY  LAST CHANGED
+    entry-2    north  alive    2         0b      entry-1     2026-09-21T14:13:20Z
+    entry-3    north  leaving  -         -       entry-1     2026-09-21T14:13:20Z
+
+    Not as it should be:
+      entry-2 is seen as alive (incarnation 2) by entry-1
+      entry-3 is seen as alive (incarnation 3) by entry-1
+    ");
+}
+
 #[test]
 fn views_that_differ_are_found() {
     assert_snapshot!(check(&fleet(&[(1, "/node/members/1/state", json!("Dead"))])), @"entry-2 is seen as alive (incarnation 2) by entry-2, entry-3; dead by entry-1");
--- a/crates/platform/src/status.rs
+++ b/crates/platform/src/status.rs
@@ -20,6 +20,8 @@
 /// A zone's summary, as it was written last.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Status<T> {
+    /// Its version.
+    pub version: Revision,
     /// Who wrote it.
     pub writer: String,
     /// When the platform took it.
@@ -37,18 +39,20 @@
         };
         let value = serde_json::from_value(object.value).map_err(|error| Error::Malformed(error.to_string()))?;
         Ok(Some(Status {
+            version: object.version,
             writer: object.writer,
             written_at: object.written_at,
             value,
         }))
     }
 
-    /// Writes a zone's summary. The last writer wins.
+    /// Writes a zone's summary if it still has the version `base`, zero if there is none. Whoever wrote meanwhile wins.
     pub async fn write_status<T: Serialize>(
         &self,
         zone: &ZoneName,
         writer: &str,
         value: &T,
+        base: Revision,
     ) -> Result<Revision, Error> {
         let put = Put {
             nonce: Nonce(0),
@@ -56,7 +60,7 @@
             value: serde_json::to_value(value).map_err(|error| Error::Malformed(error.to_string()))?,
             ttl_ms: None,
         };
-        self.put(&key(zone), Condition::Any, &put).await
+        self.put(&key(zone), Condition::still(base), &put).await
     }
 }
 
--- a/crates/platform/tests/lease.rs
+++ b/crates/platform/tests/lease.rs
@@ -17,6 +17,7 @@
 use standin::platform::Handle;
 use units::Incarnation;
 use units::Millis;
+use units::Revision;
 use units::ZoneName;
 
 /// Longer than any test takes.
@@ -173,22 +174,28 @@
 }
 
 #[tokio::test]
-async fn the_last_writer_of_a_summary_wins() {
+async fn a_summary_is_written_over_the_version_that_was_read() {
     let (_platform, client) = start().await;
     let zone: ZoneName = "north".parse().expect("a name");
     let none: Option<Status<u32>> = client.status(&zone).await.expect("the platform serves");
     assert_eq!(none, None);
-    for (writer, value) in [("a", 1_u32), ("b", 2)] {
+    for (base, writer, value) in [(0, "a", 1_u32), (1, "b", 2)] {
         client
-            .write_status(&zone, writer, &value)
+            .write_status(&zone, writer, &value, Revision(base))
             .await
             .expect("the platform serves");
+        let late = client.write_status(&zone, "late", &7_u32, Revision(base)).await;
+        assert!(matches!(late, Err(Error::Conflict { .. })), "{late:?}");
         let status: Status<u32> = client
             .status(&zone)
             .await
             .expect("the platform serves")
             .expect("just written");
-        assert_eq!((status.writer.as_str(), status.value), (writer, value));
+        let made = Revision(base + 1);
+        assert_eq!(
+            (status.version, status.writer.as_str(), status.value),
+            (made, writer, value)
+        );
     }
     let other: Result<Option<Status<String>>, Error> = client.status(&zone).await;
     assert!(matches!(other, Err(Error::Malformed(_))), "{other:?}");
@@ -203,7 +210,9 @@
         (api::MAX_VALUE_LEN - 1, false),
         (2 * api::MAX_VALUE_LEN, false),
     ] {
-        let result = client.write_status(&zone, "a", &"x".repeat(len)).await;
+        let result = client
+            .write_status(&zone, "a", &"x".repeat(len), Revision(platform.counts().taken))
+            .await;
         let rejected = matches!(result, Err(Error::Rejected { status: 413, .. }));
         assert_eq!((result.is_ok(), rejected), (fits, !fits), "{len}: {result:?}");
     }
