Read the platform's list in part, only when it changed, and only as a watcher

Cause: every instance read the whole list every 10 s. At 2,400 instances and 12,600 upstreams that is 1.1 MB each time, some 110 KB a second of the 3 KB that control may take, and 249 reads a second at the platform.

A read may name an availability zone and ask for leaving upstreams only (the node uses no others), and carries the tag of what it holds; what has not changed comes back as 304. The tag follows from what is listed, so that renewals leave it. A watcher reads its zone every 2 s and all instances once a minute; any other instance reads the list when it starts and not again, since one that knows no other of its zone is a watcher by its own view.

Ruled out: reading by region (the platform does not know regions, which stand in the document), and leaving the reads of all instances to membership alone (it remembers hints, and a minute's conditional read costs nothing while nothing changes).

The test that compares the interfaces' page with the code learns to read minutes.

--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -234,7 +234,7 @@
     };
     // Each of these ends only when the engine is gone.
     let document = feed.clone().read_document();
-    let list = feed.clone().read_list();
+    let list = feed.clone().read_list(own.zone.clone());
     let peers = feed.clone().name_peers(seeds(settings));
     let entry = feed.keep_entry(entry);
     tasks.spawn(async {
--- a/crates/jayquayd/src/feed.rs
+++ b/crates/jayquayd/src/feed.rs
@@ -1,6 +1,6 @@
 //! What the platform says: the configuration document, the list of instances, and this instance's own entry on it.
 //!
-//! Only an instance that the node chose as a watcher watches the document and reads the list often; the others learn
+//! Only an instance that the node chose as a watcher watches the document and goes on reading the list; the others learn
 //! from their peers, so that reads grow slowly with the fleet. While the platform is down, pauses grow.
 
 use std::time::Duration;
@@ -11,10 +11,13 @@
 use platform::Document;
 use platform::Error;
 use platform::Lease;
+use platform::List;
+use platform::Scope;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use units::Millis;
 use units::Revision;
+use units::ZoneName;
 
 use crate::intake::Closed;
 use crate::intake::Intake;
@@ -27,8 +30,10 @@
 const RENEW_EVERY: Duration = Duration::from_secs(10);
 /// How often a watcher reads the list.
 const WATCHER_LIST_EVERY: Duration = Duration::from_secs(2);
-/// How often the other instances read the list.
-const OTHERS_LIST_EVERY: Duration = Duration::from_secs(10);
+/// How often a watcher reads the instances of all availability zones, and not only those of its own.
+const FULL_LIST_EVERY: Duration = Duration::from_mins(1);
+/// How often the instances in the settings are named.
+const PEERS_EVERY: Duration = Duration::from_secs(10);
 /// How long one watch waits.
 const WATCH_TIME: Duration = Duration::from_secs(20);
 /// The shortest time from one read of the document to the next, unless it brought something new.
@@ -102,20 +107,29 @@
         }
     }
 
-    /// Reads the list now and then.
-    pub async fn read_list(mut self) -> Result<(), Closed> {
+    /// Reads the list once, and goes on while the engine wishes so: whoever knows no other instance is a watcher.
+    ///
+    /// Of the list a watcher reads its own zone often and all zones seldom, and only what has changed.
+    pub async fn read_list(mut self, zone: ZoneName) -> Result<(), Closed> {
         let mut backoff = Backoff::default();
+        let mut own = List::new(Scope::Zone(zone));
+        let mut all = List::new(Scope::Instances);
+        let mut all_read: Option<Instant> = None;
         loop {
-            let result = self.client.list().await;
-            let is_watcher = self.wish.borrow_and_update().watching;
-            let every = if is_watcher {
-                WATCHER_LIST_EVERY
-            } else {
-                OTHERS_LIST_EVERY
-            };
-            let pause = self.judge(&result, every, &mut backoff).await?;
-            if let Ok(list) = result {
-                self.intake.event(Event::List(list)).await?;
+            let watching = self.wish.borrow_and_update().watching;
+            if all_read.is_some() && !watching {
+                self.wish.changed().await.map_err(|_| Closed)?;
+                continue;
+            }
+            let is_full = all_read.is_none_or(|read| read.elapsed() >= FULL_LIST_EVERY);
+            let list = if is_full { &mut all } else { &mut own };
+            let result = self.client.refresh(list).await;
+            let pause = self.judge(&result, WATCHER_LIST_EVERY, &mut backoff).await?;
+            if is_full && result.is_ok() {
+                all_read = Some(Instant::now());
+            }
+            if result == Ok(true) {
+                self.intake.event(Event::List(list.entries().to_vec())).await?;
             }
             self.wait_or_change(pause).await?;
         }
@@ -128,7 +142,7 @@
         }
         loop {
             self.intake.event(Event::List(peers.clone())).await?;
-            tokio::time::sleep(jittered(OTHERS_LIST_EVERY)).await;
+            tokio::time::sleep(jittered(PEERS_EVERY)).await;
         }
     }
 
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -22,6 +22,12 @@
 /// The path of the list of live and leaving instances and upstreams.
 pub const LIST: &str = "/v1/list";
 
+/// The query parameter of the list: leave out instances of other availability zones than this one.
+pub const ZONE: &str = "zone";
+
+/// The query parameter of the list: `leaving` leaves out upstreams that are not.
+pub const UPSTREAMS: &str = "upstreams";
+
 /// The query parameter of a watch: answer once the version is higher than this.
 pub const NEWER_THAN: &str = "newer_than";
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,6 +11,7 @@
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
+use reqwest::header::ETAG;
 use reqwest::header::IF_MATCH;
 use reqwest::header::IF_NONE_MATCH;
 use reqwest::redirect::Policy;
@@ -51,6 +52,13 @@
     }
 }
 
+/// What was read, and the tag by which a later read tells whether it has changed.
+#[derive(Debug)]
+pub(crate) struct Tagged<T> {
+    pub(crate) value: T,
+    pub(crate) tag: Option<String>,
+}
+
 /// A client of the platform. Clones share connections, the address in use and the highest revision seen.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -87,11 +95,25 @@
 
     /// Reads what lies at a path. `None` if nothing does, or if nothing newer came within `wait`.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<Option<T>, Error> {
+        let found = self.get_unless(path, wait, None).await?;
+        Ok(found.map(|found| found.value))
+    }
+
+    /// Reads what lies at a path, unless it still has this tag.
+    pub(crate) async fn get_unless<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wait: Duration,
+        tag: Option<&str>,
+    ) -> Result<Option<Tagged<T>>, Error> {
         let mut cause = "no address is set".to_owned();
         let first = self.in_use.load(Ordering::Relaxed);
         for offset in 0..self.options.addresses.len() {
             let index = first.wrapping_add(offset);
-            let request = self.request(Method::GET, index, path, wait);
+            let mut request = self.request(Method::GET, index, path, wait);
+            if let Some(tag) = tag {
+                request = request.header(IF_NONE_MATCH, tag);
+            }
             let response = match request.send().await {
                 Ok(response) => response,
                 Err(error) => {
@@ -111,6 +133,8 @@
             if !status.is_success() {
                 return Err(rejected(response).await);
             }
+            let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+            let tag = tag.map(str::to_owned);
             let bytes = match response.bytes().await {
                 Ok(bytes) => bytes,
                 Err(error) => {
@@ -119,7 +143,8 @@
                 }
             };
             self.in_use.store(index, Ordering::Relaxed);
-            return parse(&bytes).map(Some);
+            let value = parse(&bytes)?;
+            return Ok(Some(Tagged { value, tag }));
         }
         Err(Error::Unavailable(cause))
     }
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -1,6 +1,4 @@
-//! Leases: an instance's own entry on the platform's list, and the list itself.
-
-use std::time::Duration;
+//! Leases: an instance's own entry on the platform's list.
 
 use node::Listed;
 use units::Incarnation;
@@ -10,11 +8,9 @@
 
 use crate::Client;
 use crate::Error;
-use crate::api;
 use crate::api::Condition;
 use crate::api::Key;
 use crate::api::Kind;
-use crate::api::Listing;
 use crate::api::Object;
 use crate::api::Put;
 
@@ -76,12 +72,6 @@
         Ok(())
     }
 
-    /// Reads the list of live and leaving instances and upstreams. It lags.
-    pub async fn list(&self) -> Result<Vec<Listed>, Error> {
-        let listing: Option<Listing> = self.get(api::LIST, Duration::ZERO).await?;
-        Ok(listing.map(|listing| listing.entries).unwrap_or_default())
-    }
-
     async fn put_lease(&self, lease: &Lease, condition: Condition) -> Result<Revision, Error> {
         let key = lease.key();
         let put = Put {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod document;
 mod error;
 mod lease;
+mod list;
 mod status;
 
 pub use client::Client;
@@ -19,5 +20,7 @@
 pub use document::Write;
 pub use error::Error;
 pub use lease::Lease;
+pub use list::List;
+pub use list::Scope;
 pub use node::Listed;
 pub use status::Status;
--- a/crates/standin/src/platform/behaviour.rs
+++ b/crates/standin/src/platform/behaviour.rs
@@ -34,6 +34,10 @@
     pub reads: u64,
     /// Reads of the list.
     pub lists: u64,
+    /// Reads of the list that found nothing new.
+    pub lists_unchanged: u64,
+    /// Bytes of the list in the answers to such reads, all together.
+    pub list_bytes: u64,
     /// Watches begun.
     pub watches: u64,
     /// Watches that wait now.
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -22,14 +22,17 @@
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
 use axum::http::header::ETAG;
 use axum::http::header::IF_MATCH;
 use axum::http::header::IF_NONE_MATCH;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use node::Listed;
 use serde::Deserialize;
 use units::Revision;
+use units::ZoneName;
 
 use crate::line::Line;
 use crate::platform::Shared;
@@ -37,6 +40,10 @@
 
 /// How much longer than its value a write may be, in bytes.
 const PUT_OVERHEAD: usize = 4_096;
+/// How many hexadecimal digits the tag of a list has.
+const TAG_LEN: usize = 32;
+/// The content type of the list.
+const JSON: &str = "application/json";
 
 /// What a read asks for.
 #[derive(Debug, Default, Deserialize)]
@@ -48,6 +55,29 @@
     history: Option<usize>,
 }
 
+/// Which part of the list a read asks for.
+#[derive(Debug, Default, Deserialize)]
+struct Part {
+    zone: Option<ZoneName>,
+    upstreams: Option<Upstreams>,
+}
+
+/// Which upstreams a read of the list asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Upstreams {
+    Leaving,
+}
+
+impl Part {
+    fn holds(&self, entry: &Listed) -> bool {
+        match entry {
+            Listed::Entry { zone, .. } => self.zone.as_ref().is_none_or(|wanted| wanted == zone),
+            Listed::Upstream { leaving, .. } => self.upstreams.is_none() || *leaving,
+        }
+    }
+}
+
 /// The routes of the object API.
 pub(crate) fn routes(shared: &Shared) -> Router {
     let object = format!("{}/{{kind}}/{{name}}", api::OBJECTS);
@@ -143,14 +173,23 @@
     }
 }
 
-async fn list(State(shared): State<Shared>) -> Response {
+async fn list(State(shared): State<Shared>, Query(part): Query<Part>, headers: HeaderMap) -> Response {
     shared.store.count(|counts| counts.lists += 1);
     if let Some(refusal) = disturb(&shared).await {
         return refusal;
     }
     let lag = shared.behaviour.borrow().list_lag.duration();
-    let entries = shared.store.list(lag);
-    Json(Listing { entries }).into_response()
+    let mut entries = shared.store.list(lag);
+    entries.retain(|entry| part.holds(entry));
+    let body = serde_json::to_string(&Listing { entries }).expect("entries have a JSON form");
+    // The tag follows from what is listed, so that a renewal that changes nothing leaves it as it is.
+    let tag = format!("\"{}\"", &blake3::hash(body.as_bytes()).to_hex()[..TAG_LEN]);
+    if headers.get(IF_NONE_MATCH).is_some_and(|held| held == tag.as_str()) {
+        shared.store.count(|counts| counts.lists_unchanged += 1);
+        return (StatusCode::NOT_MODIFIED, [(ETAG, tag)]).into_response();
+    }
+    shared.store.count(|counts| counts.list_bytes += body.len() as u64);
+    ([(ETAG, tag), (CONTENT_TYPE, JSON.to_owned())], body).into_response()
 }
 
 /// Brings about the faults that any call may meet.
--- a/crates/standin/tests/interfaces.rs
+++ b/crates/standin/tests/interfaces.rs
@@ -177,6 +177,9 @@
     let line = source[start..].lines().next().expect("a line");
     let (_name, value) = line.split_once(" = ").expect("a constant has a value");
     let digits: String = value.chars().filter(char::is_ascii_digit).collect();
+    if value.contains("from_mins") {
+        return format!("{digits} min");
+    }
     if value.contains("from_secs") {
         return format!("{digits} s");
     }
