Crash the home of the service in the crash test, twice, under load

Now the service's home dies, which owns the flows, once 200 holds have ended since the last event, and 200 more must end after.

--- a/crates/jayquayd/tests/whole/crash.rs
+++ b/crates/jayquayd/tests/whole/crash.rs
@@ -1,7 +1,8 @@
-//! Holds over a fabric that loses, doubles and reorders packets, while an instance crashes and another one joins.
+//! Holds over a fabric that loses, doubles and reorders packets, while instances crash and others join.
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -13,9 +14,12 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::hold;
+use crate::fleet::until;
 
 /// How many callers there are.
 const CALLERS: usize = 8;
+/// How many holds end before, between and after the crashes, at least.
+const HOLDS_BETWEEN: usize = 200;
 /// How long callers wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_secs(10);
 
@@ -41,15 +45,21 @@
         clients.push(fleet.open().await);
     }
     let done = AtomicBool::new(false);
+    let ended = AtomicUsize::new(0);
     let working = clients
         .iter()
         .enumerate()
-        .map(|(caller, client)| work(caller, client, &done));
+        .map(|(caller, client)| work(caller, client, &done, &ended));
     let failing = async {
-        fleet.crash(1);
-        fleet.join("four", "a").await;
-        fleet.crash(0);
-        fleet.join("five", "a").await;
+        for name in ["four", "five"] {
+            let more = ended.load(Ordering::Relaxed) + HOLDS_BETWEEN;
+            until(async || ended.load(Ordering::Relaxed) >= more).await;
+            let home = fleet.home().await;
+            fleet.crash(home);
+            fleet.join(name, "a").await;
+        }
+        let more = ended.load(Ordering::Relaxed) + HOLDS_BETWEEN;
+        until(async || ended.load(Ordering::Relaxed) >= more).await;
         done.store(true, Ordering::Relaxed);
     };
     let (outcomes, ()) = tokio::join!(futures_util::future::join_all(working), failing);
@@ -60,7 +70,7 @@
     }
 }
 
-async fn work(caller: usize, client: &Client, done: &AtomicBool) -> Outcomes {
+async fn work(caller: usize, client: &Client, done: &AtomicBool, ended: &AtomicUsize) -> Outcomes {
     let service = "availability".parse().unwrap();
     let kind: units::KindName = "hold".parse().unwrap();
     let mut outcomes = Vec::new();
@@ -74,6 +84,7 @@
             Err(failure) => Some(failure.verdict),
         };
         outcomes.push((body, outcome));
+        ended.fetch_add(1, Ordering::Relaxed);
     }
     outcomes
 }
--- a/crates/jayquayd/tests/whole/fleet.rs
+++ b/crates/jayquayd/tests/whole/fleet.rs
@@ -124,6 +124,18 @@
             .expect("it stops in time")
     }
 
+    /// The index of the service's home, which owns the flows that were opened last.
+    pub async fn home(&self) -> usize {
+        for (index, handle) in self.instances.iter().enumerate() {
+            let status = handle.status().await.unwrap();
+            let home = status.homes.first().and_then(|line| line.home.clone());
+            if home == Some(status.name) {
+                return index;
+            }
+        }
+        panic!("no instance is home of the service");
+    }
+
     /// Ends an instance at once, and takes it from the fabric.
     pub fn crash(&mut self, index: usize) {
         drop(self.instances.remove(index));
