--- a/crates/jayquayd/tests/upstreams.rs
+++ b/crates/jayquayd/tests/upstreams.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use units::FlowId;
 use units::Incarnation;
@@ -218,3 +219,22 @@
     assert_eq!(seen, (Incarnation(4), true, false, 1, Duration::from_millis(1_500)));
     server.await.unwrap();
 }
+
+#[tokio::test]
+async fn a_connection_that_takes_too_long_is_unreachable() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    // Nobody takes connections here, and once the queue is full the system answers none.
+    let listener = socket.listen(1).unwrap();
+    let mut waiting = Vec::new();
+    for _ in 0..8 {
+        let mut stream = Box::pin(TcpStream::connect(address));
+        let polled = tokio::time::timeout(Duration::from_millis(20), &mut stream).await;
+        waiting.push((stream, polled.is_ok()));
+    }
+    assert!(!waiting[7].1, "the queue never filled");
+    let result = caller().call(&call(address, PATIENCE)).await;
+    assert_eq!(result, CallResult::Unreachable);
+    drop(listener);
+}
