Run whole instances while the platform misbehaves

Each of these now meets a fleet of real sockets: requests go on, a newcomer learns the document from its peers, no instance's time line ever shows a lower revision after a higher one, and the next revision comes into force once the fault has ended.

--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod fleet;
+mod outage;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
--- /dev/null
+++ b/crates/jayquayd/tests/whole/outage.rs
@@ -0,0 +1,139 @@
+//! A fleet while the platform misbehaves: what is in force stays so, newcomers learn it, and requests go on.
+
+use caller::Client;
+use jayquayd::Handle;
+use standin::platform::Behaviour;
+
+use crate::fleet::Fleet;
+use crate::fleet::hold;
+use crate::fleet::state;
+use crate::fleet::until;
+
+async fn revision(handle: &Handle) -> u64 {
+    let status = handle.status().await.unwrap();
+    status.revision.map_or(0, |revision| revision.0)
+}
+
+/// Waits until a revision is in force at every instance.
+async fn in_force(fleet: &Fleet, wanted: u64) {
+    for handle in &fleet.instances {
+        until(async || revision(handle).await == wanted).await;
+    }
+}
+
+/// An instance that knows a peer from its settings.
+async fn newcomer(fleet: &Fleet) -> Handle {
+    let mut settings = fleet.settings("three", "a");
+    settings.peers = vec![config::Seed {
+        name: "one".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        address: fleet.instances[0].addresses().instances,
+    }];
+    jayquayd::start(&settings, None).await.unwrap()
+}
+
+/// The revisions that came into force at an instance, in their order.
+async fn came_into_force(handle: &Handle) -> Vec<u64> {
+    let url = format!("http://{}/timeline", handle.addresses().admin);
+    let lines = reqwest::get(url).await.unwrap().text().await.unwrap();
+    let mut revisions = Vec::new();
+    for line in lines.lines() {
+        let entry: jayquayd::timeline::Entry = serde_json::from_str(line).unwrap();
+        if let node::Record::InForce(revision) = entry.record {
+            revisions.push(revision.0);
+        }
+    }
+    revisions
+}
+
+/// Two instances with revision 2 in force.
+async fn fleet() -> Fleet {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    fleet.join("one", "a").await;
+    fleet.join("two", "a").await;
+    fleet.put_document(2);
+    in_force(&fleet, 2).await;
+    fleet
+}
+
+/// Ends the platform's faults, brings revision 3 into force, and checks that no instance ever stepped down.
+async fn recover(fleet: &Fleet, client: &Client) {
+    fleet.platform.behave(Behaviour::default()).await;
+    fleet.put_document(3);
+    in_force(fleet, 3).await;
+    hold(client, 20).await;
+    assert_eq!(fleet.most_runs(), 1);
+    for handle in &fleet.instances {
+        let revisions = came_into_force(handle).await;
+        assert!(
+            revisions.is_sorted_by(|earlier, later| earlier < later),
+            "{revisions:?}"
+        );
+    }
+}
+
+/// Lets the platform misbehave like this, while requests go on and a newcomer learns the document from its peers.
+async fn check(fault: &str) {
+    let mut fleet = fleet().await;
+    fleet.platform.behave(serde_json::from_str(fault).unwrap()).await;
+    let client = fleet.open().await;
+    hold(&client, 20).await;
+    let newcomer = newcomer(&fleet).await;
+    fleet.instances.push(newcomer);
+    in_force(&fleet, 2).await;
+    hold(&client, 20).await;
+    recover(&fleet, &client).await;
+}
+
+#[tokio::test]
+async fn an_old_version_that_comes_late_reverts_nothing() {
+    let mut fleet = fleet().await;
+    let client = fleet.open().await;
+    let mut fault = Behaviour {
+        behind: 1,
+        stalled: true,
+        ..Default::default()
+    };
+    fleet.platform.behave(fault.clone()).await;
+    let newcomer = newcomer(&fleet).await;
+    fleet.instances.push(newcomer);
+    in_force(&fleet, 2).await;
+    // Only now does the newcomer's own read come back, with revision 1.
+    fault.stalled = false;
+    fleet.platform.behave(fault).await;
+    until(async || state(&fleet.instances[2]).await == "ready").await;
+    hold(&client, 20).await;
+    in_force(&fleet, 2).await;
+    recover(&fleet, &client).await;
+}
+
+#[tokio::test]
+async fn a_platform_that_serves_old_versions_reverts_nothing() {
+    check(r#"{"behind": 1}"#).await;
+}
+
+#[tokio::test]
+async fn a_platform_that_is_down_stops_nothing() {
+    check(r#"{"down": true}"#).await;
+}
+
+#[tokio::test]
+async fn a_platform_that_refuses_stops_nothing() {
+    check(r#"{"unavailable": true}"#).await;
+}
+
+#[tokio::test]
+async fn a_platform_that_stalls_stops_nothing() {
+    check(r#"{"stalled": true}"#).await;
+}
+
+#[tokio::test]
+async fn a_platform_slower_than_its_clients_wait_stops_nothing() {
+    check(r#"{"slow": 2500}"#).await;
+}
+
+#[tokio::test]
+async fn a_list_of_long_ago_stops_nothing() {
+    check(r#"{"list_lag": 3600000}"#).await;
+}
