--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -45,7 +45,7 @@
     /// It waits for a token and for this time.
     Waiting(Time),
     /// An attempt is in progress.
-    Sent(Attempt),
+    Sent(Box<Attempt>),
 }
 
 impl Call {
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether it waits for nothing but to be sent.
+    pub(crate) fn is_due(&self, now: Time) -> bool {
+        matches!(self.stage, Stage::Waiting(not_before) if not_before <= now)
+    }
+
     /// Whether the attempt in progress waits for a sign of life.
     pub(crate) fn is_silent(&self) -> bool {
         matches!(&self.stage, Stage::Sent(attempt) if attempt.silent)
@@ -143,7 +148,7 @@
             return;
         }
         self.accepted = true;
-        self.timer = Timer::start(now, policy.retransmit_accepted, policy.retransmit_max, rng);
+        self.timer = Timer::start(now, policy.retransmit_accepted, policy, rng);
     }
 
     /// Takes a chunk.
