--- a/crates/jayquay/src/demo/story.rs
+++ b/crates/jayquay/src/demo/story.rs
@@ -22,12 +22,12 @@
 const DURATION: Duration = Duration::from_secs(10);
 /// How long before the first change.
 const QUIET: Duration = Duration::from_secs(2);
-/// More than the service can take once one of its upstreams has gone.
-const SURGE: Surge = Surge {
-    at: Duration::from_secs(7),
-    lasts: Duration::from_secs(1),
-    rate: 700.0,
-};
+/// When more holds come than the service can take once one of its upstreams has gone.
+const SURGE_AT: Duration = Duration::from_secs(7);
+/// How long they come.
+const SURGE_LASTS: Duration = Duration::from_secs(1);
+/// How many come per second.
+const SURGE_RATE: f64 = 700.0;
 /// How long a caller waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// How many ended requests wait to be counted.
@@ -108,14 +108,15 @@
         weight: Weight(weight),
         idempotent,
     };
+    let hold = kind("hold", 3, 5, false);
+    let surge = Surge {
+        at: SURGE_AT,
+        lasts: SURGE_LASTS,
+        rate: SURGE_RATE,
+        kinds: vec![hold.clone()],
+    };
     vec![
-        plan(
-            0,
-            40,
-            150.0,
-            Some(SURGE),
-            vec![kind("read", 7, 1, true), kind("hold", 3, 5, false)],
-        ),
+        plan(0, 40, 150.0, Some(surge), vec![kind("read", 7, 1, true), hold]),
         plan(1, 10, 30.0, None, vec![kind("sheet", 1, 2, true)]),
     ]
 }
--- a/crates/jayquay/src/traffic/arrivals.rs
+++ b/crates/jayquay/src/traffic/arrivals.rs
@@ -23,7 +23,7 @@
 const OPENING: usize = 64;
 
 /// A time in which more requests begin.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Surge {
     /// When it begins.
     pub at: Duration,
@@ -31,6 +31,8 @@
     pub lasts: Duration,
     /// How many requests begin per second meanwhile.
     pub rate: f64,
+    /// The kinds of request meanwhile.
+    pub kinds: Vec<Kind>,
 }
 
 /// What callers do.
@@ -61,12 +63,13 @@
 }
 
 impl Plan {
-    /// How many requests begin per second at this time of the run.
-    fn rate_at(&self, elapsed: Duration) -> f64 {
-        let surge = self
-            .surge
-            .filter(|surge| (surge.at..surge.at + surge.lasts).contains(&elapsed));
-        surge.map_or(self.rate, |surge| surge.rate)
+    /// How many requests begin per second at this time of the run, and of what kinds.
+    fn at(&self, elapsed: Duration) -> (f64, &[Kind]) {
+        let surge = self.surge.as_ref();
+        match surge.filter(|surge| (surge.at..surge.at + surge.lasts).contains(&elapsed)) {
+            Some(surge) => (surge.rate, &surge.kinds),
+            None => (self.rate, &self.kinds),
+        }
     }
 }
 
@@ -97,14 +100,15 @@
     let start = Instant::now();
     let mut due = start;
     for number in 0_u64.. {
-        due += gap(plan.rate_at(due.duration_since(start)), &mut random);
+        let (rate, kinds) = plan.at(due.duration_since(start));
+        due += gap(rate, &mut random);
         if due.duration_since(start) > plan.duration {
             break;
         }
         tokio::time::sleep_until(due).await;
         while requests.try_join_next().is_some() {}
         let flow = random.random_range(0..clients.len());
-        let kind = pick(&plan.kinds, &mut random).clone();
+        let kind = pick(kinds, &mut random).clone();
         let body = body(&plan, number);
         let client = clients[flow].clone();
         let ended = Ended {
