--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -58,12 +58,13 @@
             let lease = Lease {
                 upstream: upstream.clone(),
                 weight: Some(ask.weight),
+                deadline: ask.deadline,
                 expiry: ask.deadline + MARGIN,
             };
             self.lend(key.clone(), lease, now);
             out.push(Decision::Grant { key, upstream });
         }
-        if self.queue.len() == 0 {
+        if self.queue.shared_len() == 0 {
             self.idle_at = now;
         }
     }
@@ -79,7 +80,8 @@
                 return;
             };
             let full = self.queue.len() > self.sharing.queue_limit as usize;
-            let patience = self.patience(now);
+            // A flow's upstream may be busy for the life of another flow while the service as a whole is not overloaded.
+            let patience = if upstream.is_some() { 1.0 } else { self.patience(now) };
             let Some(key) = victim(line, &self.estimate, servers, full, patience, now) else {
                 return;
             };
@@ -139,6 +141,10 @@
 
     /// The next request to start, and where.
     fn next(&self, now: Time) -> Option<(K, UpstreamName)> {
+        let any_free = self.queue.len() > 0 && self.targets.iter().any(|target| self.is_free(target, now));
+        if !any_free {
+            return None;
+        }
         let pinned = self.next_pinned(now);
         let shared = self.next_shared(now);
         match (pinned, shared) {
