model: search systems of whole nodes that are too large in many orders

A search depth first that ends early has seen only the last turns of one way. Now events can be tried in other orders, so that many short searches see states all over the system.

--- a/crates/model/src/whole.rs
+++ b/crates/model/src/whole.rs
@@ -74,12 +74,19 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Whole {
     bounds: Bounds,
+    order: u64,
 }
 
 impl Whole {
     /// The system within these bounds.
     pub fn new(bounds: Bounds) -> Self {
-        Self { bounds }
+        Self { bounds, order: 0 }
+    }
+
+    /// The same system, whose events are tried in another order: a search that is not complete sees other states.
+    #[must_use]
+    pub fn ordered(self, order: u64) -> Self {
+        Self { order, ..self }
     }
 
     fn events_of_calls(world: &World, events: &mut Vec<Event>) {
@@ -144,6 +151,10 @@
         if world.passes < self.bounds.passes {
             events.push(Event::Pass);
         }
+        if self.order > 0 && !events.is_empty() {
+            let shift = world.mixed(self.order) % events.len();
+            events.rotate_left(shift);
+        }
         events
     }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -269,6 +269,16 @@
     }
 }
 
+impl World {
+    /// A number that depends on the state and on `salt` only.
+    pub(crate) fn mixed(&self, salt: u64) -> usize {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.digest);
+        hasher.update(&salt.to_le_bytes());
+        usize::from(hasher.finalize().as_bytes()[0])
+    }
+}
+
 impl Hash for World {
     fn hash<H: Hasher>(&self, hasher: &mut H) {
         self.digest.hash(hasher);
