--- a/crates/experiment/src/aims.rs
+++ b/crates/experiment/src/aims.rs
@@ -101,7 +101,7 @@
                 add("missed %", own(Metric::Missed), 1.0, false);
             }
             Scenario::SomeFail | Scenario::AllFail => add("calls / before", own(Metric::Calls), CALLS, false),
-            Scenario::SayUnhealthy | Scenario::Cold | Scenario::TwoHomes | Scenario::Pinned => {
+            Scenario::SayUnhealthy | Scenario::Cold | Scenario::Slow | Scenario::TwoHomes | Scenario::Pinned => {
                 add("lost %", lost, LOST, false);
             }
             Scenario::SayHealthy => add("lost %", lost, 1.0, false),
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -39,6 +39,8 @@
     SayHealthy,
     /// A fifth of the upstreams restart and are slow at first, load 0.9.
     Cold,
+    /// A fifth of the upstreams get two and a half times slower and stay so, load 0.7.
+    Slow,
     /// The upstreams of an availability zone cannot be reached for a time, load 0.6.
     ZoneLoss,
     /// Flows keep their upstream, load 0.7.
@@ -51,7 +53,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Calm,
         Self::Busy,
         Self::Overload,
@@ -61,6 +63,7 @@
         Self::SayUnhealthy,
         Self::SayHealthy,
         Self::Cold,
+        Self::Slow,
         Self::ZoneLoss,
         Self::Pinned,
         Self::TwoHomes,
@@ -79,6 +82,7 @@
             Self::SayUnhealthy => "say-unhealthy",
             Self::SayHealthy => "say-healthy",
             Self::Cold => "cold",
+            Self::Slow => "slow",
             Self::ZoneLoss => "zone-loss",
             Self::Pinned => "pinned",
             Self::TwoHomes => "two-homes",
@@ -130,7 +134,7 @@
     pub(crate) fn is_chosen(self, upstream: usize) -> bool {
         match self {
             Self::AllFail => true,
-            Self::SomeFail | Self::SayHealthy | Self::Cold => is_chosen(upstream),
+            Self::SomeFail | Self::SayHealthy | Self::Cold | Self::Slow => is_chosen(upstream),
             _ => false,
         }
     }
@@ -145,11 +149,18 @@
     pub(crate) fn slowness(self, upstream: usize, seconds: f64) -> f64 {
         const COLD: f64 = 3.0;
         const COLD_FOR: f64 = 8.0;
-        if self != Self::Cold || !is_chosen(upstream) || seconds < EVENT {
+        const SLOW: f64 = 2.5;
+        if !is_chosen(upstream) || seconds < EVENT {
             return 1.0;
         }
-        let warmth = ((seconds - EVENT) / COLD_FOR).min(1.0);
-        COLD + (1.0 - COLD) * warmth
+        match self {
+            Self::Slow => SLOW,
+            Self::Cold => {
+                let warmth = ((seconds - EVENT) / COLD_FOR).min(1.0);
+                COLD + (1.0 - COLD) * warmth
+            }
+            _ => 1.0,
+        }
     }
 
     /// How long ago an upstream started, as it says.
