--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -265,12 +265,6 @@
         if outcome == Outcome::Completed {
             self.estimate.add(lease.weight, took);
             self.budget.earn();
-            let usual = lease.weight.map_or(0.0, |weight| self.estimate.mean_of(weight));
-            if usual > 0.0
-                && let Ok(index) = self.find(&lease.upstream)
-            {
-                self.targets[index].learn_pace(took.as_secs_f64() / usual);
-            }
         }
         if outcome.verdict() == Verdict::NotRun {
             self.budget.refund();
--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -21,9 +21,6 @@
 const COLD_SHARE: f64 = 0.1;
 /// How many times that share of its slots it may use when the others are busy.
 const COLD_HEADROOM: f64 = 4.0;
-const PACE: f64 = 1.0;
-const OUTLIER: f64 = 4.0;
-const PACE_GAIN: f64 = 0.05;
 /// How much of a new report on foreign use counts.
 const REPORT_GAIN: f64 = 0.2;
 
@@ -50,8 +47,6 @@
     cold_since: Option<Time>,
     usage: f64,
     usage_at: Time,
-    /// How long its calls take, as a multiple of what is usual for the service.
-    pub(crate) pace: f64,
     /// The smoothed number of its slots that others seem to use.
     foreign: f64,
 }
@@ -73,7 +68,6 @@
             usage: 0.0,
             usage_at: now,
             foreign: 0.0,
-            pace: 1.0,
         }
     }
 
@@ -162,9 +156,7 @@
     pub(crate) fn load(&self, slow_start: Duration, now: Time) -> f64 {
         let slots = f64::from(self.slots.0.max(1));
         let used = (f64::from(self.busy) + self.foreign) / slots;
-        (used + self.usage(now)) / self.share(slow_start, now)
-            + self.health.failures
-            + (self.pace - 1.0).max(0.0) * PACE
+        (used + self.usage(now)) / self.share(slow_start, now) + self.health.failures
     }
 
     /// The smoothed share of its slots that was in use.
@@ -175,16 +167,6 @@
         self.usage + (f64::from(self.busy) / slots - self.usage) * gain
     }
 
-    /// A call of it was completed, which took so many times the usual.
-    pub(crate) fn learn_pace(&mut self, ratio: f64) {
-        let idle = self.busy + 1 < u32::from(self.slots.0);
-        let outlier = ratio > OUTLIER * self.pace;
-        if idle || outlier {
-            return;
-        }
-        self.pace += (ratio - self.pace) * PACE_GAIN;
-    }
-
     /// A slot is lent.
     pub(crate) fn lend(&mut self, now: Time) {
         self.note(now);
