Come back sooner to an upstream that shed

After a shed call its upstream got nothing for half to one and a half mean service times, though with two homes one of its slots soon is free again. It now gets nothing for 0.3 to 0.9 of the mean.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -275,7 +275,7 @@
         let target = &mut self.targets[index];
         match outcome {
             Outcome::Shed => {
-                let spread = self.rng.random_range(0.5..1.5);
+                let spread = self.rng.random_range(0.3..0.9);
                 target.back_off(now + Duration::from_secs_f64(mean * spread));
             }
             Outcome::Draining => target.leave(),
