--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -1,4 +1,4 @@
-//! Runs experiments and prints the table, JSON or a plot.
+//! Runs experiments and prints the table and the aims, JSON or a plot.
 
 use std::process::ExitCode;
 
@@ -40,7 +40,7 @@
         .argument("NUMBER")
         .fallback(5);
     let aims = bpaf::long("aims")
-        .help("Print what is aimed at and what was measured")
+        .help("Print only what is aimed at and what was measured")
         .switch();
     let json = bpaf::long("json").help("Print JSON").switch();
     let svg = bpaf::long("svg")
@@ -89,14 +89,15 @@
         options.scenarios.clone_from(&arguments.scenarios);
     }
     let summary = experiment::run(yaml, &options)?;
-    if arguments.aims {
-        print!("{}", summary.aims());
-    } else if arguments.json {
+    if arguments.json {
         println!("{}", summary.json());
     } else if arguments.svg {
         println!("{}", summary.svg(Metric::WaitP99)?);
     } else {
-        print!("{}", summary.table());
+        if !arguments.aims {
+            println!("{}", summary.table());
+        }
+        print!("{}", summary.aims());
     }
     Ok(())
 }
--- a/crates/experiment/src/summary.rs
+++ b/crates/experiment/src/summary.rs
@@ -52,7 +52,7 @@
 }
 
 impl Summary {
-    /// The results in columns: medians, and the range where it is wider than a twentieth.
+    /// The results in columns: for each rule the medians, and below them the least and the greatest.
     pub fn table(&self) -> String {
         let mut text = String::new();
         let mut previous = String::new();
@@ -62,14 +62,9 @@
                 heading(&mut text, &head);
                 previous = head;
             }
-            write!(text, "{:<13}", row.rule).expect("a string takes every write");
-            for metric in Metric::ALL {
-                let cell = row
-                    .figure(metric)
-                    .map_or_else(|| "-".to_owned(), |figure| number(figure.median));
-                write!(text, " {cell:>9}").expect("a string takes every write");
-            }
-            text.push('\n');
+            line(&mut text, row.rule.as_str(), row, |figure| figure.median);
+            line(&mut text, "  min", row, |figure| figure.min);
+            line(&mut text, "  max", row, |figure| figure.max);
         }
         text
     }
@@ -99,6 +94,17 @@
     text.push('\n');
 }
 
+fn line(text: &mut String, label: &str, row: &Row, value: impl Fn(&Figure) -> f64) {
+    write!(text, "{label:<13}").expect("a string takes every write");
+    for metric in Metric::ALL {
+        let cell = row
+            .figure(metric)
+            .map_or_else(|| "-".to_owned(), |figure| number(value(figure)));
+        write!(text, " {cell:>9}").expect("a string takes every write");
+    }
+    text.push('\n');
+}
+
 fn number(value: f64) -> String {
     if value >= 100.0 {
         format!("{value:.0}")
