--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use balance::State;
 use balance::UpstreamStatus;
+use serde::Deserialize;
 use serde::Serialize;
 use units::Incarnation;
 use units::InstanceName;
@@ -38,7 +40,7 @@
 }
 
 /// How far a node is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
     /// It holds no configuration document, or has just begun.
@@ -52,7 +54,7 @@
 }
 
 /// What a node tells of itself.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: InstanceName,
@@ -101,7 +103,7 @@
 }
 
 /// An instance as another sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Its name.
     pub name: InstanceName,
@@ -111,10 +113,16 @@
     pub zone: ZoneName,
     /// How it fares.
     pub state: MemberState,
+    /// The revision that it told of last. It may have a newer one in force by now, and never an older one.
+    #[serde(default)]
+    pub revision: Option<Revision>,
+    /// The digest of that document, in hexadecimal.
+    #[serde(default)]
+    pub digest: Option<String>,
 }
 
 /// Where the home of a service is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HomeStatus {
     /// The service.
     pub service: ServiceName,
@@ -123,7 +131,7 @@
 }
 
 /// An upstream as the home of its service sees it.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamLine {
     /// The service.
     pub service: ServiceName,
@@ -132,7 +140,7 @@
     /// Its life, as it last told.
     pub incarnation: Option<Incarnation>,
     /// Its state: why it gets new work or not.
-    pub state: &'static str,
+    pub state: State,
     /// Slots in use.
     pub busy: u32,
     /// Slots in all.
@@ -144,7 +152,7 @@
 }
 
 /// How often a node refused for one reason with one verdict.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedCount {
     /// Whether the requests may have run.
     pub verdict: Verdict,
@@ -202,11 +210,14 @@
     fn member_status(&self) -> Vec<MemberStatus> {
         let mut lines = Vec::new();
         for member in self.membership.members() {
+            let document = self.membership.document_of(&member.name);
             lines.push(MemberStatus {
                 name: member.name.clone(),
                 incarnation: member.incarnation,
                 zone: member.zone.clone(),
                 state: member.state,
+                revision: document.map(|(revision, _)| revision),
+                digest: document.map(|(_, digest)| digest.to_string()),
             });
         }
         lines.sort_by(|a, b| a.name.cmp(&b.name));
@@ -240,7 +251,7 @@
             service: service.clone(),
             incarnation: self.upstreams.get(&status.name).copied(),
             upstream: status.name,
-            state: status.state.as_str(),
+            state: status.state,
             busy: status.busy,
             slots: status.slots,
             utilisation: status.utilisation,
