--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -8,7 +8,6 @@
 use node::Peer;
 use node::PollError;
 use node::Record;
-use rand::RngExt;
 use units::InstanceName;
 use units::Time;
 use units::UpstreamName;
@@ -32,8 +31,6 @@
 
 /// How long an instance waits for a session with one that does not answer.
 const SESSION_TIMEOUT: Duration = Duration::from_secs(1);
-/// How often an instance asks the platform for its list.
-const LIST_EVERY: Duration = Duration::from_secs(1);
 /// How long a poll of an upstream that does not answer takes.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -166,7 +163,7 @@
             self.close_session(&link);
             let Some(target) = target.filter(|_| reached) else {
                 let wait = if reached { node::TICK } else { SESSION_TIMEOUT };
-                let event = Happening::Event(from.clone(), Event::Lost(to.clone()));
+                let event = Happening::Event(from.clone(), Box::new(Event::Lost(to.clone())));
                 self.queue.push(self.now + wait, event);
                 return Ok(());
             };
@@ -223,7 +220,8 @@
         self.sessions.close(link);
         for (end, other) in [(&a, &b), (&b, &a)] {
             let event = Event::Lost(other.name.clone());
-            self.queue.push(self.now, Happening::Event(end.clone(), event));
+            self.queue
+                .push(self.now, Happening::Event(end.clone(), Box::new(event)));
         }
     }
 
@@ -254,79 +252,13 @@
         if !self.cuts.joined(&zone, &upstream.spec.zone) {
             let event = Event::Polled(name, Err(PollError));
             self.queue
-                .push(self.now + POLL_TIMEOUT, Happening::Event(peer.clone(), event));
+                .push(self.now + POLL_TIMEOUT, Happening::Event(peer.clone(), Box::new(event)));
             return Ok(());
         }
         let report = upstream.report(self.now, &mut self.rng);
         self.feed(peer, Event::Polled(name, report))
     }
 
-    fn watch(&mut self, peer: &Peer, on: bool) {
-        let Some(life) = self.instances.get_mut(&peer.name).and_then(|i| i.life.as_mut()) else {
-            return;
-        };
-        let begins = on && !life.watching;
-        life.watching = on;
-        if begins {
-            self.relist(peer);
-        }
-    }
-
-    /// Gives a watching instance the document that the platform shows on a re-list.
-    fn relist(&mut self, peer: &Peer) {
-        if !self.platform_reached(&peer.name) {
-            return;
-        }
-        let Some(accepted) = self.platform.relist() else {
-            return;
-        };
-        let event = Event::Loaded(accepted.revision, accepted.text.clone());
-        let delay = millis(&mut self.rng, 5, 50) + self.platform.delay();
-        self.queue.push(self.now + delay, Happening::Event(peer.clone(), event));
-    }
-
-    /// Whether the platform answers an instance.
-    pub(crate) fn platform_reached(&self, name: &InstanceName) -> bool {
-        let zone = self.instances.get(name).map(|instance| &instance.spec.zone);
-        self.platform.answers() && zone.is_some_and(|zone| self.cuts.platform(zone))
-    }
-
-    /// An instance asks the platform for its list.
-    pub(crate) fn list(&mut self, peer: Peer) -> Result<(), Violation> {
-        let reached = self.platform_reached(&peer.name);
-        let Some(life) = self
-            .instances
-            .get_mut(&peer.name)
-            .and_then(|i| i.life_of(peer.incarnation))
-        else {
-            return Ok(());
-        };
-        let jitter = self.rng.random_range(0..200);
-        self.queue.push(
-            self.now + LIST_EVERY + Duration::from_millis(jitter),
-            Happening::List(peer.clone()),
-        );
-        if life.frozen {
-            return Ok(());
-        }
-        let changed = life.platform.replace(reached) != Some(reached);
-        let watching = life.watching;
-        if changed {
-            self.feed(&peer, Event::Platform(reached))?;
-        }
-        if !reached {
-            return Ok(());
-        }
-        if changed && watching {
-            self.relist(&peer);
-        }
-        let list = self.platform.list(self.now);
-        let delay = millis(&mut self.rng, 2, 20) + self.platform.delay();
-        self.queue
-            .push(self.now + delay, Happening::Event(peer, Event::List(list)));
-        Ok(())
-    }
-
     /// A process has done everything and ends.
     fn stopped(&mut self, peer: &Peer) -> Result<(), Violation> {
         let left = self.in_progress(peer);
--- a/crates/proof/src/book.rs
+++ b/crates/proof/src/book.rs
@@ -76,7 +76,7 @@
 
 impl Book {
     /// A caller asks for something.
-    pub(crate) fn ask(&mut self, job: Job, idempotent: bool, deadline: Time) {
+    pub(crate) fn ask(&mut self, job: &Job, idempotent: bool, deadline: Time) {
         let operation = Operation {
             job: job.clone(),
             idempotent,
@@ -88,25 +88,25 @@
     }
 
     /// An upstream begins to run a request.
-    pub(crate) fn run(&mut self, now: Time, id: RequestId, job: &JobId) -> Result<(), Violation> {
+    pub(crate) fn run(&mut self, now: Time, id: RequestId, job: JobId) -> Result<(), Violation> {
         let request = self.requests.entry(id).or_default();
         request.runs += 1;
         if request.not_run {
             let text = format!("request {id} runs after it was refused as not run");
-            return Err(violation(Promise::NotRunIsTrue, now, *job, text));
+            return Err(violation(Promise::NotRunIsTrue, now, job, text));
         }
-        let Some(operation) = self.operations.get_mut(job) else {
+        let Some(operation) = self.operations.get_mut(&job) else {
             let text = format!("operation {job} was never asked for");
-            return Err(violation(Promise::RightService, now, *job, text));
+            return Err(violation(Promise::RightService, now, job, text));
         };
         operation.runs += 1;
         if operation.told_not_run() {
             let text = format!("operation {job} runs as request {id} after it failed as not run");
-            return Err(violation(Promise::NotRunIsTrue, now, *job, text));
+            return Err(violation(Promise::NotRunIsTrue, now, job, text));
         }
         if !operation.idempotent && operation.runs > 1 {
             let text = format!("operation {job} runs {} times, now as request {id}", operation.runs);
-            return Err(violation(Promise::AtMostOnce, now, *job, text));
+            return Err(violation(Promise::AtMostOnce, now, job, text));
         }
         Ok(())
     }
@@ -186,8 +186,8 @@
     }
 
     /// How one operation ended, in words.
-    pub(crate) fn told(&self, job: &JobId) -> String {
-        let Some(operation) = self.operations.get(job) else {
+    pub(crate) fn told(&self, job: JobId) -> String {
+        let Some(operation) = self.operations.get(&job) else {
             return "unknown".to_owned();
         };
         match operation.end {
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -110,13 +110,25 @@
     /// Whether operators bring this about in the course of planned work, or no flow may notice it.
     pub fn is_planned(&self) -> bool {
         match self {
-            Self::Stop(_) | Self::Start(_) | Self::Drain(_) | Self::ListLeaving(_) | Self::StartUpstream(_) => true,
-            Self::Secrets(..) | Self::Resume(_) | Self::Join(..) | Self::JoinPlatform(_) | Self::Platform(_) => true,
             // A packet held back for two seconds may miss its deadline, whatever the instances do.
             Self::Fabric(mishap, _) => !matches!(mishap, Mishap::Lose | Mishap::Delay),
             Self::Behave(_, behaviour) => matches!(behaviour, Behaviour::Honest | Behaviour::LyingLoad),
-            Self::Kill(_) | Self::Vanish(_) | Self::Freeze(_) | Self::KillUpstream(_) => false,
-            Self::Cut(..) | Self::CutPlatform(_) => false,
+            Self::Kill(_)
+            | Self::Vanish(_)
+            | Self::Freeze(_)
+            | Self::KillUpstream(_)
+            | Self::Cut(..)
+            | Self::CutPlatform(_) => false,
+            Self::Stop(_)
+            | Self::Start(_)
+            | Self::Drain(_)
+            | Self::ListLeaving(_)
+            | Self::StartUpstream(_)
+            | Self::Secrets(..)
+            | Self::Resume(_)
+            | Self::Join(..)
+            | Self::JoinPlatform(_)
+            | Self::Platform(_) => true,
         }
     }
 }
--- a/crates/proof/src/flight.rs
+++ b/crates/proof/src/flight.rs
@@ -142,7 +142,7 @@
             caller: job.id.caller,
             seq: call.seq,
         };
-        self.book.run(self.now, id, &job.id)
+        self.book.run(self.now, id, job.id)
     }
 
     /// No connection could be made.
@@ -238,7 +238,8 @@
             incarnation: name.incarnation,
         };
         let event = Event::Called(name.id, CallResult::Answered(answer));
-        self.queue.push(self.now + wait, Happening::Event(peer, event));
+        self.queue
+            .push(self.now + wait, Happening::Event(peer, Box::new(event)));
     }
 
     fn tell(&mut self, name: &CallRef, result: CallResult) -> Result<(), Violation> {
--- a/crates/proof/src/instance.rs
+++ b/crates/proof/src/instance.rs
@@ -36,6 +36,8 @@
     pub(crate) spec: InstanceSpec,
     pub(crate) life: Option<Life>,
     pub(crate) lives: u64,
+    /// Which life the platform lists, and until when if that has ended.
+    pub(crate) lease: Option<(Incarnation, Option<Time>)>,
     /// When its last life ended for the fabric: at the beginning of a planned stop, or with the process.
     pub(crate) ended: Time,
 }
@@ -76,6 +78,8 @@
     pub(crate) watching: bool,
     /// What it believes of the platform.
     pub(crate) platform: Option<bool>,
+    /// When it last read the platform's list.
+    pub(crate) listed: Option<Time>,
     pub(crate) in_force: Option<Revision>,
     /// When a planned stop began.
     pub(crate) stopping: Option<Time>,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod act;
 mod book;
+mod directive;
 mod driver;
 mod fabric;
 pub mod family;
 pub mod fault;
+mod feed;
 mod flight;
 mod instance;
 mod job;
@@ -26,10 +28,13 @@
 mod traffic;
 mod upset;
 mod upstream;
+mod view;
 mod violation;
 mod world;
 
 pub use book::Summary;
+pub use directive::Directive;
+pub use directive::ScenarioError;
 pub use instance::InstanceSpec;
 pub use job::Job;
 pub use job::JobId;
@@ -40,9 +45,7 @@
 pub use plan::UpstreamPlan;
 pub use platform::Accepted;
 pub use platform::Conflict;
-pub use scenario::Directive;
 pub use scenario::Scenario;
-pub use scenario::ScenarioError;
 pub use upstream::UpstreamSpec;
 pub use violation::Promise;
 pub use violation::Violation;
--- a/crates/proof/src/quiet.rs
+++ b/crates/proof/src/quiet.rs
@@ -74,7 +74,7 @@
             jobs.push(self.ask(caller, "read", 60, TIMEOUT)?);
         }
         self.run_for(LAST)?;
-        Ok(jobs.into_iter().map(|job| (job, self.told(&job))).collect())
+        Ok(jobs.into_iter().map(|job| (job, self.told(job))).collect())
     }
 
     fn statuses(&self) -> BTreeMap<InstanceName, Status> {
--- a/crates/proof/src/random.rs
+++ b/crates/proof/src/random.rs
@@ -35,7 +35,7 @@
 /// How often each caller asks for something.
 const EVERY: Duration = Duration::from_millis(150);
 /// How long the fleet has for finding itself.
-const SETTLE: Duration = Duration::from_secs(5);
+pub(crate) const SETTLE: Duration = Duration::from_secs(5);
 /// How long faults go on.
 const TROUBLE: Duration = Duration::from_secs(25);
 
@@ -104,7 +104,8 @@
     world.approve(plan())
 }
 
-fn populate(world: &mut World) -> Result<(), Violation> {
+/// Fills an empty world with the fleet that all randomised runs have.
+pub(crate) fn populate(world: &mut World) -> Result<(), Violation> {
     for (name, zone, host) in instances() {
         world.add_instance(InstanceSpec {
             name: name.clone(),
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -3,23 +3,28 @@
 //! A scenario is a list of directives. `docs/PROOFS.md` describes them. Each gives a text that the scenario's file
 //! holds as the expected one.
 
-use std::fmt;
 use std::fmt::Display;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::time::Duration;
 
 use units::Revision;
 use units::ServiceName;
 use units::Slots;
 
+use crate::directive::Directive;
+use crate::directive::ScenarioError;
+use crate::directive::misread;
+use crate::directive::read;
+use crate::directive::read_caller;
+use crate::directive::read_span;
 use crate::fault::Fault;
 use crate::instance::InstanceSpec;
 use crate::job::JobId;
 use crate::plan::Plan;
 use crate::plan::ServicePlan;
 use crate::plan::UpstreamPlan;
+use crate::random;
 use crate::upstream::UpstreamSpec;
 use crate::violation::Violation;
 use crate::world::World;
@@ -31,57 +36,6 @@
 /// The length of an answer in scenarios that do not say.
 const ANSWER_LEN: u32 = 60;
 
-/// A scenario could not be read. The text says which line and why.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ScenarioError(String);
-
-impl fmt::Display for ScenarioError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for ScenarioError {}
-
-/// A directive: its name, its arguments as `name` or `name=value`, and the lines below it.
-#[derive(Debug, Clone, Copy)]
-pub struct Directive<'a> {
-    /// Its name.
-    pub name: &'a str,
-    /// Its arguments.
-    pub args: &'a [(String, String)],
-    /// The lines below it.
-    pub input: &'a str,
-}
-
-impl Directive<'_> {
-    fn value<T: FromStr>(&self, name: &str, default: T) -> Result<T, ScenarioError> {
-        let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
-            return Ok(default);
-        };
-        read(text, name)
-    }
-
-    fn span(&self, name: &str, default: Duration) -> Result<Duration, ScenarioError> {
-        let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
-            return Ok(default);
-        };
-        read_span(text)
-    }
-
-    /// The first argument without a value.
-    fn word(&self) -> Result<&str, ScenarioError> {
-        let word = self.args.iter().find(|(_, value)| value.is_empty());
-        word.map(|(name, _)| name.as_str())
-            .ok_or_else(|| ScenarioError(format!("{} needs an argument", self.name)))
-    }
-
-    fn lines(&self) -> impl Iterator<Item = Vec<&str>> {
-        let lines = self.input.lines().map(str::trim).filter(|line| !line.is_empty());
-        lines.map(|line| line.split_whitespace().collect())
-    }
-}
-
 /// A scenario that is being run.
 #[derive(Debug)]
 pub struct Scenario {
@@ -105,11 +59,12 @@
     ///
     /// A broken promise is said at the directive in which it broke, and ends the scenario.
     pub fn take(&mut self, directive: &Directive<'_>) -> Result<String, ScenarioError> {
-        if self.broken {
+        if self.broken && !matches!(directive.name, "world" | "fleet") {
             return Ok("a promise was broken before\n".to_owned());
         }
         match directive.name {
             "world" => self.begin(directive),
+            "fleet" => self.begin_fleet(directive),
             "services" => self.add_services(directive),
             "instances" => self.add_instances(directive),
             "upstreams" => self.add_upstreams(directive),
@@ -123,6 +78,7 @@
             "fault" => self.upset(directive),
             "run" => self.run(directive),
             "told" => self.told(directive),
+            "served" => self.served(directive),
             "ended" => Ok(self.ended()),
             "in-force" => Ok(self.in_force()),
             "quiet" => Ok(self.quiet()),
@@ -131,12 +87,23 @@
     }
 
     fn begin(&mut self, directive: &Directive<'_>) -> Result<String, ScenarioError> {
-        self.world = World::new(directive.value("seed", SEED)?);
+        *self = Self {
+            world: World::new(directive.value("seed", SEED)?),
+            ..Self::default()
+        };
         let lifetime = directive.span("token-lifetime", Duration::from_hours(1))?;
         self.world.set_token_lifetime(lifetime);
         Ok(String::new())
     }
 
+    /// The fleet of the randomised runs.
+    fn begin_fleet(&mut self, directive: &Directive<'_>) -> Result<String, ScenarioError> {
+        self.begin(directive)?;
+        self.plan = random::plan();
+        let outcome = random::populate(&mut self.world).and_then(|()| self.world.run_for(random::SETTLE));
+        Ok(self.say(outcome))
+    }
+
     fn add_services(&mut self, directive: &Directive<'_>) -> Result<String, ScenarioError> {
         for line in directive.lines() {
             let (name, address, pinned) = match line.as_slice() {
@@ -250,8 +217,10 @@
     }
 
     fn approve(&mut self) -> String {
-        let outcome = self.world.approve(self.plan.clone());
-        self.say(outcome)
+        match self.world.approve(self.plan.clone()) {
+            Ok(()) => format!("revision {}\n", self.world.revision().unwrap_or_default()),
+            Err(violation) => self.say_broken(&violation),
+        }
     }
 
     /// Two operators change the document from the same revision.
@@ -336,12 +305,26 @@
         for line in directive.lines() {
             for word in line {
                 let job: JobId = word.parse().map_err(|_| misread(&[word]))?;
-                add(&mut text, format_args!("{job} {}", self.world.told(&job)));
+                add(&mut text, format_args!("{job} {}", self.world.told(job)));
             }
         }
         Ok(text)
     }
 
+    /// Whether lives of upstreams have been given work.
+    fn served(&self, directive: &Directive<'_>) -> Result<String, ScenarioError> {
+        let mut text = String::new();
+        for line in directive.lines() {
+            let [name, life] = line.as_slice() else {
+                return Err(misread(&line));
+            };
+            let served = self.world.served(&read(name, "an upstream")?, read(life, "a life")?);
+            let word = if served { "has served" } else { "has not served" };
+            add(&mut text, format_args!("life {life} of {name} {word}"));
+        }
+        Ok(text)
+    }
+
     /// How everything that was asked for has ended, in words that do not depend on timing.
     fn ended(&self) -> String {
         let summary = self.world.summary();
@@ -386,23 +369,3 @@
     text.push_str(&line.to_string());
     text.push('\n');
 }
-
-fn misread(words: &[&str]) -> ScenarioError {
-    ScenarioError(format!("cannot read: {}", words.join(" ")))
-}
-
-fn read<T: FromStr>(text: &str, what: &str) -> Result<T, ScenarioError> {
-    text.parse().map_err(|_| ScenarioError(format!("not {what}: {text}")))
-}
-
-fn read_caller(text: &str) -> Result<u32, ScenarioError> {
-    read(text.trim_start_matches('c'), "a caller")
-}
-
-fn read_span(text: &str) -> Result<Duration, ScenarioError> {
-    if let Some(millis) = text.strip_suffix("ms") {
-        return read(millis, "a span").map(Duration::from_millis);
-    }
-    let seconds = text.strip_suffix('s').unwrap_or(text);
-    read(seconds, "a span").map(Duration::from_secs)
-}
--- a/crates/proof/src/standing.rs
+++ b/crates/proof/src/standing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use node::Call;
+use node::CallId;
 use node::CallResult;
 use node::Event;
 use node::Listed;
@@ -27,50 +28,46 @@
 impl World {
     /// Notes that an instance gets to know that an upstream leaves.
     pub(crate) fn note_signs(&mut self, peer: &Peer, event: &Event) {
-        let frozen = |world: &Self| {
-            let life = world.instances.get(&peer.name).and_then(|i| i.life.as_ref());
-            life.is_none_or(|life| life.frozen || life.incarnation != peer.incarnation)
-        };
+        let life = self.instances.get(&peer.name).and_then(|i| i.life.as_ref());
+        if life.is_none_or(|life| life.frozen || life.incarnation != peer.incarnation) {
+            return;
+        }
         match event {
-            Event::Called(id, CallResult::Draining) => {
-                if frozen(self) {
-                    return;
-                }
-                let call = CallRef {
-                    by: peer.name.clone(),
-                    incarnation: peer.incarnation,
-                    id: *id,
-                };
-                let upstream = self.called(&call);
-                let found = upstream.and_then(|name| self.upstreams.get(&name));
-                if let Some(upstream) = found {
-                    self.note_sign(peer, upstream.spec.name.clone(), upstream.incarnation);
-                }
-            }
+            Event::Called(id, CallResult::Draining) => self.note_call_sign(peer, *id),
             Event::Polled(name, Ok(report)) if report.draining => {
-                if !frozen(self) {
-                    self.note_sign(peer, name.clone(), report.incarnation);
-                }
-            }
-            Event::List(list) => {
-                if frozen(self) {
-                    return;
-                }
-                for listed in list {
-                    if let Listed::Upstream {
-                        name,
-                        incarnation,
-                        leaving: true,
-                    } = listed
-                    {
-                        self.note_sign(peer, name.clone(), *incarnation);
-                    }
-                }
+                self.note_sign(peer, name.clone(), report.incarnation);
             }
+            Event::List(list) => self.note_list_signs(peer, list),
             _ => {}
         }
     }
 
+    fn note_call_sign(&mut self, peer: &Peer, id: CallId) {
+        let call = CallRef {
+            by: peer.name.clone(),
+            incarnation: peer.incarnation,
+            id,
+        };
+        let upstream = self.called(&call).and_then(|name| self.upstreams.get(&name));
+        if let Some(upstream) = upstream {
+            self.note_sign(peer, upstream.spec.name.clone(), upstream.incarnation);
+        }
+    }
+
+    fn note_list_signs(&mut self, peer: &Peer, list: &[Listed]) {
+        for listed in list {
+            let Listed::Upstream {
+                name,
+                incarnation,
+                leaving: true,
+            } = listed
+            else {
+                continue;
+            };
+            self.note_sign(peer, name.clone(), *incarnation);
+        }
+    }
+
     /// Notes the upstreams that a document in force says are draining.
     pub(crate) fn note_document_signs(&mut self, peer: &Peer, revision: Revision) {
         if self.platform.revision() != Some(revision) {
--- a/crates/proof/src/traffic.rs
+++ b/crates/proof/src/traffic.rs
@@ -65,7 +65,7 @@
         let job = driver.job(kind, answer_len);
         let actions = driver.ask(now, &job, timeout, idempotent);
         self.note(Some(job.id), format!("asked for: a {}", job.kind));
-        self.book.ask(job.clone(), idempotent, now + timeout);
+        self.book.ask(&job, idempotent, now + timeout);
         self.drive(caller, actions)?;
         Ok(job.id)
     }
@@ -133,7 +133,7 @@
         let address = self.drivers[caller as usize - 1].address;
         for action in actions {
             match action {
-                Action::Send(bytes) => self.launch(address, bytes),
+                Action::Send(bytes) => self.launch(address, &bytes),
                 Action::Opened(_) | Action::NotOpened(_) => {}
                 Action::Ended(call, result) => {
                     let job = self.drivers[caller as usize - 1].job_id(call);
@@ -166,13 +166,13 @@
     }
 
     /// Puts a caller's datagram on its way.
-    fn launch(&mut self, from: SocketAddr, bytes: Vec<u8>) {
+    fn launch(&mut self, from: SocketAddr, bytes: &[u8]) {
         for delay in self.fabric.copies(&mut self.rng) {
             self.queue
-                .push(self.now + delay, Happening::Packet(from, bytes.clone()));
+                .push(self.now + delay, Happening::Packet(from, bytes.to_vec()));
         }
         if hit(&mut self.rng, self.fabric.tamper) {
-            let altered = self.tamper(&bytes);
+            let altered = self.tamper(bytes);
             self.queue.push(
                 self.now + Duration::from_millis(2),
                 Happening::Packet(STRANGER, altered),
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -50,13 +50,13 @@
             Fault::CutPlatform(zone) => self.cuts.set_platform(&zone, true),
             Fault::JoinPlatform(zone) => {
                 self.cuts.set_platform(&zone, false);
-                self.calm(|world, name| world.platform_reached(name));
+                self.calm(Self::platform_reached);
             }
             Fault::Platform(state) => {
                 let answered = self.platform.answers();
                 self.platform.state = state;
                 if !answered {
-                    self.calm(|world, name| world.platform_reached(name));
+                    self.calm(Self::platform_reached);
                 }
             }
             Fault::Secrets(current, also) => self.secrets = (current, also),
@@ -105,11 +105,13 @@
             return;
         };
         instance.ended = life.stopping.unwrap_or(now);
+        let planned = life.stopping.is_some();
         let mine = |call: &&CallRef| &call.by == name && call.incarnation == life.incarnation;
         let calls: Vec<CallRef> = self.flights.keys().filter(mine).cloned().collect();
         for call in calls {
             self.cancel(&call);
         }
+        self.lapse_lease(name, planned);
     }
 
     /// Lets the peers of an ended process notice that at some time.
@@ -238,7 +240,8 @@
             // Updates arrive unevenly.
             let delay = millis(&mut self.rng, 5, 800) + self.platform.delay();
             let event = Event::Loaded(revision, text.clone());
-            self.queue.push(self.now + delay, Happening::Event(peer, event));
+            self.queue
+                .push(self.now + delay, Happening::Event(peer, Box::new(event)));
         }
         Ok(())
     }
--- a/crates/proof/src/upstream.rs
+++ b/crates/proof/src/upstream.rs
@@ -88,6 +88,7 @@
         self.draining = false;
         self.listed_leaving = false;
         self.busy = 0;
+        self.runs = 0;
     }
 
     /// Ends this life.
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -8,7 +8,6 @@
 
 use node::CallId;
 use node::Event;
-use node::Listed;
 use node::Peer;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -17,7 +16,6 @@
 use token::Secret;
 use units::Incarnation;
 use units::InstanceName;
-use units::Revision;
 use units::Time;
 use units::UpstreamName;
 
@@ -69,7 +67,7 @@
     /// An instance's clock ticks.
     Tick(Peer),
     /// Something reaches an instance.
-    Event(Peer, Event),
+    Event(Peer, Box<Event>),
     /// A datagram reaches whatever instance the fabric picks.
     Packet(std::net::SocketAddr, Vec<u8>),
     /// A datagram reaches a caller.
@@ -90,8 +88,8 @@
     Expire(CallRef),
     /// An upstream is asked for its report.
     Poll(Peer, UpstreamName, std::net::SocketAddr),
-    /// An instance asks the platform for its list.
-    List(Peer),
+    /// An instance turns to the platform.
+    Platform(Peer),
     /// A caller's flow wants a tick.
     Wake(u32),
     /// A caller wants something.
@@ -166,7 +164,7 @@
     }
 
     /// How one operation ended.
-    pub fn told(&self, job: &JobId) -> String {
+    pub fn told(&self, job: JobId) -> String {
         self.book.told(job)
     }
 
@@ -176,12 +174,18 @@
         format!("seed {}, at {}: {violation}\n{trace}", self.seed, violation.at)
     }
 
+    /// Sets how long tokens live that later lives of instances issue.
+    pub fn set_token_lifetime(&mut self, lifetime: Duration) {
+        self.token_lifetime = lifetime;
+    }
+
     /// Adds an instance, which does not run yet.
     pub fn add_instance(&mut self, spec: InstanceSpec) {
         let instance = Instance {
             spec,
             life: None,
             lives: 0,
+            lease: None,
             ended: START,
         };
         self.instances.insert(instance.spec.name.clone(), instance);
@@ -208,8 +212,8 @@
 
     fn happen(&mut self, happening: Happening) -> Result<(), Violation> {
         match happening {
-            Happening::Tick(peer) => self.tick(peer),
-            Happening::Event(peer, event) => self.feed(&peer, event),
+            Happening::Tick(peer) => self.tick(&peer),
+            Happening::Event(peer, event) => self.feed(&peer, *event),
             Happening::Packet(from, bytes) => self.spray(from, bytes),
             Happening::Reply(caller, bytes) => self.reply(caller, bytes),
             Happening::Frame(link) => self.receive_frame(&link),
@@ -220,7 +224,7 @@
             Happening::Finish(call) => self.finish(&call),
             Happening::Expire(call) => self.expire(&call),
             Happening::Poll(peer, name, address) => self.poll(&peer, name, address),
-            Happening::List(peer) => self.list(peer),
+            Happening::Platform(peer) => self.turn_to_platform(peer),
             Happening::Wake(caller) => self.wake(caller),
             Happening::Ask(caller) => self.ask_by_itself(caller),
             Happening::Check => self.check(),
@@ -274,12 +278,14 @@
             backlog: std::collections::VecDeque::new(),
             watching: false,
             platform: None,
+            listed: None,
             in_force: None,
             stopping: None,
             calm_since: now,
             awake_since: now,
         };
         instance.life = Some(life);
+        instance.lease = Some((incarnation, None));
         let peer = Peer {
             name: name.clone(),
             incarnation,
@@ -288,8 +294,7 @@
             self.close_session(&link);
         }
         self.queue.push(now, Happening::Tick(peer.clone()));
-        self.queue
-            .push(now + millis(&mut self.rng, 1, 20), Happening::List(peer));
+        self.introduce(&peer);
     }
 
     fn keyring(&self) -> Keyring {
@@ -300,7 +305,7 @@
         Keyring::new(&secret(self.secrets.0), &[secret(self.secrets.1)], self.token_lifetime)
     }
 
-    fn tick(&mut self, peer: Peer) -> Result<(), Violation> {
+    fn tick(&mut self, peer: &Peer) -> Result<(), Violation> {
         let alive = self
             .instances
             .get_mut(&peer.name)
@@ -309,7 +314,7 @@
             return Ok(());
         }
         self.queue.push(self.now + node::TICK, Happening::Tick(peer.clone()));
-        self.feed(&peer, Event::Tick)
+        self.feed(peer, Event::Tick)
     }
 
     /// Gives an event to a life, if it has not ended, and carries out what its node wants.
@@ -338,100 +343,4 @@
         self.check_stops()?;
         self.book.check_ends(self.now, CHECK_EVERY)
     }
-
-    fn listed(&self) -> Vec<Listed> {
-        let mut list = Vec::new();
-        for instance in self.instances.values() {
-            let Some(life) = &instance.life else {
-                continue;
-            };
-            list.push(Listed::Entry {
-                name: instance.spec.name.clone(),
-                incarnation: life.incarnation,
-                zone: instance.spec.zone.clone(),
-                address: instance.spec.address,
-                leaving: life.stopping.is_some(),
-            });
-        }
-        for upstream in self.upstreams.values() {
-            list.push(Listed::Upstream {
-                name: upstream.spec.name.clone(),
-                incarnation: upstream.incarnation,
-                leaving: upstream.listed_leaving,
-            });
-        }
-        list
-    }
-
-    /// The revision that the platform holds.
-    pub fn revision(&self) -> Option<Revision> {
-        self.platform.revision()
-    }
-
-    /// Whether the platform answers at all.
-    pub fn platform_answers(&self) -> bool {
-        self.platform.answers()
-    }
-
-    /// Sets how long tokens live that later lives of instances issue.
-    pub fn set_token_lifetime(&mut self, lifetime: Duration) {
-        self.token_lifetime = lifetime;
-    }
-
-    /// How many callers there are. They are numbered from one.
-    pub fn callers(&self) -> u32 {
-        self.drivers.len() as u32
-    }
-
-    /// How many instances and upstreams there are.
-    pub fn population(&self) -> usize {
-        self.instances.len() + self.upstreams.len()
-    }
-
-    /// All instances.
-    pub fn instance_names(&self) -> Vec<InstanceName> {
-        self.instances.keys().cloned().collect()
-    }
-
-    /// The upstreams that serve, of services that can do without one of them.
-    pub fn spare_upstreams(&self) -> Vec<UpstreamName> {
-        let serving = |upstream: &&Upstream| upstream.up && !upstream.draining && !upstream.listed_leaving;
-        let mut spare = Vec::new();
-        for upstream in self.upstreams.values().filter(serving) {
-            let fellows = self
-                .upstreams
-                .values()
-                .filter(|u| u.spec.service == upstream.spec.service);
-            if fellows.filter(serving).count() > 2 {
-                spare.push(upstream.spec.name.clone());
-            }
-        }
-        spare
-    }
-
-    /// How many requests an upstream runs.
-    pub fn busy(&self, name: &UpstreamName) -> u16 {
-        self.upstreams.get(name).map_or(0, |upstream| upstream.busy)
-    }
-
-    /// The instances that run, are not frozen, and are not on a planned stop.
-    pub fn running(&self) -> Vec<InstanceName> {
-        let runs = |instance: &&Instance| {
-            let life = instance.life.as_ref();
-            life.is_some_and(|life| !life.frozen && life.stopping.is_none())
-        };
-        let found = self.instances.values().filter(runs);
-        found.map(|instance| instance.spec.name.clone()).collect()
-    }
-
-    /// The revision in force at each running instance.
-    pub fn in_force(&self) -> BTreeMap<InstanceName, Option<Revision>> {
-        let mut found = BTreeMap::new();
-        for (name, instance) in &self.instances {
-            if let Some(life) = &instance.life {
-                found.insert(name.clone(), life.in_force);
-            }
-        }
-        found
-    }
 }
