--- a/crates/proof/examples/seeds.rs
+++ b/crates/proof/examples/seeds.rs
@@ -2,6 +2,7 @@
 //!
 //! Each seed draws which families of faults it has: one, two, or all. Exit code 1 if any promise was broken.
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 use bpaf::Parser;
@@ -48,19 +49,24 @@
     let options = options().run();
     let mut broken = 0;
     let mut asked = 0;
-    let mut may_have_run = 0;
+    let mut endings: BTreeMap<String, u32> = BTreeMap::new();
     for seed in options.from..options.from + options.count {
         let families = families(seed, &options.only);
         let outcome = random::run(seed, &families);
         asked += outcome.summary.asked;
-        may_have_run += outcome.summary.may_have_run;
+        for (words, count) in outcome.endings {
+            *endings.entry(words).or_default() += count;
+        }
         if let Some(report) = outcome.broken {
             broken += 1;
             println!("families {families:?}\n{report}\n");
         }
     }
     let count = options.count;
-    println!("{count} seeds, {broken} broken; {asked} operations, {may_have_run} ended as may have run");
+    for (words, count) in endings {
+        println!("{count:8} {words}");
+    }
+    println!("{count} seeds, {broken} broken; {asked} operations");
     if broken > 0 {
         ExitCode::FAILURE
     } else {
--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -8,6 +8,7 @@
 use node::Peer;
 use node::PollError;
 use node::Record;
+use rand::RngExt;
 use units::InstanceName;
 use units::Time;
 use units::UpstreamName;
@@ -19,6 +20,7 @@
 use wire::Subject;
 use wire::Verdict;
 
+use crate::fabric::hit;
 use crate::fabric::millis;
 use crate::job::Job;
 use crate::job::RequestId;
@@ -68,7 +70,12 @@
     fn record(&mut self, peer: &Peer, record: &Record) -> Result<(), Violation> {
         let told = matches!(
             record,
-            Record::Opened(..) | Record::Accepted(..) | Record::Called(..) | Record::Ended(..) | Record::Answered(..)
+            Record::Opened(..)
+                | Record::Accepted(..)
+                | Record::Called(..)
+                | Record::Ended(..)
+                | Record::Answered(..)
+                | Record::Refused(..)
         );
         if !told {
             self.note(None, format!("{}: {record}", peer.name));
@@ -101,12 +108,28 @@
         let caller = self.drivers[index].id;
         self.note_reply(peer, index, reply)?;
         for delay in self.fabric.copies(&mut self.rng) {
-            self.queue
-                .push(self.now + delay, Happening::Reply(caller, bytes.clone()));
+            let bytes = if hit(&mut self.rng, self.fabric.corrupt) {
+                self.corrupt(reply)
+            } else {
+                bytes.clone()
+            };
+            self.queue.push(self.now + delay, Happening::Reply(caller, bytes));
         }
         Ok(())
     }
 
+    /// The datagram with one byte of its chunk altered, if it is a chunk.
+    fn corrupt(&mut self, reply: &Reply) -> Vec<u8> {
+        let mut reply = reply.clone();
+        if let Reply::Chunk(chunk) = &mut reply
+            && !chunk.data.is_empty()
+        {
+            let at = self.rng.random_range(0..chunk.data.len());
+            chunk.data[at] ^= 1;
+        }
+        wire::encode_reply(&reply)
+    }
+
     fn note_reply(&mut self, peer: &Peer, index: usize, reply: &Reply) -> Result<(), Violation> {
         let caller = self.drivers[index].id;
         match reply {
--- a/crates/proof/src/book.rs
+++ b/crates/proof/src/book.rs
@@ -6,7 +6,6 @@
 
 use caller::Failure;
 use units::Time;
-use wire::Reason;
 use wire::Verdict;
 
 use crate::job::Job;
@@ -185,6 +184,19 @@
         summary
     }
 
+    /// How many operations ended in each way, in words.
+    pub(crate) fn endings(&self) -> BTreeMap<String, u32> {
+        let mut endings = BTreeMap::new();
+        for operation in self.operations.values() {
+            let words = match operation.end {
+                Some(End::Failed(failure)) => format!("{}: {}", failure.verdict, failure.reason),
+                _ => continue,
+            };
+            *endings.entry(words).or_default() += 1;
+        }
+        endings
+    }
+
     /// How one operation ended, in words.
     pub(crate) fn told(&self, job: JobId) -> String {
         let Some(operation) = self.operations.get(&job) else {
@@ -193,15 +205,11 @@
         match operation.end {
             None => "open".to_owned(),
             Some(End::Answered) => "answered".to_owned(),
-            Some(End::Failed(failure)) => told_failure(failure.verdict, failure.reason),
+            Some(End::Failed(failure)) => failure.verdict.to_string(),
         }
     }
 }
 
-fn told_failure(verdict: Verdict, reason: Reason) -> String {
-    format!("{verdict}: {reason}")
-}
-
 impl Operation {
     fn told_not_run(&self) -> bool {
         matches!(self.end, Some(End::Failed(failure)) if failure.verdict == Verdict::NotRun)
--- a/crates/proof/src/family.rs
+++ b/crates/proof/src/family.rs
@@ -51,7 +51,7 @@
     Lose,
     /// Packets are doubled, held back, reordered and replayed.
     Shuffle,
-    /// A stranger sends altered packets.
+    /// A stranger sends altered packets, or answers are altered on their way.
     Tamper,
     /// Two zones are cut off from each other.
     Cut,
@@ -131,7 +131,13 @@
     pub(crate) fn carry_out(self, world: &mut World) -> Result<(), Violation> {
         match self.how {
             How::Fault(fault) => world.upset(fault),
-            How::Approve(plan) => world.approve(plan),
+            How::Approve(plan) => {
+                if !world.platform_answers() {
+                    // Nobody can approve anything before the outage ends.
+                    world.upset(Fault::Platform(PlatformState::Up))?;
+                }
+                world.approve(plan)
+            }
             How::Restart(name) => restart(world, name),
         }
     }
@@ -175,7 +181,7 @@
                 rng,
                 &[Mishap::Double, Mishap::Delay, Mishap::Reorder, Mishap::Replay],
             ),
-            Self::Tamper => mishap(world, rng, &[Mishap::Tamper]),
+            Self::Tamper => mishap(world, rng, &[Mishap::Tamper, Mishap::Corrupt]),
             Self::Cut => cut(world, rng),
             Self::CutPlatform => cut_platform(world, rng),
             Self::Platform => platform(world, rng),
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -86,6 +86,8 @@
     Reorder,
     /// It delivers a second copy five to twenty seconds later.
     Replay,
+    /// It alters a byte of a chunk of an answer.
+    Corrupt,
     /// A stranger sends an altered copy: a forged token, another service, or noise.
     Tamper,
 }
@@ -110,8 +112,9 @@
     /// Whether operators bring this about in the course of planned work, or no flow may notice it.
     pub fn is_planned(&self) -> bool {
         match self {
-            // A packet held back for two seconds may miss its deadline, whatever the instances do.
-            Self::Fabric(mishap, _) => !matches!(mishap, Mishap::Lose | Mishap::Delay),
+            // A packet held back for two seconds may miss its deadline, and so may an altered answer, whatever the
+            // instances do.
+            Self::Fabric(mishap, _) => !matches!(mishap, Mishap::Lose | Mishap::Delay | Mishap::Corrupt),
             Self::Behave(_, behaviour) => matches!(behaviour, Behaviour::Honest | Behaviour::LyingLoad),
             Self::Kill(_)
             | Self::Vanish(_)
@@ -205,6 +208,7 @@
         "delay" => Mishap::Delay,
         "reorder" => Mishap::Reorder,
         "replay" => Mishap::Replay,
+        "corrupt" => Mishap::Corrupt,
         "tamper" => Mishap::Tamper,
         _ => return None,
     };
--- a/crates/proof/src/random.rs
+++ b/crates/proof/src/random.rs
@@ -1,6 +1,7 @@
 //! Randomised runs: a fleet under load, with faults of the given families at random times, then a quiet time in
 //! which everything must be well again.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +45,8 @@
 pub struct Outcome {
     /// How the operations ended.
     pub summary: Summary,
+    /// How many operations ended in each way but with an answer.
+    pub endings: BTreeMap<String, u32>,
     /// The broken promise, with its seed and trace.
     pub broken: Option<String>,
 }
@@ -54,6 +57,7 @@
     let outcome = trouble(&mut world, seed, families);
     Outcome {
         summary: world.summary(),
+        endings: world.endings(),
         broken: outcome.err().map(|violation| world.report(&violation)),
     }
 }
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -329,10 +329,14 @@
     fn ended(&self) -> String {
         let summary = self.world.summary();
         let some = |count| if count == 0 { "none" } else { "some" };
+        let broken = if self.world.planned_only() {
+            some(summary.may_have_run)
+        } else {
+            "not ruled out by these faults"
+        };
         let mut text = String::new();
         add(&mut text, format_args!("answered: {}", some(summary.answered)));
-        add(&mut text, format_args!("refused, not run: {}", some(summary.not_run)));
-        add(&mut text, format_args!("broken: {}", some(summary.may_have_run)));
+        add(&mut text, format_args!("broken: {broken}"));
         add(&mut text, format_args!("without an end: {}", some(summary.open)));
         add(&mut text, format_args!("most runs of one hold: {}", summary.most_runs));
         text
--- a/crates/proof/src/trace.rs
+++ b/crates/proof/src/trace.rs
@@ -47,8 +47,8 @@
     /// The last lines about one operation, together with those about none: faults and changes of the views.
     pub(crate) fn about(&self, job: Option<JobId>) -> String {
         let wanted = |line: &&Line| match (line.job, job) {
-            (None, _) | (_, None) => true,
-            (Some(a), Some(b)) => a == b,
+            (None, _) => true,
+            (Some(line), job) => Some(line) == job,
         };
         let mut lines: Vec<String> = self
             .lines
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -13,6 +13,8 @@
 use crate::fabric::hit;
 use crate::fabric::millis;
 use crate::fault::Fault;
+use crate::fault::PlatformState;
+use crate::instance::Instance;
 use crate::plan::Plan;
 use crate::platform::Conflict;
 use crate::violation::Promise;
@@ -52,18 +54,40 @@
                 self.cuts.set_platform(&zone, false);
                 self.calm(Self::platform_reached);
             }
-            Fault::Platform(state) => {
-                let answered = self.platform.answers();
-                self.platform.state = state;
-                if !answered {
-                    self.calm(Self::platform_reached);
-                }
-            }
+            Fault::Platform(state) => self.set_platform(state),
             Fault::Secrets(current, also) => self.secrets = (current, also),
         }
         Ok(())
     }
 
+    fn set_platform(&mut self, state: PlatformState) {
+        let before = std::mem::replace(&mut self.platform.state, state);
+        let shows_all = |state| !matches!(state, PlatformState::Down | PlatformState::Stale);
+        if !shows_all(state) || shows_all(before) {
+            return;
+        }
+        self.calm(Self::platform_reached);
+        self.tell_watchers();
+    }
+
+    /// Gives every watching instance the present document. Updates arrive unevenly.
+    fn tell_watchers(&mut self) {
+        let Some(accepted) = self.platform.accepted.last().cloned() else {
+            return;
+        };
+        let has_watch = |instance: &&Instance| instance.life.as_ref().is_some_and(|life| life.watching);
+        let watching = self.instances.values().filter(has_watch);
+        let watchers: Vec<Peer> = watching.filter_map(Instance::peer).collect();
+        for peer in watchers {
+            if !self.platform_reached(&peer.name) {
+                continue;
+            }
+            let delay = millis(&mut self.rng, 5, 800) + self.platform.delay();
+            let event = Box::new(Event::Loaded(accepted.revision, accepted.text.clone()));
+            self.queue.push(self.now + delay, Happening::Event(peer, event));
+        }
+    }
+
     fn with_upstream(&mut self, name: &UpstreamName, change: impl FnOnce(&mut crate::upstream::Upstream)) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
             change(upstream);
@@ -223,26 +247,11 @@
     pub fn approve_from(&mut self, base: Option<units::Revision>, plan: Plan, author: &str) -> Result<(), Conflict> {
         let next = base.map_or(units::Revision(1), units::Revision::next);
         let text = plan.text(next, author);
-        let revision = self.platform.apply(self.now, base, text.clone())?;
+        let revision = self.platform.apply(self.now, base, text)?;
         self.note(None, format!("{author} approves revision {revision}"));
         self.plan = plan;
         self.withdraw_document_signs();
-        let watchers: Vec<Peer> = self
-            .instances
-            .values()
-            .filter(|i| i.life.as_ref().is_some_and(|l| l.watching))
-            .filter_map(crate::instance::Instance::peer)
-            .collect();
-        for peer in watchers {
-            if !self.platform_reached(&peer.name) {
-                continue;
-            }
-            // Updates arrive unevenly.
-            let delay = millis(&mut self.rng, 5, 800) + self.platform.delay();
-            let event = Event::Loaded(revision, text.clone());
-            self.queue
-                .push(self.now + delay, Happening::Event(peer, Box::new(event)));
-        }
+        self.tell_watchers();
         Ok(())
     }
 
--- a/crates/proof/src/view.rs
+++ b/crates/proof/src/view.rs
@@ -58,6 +58,16 @@
         upstream.is_some_and(|upstream| upstream.incarnation.0 == life && upstream.runs > 0)
     }
 
+    /// Whether only planned changes have happened so far, so that no flow may break.
+    pub fn planned_only(&self) -> bool {
+        self.book.planned_only
+    }
+
+    /// How many operations ended in each way.
+    pub fn endings(&self) -> BTreeMap<String, u32> {
+        self.book.endings()
+    }
+
     /// How many requests an upstream runs.
     pub fn busy(&self, name: &UpstreamName) -> u16 {
         self.upstreams.get(name).map_or(0, |upstream| upstream.busy)
