--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -1,5 +1,6 @@
 //! The subcommands, read from the arguments of the process.
 
+use std::convert::Infallible;
 use std::process::ExitCode;
 
 use bpaf::Args;
@@ -8,17 +9,20 @@
 
 use crate::call;
 use crate::console;
+use crate::demo;
 use crate::document;
 use crate::exit;
+use crate::exit::Report;
 use crate::load;
-
-/// How wide help texts are, in characters.
-const HELP_WIDTH: usize = 100;
+use crate::stand_in;
 
 /// Operate the jayquay load balancer.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Show a whole system under traffic, failing if it breaks a promise.
+    #[bpaf(command("demo"), header(demo::HEADER))]
+    Demo(#[bpaf(external(demo::args))] demo::Args),
     /// Check, compare, apply and show the configuration document.
     #[bpaf(command("config"))]
     Config(#[bpaf(external(document::command))] document::Command),
@@ -31,26 +35,36 @@
     /// Drive a system with callers' traffic and tell what they saw.
     #[bpaf(command("load"), header(load::HEADER), footer(load::EXAMPLES))]
     Load(#[bpaf(external(load::args))] load::Args),
+    /// Run a stand-in for a part of the outside world, for trials.
+    #[bpaf(command("stand-in"), header(stand_in::HEADER))]
+    StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
 }
 
 /// Reads the command, or says what is wrong with the arguments, or prints the help that they ask for.
 pub fn from_arguments() -> Result<Command, ExitCode> {
-    command().run_inner(Args::current_args()).map_err(|failure| {
-        failure.print_message(HELP_WIDTH);
-        let code = match failure {
-            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => exit::DONE,
-            ParseFailure::Stderr(_) => exit::BAD_USAGE,
-        };
-        ExitCode::from(code)
-    })
+    command().run_inner(Args::current_args()).map_err(explain)
+}
+
+fn explain(failure: ParseFailure) -> ExitCode {
+    let text = match failure {
+        ParseFailure::Stdout(help, full) => format!("{}\n", help.monochrome(full)),
+        ParseFailure::Completion(completion) => completion,
+        ParseFailure::Stderr(message) => {
+            eprintln!("jayquay: {}", message.monochrome(true));
+            return ExitCode::from(exit::BAD_USAGE);
+        }
+    };
+    exit::finish::<Infallible>(Ok(Report::done(text)))
 }
 
 /// Runs the command to its end.
 pub async fn run(command: Command) -> ExitCode {
     match command {
+        Command::Demo(args) => exit::finish(demo::run(args).await),
         Command::Config(command) => exit::finish(document::run(command).await),
         Command::Console(args) => exit::finish(console::run(args).await),
         Command::Call(args) => exit::finish(call::run(args).await),
         Command::Load(args) => exit::finish(load::run(args).await),
+        Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
