Prove idle flows and request numbers sent anew

A mutation run (successor records never kept) was noticed by no proof: every caller asked so often that it had a new token before the old owner ended. Another (the token's floor ignored) went unnoticed because honest callers send a number under one token only; callers now break that rule in the family Rewrap.

--- a/crates/proof/src/driver.rs
+++ b/crates/proof/src/driver.rs
@@ -1,6 +1,7 @@
 //! One caller: its flow, and what it has asked for.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,10 +16,14 @@
 use units::ServiceName;
 use units::Time;
 use wire::Packet;
+use wire::Request;
 
 use crate::job::Job;
 use crate::job::JobId;
 
+/// How many requests a caller remembers, for breaking the protocol with them.
+const REMEMBERED: usize = 20;
+
 /// One caller.
 #[derive(Debug)]
 pub(crate) struct Driver {
@@ -35,6 +40,8 @@
     flow: Flow,
     asked: u32,
     numbers: BTreeMap<RequestSeq, JobId>,
+    /// The last requests that it sent, repeated ones included.
+    sent: VecDeque<Request>,
 }
 
 /// How a caller asks by itself.
@@ -59,6 +66,7 @@
             flow,
             asked: 0,
             numbers: BTreeMap::new(),
+            sent: VecDeque::new(),
         }
     }
 
@@ -102,6 +110,24 @@
         self.flow.next_wake()
     }
 
+    /// An earlier request under the token of the latest one, as no caller may send it.
+    pub(crate) fn rewrapped(&self, pick: usize) -> Option<Vec<u8>> {
+        let latest = self.sent.iter().max_by_key(|request| request.seq)?;
+        let other = |request: &&Request| request.token != latest.token;
+        let earlier: Vec<&Request> = self.sent.iter().filter(other).collect();
+        let request = earlier.get(pick % earlier.len().max(1))?;
+        let rewrapped = Request {
+            token: latest.token.clone(),
+            ..(*request).clone()
+        };
+        Some(wire::encode_packet(&Packet::Request(rewrapped)))
+    }
+
+    /// Whether its flow was ever open.
+    pub(crate) fn is_established(&self) -> bool {
+        !self.numbers.is_empty()
+    }
+
     /// The operation that a request number stands for.
     pub(crate) fn job_of(&self, seq: RequestSeq) -> Option<JobId> {
         self.numbers.get(&seq).copied()
@@ -124,6 +150,10 @@
         };
         if let Ok(job) = Job::parse(&request.body) {
             self.numbers.insert(request.seq, job.id);
+            self.sent.push_back(request);
+            if self.sent.len() > REMEMBERED {
+                self.sent.pop_front();
+            }
         }
     }
 }
--- a/crates/proof/src/fabric.rs
+++ b/crates/proof/src/fabric.rs
@@ -15,6 +15,8 @@
     delay: u32,
     reorder: u32,
     replay: u32,
+    /// How often a caller sends an earlier request again under another token.
+    pub(crate) rewrap: u32,
     /// How often it alters a chunk of an answer.
     pub(crate) corrupt: u32,
     /// How often a stranger sends an altered copy.
@@ -30,6 +32,7 @@
             Mishap::Delay => self.delay = percent,
             Mishap::Reorder => self.reorder = percent,
             Mishap::Replay => self.replay = percent,
+            Mishap::Rewrap => self.rewrap = percent,
             Mishap::Corrupt => self.corrupt = percent,
             Mishap::Tamper => self.tamper = percent,
         }
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -86,6 +86,8 @@
     Reorder,
     /// It delivers a second copy five to twenty seconds later.
     Replay,
+    /// A caller breaks the protocol: it sends an earlier request again under the token that it has now.
+    Rewrap,
     /// It alters a byte of a chunk of an answer.
     Corrupt,
     /// A stranger sends an altered copy: a forged token, another service, or noise.
@@ -114,7 +116,9 @@
         match self {
             // A packet held back for two seconds may miss its deadline, and so may an altered answer, whatever the
             // instances do.
-            Self::Fabric(mishap, _) => !matches!(mishap, Mishap::Lose | Mishap::Delay | Mishap::Corrupt),
+            Self::Fabric(mishap, _) => {
+                !matches!(mishap, Mishap::Lose | Mishap::Delay | Mishap::Corrupt | Mishap::Rewrap)
+            }
             Self::Behave(_, behaviour) => matches!(behaviour, Behaviour::Honest | Behaviour::LyingLoad),
             Self::Kill(_)
             | Self::Vanish(_)
@@ -208,6 +212,7 @@
         "delay" => Mishap::Delay,
         "reorder" => Mishap::Reorder,
         "replay" => Mishap::Replay,
+        "rewrap" => Mishap::Rewrap,
         "corrupt" => Mishap::Corrupt,
         "tamper" => Mishap::Tamper,
         _ => return None,
--- a/crates/proof/src/random.rs
+++ b/crates/proof/src/random.rs
@@ -33,8 +33,10 @@
 const UPSTREAMS: usize = 4;
 /// How many callers each service has.
 const CALLERS: usize = 6;
-/// How often each caller asks for something.
+/// How often a busy caller asks for something.
 const EVERY: Duration = Duration::from_millis(150);
+/// How often each third caller does: its flow is idle through most changes.
+const SELDOM: Duration = Duration::from_secs(4);
 /// How long the fleet has for finding itself.
 pub(crate) const SETTLE: Duration = Duration::from_secs(5);
 /// How long faults go on.
@@ -67,7 +69,8 @@
     populate(world)?;
     world.run_for(SETTLE)?;
     for caller in 1..=world.callers() {
-        world.load(caller, EVERY, TROUBLE);
+        let every = if caller % 3 == 0 { SELDOM } else { EVERY };
+        world.load(caller, every, TROUBLE);
     }
     let end = world.elapsed() + TROUBLE;
     let mut endings: Vec<Ending> = Vec::new();
