--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -46,6 +46,8 @@
     budget: Budget,
     /// Most upstreams look unhealthy, so this view is more likely wrong than they are.
     pub(crate) distrust: bool,
+    /// When no request last waited for any upstream.
+    pub(crate) idle_at: Time,
     rng: SmallRng,
     /// The latest time that was told.
     now: Time,
@@ -68,6 +70,7 @@
             estimate: Estimate::default(),
             budget: Budget::new(service.sharing.retry_budget_percent),
             distrust: false,
+            idle_at: now,
             rng: SmallRng::seed_from_u64(seed),
             now,
         }
@@ -140,6 +143,7 @@
         let lease = Lease {
             upstream,
             weight: None,
+            deadline,
             expiry: deadline + MARGIN,
         };
         self.lend(key, lease, now);
@@ -160,7 +164,7 @@
     pub fn retain(&mut self, keep: impl Fn(&K) -> bool, now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         self.queue.retain(&keep);
-        self.held.hasten(&keep, MARGIN);
+        self.held.hasten(&keep);
         self.expire(now);
         self.settle_view(now, out);
     }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -48,8 +48,8 @@
     Announced(Announced),
     /// The ledgers have been sent.
     HandedOver(HandedOver),
-    /// The process may end.
-    Ended,
+    /// The process may end. The ledgers are with this successor, if there is one.
+    Ended(Option<Peer>),
 }
 
 /// A stop that the others are told of.
@@ -81,11 +81,17 @@
         matches!(self, Self::HandedOver(_))
     }
 
+    /// Whether the process may end, so that nothing begins here any more.
+    pub(crate) fn has_ended(&self) -> bool {
+        matches!(self, Self::Ended(_))
+    }
+
     /// Who owns this node's flows, if that is no longer the node itself.
     pub(crate) fn successor(&self) -> Option<&Peer> {
         match self {
             Self::HandedOver(state) => Some(&state.successor),
-            _ => None,
+            Self::Ended(successor) => successor.as_ref(),
+            Self::Serving | Self::Announced(_) => None,
         }
     }
 }
@@ -107,7 +113,7 @@
 
     pub(crate) fn tick_stop(&mut self, cx: &mut Cx<'_>) {
         match &self.stop {
-            Stop::Serving | Stop::Ended => {}
+            Stop::Serving | Stop::Ended(_) => {}
             Stop::Announced(state) => {
                 let end_by = state.end_by;
                 if cx.now >= end_by {
@@ -151,9 +157,10 @@
             }
             return;
         };
-        let flows = match std::mem::replace(&mut self.stop, Stop::Serving) {
-            Stop::HandedOver(state) => state.flows,
-            _ => self.pack_ledgers(cx),
+        // What has ended since the ledgers were packed is not in them, and goes along to the next successor.
+        let (flows, resolved) = match std::mem::replace(&mut self.stop, Stop::Serving) {
+            Stop::HandedOver(state) => (state.flows, state.resolved),
+            _ => (self.pack_ledgers(cx), Vec::new()),
         };
         self.stop = Stop::HandedOver(HandedOver {
             successor,
@@ -162,7 +169,7 @@
             sent_at: cx.now,
             end_by,
             acknowledged: None,
-            resolved: Vec::new(),
+            resolved,
         });
         self.send_ledgers(cx);
     }
@@ -339,7 +346,7 @@
         for id in left {
             self.give_up(cx, id, Reason::Deadline);
         }
-        self.stop = Stop::Ended;
+        self.stop = Stop::Ended(self.stop.successor().cloned());
         cx.record(Record::Stopped(count));
         cx.push(Action::Stopped);
     }
