Ask other instances before taking a flow's owner for gone

Cause: an instance that cannot reach a flow's owner refuses its requests as 'may have run, owner gone'. While zones are cut off from each other the fabric hands most packets to such instances, and the caller took the first refusal as the last word, though the next instance may well have reached the owner. The same held for pulls. Change: the caller sends the same packet again at once, up to three times (Policy::second_opinions), and takes up the reissued token with the first refusal.

--- a/crates/caller/src/call.rs
+++ b/crates/caller/src/call.rs
@@ -125,6 +125,8 @@
     pub(crate) accepted: bool,
     /// Whether a packet was sent again and nothing has come since, as when the flow's owner is gone.
     pub(crate) silent: bool,
+    /// How often an instance has said that the flow's owner, or its answer, is gone.
+    pub(crate) disowned: u32,
     pub(crate) timer: Timer,
     pub(crate) answer: Option<Assembly>,
 }
@@ -195,6 +197,11 @@
     /// The packets to send when the timer is due.
     pub(crate) fn overdue(&mut self, service: &ServiceName) -> Vec<Vec<u8>> {
         self.silent = true;
+        self.unanswered(service)
+    }
+
+    /// The packets whose answers have not arrived.
+    pub(crate) fn unanswered(&mut self, service: &ServiceName) -> Vec<Vec<u8>> {
         let Some(answer) = &mut self.answer else {
             return vec![self.packet.clone()];
         };
--- a/crates/caller/src/flow.rs
+++ b/crates/caller/src/flow.rs
@@ -308,6 +308,7 @@
                 packet,
                 accepted: false,
                 silent: false,
+                disowned: 0,
                 timer: Timer::start(now, self.policy.retransmit, &self.policy, &mut self.rng),
                 answer: None,
             }));
--- a/crates/caller/src/policy.rs
+++ b/crates/caller/src/policy.rs
@@ -27,6 +27,8 @@
     pub span: u64,
     /// The shortest wait before the first retry. It doubles each time.
     pub retry: Duration,
+    /// How many more instances are asked when one says that the flow's owner, or its answer, is gone.
+    pub second_opinions: u32,
     /// The most retries, in percent of successes.
     pub retry_percent: u32,
     /// How many retries may be made before any success, and the most that are saved up.
@@ -49,6 +51,7 @@
             max_in_flight: 64,
             span: 32,
             retry: Duration::from_millis(50),
+            second_opinions: 3,
             retry_percent: 10,
             retry_reserve: 3,
             margin: Duration::from_millis(50),
--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -135,12 +135,33 @@
         if let Some(flow) = self.calls[index].attempt().map(|attempt| attempt.flow) {
             self.adopt(flow, refused.granted);
         }
+        if matches!(refused.reason, Reason::OwnerGone | Reason::AnswerGone) && self.ask_elsewhere(now, index, out) {
+            return;
+        }
         if refused.reason == Reason::Token {
             self.drop_token(now, index);
         }
         self.refuse(now, index, refusal, out);
     }
 
+    /// An instance takes the flow's owner for gone. While availability zones are cut off from each other another one
+    /// may still reach it, so a few more are asked by sending again, byte for byte, what was refused.
+    fn ask_elsewhere(&mut self, now: Time, index: usize, out: &mut Vec<Action>) -> bool {
+        let Some(attempt) = self.calls[index].attempt() else {
+            return false;
+        };
+        attempt.disowned += 1;
+        if attempt.disowned > self.policy.second_opinions {
+            return false;
+        }
+        attempt.timer = Timer::start(now, self.policy.retransmit, &self.policy, &mut self.rng);
+        for packet in attempt.unanswered(&self.service) {
+            self.tally.retransmitted += 1;
+            out.push(Action::Send(packet));
+        }
+        true
+    }
+
     fn on_open_refused(&mut self, now: Time, nonce: units::Nonce, refusal: Failure, out: &mut Vec<Action>) {
         if !matches!(&self.session, Session::Opening(opening) if opening.nonce == nonce) {
             self.tally.foreign += 1;
--- a/crates/caller/tests/flow.rs
+++ b/crates/caller/tests/flow.rs
@@ -264,12 +264,18 @@
 #[test]
 fn scripts() {
     datadriven::walk("tests/flow", |file| {
-        let mut script = Script::new(Policy::default());
+        // Scripts take the first refusal as the last word, unless they say otherwise.
+        let plain = Policy {
+            second_opinions: 0,
+            ..Policy::default()
+        };
+        let mut script = Script::new(plain);
         file.run(|case| {
             if case.directive != "policy" {
                 return script.run(case);
             }
-            let mut policy = Policy::default();
+            let mut policy = plain;
+            policy.second_opinions = opt(case, "second-opinions").unwrap_or(policy.second_opinions);
             policy.window = opt(case, "window").unwrap_or(policy.window);
             policy.span = opt(case, "span").unwrap_or(policy.span);
             policy.max_answer = opt(case, "max-answer").unwrap_or(policy.max_answer);
