--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -16,6 +16,7 @@
 mod flight;
 mod instance;
 mod job;
+mod outbreak;
 mod plan;
 mod platform;
 mod queue;
--- a/crates/proof/src/random.rs
+++ b/crates/proof/src/random.rs
@@ -15,9 +15,9 @@
 use units::UpstreamName;
 
 use crate::book::Summary;
-use crate::family::Ending;
 use crate::family::Family;
 use crate::instance::InstanceSpec;
+use crate::outbreak::Ending;
 use crate::plan::Plan;
 use crate::plan::ServicePlan;
 use crate::plan::UpstreamPlan;
--- a/crates/proof/tests/seeds.rs
+++ b/crates/proof/tests/seeds.rs
@@ -28,6 +28,22 @@
     }
 }
 
+/// With these seeds, flows that are idle while their owner is replaced break unless the successor is known.
+#[test]
+fn idle_flows_survive_replacement() {
+    for seed in [1, 2, 11, 15, 20, 23] {
+        check(seed, &[Family::Replace]);
+    }
+}
+
+/// Nothing but planned changes: no flow may break. Seed 1114 once called a new owner gone.
+#[test]
+fn all_planned_changes_at_once() {
+    for seed in [1072, 1114, 1137, 1157] {
+        check(seed, &family::PLANNED);
+    }
+}
+
 #[test]
 fn families_in_pairs() {
     for (index, pair) in family::TELLING.into_iter().enumerate() {
