--- a/crates/proof/src/view.rs
+++ b/crates/proof/src/view.rs
@@ -1,7 +1,6 @@
-//! What can be asked of a world without changing it.
+//! What can be seen of a world from outside.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use units::InstanceName;
 use units::Revision;
@@ -22,11 +21,6 @@
         self.platform.answers()
     }
 
-    /// Sets how long tokens live that later lives of instances issue.
-    pub fn set_token_lifetime(&mut self, lifetime: Duration) {
-        self.token_lifetime = lifetime;
-    }
-
     /// How many callers there are. They are numbered from one.
     pub fn callers(&self) -> u32 {
         self.drivers.len() as u32
@@ -58,6 +52,22 @@
         spare
     }
 
+    /// Whether this life of an upstream is the present one and has run anything.
+    pub fn served(&self, name: &UpstreamName, life: u64) -> bool {
+        let upstream = self.upstreams.get(name);
+        upstream.is_some_and(|upstream| upstream.incarnation.0 == life && upstream.runs > 0)
+    }
+
+    /// Whether only planned changes have happened so far, so that no flow may break.
+    pub fn planned_only(&self) -> bool {
+        self.book.planned_only
+    }
+
+    /// How many operations ended in each way.
+    pub fn endings(&self) -> BTreeMap<String, u32> {
+        self.book.endings()
+    }
+
     /// How many requests an upstream runs.
     pub fn busy(&self, name: &UpstreamName) -> u16 {
         self.upstreams.get(name).map_or(0, |upstream| upstream.busy)
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -8,7 +8,6 @@
 
 use node::CallId;
 use node::Event;
-use node::Listed;
 use node::Peer;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -64,15 +63,11 @@
 
 /// What will happen.
 #[derive(Debug)]
-#[expect(
-    clippy::large_enum_variant,
-    reason = "a happening is moved twice, and most are the large ones"
-)]
 pub(crate) enum Happening {
     /// An instance's clock ticks.
     Tick(Peer),
     /// Something reaches an instance.
-    Event(Peer, Event),
+    Event(Peer, Box<Event>),
     /// A datagram reaches whatever instance the fabric picks.
     Packet(std::net::SocketAddr, Vec<u8>),
     /// A datagram reaches a caller.
@@ -93,8 +88,8 @@
     Expire(CallRef),
     /// An upstream is asked for its report.
     Poll(Peer, UpstreamName, std::net::SocketAddr),
-    /// An instance asks the platform for its list.
-    List(Peer),
+    /// An instance turns to the platform.
+    Platform(Peer),
     /// A caller's flow wants a tick.
     Wake(u32),
     /// A caller wants something.
@@ -179,12 +174,18 @@
         format!("seed {}, at {}: {violation}\n{trace}", self.seed, violation.at)
     }
 
+    /// Sets how long tokens live that later lives of instances issue.
+    pub fn set_token_lifetime(&mut self, lifetime: Duration) {
+        self.token_lifetime = lifetime;
+    }
+
     /// Adds an instance, which does not run yet.
     pub fn add_instance(&mut self, spec: InstanceSpec) {
         let instance = Instance {
             spec,
             life: None,
             lives: 0,
+            lease: None,
             ended: START,
         };
         self.instances.insert(instance.spec.name.clone(), instance);
@@ -212,7 +213,7 @@
     fn happen(&mut self, happening: Happening) -> Result<(), Violation> {
         match happening {
             Happening::Tick(peer) => self.tick(&peer),
-            Happening::Event(peer, event) => self.feed(&peer, event),
+            Happening::Event(peer, event) => self.feed(&peer, *event),
             Happening::Packet(from, bytes) => self.spray(from, bytes),
             Happening::Reply(caller, bytes) => self.reply(caller, bytes),
             Happening::Frame(link) => self.receive_frame(&link),
@@ -223,7 +224,7 @@
             Happening::Finish(call) => self.finish(&call),
             Happening::Expire(call) => self.expire(&call),
             Happening::Poll(peer, name, address) => self.poll(&peer, name, address),
-            Happening::List(peer) => self.list(peer),
+            Happening::Platform(peer) => self.turn_to_platform(peer),
             Happening::Wake(caller) => self.wake(caller),
             Happening::Ask(caller) => self.ask_by_itself(caller),
             Happening::Check => self.check(),
@@ -277,12 +278,14 @@
             backlog: std::collections::VecDeque::new(),
             watching: false,
             platform: None,
+            listed: None,
             in_force: None,
             stopping: None,
             calm_since: now,
             awake_since: now,
         };
         instance.life = Some(life);
+        instance.lease = Some((incarnation, None));
         let peer = Peer {
             name: name.clone(),
             incarnation,
@@ -291,8 +294,7 @@
             self.close_session(&link);
         }
         self.queue.push(now, Happening::Tick(peer.clone()));
-        self.queue
-            .push(now + millis(&mut self.rng, 1, 20), Happening::List(peer));
+        self.introduce(&peer);
     }
 
     fn keyring(&self) -> Keyring {
@@ -341,29 +343,4 @@
         self.check_stops()?;
         self.book.check_ends(self.now, CHECK_EVERY)
     }
-
-    fn listed(&self) -> Vec<Listed> {
-        let mut list = Vec::new();
-        for instance in self.instances.values() {
-            let Some(life) = &instance.life else {
-                continue;
-            };
-            list.push(Listed::Entry {
-                name: instance.spec.name.clone(),
-                incarnation: life.incarnation,
-                zone: instance.spec.zone.clone(),
-                address: instance.spec.address,
-                admin: None,
-                leaving: life.stopping.is_some(),
-            });
-        }
-        for upstream in self.upstreams.values() {
-            list.push(Listed::Upstream {
-                name: upstream.spec.name.clone(),
-                incarnation: upstream.incarnation,
-                leaving: upstream.listed_leaving,
-            });
-        }
-        list
-    }
 }
