Hand long answers over in frames that can be sent

Cause: a hand-over was cut between flows only, so a flow with four answers of 3 MiB made one frame of 12,583,303 bytes, and the sessions drop what is over 4 MiB: the stop would have ended with its ledger lost. Ruled out: leaving long answers out, since a caller that is pulling one would be cut by a planned stop. Change: a flow's ledger is written in pieces of at most 1 MiB or one entry, a part holds such pieces, and the successor puts a flow's pieces together before anything takes effect. Every frame that the node's tests send is now checked against the limit.

--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -192,7 +192,7 @@
         let me = self.me.incarnation;
         let mut flows = Vec::new();
         for (key, ledger) in self.ledgers.take() {
-            flows.push(pack(key, ledger, &mut bodies, me));
+            flows.extend(pack(key, ledger, &mut bodies, me));
         }
         flows
     }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -77,12 +77,19 @@
         self.owned.insert(record.from_incarnation);
         self.owned.extend(inherited);
         let mut queued = Vec::new();
+        let mut ledgers: BTreeMap<FlowKey, Ledger> = BTreeMap::new();
         for flow in flows {
             let key = FlowKey {
                 owner: flow.owner,
                 flow: flow.flow,
             };
-            let ledger = unpack(key, flow, record.from_incarnation, &mut queued);
+            let piece = unpack(key, flow, record.from_incarnation, &mut queued);
+            match ledgers.get_mut(&key) {
+                Some(ledger) => ledger.lines.extend(piece.lines),
+                None => drop(ledgers.insert(key, piece)),
+            }
+        }
+        for (key, ledger) in ledgers {
             self.ledgers.install(key, ledger, cx.now);
         }
         self.send(cx, peer, Frame::HandoverDone(record.from_incarnation));
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -120,3 +120,25 @@
     fleet.send(third, &request(&granted, "availability", "hold", 1));
     assert_eq!(fleet.got(), "chunk 0/1 of 1");
 }
+
+#[test]
+fn long_answers_move_in_frames_that_can_be_sent() {
+    let mut fleet = Fleet::new(2);
+    let home = fleet.home("availability");
+    let other = fleet.other(&home);
+    let granted = fleet.open(&home, "availability");
+    for seq in 1..=4 {
+        fleet.send(&home, &request(&granted, "availability", "feed", seq));
+        fleet.end_call(CallResult::Answered(vec![7; 3 * 1_024 * 1_024]));
+    }
+    fleet.replies.clear();
+    fleet.event(&home, Event::Stop);
+    fleet.pass(Duration::from_secs(3));
+    assert_eq!(fleet.stopped, std::slice::from_ref(&home));
+    fleet.nodes.remove(&home);
+    for seq in 1..=4 {
+        fleet.send(&other, &request(&granted, "availability", "feed", seq));
+    }
+    assert!(fleet.calls.is_empty());
+    assert_eq!(fleet.got().matches("chunk 0/3933").count(), 4);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -150,6 +150,8 @@
         match action {
             Action::Reply(_, reply) => self.replies.push_back(reply),
             Action::Send { to, frame, .. } => {
+                let len = wire::encode_frame(&frame).len();
+                assert!(len <= wire::MAX_FRAME_LEN, "a frame of {len} bytes can't be sent");
                 let lost = self.cut.contains(&(from.name.clone(), to.clone())) || !self.nodes.contains_key(&to);
                 if !lost {
                     queue.push_back((to, Event::Frame(from.clone(), frame)));
