--- a/crates/jayquay/tests/fleet/mod.rs
+++ b/crates/jayquay/tests/fleet/mod.rs
@@ -47,6 +47,7 @@
     pub upstreams: Vec<Process>,
     /// The instances that run.
     pub instances: Vec<Instance>,
+    started: usize,
 }
 
 impl Fleet {
@@ -79,10 +80,11 @@
             platform,
             folder,
             instances: Vec::new(),
+            started: 0,
         };
         fleet.apply_document();
-        for zone in ZONES {
-            fleet.start_instance(zone);
+        for _ in ZONES {
+            fleet.start_instance();
         }
         fleet.wait_until_ready();
         fleet.spray();
@@ -131,8 +133,10 @@
         text
     }
 
-    fn start_instance(&mut self, zone: &str) {
-        let name = format!("entry-{}", self.instances.len() + 1);
+    fn start_instance(&mut self) {
+        let zone = ZONES[self.started % ZONES.len()];
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
         let platform = self.platform.text("/address");
         let settings = format!(
             "name: {name}\nzone: {zone}\nlisten: {{callers: \"127.0.0.1:0\", instances: \"127.0.0.1:0\", \
@@ -209,6 +213,23 @@
         self.instances.remove(index.expect("the home is an instance"))
     }
 
+    /// Lets a new instance join and the oldest one stop. The fabric learns of the stop once it is over.
+    pub fn replace_oldest(&mut self) {
+        self.start_instance();
+        self.wait_until_ready();
+        self.spray();
+        let mut old = self.instances.remove(0);
+        old.process.signal("-TERM");
+        let status = old.process.wait();
+        assert_eq!(
+            status.code(),
+            Some(0),
+            "the planned stop of {} left something in doubt",
+            old.name
+        );
+        self.spray();
+    }
+
     /// How many requests the upstreams answered so far.
     pub fn answered(&self) -> u64 {
         let counts = self
--- a/crates/jayquay/tests/system.rs
+++ b/crates/jayquay/tests/system.rs
@@ -129,6 +129,20 @@
     check_holds(&fleet, &result);
 }
 
+#[test]
+fn replacing_every_instance_breaks_nothing() {
+    let mut fleet = Fleet::start("replace");
+    let load = load(&fleet, "hold");
+    wait_for("the load is under way", || fleet.answered() > UNDER_WAY);
+    for _ in 0..fleet.instances.len() {
+        fleet.replace_oldest();
+    }
+    let (code, result) = result(load);
+    assert_eq!(code, Some(0), "{result}");
+    assert_eq!(refused(&result, "may have run"), 0, "{result}");
+    check_holds(&fleet, &result);
+}
+
 #[test]
 fn a_crash_runs_no_hold_twice() {
     let mut fleet = Fleet::start("crash");
