--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -199,7 +199,7 @@
     let (receiver, replier) = callers::split(socket, clock, caller_limits(settings));
     tasks.spawn(receiver.run(intake.clone()));
     let (wish, wished) = watch::channel(Wish::default());
-    feed(settings, own, intake, &wished, tasks);
+    feed(settings, own, clock, intake, &wished, tasks);
     let upstreams = Upstreams::new(own.name.clone(), own.incarnation, intake.clone()).map_err(StartError::Client)?;
     let context = session_context(settings, own.clone(), intake);
     let parts = Parts {
@@ -213,15 +213,23 @@
     Ok(Engine::new(node, clock, queues, parts, settings.stop_within))
 }
 
-fn feed(settings: &Settings, own: &Identity, intake: &Intake, wish: &watch::Receiver<Wish>, tasks: &mut JoinSet<()>) {
+fn feed(
+    settings: &Settings,
+    own: &Identity,
+    clock: Clock,
+    intake: &Intake,
+    wish: &watch::Receiver<Wish>,
+    tasks: &mut JoinSet<()>,
+) {
     let client = Client::new(platform::Options::new(settings.platform.clone()));
-    tasks.spawn(summary::keep(client.clone(), intake.clone()));
+    tasks.spawn(summary::keep(client.clone(), clock, intake.clone()));
     let feed = Feed::new(client, intake.clone(), wish.clone());
     let entry = Listed::Entry {
         name: own.name.clone(),
         incarnation: own.incarnation,
         zone: own.zone.clone(),
         address: own.address,
+        admin: admin_address(settings),
         leaving: false,
     };
     // Each of these ends only when the engine is gone.
@@ -243,6 +251,13 @@
     });
 }
 
+/// Where operators on other hosts reach this instance, if they do.
+fn admin_address(settings: &Settings) -> Option<SocketAddr> {
+    let listen = settings.listen.admin;
+    let is_reached = !listen.ip().is_loopback() && !listen.ip().is_unspecified() && listen.port() != 0;
+    settings.advertise.admin.or(is_reached.then_some(listen))
+}
+
 /// The instances in the settings. Their lives are unknown, so that any life that is heard of is newer.
 fn seeds(settings: &Settings) -> Vec<Listed> {
     let entries = settings.peers.iter().map(|seed| Listed::Entry {
@@ -250,6 +265,7 @@
         incarnation: Incarnation::default(),
         zone: seed.zone.clone(),
         address: seed.address,
+        admin: None,
         leaving: false,
     });
     entries.collect()
--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod fleet;
 mod limits;
+mod outage;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
--- a/crates/proof/src/directive.rs
+++ b/crates/proof/src/directive.rs
@@ -1,4 +1,4 @@
-//! One directive of a scenario, as the file holds it.
+//! Reading one directive of a scenario.
 
 use std::fmt;
 use std::str::FromStr;
@@ -28,6 +28,7 @@
 }
 
 impl Directive<'_> {
+    /// The value of an argument, if it is given.
     pub(crate) fn value<T: FromStr>(&self, name: &str, default: T) -> Result<T, ScenarioError> {
         let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
             return Ok(default);
@@ -35,6 +36,7 @@
         read(text, name)
     }
 
+    /// The span that an argument gives, if it is given.
     pub(crate) fn span(&self, name: &str, default: Duration) -> Result<Duration, ScenarioError> {
         let Some((_, text)) = self.args.iter().find(|(arg, _)| arg == name) else {
             return Ok(default);
@@ -49,18 +51,29 @@
             .ok_or_else(|| ScenarioError(format!("{} needs an argument", self.name)))
     }
 
+    /// The words of each line below.
     pub(crate) fn lines(&self) -> impl Iterator<Item = Vec<&str>> {
         let lines = self.input.lines().map(str::trim).filter(|line| !line.is_empty());
         lines.map(|line| line.split_whitespace().collect())
     }
 }
 
-/// Reads a word. `what` says in the error what it should be.
+/// These words mean nothing here.
+pub(crate) fn misread(words: &[&str]) -> ScenarioError {
+    ScenarioError(format!("cannot read: {}", words.join(" ")))
+}
+
+/// Reads one word.
 pub(crate) fn read<T: FromStr>(text: &str, what: &str) -> Result<T, ScenarioError> {
     text.parse().map_err(|_| ScenarioError(format!("not {what}: {text}")))
 }
 
-/// Reads a span such as `200ms` or `3s`.
+/// Reads the number of a caller, such as `c3`.
+pub(crate) fn read_caller(text: &str) -> Result<u32, ScenarioError> {
+    read(text.trim_start_matches('c'), "a caller")
+}
+
+/// Reads a span, such as `2s` or `150ms`.
 pub(crate) fn read_span(text: &str) -> Result<Duration, ScenarioError> {
     if let Some(millis) = text.strip_suffix("ms") {
         return read(millis, "a span").map(Duration::from_millis);
--- a/crates/proof/src/random.rs
+++ b/crates/proof/src/random.rs
@@ -1,6 +1,7 @@
 //! Randomised runs: a fleet under load, with faults of the given families at random times, then a quiet time in
 //! which everything must be well again.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,9 +15,9 @@
 use units::UpstreamName;
 
 use crate::book::Summary;
-use crate::family::Ending;
 use crate::family::Family;
 use crate::instance::InstanceSpec;
+use crate::outbreak::Ending;
 use crate::plan::Plan;
 use crate::plan::ServicePlan;
 use crate::plan::UpstreamPlan;
@@ -32,10 +33,12 @@
 const UPSTREAMS: usize = 4;
 /// How many callers each service has.
 const CALLERS: usize = 6;
-/// How often each caller asks for something.
+/// How often a busy caller asks for something.
 const EVERY: Duration = Duration::from_millis(150);
+/// How often each third caller does: its flow is idle through most changes.
+const SELDOM: Duration = Duration::from_secs(4);
 /// How long the fleet has for finding itself.
-const SETTLE: Duration = Duration::from_secs(5);
+pub(crate) const SETTLE: Duration = Duration::from_secs(5);
 /// How long faults go on.
 const TROUBLE: Duration = Duration::from_secs(25);
 
@@ -44,6 +47,8 @@
 pub struct Outcome {
     /// How the operations ended.
     pub summary: Summary,
+    /// How many operations ended in each way but with an answer.
+    pub endings: BTreeMap<String, u32>,
     /// The broken promise, with its seed and trace.
     pub broken: Option<String>,
 }
@@ -54,6 +59,7 @@
     let outcome = trouble(&mut world, seed, families);
     Outcome {
         summary: world.summary(),
+        endings: world.endings(),
         broken: outcome.err().map(|violation| world.report(&violation)),
     }
 }
@@ -63,7 +69,8 @@
     populate(world)?;
     world.run_for(SETTLE)?;
     for caller in 1..=world.callers() {
-        world.load(caller, EVERY, TROUBLE);
+        let every = if caller % 3 == 0 { SELDOM } else { EVERY };
+        world.load(caller, every, TROUBLE);
     }
     let end = world.elapsed() + TROUBLE;
     let mut endings: Vec<Ending> = Vec::new();
@@ -104,7 +111,8 @@
     world.approve(plan())
 }
 
-fn populate(world: &mut World) -> Result<(), Violation> {
+/// Fills an empty world with the fleet that all randomised runs have.
+pub(crate) fn populate(world: &mut World) -> Result<(), Violation> {
     for (name, zone, host) in instances() {
         world.add_instance(InstanceSpec {
             name: name.clone(),
