model: let whole nodes hold wrong views of one another

An instance may be told, wrongly, that another was replaced, while that one lives on as owner, successor or ingress.

--- a/crates/model/examples/nodes.rs
+++ b/crates/model/examples/nodes.rs
@@ -21,6 +21,7 @@
         passes: 1,
         stops: 1,
         crashes: 0,
+        errors: 0,
     };
     let systems = [
         bounds,
@@ -48,6 +49,16 @@
             passes: 4,
             stops: 2,
             crashes: 1,
+            errors: 1,
+        },
+        Bounds { errors: 1, ..bounds },
+        Bounds {
+            errors: 2,
+            instances: 3,
+            deliveries: 3,
+            passes: 2,
+            stops: 2,
+            ..bounds
         },
     ];
     for bounds in systems {
--- a/crates/model/src/setup.rs
+++ b/crates/model/src/setup.rs
@@ -17,6 +17,8 @@
 use units::RequestSeq;
 use units::Time;
 use wire::Granted;
+use wire::Member;
+use wire::MemberState;
 use wire::Open;
 use wire::Packet;
 use wire::Request;
@@ -72,6 +74,17 @@
     Node::new(setup, now)
 }
 
+pub(crate) fn member(index: usize, incarnation: Incarnation) -> Member {
+    Member {
+        name: name(index),
+        incarnation,
+        zone: "brugge".parse().expect("a zone"),
+        address: address(index),
+        state: MemberState::Alive,
+        refutation: 0,
+    }
+}
+
 /// The platform's list.
 pub(crate) fn list(incarnations: &[Incarnation]) -> Vec<Listed> {
     let entry = |(index, incarnation): (usize, &Incarnation)| Listed::Entry {
--- a/crates/model/src/whole.rs
+++ b/crates/model/src/whole.rs
@@ -29,6 +29,8 @@
     pub stops: u8,
     /// How many instances crash and are replaced under their name.
     pub crashes: u8,
+    /// How often an instance wrongly believes that another was replaced.
+    pub errors: u8,
 }
 
 /// What may happen next.
@@ -52,6 +54,8 @@
     Exit(usize),
     /// An instance crashes and is replaced.
     Crash(usize),
+    /// An instance believes that another was replaced, while that one lives.
+    Mislead(usize, usize),
 }
 
 impl fmt::Display for Event {
@@ -66,6 +70,10 @@
             Self::Pass => f.write_str("time passes"),
             Self::Exit(at) => write!(f, "{}: ends", setup::name(*at)),
             Self::Crash(at) => write!(f, "{}: crashes and is replaced", setup::name(*at)),
+            Self::Mislead(at, other) => {
+                let (at, other) = (setup::name(*at), setup::name(*other));
+                write!(f, "{at}: believes wrongly that {other} was replaced")
+            }
         }
     }
 }
@@ -120,6 +128,10 @@
         if world.crashes < self.bounds.crashes {
             events.push(Event::Crash(at));
         }
+        if world.errors < self.bounds.errors {
+            let others = (0..self.bounds.instances).filter(|other| *other != at);
+            events.extend(others.map(|other| Event::Mislead(at, other)));
+        }
         if world.ended.contains(&at) {
             events.push(Event::Exit(at));
         }
@@ -187,6 +199,10 @@
                 next.crashes += 1;
                 next.replace(*at);
             }
+            Event::Mislead(at, other) => {
+                next.errors += 1;
+                next.mislead(*at, *other);
+            }
         }
         next.seal();
         next
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -19,6 +19,7 @@
 use units::Revision;
 use units::Time;
 use wire::Frame;
+use wire::Gossip;
 use wire::Granted;
 use wire::Reply;
 use wire::Subject;
@@ -76,6 +77,7 @@
     pub(crate) passes: u8,
     pub(crate) stops: u8,
     pub(crate) crashes: u8,
+    pub(crate) errors: u8,
     pub(crate) panicked: Option<String>,
     digest: [u8; 32],
 }
@@ -101,6 +103,7 @@
             passes: 0,
             stops: 0,
             crashes: 0,
+            errors: 0,
             panicked: None,
             digest: [0; 32],
         };
@@ -260,6 +263,19 @@
         self.introduce(index);
     }
 
+    /// Tells one instance, wrongly, that a new life has begun under another's name.
+    pub(crate) fn mislead(&mut self, at: usize, other: usize) {
+        let peer = Peer {
+            name: setup::name(other),
+            incarnation: Incarnation(self.incarnations[other].0 + 10),
+        };
+        let gossip = Gossip {
+            members: vec![setup::member(other, peer.incarnation)],
+            ..Gossip::default()
+        };
+        self.event(at, Event::Frame(peer, Frame::News(gossip)));
+    }
+
     /// Works out what tells this state from others.
     pub(crate) fn seal(&mut self) {
         self.digest = [0; 32];
--- a/crates/model/tests/whole.rs
+++ b/crates/model/tests/whole.rs
@@ -12,6 +12,7 @@
     passes: 1,
     stops: 1,
     crashes: 0,
+    errors: 0,
 };
 
 fn check(bounds: Bounds, max_states: usize) -> Report {
@@ -40,3 +41,22 @@
     };
     check(bounds, 6_000);
 }
+
+/// An owner that others take for replaced lives on, and still nothing runs twice.
+#[test]
+fn a_wrong_view_is_safe_as_far_as_explored() {
+    let bounds = Bounds {
+        instances: 3,
+        deliveries: 3,
+        passes: 2,
+        stops: 2,
+        errors: 1,
+        ..BOUNDS
+    };
+    for order in 0..20 {
+        let report = explore_deep(&Whole::new(bounds).ordered(order), 300);
+        if let Some(found) = &report.found {
+            panic!("order {order}\n{found}");
+        }
+    }
+}
