Do not start upstreams slowly that are new to the pool only

A node readmits every upstream whose incarnation it sees for the first time, so at a new home all upstreams of a service were taken for cold, and nearly two seconds passed until all their slots were used again. An upstream that says that it has run for longer than the slow start is now taken for warm.

A script fails before and passes after (`cargo test -p balance`).

--- a/crates/balance/src/target.rs
+++ b/crates/balance/src/target.rs
@@ -204,7 +204,10 @@
         self.leaving |= report.draining;
         let others = f64::from(report.busy.0) - f64::from(self.busy);
         self.foreign += (others.max(0.0) - self.foreign) * REPORT_GAIN;
-        if report.age < slow_start && self.cold_since.is_none() {
+        if report.age >= slow_start {
+            // It is new to this pool only, as when its service has a new home.
+            self.cold_since = None;
+        } else if self.cold_since.is_none() {
             self.warm_from(crate::queue::before(now, report.age));
         }
     }
