Let an experiment take a load in place of the scenarios' own

Cause: the load could be chosen only among those that scenarios have.

Ruled out: a load in the deployment's file (it would be one for all services and scenarios, and hidden from the command).

--- a/crates/experiment/src/deployment.rs
+++ b/crates/experiment/src/deployment.rs
@@ -13,6 +13,7 @@
 use units::ZoneName;
 
 use crate::Error;
+use crate::Scenario;
 
 /// A deployment as it is written.
 #[derive(Debug, Clone, Deserialize)]
@@ -98,6 +99,8 @@
 pub(crate) struct Workload {
     pub(crate) service: Service,
     pub(crate) kinds: Vec<Kind>,
+    /// How many times the scenario's load is offered.
+    pub(crate) scale: f64,
 }
 
 /// A kind of request.
@@ -115,6 +118,14 @@
 }
 
 impl Workload {
+    /// The same service with another load before and after what the scenario does, which it does in proportion.
+    pub(crate) fn at_load(&self, load: f64, scenario: Scenario) -> Self {
+        Self {
+            scale: load / scenario.load(0.0),
+            ..self.clone()
+        }
+    }
+
     /// The mean service time over all kinds, in seconds.
     pub(crate) fn mean_service(&self) -> f64 {
         self.kinds.iter().map(|kind| kind.share * kind.mean).sum()
@@ -209,7 +220,8 @@
         upstreams,
     };
     let kinds = raw.kinds.iter().map(Kind::from).collect();
-    Ok(Workload { service, kinds })
+    let scale = 1.0;
+    Ok(Workload { service, kinds, scale })
 }
 
 impl From<&RawKind> for Kind {
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -27,6 +27,8 @@
     pub rules: Vec<Rule>,
     /// The services by name; all of the deployment if there are none.
     pub services: Vec<String>,
+    /// The offered load, as a share of what all slots can serve, in place of the scenarios' own.
+    pub load: Option<f64>,
 }
 
 impl Default for Options {
@@ -36,6 +38,7 @@
             scenarios: Scenario::ALL.to_vec(),
             rules: Rule::ALL.to_vec(),
             services: Vec::new(),
+            load: None,
         }
     }
 }
@@ -54,6 +57,8 @@
             continue;
         }
         for scenario in &options.scenarios {
+            let loaded = options.load.map(|load| workload.at_load(load, *scenario));
+            let workload = loaded.as_ref().unwrap_or(workload);
             for rule in &options.rules {
                 rows.push(row(&deployment, workload, *scenario, *rule, &options.seeds));
             }
--- a/crates/experiment/src/traffic.rs
+++ b/crates/experiment/src/traffic.rs
@@ -61,7 +61,7 @@
 
     /// The next request. Arrivals are Poisson with the scenario's load.
     pub(crate) fn next(&mut self, deployment: &Deployment, workload: &Workload, scenario: Scenario) -> Arrival {
-        let peak_rate = scenario.peak() * workload.slots() / workload.mean_service();
+        let peak_rate = workload.scale * scenario.peak() * workload.slots() / workload.mean_service();
         loop {
             self.seconds += exponential(&mut self.rng) / peak_rate;
             let accepted = self.rng.random::<f64>() * scenario.peak() < scenario.load(self.seconds);
--- a/crates/experiment/tests/run.rs
+++ b/crates/experiment/tests/run.rs
@@ -15,6 +15,7 @@
         scenarios: vec![scenario],
         rules: rules.to_vec(),
         services: vec!["photos".to_owned()],
+        load: None,
     };
     experiment::run(VERBLIJFNET, &options).unwrap()
 }
@@ -48,6 +49,24 @@
     assert!(value(&summary, Rule::Pool, Metric::Missed) < 1.0);
 }
 
+#[test]
+fn a_load_takes_the_place_of_the_scenarios_own() {
+    let at = |load| {
+        let options = Options {
+            seeds: vec![7],
+            scenarios: vec![Scenario::Calm],
+            rules: vec![Rule::Pool],
+            services: vec!["photos".to_owned()],
+            load,
+        };
+        let summary = experiment::run(VERBLIJFNET, &options).unwrap();
+        value(&summary, Rule::Pool, Metric::Offered)
+    };
+    assert!((at(None) - at(Some(0.7))).abs() < 1e-9);
+    let ratio = at(Some(0.35)) / at(None);
+    assert!((0.45..0.55).contains(&ratio), "{ratio}");
+}
+
 #[test]
 fn results_have_three_forms() {
     let summary = run(Scenario::Calm, &[Rule::Pool, Rule::BoundFifo]);
--- a/crates/jayquay/src/experiment.rs
+++ b/crates/jayquay/src/experiment.rs
@@ -19,7 +19,8 @@
 
 /// What the help text tells before the options.
 pub const HEADER: &str = "DEPLOYMENT is verblijfnet, coral-table or a file like theirs. No process, network or clock \
-takes part: the same seeds give the same figures on any machine. The load is set by the scenario.";
+takes part: the same seeds give the same figures on any machine. Each scenario has a load of its own, \
+which --load replaces; what a scenario does to the load is done in proportion.";
 
 /// The examples in the help text.
 pub const EXAMPLES: &str = "Examples:
@@ -30,6 +31,8 @@
 const SEEDS: u64 = 5;
 /// The most seeds, so that a slip of the finger does not run for days.
 const MAX_SEEDS: u64 = 1_000;
+/// The highest load.
+const MAX_LOAD: f64 = 10.0;
 
 /// Arguments of `jayquay experiment`.
 #[derive(Debug, Clone, Bpaf)]
@@ -44,6 +47,9 @@
     /// Run this service [default: all]. May be given more than once.
     #[bpaf(long("service"), argument("NAME"), many)]
     services: Vec<ServiceName>,
+    /// The load as a share of what all slots can serve, above 0 and at most 10, in place of the scenarios' own.
+    #[bpaf(argument("X"), guard(load_fits, "the load lies above 0 and is at most 10"), optional)]
+    load: Option<f64>,
     /// How many seeds, each of which draws requests anew, at most 1000.
     #[bpaf(
         argument("N"),
@@ -68,6 +74,11 @@
     deployment: String,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes references")]
+fn load_fits(load: &f64) -> bool {
+    *load > 0.0 && *load <= MAX_LOAD
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes references")]
 fn seeds_fit(seeds: &u64) -> bool {
     (1..=MAX_SEEDS).contains(seeds)
@@ -154,6 +165,7 @@
         let mut options = Options {
             seeds: (1..=self.seeds).collect(),
             services: self.services.iter().map(ToString::to_string).collect(),
+            load: self.load,
             ..Options::default()
         };
         if !self.scenarios.is_empty() {
--- a/crates/jayquay/tests/experiment.rs
+++ b/crates/jayquay/tests/experiment.rs
@@ -58,6 +58,10 @@
     max/mean, cv, long m/m, p50 ms, p99 ms, p999 ms, recov s, calls x
     exit 2
     ");
+    assert_snapshot!(check(&["--load", "0"]), @r"
+    jayquay: `0`: the load lies above 0 and is at most 10
+    exit 2
+    ");
     assert_snapshot!(check(&["--seeds", "0"]), @r"
     jayquay: `0`: there are 1 to 1000 seeds
     exit 2
