Let an instance afford a session with each of 600 others

Cause: 64 instances took 8.2 MB each, about 115 KB for each end of a session (slope between 32 and 64): the WebSocket library keeps 128 KiB buffers. 600 sessions would take 69 MB of the 128 MB. And a session idle for a minute was closed, while probes come back to a member only after five minutes at 600, so each probe would have paid for a handshake. Ruled out: sessions to a subset only, as any instance may have to forward to any other.

--- a/crates/jayquayd/src/feed.rs
+++ b/crates/jayquayd/src/feed.rs
@@ -22,9 +22,9 @@
 use crate::throttle::Throttle;
 
 /// How long the platform keeps an entry that is not renewed.
-const LEASE_TTL: Millis = Millis(30_000);
+const LEASE_TTL: Millis = Millis(90_000);
 /// How often an entry is renewed.
-const RENEW_EVERY: Duration = Duration::from_secs(10);
+const RENEW_EVERY: Duration = Duration::from_secs(30);
 /// How often a watcher reads the list.
 const WATCHER_LIST_EVERY: Duration = Duration::from_secs(2);
 /// How often the other instances read the list.
--- a/crates/jayquayd/src/sessions/connection.rs
+++ b/crates/jayquayd/src/sessions/connection.rs
@@ -67,8 +67,14 @@
     Ok(Connection { other, ws })
 }
 
+/// What a session's buffers take at rest, in bytes. An instance may have a session with each of 600 others, and the
+/// library's own choice of 128 KiB for each direction would take 150 MB for that.
+const BUFFER_LEN: usize = 8 * 1_024;
+
 fn limited_to(len: usize) -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_LEN)
+        .write_buffer_size(BUFFER_LEN)
         .max_message_size(Some(len))
         .max_frame_size(Some(len))
 }
--- a/crates/jayquayd/src/sessions/link.rs
+++ b/crates/jayquayd/src/sessions/link.rs
@@ -40,7 +40,10 @@
 /// How long one flush may take.
 const FLUSH_TIME: Duration = Duration::from_secs(5);
 /// How long a session may be idle before the side that made it closes it.
-const IDLE_TIME: Duration = Duration::from_mins(1);
+///
+/// Each member probes the others in turn, two a second, so of 600 it comes back to one after five minutes. A session that
+/// ends before then costs a handshake for each probe.
+const IDLE_TIME: Duration = Duration::from_mins(15);
 /// How often silence is checked.
 const CHECK_TIME: Duration = Duration::from_millis(500);
 /// How long the other side may take to confirm a close.
