Read all zones for a new watcher's first half minute

Cause: a fault of the read by zone. Instances of several zones that start together may all read the list before any of them stands on it; each then read its own zone only and could stay alone for a minute. It showed once, in a run of the whole workspace's tests, as a demo whose instances were not ready within 8 s.

A watcher now reads all zones for 30 s after its first read, most of which find nothing new and cost no bytes, and then once a minute.

Ruled out: reading all zones while no other instance is known (two zones that each know their own would stay apart).

--- a/crates/jayquayd/src/feed.rs
+++ b/crates/jayquayd/src/feed.rs
@@ -32,6 +32,9 @@
 const WATCHER_LIST_EVERY: Duration = Duration::from_secs(2);
 /// How often a watcher reads the instances of all availability zones, and not only those of its own.
 const FULL_LIST_EVERY: Duration = Duration::from_mins(1);
+/// How long after its first read a watcher goes on to read all zones: instances that start together may all have read
+/// before any stood on the list.
+const FULL_LIST_FIRST: Duration = Duration::from_secs(30);
 /// How often the instances in the settings are named.
 const PEERS_EVERY: Duration = Duration::from_secs(10);
 /// How long one watch waits.
@@ -114,6 +117,7 @@
         let mut backoff = Backoff::default();
         let mut own = List::new(Scope::Zone(zone));
         let mut all = List::new(Scope::Instances);
+        let mut first_read: Option<Instant> = None;
         let mut all_read: Option<Instant> = None;
         loop {
             let watching = self.wish.borrow_and_update().watching;
@@ -121,12 +125,15 @@
                 self.wish.changed().await.map_err(|_| Closed)?;
                 continue;
             }
-            let is_full = all_read.is_none_or(|read| read.elapsed() >= FULL_LIST_EVERY);
+            let is_new = first_read.is_none_or(|read| read.elapsed() < FULL_LIST_FIRST);
+            let is_full = is_new || all_read.is_none_or(|read| read.elapsed() >= FULL_LIST_EVERY);
             let list = if is_full { &mut all } else { &mut own };
             let result = self.client.refresh(list).await;
             let pause = self.judge(&result, WATCHER_LIST_EVERY, &mut backoff).await?;
             if is_full && result.is_ok() {
-                all_read = Some(Instant::now());
+                let now = Instant::now();
+                first_read.get_or_insert(now);
+                all_read = Some(now);
             }
             if result == Ok(true) {
                 self.intake.event(Event::List(list.entries().to_vec())).await?;
