--- a/crates/experiment/src/job.rs
+++ b/crates/experiment/src/job.rs
@@ -53,6 +53,8 @@
     pub(crate) pinned: Option<usize>,
     pub(crate) granted: Option<(usize, Time)>,
     pub(crate) started: Option<Time>,
+    /// Whether it was last started in the availability zone that it arrived in.
+    pub(crate) local: bool,
     /// Attempts that may have run.
     pub(crate) runs: u16,
     /// How often its caller came back after a refusal.
@@ -76,6 +78,7 @@
             pinned: None,
             granted: None,
             started: None,
+            local: false,
             runs: 0,
             returns: 0,
             progress: Progress::Open,
--- a/crates/experiment/src/measure.rs
+++ b/crates/experiment/src/measure.rs
@@ -46,6 +46,8 @@
     Variation,
     /// Maximum over mean of the upstreams' load over the whole time.
     LongMaxMean,
+    /// Share of started requests that ran in the availability zone they arrived in, in percent.
+    Local,
     /// Median wait from arrival at an instance to the start at an upstream, in milliseconds.
     WaitP50,
     /// The 99th percentile of that wait, in milliseconds.
@@ -60,7 +62,7 @@
 
 impl Metric {
     /// All metrics, in the order of the table.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Offered,
         Self::Weighted,
         Self::Missed,
@@ -70,6 +72,7 @@
         Self::MaxMean,
         Self::Variation,
         Self::LongMaxMean,
+        Self::Local,
         Self::WaitP50,
         Self::WaitP99,
         Self::WaitP999,
@@ -89,6 +92,7 @@
             Self::MaxMean => "max/mean",
             Self::Variation => "cv",
             Self::LongMaxMean => "long m/m",
+            Self::Local => "local%",
             Self::WaitP50 => "p50 ms",
             Self::WaitP99 => "p99 ms",
             Self::WaitP999 => "p999 ms",
@@ -162,6 +166,7 @@
         let span = self.span();
         let mut count = Count::default();
         let mut waits = histogram();
+        let mut local = 0;
         for job in jobs {
             if completion(job).is_some_and(|at| span.contains(&at)) {
                 count.weighted += weight(job, workload);
@@ -172,8 +177,10 @@
             count.add(job, workload);
             if let Some(started) = job.started {
                 record(&mut waits, started.since(job.arrived));
+                local += u64::from(job.local);
             }
         }
+        self.set(Metric::Local, 100.0 * local as f64 / waits.len().max(1) as f64);
         let seconds = span.end - span.start;
         self.set(Metric::Offered, count.offered / seconds);
         self.set(Metric::Weighted, count.weighted / seconds);
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -292,6 +292,7 @@
         let failing = self.scenario.failing(upstream, at);
         let fails = failing > 0.0 && self.rng.random::<f64>() < failing;
         let job = &mut self.jobs[ticket.job as usize];
+        job.local = self.servers[upstream].zone == job.zone;
         if job.deadline > self.now {
             job.started.get_or_insert(self.now);
             job.runs += 1;
