Prefer the local availability zone more

Weighed: a bonus of 0, 0.1, 0.2 (before), 0.5 and 2 for upstreams in the zone in which a request arrived, in shares of an upstream's slots.

--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -18,7 +18,7 @@
 use crate::target::Target;
 
 /// How much more loaded an upstream in the request's own availability zone may look and still go first.
-const LOCAL_BONUS: f64 = 0.2;
+const LOCAL_BONUS: f64 = 0.5;
 /// For how many seconds a queue may stand before requests are refused that could still be met.
 const BURST: f64 = 5.0;
 /// What share of its time a request may wait when the queue has stood for long.
