Pin flows without regard to the zone of their first packet

Any packet of a flow may reach any instance, so the zone of the first one says nothing of the later ones, while the preference for it made the choice less even.

--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -3,6 +3,7 @@
 use std::fmt::Debug;
 use std::hash::Hash;
 
+use config::Affinity;
 use units::Time;
 use units::UpstreamName;
 use units::ZoneName;
@@ -186,6 +187,8 @@
         let others = |target: &Target| target.is_eligible(self.distrust) && !avoid.contains(&target.name);
         // Where every upstream has failed a request already, one of them gets another chance.
         let all_avoided = !avoid.is_empty() && !self.targets.iter().any(others);
+        // The later packets of a pinned flow may arrive in any zone, so that of the first one means nothing.
+        let prefers_local = self.sharing.prefer_local_zone && self.sharing.affinity == Affinity::Request;
         let mut best: Option<(f64, &Target)> = None;
         for target in &self.targets {
             if !self.is_free(target, now) {
@@ -194,7 +197,7 @@
             if !all_avoided && avoid.contains(&target.name) {
                 continue;
             }
-            let local = self.sharing.prefer_local_zone && &target.zone == zone;
+            let local = prefers_local && &target.zone == zone;
             let bonus = if local { LOCAL_BONUS } else { 0.0 };
             let waiting = self.queue.pinned_len(&target.name) as f64 / f64::from(target.slots.0.max(1));
             let load = target.load(slow_start, now) + waiting - bonus;
