Bound polls of upstreams by what control may cost

Cause: a home asked each upstream each second, so the home of 14 upstreams sent 28 requests a second; at some 400 bytes each that is over 11 KB/s, worked out, where an instance has a few kilobytes for control. Ruled out: asking for health alone, since the load tells of a second home's use; asking only idle upstreams, since a lying one is told apart by comparing what it says with what its calls do. Change: polls of all upstreams of an instance are 250 ms apart on average, but each is asked at most once a second. A draining upstream says so on its next call anyway.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -215,6 +215,11 @@
         self.held.get(key).map(|lease| &lease.upstream)
     }
 
+    /// How many upstreams it knows.
+    pub fn upstreams(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Whether nothing waits and no slot is lent.
     pub fn is_idle(&self) -> bool {
         self.queue.len() == 0 && self.held.is_empty()
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -31,6 +31,8 @@
 
 /// How often a home asks its upstreams for health and load.
 const POLL_EVERY: Duration = Duration::from_secs(1);
+/// How far polls are apart at least, over all upstreams, so that they stay within what control may cost.
+const POLL_SPACING: Duration = Duration::from_millis(250);
 
 /// Names a request for a slot at a home.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -207,6 +209,7 @@
         if std::mem::take(&mut self.view_changed) {
             self.adopt_homes(cx.now);
         }
+        let poll_every = self.poll_every();
         let mut idle = Vec::new();
         let mut due = Vec::new();
         for (service, home) in &mut self.homes {
@@ -218,7 +221,7 @@
                 idle.push(service.clone());
             }
             if here && home.next_poll <= cx.now {
-                home.next_poll = cx.now + POLL_EVERY;
+                home.next_poll = cx.now + poll_every;
                 due.push(service.clone());
             }
         }
@@ -241,6 +244,13 @@
         }
     }
 
+    /// How often each upstream is asked. What it says of calls comes at once and does not wait for this.
+    fn poll_every(&self) -> Duration {
+        let upstreams = self.homes.values().map(|home| home.pool.upstreams());
+        let upstreams = u32::try_from(upstreams.sum::<usize>()).unwrap_or(u32::MAX);
+        POLL_EVERY.max(POLL_SPACING.saturating_mul(upstreams))
+    }
+
     fn poll(&self, cx: &mut Cx<'_>, service: &ServiceName) {
         let Some(service) = self.documents.service(service) else {
             return;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -64,6 +64,17 @@
     )
 }
 
+/// A document whose first service has this many more upstreams.
+pub fn large_document(revision: u64, more: usize) -> String {
+    let mut lines = String::new();
+    for index in 0..more {
+        let line =
+            format!("      - {{name: more-{index}, zone: brugge, address: \"10.4.0.{index}:8080\", slots: 1}}\n");
+        lines.push_str(&line);
+    }
+    document(revision).replacen("    upstreams:\n", &format!("    upstreams:\n{lines}"), 1)
+}
+
 pub fn caller() -> SocketAddr {
     "10.9.0.1:5000".parse().unwrap()
 }
@@ -77,6 +88,8 @@
     pub calls: Vec<(InstanceName, Call)>,
     pub cancelled: Vec<CallId>,
     pub stopped: Vec<InstanceName>,
+    /// How often upstreams were asked for health and load.
+    pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
 }
@@ -91,6 +104,7 @@
             calls: Vec::new(),
             cancelled: Vec::new(),
             stopped: Vec::new(),
+            polls: 0,
             cut: Vec::new(),
         };
         for index in 0..count {
@@ -160,7 +174,8 @@
             Action::Call(call) => self.calls.push((from.name.clone(), call)),
             Action::Cancel(call) => self.cancelled.push(call),
             Action::Stopped => self.stopped.push(from.name.clone()),
-            Action::Poll(..) | Action::Watch(_) | Action::Record(_) => {}
+            Action::Poll(..) => self.polls += 1,
+            Action::Watch(_) | Action::Record(_) => {}
         }
     }
 
