Know who leaves before the queue goes to a new list of upstreams

Cause: when a document named an upstream again that an earlier one had dropped, the home's pool gave the waiting queue to it at once, and was told only afterwards that this life of the upstream leaves. It got new work long after the first sign. Nothing ran where the upstream itself refused, but one that only the platform lists as leaving would have run it. Ruled out: a lost mark (every instance had recorded it), a stale report, a home that began later. Change: Pool::configure takes the upstreams that leave and marks them before it turns to the queue.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -77,7 +77,9 @@
     }
 
     /// Takes over a new description of the service. Slots in use stay so; removed upstreams get no new work.
-    pub fn configure(&mut self, service: &Service, now: Time, out: &mut Vec<Decision<K>>) {
+    ///
+    /// `leaving` names the upstreams that are known to leave. The queue may go to any other at once.
+    pub fn configure(&mut self, service: &Service, leaving: &[UpstreamName], now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         self.sharing = service.sharing.clone();
         self.budget.set_percent(service.sharing.retry_budget_percent);
@@ -94,6 +96,9 @@
                 self.targets.insert(index, target);
             }
         }
+        for upstream in leaving {
+            self.leave(upstream);
+        }
         self.settle_view(now, out);
     }
 
--- a/crates/balance/tests/invariants.rs
+++ b/crates/balance/tests/invariants.rs
@@ -219,7 +219,7 @@
                 self.left.remove(&name(*upstream));
                 pool.readmit(&name(*upstream), self.now);
             }
-            Step::Configure(without) => pool.configure(&service(*without), self.now, &mut out),
+            Step::Configure(without) => pool.configure(&service(*without), &[], self.now, &mut out),
             Step::Retain(remainder) => {
                 self.waiting.retain(|key| key % 4 != *remainder);
                 pool.retain(|key| key % 4 != *remainder, self.now, &mut out);
--- a/crates/balance/tests/scripts.rs
+++ b/crates/balance/tests/scripts.rs
@@ -50,7 +50,7 @@
         if case.directive == "service" {
             self.service = service(&case.args, &case.input);
             match &mut self.pool {
-                Some(pool) => pool.configure(&self.service, self.now, &mut out),
+                Some(pool) => pool.configure(&self.service, &[], self.now, &mut out),
                 None => self.pool = Some(Pool::new(&self.service, 1, self.now)),
             }
             return show(&out);
--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -158,15 +158,16 @@
             let Some(service) = self.documents.service(name) else {
                 continue;
             };
-            let mut decisions = Vec::new();
-            home.pool.configure(service, cx.now, &mut decisions);
-            self.decisions.extend(decisions);
+            let mut leaving = Vec::new();
             for upstream in &service.upstreams {
                 let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
                 if self.membership.is_leaving(&upstream.name, incarnation) {
-                    home.pool.leave(&upstream.name);
+                    leaving.push(upstream.name.clone());
                 }
             }
+            let mut decisions = Vec::new();
+            home.pool.configure(service, &leaving, cx.now, &mut decisions);
+            self.decisions.extend(decisions);
         }
     }
 
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -175,6 +175,7 @@
             match line.as_slice() {
                 ["drain", name] => self.set_draining(name, true)?,
                 ["undrain", name] => self.set_draining(name, false)?,
+                ["add", name] => self.add_again(name)?,
                 ["remove", name] => self.plan.upstreams.retain(|u| u.spec.name.as_str() != *name),
                 ["pin", name] => self.set_pinned(name, true),
                 ["unpin", name] => self.set_pinned(name, false),
@@ -185,6 +186,14 @@
         Ok(String::new())
     }
 
+    /// Names an upstream again that was removed.
+    fn add_again(&mut self, name: &str) -> Result<(), ScenarioError> {
+        let spec = self.world.upstream(&read(name, "an upstream")?);
+        let spec = spec.ok_or_else(|| misread(&[name]))?;
+        self.plan.upstreams.push(UpstreamPlan { spec, draining: false });
+        Ok(())
+    }
+
     fn set_draining(&mut self, name: &str, draining: bool) -> Result<(), ScenarioError> {
         let upstream = self.plan.upstream_mut(&read(name, "an upstream")?);
         upstream.ok_or_else(|| misread(&[name]))?.draining = draining;
--- a/crates/proof/src/view.rs
+++ b/crates/proof/src/view.rs
@@ -8,6 +8,7 @@
 
 use crate::instance::Instance;
 use crate::upstream::Upstream;
+use crate::upstream::UpstreamSpec;
 use crate::world::World;
 
 impl World {
@@ -52,6 +53,11 @@
         spare
     }
 
+    /// What an upstream is, whether the document names it or not.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<UpstreamSpec> {
+        self.upstreams.get(name).map(|upstream| upstream.spec.clone())
+    }
+
     /// Whether this life of an upstream is the present one and has run anything.
     pub fn served(&self, name: &UpstreamName, life: u64) -> bool {
         let upstream = self.upstreams.get(name);
