--- a/crates/proof/src/family.rs
+++ b/crates/proof/src/family.rs
@@ -33,6 +33,8 @@
     Rewrap,
     /// A stranger sends altered packets, or answers are altered on their way.
     Tamper,
+    /// Callers ask for three times of what the upstreams can do.
+    Overload,
     /// Two zones are cut off from each other.
     Cut,
     /// A zone is cut off from the platform.
@@ -48,7 +50,7 @@
 }
 
 /// All families.
-pub const ALL: [Family; 20] = [
+pub const ALL: [Family; 21] = [
     Family::Kill,
     Family::Vanish,
     Family::Freeze,
@@ -63,6 +65,7 @@
     Family::Shuffle,
     Family::Rewrap,
     Family::Tamper,
+    Family::Overload,
     Family::Cut,
     Family::CutPlatform,
     Family::Platform,
@@ -83,7 +86,7 @@
 ];
 
 /// Pairs that tell more than their halves.
-pub const TELLING: [[Family; 2]; 13] = [
+pub const TELLING: [[Family; 2]; 15] = [
     [Family::Freeze, Family::Replace],
     [Family::Freeze, Family::Shuffle],
     [Family::Replace, Family::Shuffle],
@@ -94,6 +97,8 @@
     [Family::Platform, Family::Document],
     [Family::Cut, Family::Document],
     [Family::Answer, Family::Shuffle],
+    [Family::Drain, Family::Overload],
+    [Family::Replace, Family::Overload],
     [Family::Kill, Family::Shuffle],
     [Family::Kill, Family::Rewrap],
     [Family::Replace, Family::Rewrap],
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -45,6 +45,8 @@
     JoinPlatform(ZoneName),
     /// How the platform fares from now on.
     Platform(PlatformState),
+    /// Callers that ask by themselves do so this often, in milliseconds.
+    Load(u64),
     /// The secrets that later lives of instances hold: the one they seal with, and the one they also accept.
     Secrets(u8, u8),
 }
@@ -120,7 +122,9 @@
                 !matches!(mishap, Mishap::Lose | Mishap::Delay | Mishap::Corrupt | Mishap::Rewrap)
             }
             Self::Behave(_, behaviour) => matches!(behaviour, Behaviour::Honest | Behaviour::LyingLoad),
-            Self::Kill(_)
+            // Callers who ask too much may miss their deadlines.
+            Self::Load(_)
+            | Self::Kill(_)
             | Self::Vanish(_)
             | Self::Freeze(_)
             | Self::KillUpstream(_)
@@ -182,6 +186,7 @@
         ["join", zone, "platform"] => Fault::JoinPlatform(zone.parse().ok()?),
         ["cut", a, b] => Fault::Cut(a.parse().ok()?, b.parse().ok()?),
         ["join", a, b] => Fault::Join(a.parse().ok()?, b.parse().ok()?),
+        ["load", millis] => Fault::Load(millis.trim_end_matches("ms").parse().ok()?),
         ["secrets", current, also] => Fault::Secrets(current.parse().ok()?, also.parse().ok()?),
         ["platform", state] => Fault::Platform(parse_platform(state)?),
         _ => return None,
--- a/crates/proof/src/outbreak.rs
+++ b/crates/proof/src/outbreak.rs
@@ -21,6 +21,10 @@
 
 /// How long to wait at a time for an upstream to become idle.
 const PATIENCE: Duration = Duration::from_millis(50);
+/// How often callers ask under overload, in milliseconds.
+const HURRIED: u64 = 20;
+/// How often they ask otherwise.
+const CALM: u64 = 150;
 /// How often to wait.
 const MAX_PATIENCE: u32 = 60;
 
@@ -97,6 +101,7 @@
             ),
             Self::Rewrap => mishap(world, rng, &[Mishap::Rewrap]),
             Self::Tamper => mishap(world, rng, &[Mishap::Tamper, Mishap::Corrupt]),
+            Self::Overload => overload(world, rng),
             Self::Cut => cut(world, rng),
             Self::CutPlatform => cut_platform(world, rng),
             Self::Platform => platform(world, rng),
@@ -213,6 +218,11 @@
     )])
 }
 
+fn overload(world: &mut World, rng: &mut StdRng) -> Result<Vec<Ending>, Violation> {
+    world.upset(Fault::Load(HURRIED))?;
+    Ok(vec![after(world, rng, 2_000, 8_000, How::Fault(Fault::Load(CALM)))])
+}
+
 fn zone(name: &str) -> ZoneName {
     name.parse().expect("it is a name")
 }
--- a/crates/proof/src/traffic.rs
+++ b/crates/proof/src/traffic.rs
@@ -71,6 +71,15 @@
         Ok(job.id)
     }
 
+    /// Lets the callers that ask by themselves do so this often.
+    pub(crate) fn set_pace(&mut self, every: Duration) {
+        for driver in &mut self.drivers {
+            if let Some(load) = &mut driver.load {
+                load.every = every;
+            }
+        }
+    }
+
     fn driver(&mut self, caller: u32) -> Option<&mut Driver> {
         self.drivers.get_mut(caller as usize - 1)
     }
--- a/crates/proof/src/upset.rs
+++ b/crates/proof/src/upset.rs
@@ -55,6 +55,7 @@
                 self.calm(Self::platform_reached);
             }
             Fault::Platform(state) => self.set_platform(state),
+            Fault::Load(millis) => self.set_pace(Duration::from_millis(millis)),
             Fault::Secrets(current, also) => self.secrets = (current, also),
         }
         Ok(())
