Say when a newer document is rejected

Cause: a document that reached the platform by another way than the command line and failed the checks was only counted; an operator saw the old revision in force and no reason. Change: a record on the time line and a warning in the log, once for each revision. The new tests also hold that the highest revision wins and that a change reaches nine instances. cargo test -p node -p jayquayd passes.

--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -234,6 +234,7 @@
                 metric::revision().set(revision.0 as f64);
                 log::info!("daemon: {record}");
             }
+            Record::DocumentRejected(_) => log::warn!("daemon: {record}"),
             Record::Stopped(in_doubt) => self.in_doubt = *in_doubt,
             Record::Up(..) | Record::Leaving(..) | Record::Down(..) | Record::HandedOver(..) => {
                 log::info!("daemon: {record}");
--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -45,6 +45,7 @@
     wanted: Option<(Revision, Time)>,
     /// Documents that were refused because they did not pass the checks.
     pub rejected: u64,
+    last_rejected: Option<Revision>,
 }
 
 impl Documents {
@@ -134,10 +135,7 @@
         }
         let document = match config::parse(text) {
             Ok(document) if document.revision == revision => document,
-            Ok(_) | Err(_) => {
-                self.documents.rejected += 1;
-                return;
-            }
+            Ok(_) | Err(_) => return self.reject_document(cx, revision),
         };
         let digest = document.digest;
         if !self.documents.install(document) {
@@ -152,6 +150,15 @@
         self.rehome(cx);
     }
 
+    /// Keeps the document in force, and says once for each revision that a newer one can't be used.
+    fn reject_document(&mut self, cx: &mut Cx<'_>, revision: Revision) {
+        self.documents.rejected += 1;
+        if self.documents.last_rejected != Some(revision) {
+            self.documents.last_rejected = Some(revision);
+            cx.record(Record::DocumentRejected(revision));
+        }
+    }
+
     fn configure_homes(&mut self, cx: &mut Cx<'_>) {
         self.homes.retain(|name, _| self.documents.service(name).is_some());
         for (name, home) in &mut self.homes {
@@ -231,8 +238,7 @@
 
     pub(crate) fn take_document(&mut self, cx: &mut Cx<'_>, document: &wire::Document) {
         let Ok(text) = std::str::from_utf8(&document.text) else {
-            self.documents.rejected += 1;
-            return;
+            return self.reject_document(cx, document.revision);
         };
         self.load_document(cx, document.revision, text);
     }
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -32,6 +32,8 @@
     Refused(FlowId, RequestSeq, Verdict, Reason),
     /// A document came into force.
     InForce(Revision),
+    /// A document did not pass the checks, and the one before it stays in force.
+    DocumentRejected(Revision),
     /// An instance joined the view.
     Up(InstanceName, Incarnation),
     /// An instance announced a planned stop.
@@ -86,6 +88,7 @@
             Self::Answered(flow, seq) => write!(f, "request {flow}/{seq} answered"),
             Self::Refused(flow, seq, verdict, reason) => write!(f, "request {flow}/{seq} refused, {verdict}: {reason}"),
             Self::InForce(revision) => write!(f, "revision {revision} in force"),
+            Self::DocumentRejected(revision) => write!(f, "revision {revision} rejected: it does not pass the checks"),
             Self::Up(name, incarnation) => write!(f, "instance {name} ({incarnation}) is up"),
             Self::Leaving(name, incarnation) => write!(f, "instance {name} ({incarnation}) is leaving"),
             Self::Down(name, incarnation) => write!(f, "instance {name} ({incarnation}) is down"),
--- /dev/null
+++ b/crates/node/tests/documents.rs
@@ -0,0 +1,50 @@
+//! Which document is in force.
+
+mod support;
+
+use std::time::Duration;
+
+use node::Event;
+use units::Revision;
+
+use support::Fleet;
+use support::document;
+use support::instance;
+
+#[track_caller]
+fn check(texts: &[(u64, String)], expected: &[&str]) {
+    let mut fleet = Fleet::new(1);
+    fleet.documents.clear();
+    for (revision, text) in texts {
+        fleet.event(&instance(0), Event::Loaded(Revision(*revision), text.clone()));
+    }
+    assert_eq!(fleet.documents, expected);
+}
+
+#[test]
+fn the_highest_revision_wins() {
+    let texts = [(3, document(3)), (2, document(2)), (3, document(3)), (4, document(4))];
+    check(&texts, &["a: revision 3 in force", "a: revision 4 in force"]);
+}
+
+#[test]
+fn a_document_that_fails_the_checks_is_said_once_and_changes_nothing() {
+    let rejected = "a: revision 5 rejected: it does not pass the checks";
+    let broken = (5, document(5).replace("slots: 1", "slots: 0"));
+    check(&[broken.clone(), broken.clone()], &[rejected]);
+    check(&[(5, document(4))], &[rejected]);
+    check(&[broken, (6, document(6))], &[rejected, "a: revision 6 in force"]);
+}
+
+#[test]
+fn a_change_reaches_all() {
+    let mut fleet = Fleet::new(9);
+    fleet.documents.clear();
+    fleet.event(&instance(4), Event::Loaded(Revision(2), document(2)));
+    fleet.pass(Duration::from_secs(5));
+    fleet.documents.sort();
+    let expected: Vec<String> = (0..9)
+        .map(|index| format!("{}: revision 2 in force", instance(index)))
+        .collect();
+    assert_eq!(fleet.documents, expected);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use node::Listed;
 use node::Node;
 use node::Peer;
+use node::Record;
 use node::Setup;
 
 pub const SECRET: &str = "a secret of at least thirty-two characters";
@@ -88,6 +89,8 @@
     pub calls: Vec<(InstanceName, Call)>,
     pub cancelled: Vec<CallId>,
     pub stopped: Vec<InstanceName>,
+    /// What instances noted for the time line about documents.
+    pub documents: Vec<String>,
     /// How often upstreams were asked for health and load.
     pub polls: usize,
     /// Frames from the first to the second instance are lost.
@@ -104,6 +107,7 @@
             calls: Vec::new(),
             cancelled: Vec::new(),
             stopped: Vec::new(),
+            documents: Vec::new(),
             polls: 0,
             cut: Vec::new(),
         };
@@ -175,6 +179,9 @@
             Action::Cancel(call) => self.cancelled.push(call),
             Action::Stopped => self.stopped.push(from.name.clone()),
             Action::Poll(..) => self.polls += 1,
+            Action::Record(record @ (Record::InForce(_) | Record::DocumentRejected(_))) => {
+                self.documents.push(format!("{}: {record}", from.name));
+            }
             Action::Watch(_) | Action::Record(_) => {}
         }
     }
