Check planned stops under every fault, with calls that outlast them

A mutation run that ended a planned stop with calls in progress went unnoticed: calls were shorter than the time for which the old owner passes packets on anyway, and the check held only while nothing but planned changes had happened.

--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -29,6 +29,7 @@
 use crate::violation::Violation;
 use crate::world::CallRef;
 use crate::world::Happening;
+use crate::world::STOP_WITHIN;
 use crate::world::World;
 
 /// How long an instance waits for a session with one that does not answer.
@@ -286,8 +287,15 @@
     fn stopped(&mut self, peer: &Peer) -> Result<(), Violation> {
         let left = self.in_progress(peer);
         self.note(None, format!("{} has stopped, {left} calls cut", peer.name));
-        if left > 0 && self.book.planned_only {
-            let text = format!("{} ends with {left} calls in progress", peer.name);
+        let life = self
+            .instances
+            .get(&peer.name)
+            .and_then(|instance| instance.life.as_ref());
+        let stopping = life.and_then(|life| life.stopping);
+        let early = stopping.is_some_and(|at| self.now.since(at) < STOP_WITHIN);
+        // Whatever else happens, there is time left for what is in progress.
+        if left > 0 && early {
+            let text = format!("{} ends early with {left} calls in progress", peer.name);
             return Err(self.violation(Promise::GracefulStop, None, text));
         }
         self.end_life(&peer.name);
--- a/crates/proof/src/family.rs
+++ b/crates/proof/src/family.rs
@@ -86,7 +86,7 @@
 ];
 
 /// Pairs that tell more than their halves.
-pub const TELLING: [[Family; 2]; 15] = [
+pub const TELLING: [[Family; 2]; 16] = [
     [Family::Freeze, Family::Replace],
     [Family::Freeze, Family::Shuffle],
     [Family::Replace, Family::Shuffle],
@@ -102,6 +102,7 @@
     [Family::Kill, Family::Shuffle],
     [Family::Kill, Family::Rewrap],
     [Family::Replace, Family::Rewrap],
+    [Family::Replace, Family::Answer],
 ];
 
 impl fmt::Display for Family {
