--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -102,7 +102,8 @@
         self.settle_view(now, out);
     }
 
-    /// Asks for a slot. The decision comes at once if a slot is free or the ask is refused.
+    /// Asks for a slot. The decision comes at once if a slot is free or the ask is refused. An ask whose key waits or
+    /// holds a slot already is ignored.
     pub fn ask(&mut self, ask: Ask<K>, now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         if self.queue.contains(&ask.key) || self.held.contains(&ask.key) {
@@ -219,6 +220,11 @@
         self.held.get(key).map(|lease| &lease.upstream)
     }
 
+    /// How many upstreams it knows.
+    pub fn upstreams(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Whether nothing waits and no slot is lent.
     pub fn is_idle(&self) -> bool {
         self.queue.len() == 0 && self.held.is_empty()
