Queue one expiry for each flow, and end what nobody will tell of

Two ways in which an owner's memory grew without bound, both found by reading:

One caller that alternates request and close could queue as many as its packets: in the new test 100 closes leave 101 expiries for one flow. A request that ran at another incarnation when its ledger was handed over counts as in progress until that incarnation tells or goes down. If it had gone down here before the ledger came (two stops in a row), neither happens, and the ledger was never forgotten. It now goes when the flow's tokens have all expired, or a closed flow's packets: by then no copy can begin, and a late word finds no line and does nothing.

Change: each flow stands in one ordered set, under the time that its entry names.

Also: `begin` and `refuse` made a ledger without an expiry had there been none; they now share one step that demands the one that looking up made.

`cargo test -p node -p model`: all pass.

--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -1,7 +1,9 @@
 //! The ledgers of all flows that an instance owns, and how long they are kept.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use thin_vec::ThinVec;
@@ -38,11 +40,11 @@
     Full,
 }
 
-/// When a flow's ledger is looked at.
+/// A flow's ledger, and when it is looked at to see whether it has been kept long enough.
 #[derive(Debug, Clone)]
-struct FlowExpiry {
-    at: Time,
-    key: FlowKey,
+struct Kept {
+    ledger: Ledger,
+    due: Time,
 }
 
 /// When the line of a request that has ended sinks.
@@ -56,9 +58,9 @@
 /// The ledgers of all flows that an instance owns.
 #[derive(Debug, Clone)]
 pub struct Ledgers {
-    flows: HashMap<FlowKey, Ledger>,
-    open: VecDeque<FlowExpiry>,
-    closed: VecDeque<FlowExpiry>,
+    flows: HashMap<FlowKey, Kept>,
+    /// Each flow once, by when it is due, so that what is queued is bounded by the number of flows.
+    due: BTreeSet<(Time, FlowKey)>,
     ended: VecDeque<LineExpiry>,
     /// Answers that may be held, oldest first.
     answers: VecDeque<(FlowKey, RequestSeq)>,
@@ -73,8 +75,7 @@
     pub fn new(keep_flows: Duration, keep_answers: Duration) -> Self {
         Self {
             flows: HashMap::new(),
-            open: VecDeque::new(),
-            closed: VecDeque::new(),
+            due: BTreeSet::new(),
             ended: VecDeque::new(),
             answers: VecDeque::new(),
             answer_bytes: 0,
@@ -98,6 +99,11 @@
         self.answer_bytes
     }
 
+    /// How many times of expiry are queued for flows.
+    pub fn expiries(&self) -> usize {
+        self.due.len()
+    }
+
     /// Whether this flow has a ledger.
     pub fn contains(&self, key: FlowKey) -> bool {
         self.flows.contains_key(&key)
@@ -105,7 +111,7 @@
 
     /// The ledger of a flow.
     pub fn get(&self, key: FlowKey) -> Option<&Ledger> {
-        self.flows.get(&key)
+        Some(&self.flows.get(&key)?.ledger)
     }
 
     /// Notes that a request has come and tells how it stands. `floor` is the token's, `sent` the packet's.
@@ -117,20 +123,24 @@
         sent: RequestSeq,
         now: Time,
     ) -> Lookup<'_> {
+        let keep_until = now + self.keep_flows;
         let ledger = match self.flows.entry(key) {
-            std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
-            std::collections::hash_map::Entry::Vacant(entry) => {
-                self.open.push_back(FlowExpiry {
-                    at: now + self.keep_flows,
-                    key,
-                });
-                entry.insert(Ledger {
+            Entry::Occupied(entry) => &mut entry.into_mut().ledger,
+            Entry::Vacant(entry) => {
+                self.due.insert((keep_until, key));
+                let ledger = Ledger {
                     floor,
                     ..Ledger::default()
-                })
+                };
+                &mut entry
+                    .insert(Kept {
+                        ledger,
+                        due: keep_until,
+                    })
+                    .ledger
             }
         };
-        ledger.keep_until = now + self.keep_flows;
+        ledger.keep_until = keep_until;
         ledger.sent = ledger.sent.max(sent).max(seq);
         if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
             return Lookup::Known(&ledger.lines[index].state);
@@ -151,13 +161,15 @@
 
     /// Writes the line of a request that begins. Only a [`Lookup::New`] may lead here.
     pub fn begin(&mut self, key: FlowKey, seq: RequestSeq, ticket: TicketId) {
-        let ledger = self.flows.entry(key).or_default();
-        assert!(ledger.line(seq).is_none(), "a request begins once in a ledger");
-        assert!(seq > ledger.floor, "a request at or below the floor never begins");
-        ledger.lines.push(Line {
-            seq,
-            state: State::Running(ticket),
-        });
+        self.write_new(key, seq, State::Running(ticket));
+    }
+
+    fn write_new(&mut self, key: FlowKey, seq: RequestSeq, state: State) {
+        let kept = self.flows.get_mut(&key);
+        let ledger = &mut kept.expect("looking a request up makes its flow's ledger").ledger;
+        assert!(ledger.line(seq).is_none(), "a request begins or is refused once");
+        assert!(seq > ledger.floor, "a request at or below the floor may have run");
+        ledger.lines.push(Line { seq, state });
     }
 
     /// Writes how a request ended. A request that has ended before keeps its first end.
@@ -175,34 +187,25 @@
         let ended = state.is_final();
         line.state = state;
         if ended {
-            self.ended.push_back(LineExpiry {
-                at: now + self.keep_answers,
-                key,
-                seq,
-            });
+            self.sink_later(key, seq, now);
         }
     }
 
-    /// Writes the final refusal of a request that never began.
+    /// Writes the final refusal of a request that never began. Only a [`Lookup::New`] may lead here.
     pub fn refuse(&mut self, key: FlowKey, seq: RequestSeq, reason: Reason, now: Time) {
-        let ledger = self.flows.entry(key).or_default();
-        assert!(
-            ledger.line(seq).is_none(),
-            "a request that is refused unbegun has no line"
-        );
-        assert!(seq > ledger.floor, "a request at or below the floor may have run");
-        let state = State::Refused(Verdict::NotRun, reason);
-        ledger.lines.push(Line { seq, state });
-        self.ended.push_back(LineExpiry {
-            at: now + self.keep_answers,
-            key,
-            seq,
-        });
+        self.write_new(key, seq, State::Refused(Verdict::NotRun, reason));
+        self.sink_later(key, seq, now);
+    }
+
+    /// Lets the line of a request that has ended sink when its answer needs to be kept no longer.
+    fn sink_later(&mut self, key: FlowKey, seq: RequestSeq, now: Time) {
+        let at = now + self.keep_answers;
+        self.ended.push_back(LineExpiry { at, key, seq });
     }
 
     /// The answer of a request, if it is held.
     pub fn answer(&self, key: FlowKey, seq: RequestSeq) -> Option<&Answer> {
-        let line = self.flows.get(&key)?.line(seq)?;
+        let line = self.get(key)?.line(seq)?;
         match &line.state {
             State::Answered(answer) => Some(answer),
             _ => None,
@@ -236,17 +239,11 @@
         }
         shrink(&mut self.ended);
         shrink(&mut self.answers);
-        while self.open.front().is_some_and(|expiry| expiry.at <= now) {
-            let Some(expiry) = self.open.pop_front() else {
-                break;
-            };
-            self.expire_flow(expiry.key, now);
-        }
-        while self.closed.front().is_some_and(|expiry| expiry.at <= now) {
-            let Some(expiry) = self.closed.pop_front() else {
+        while let Some((due, key)) = self.due.first().copied() {
+            if due > now {
                 break;
-            };
-            self.expire_flow(expiry.key, now);
+            }
+            self.expire_flow(key, now);
         }
     }
 
@@ -259,7 +256,7 @@
             }
             self.answers.pop_front();
         }
-        let Some(ledger) = self.flows.get_mut(&expiry.key) else {
+        let Some(Kept { ledger, .. }) = self.flows.get_mut(&expiry.key) else {
             return;
         };
         let ended = |line: &Line| line.seq == expiry.seq && line.state.is_final();
@@ -275,21 +272,30 @@
     }
 
     fn expire_flow(&mut self, key: FlowKey, now: Time) {
-        let Some(ledger) = self.flows.get(&key) else {
+        let Some(Kept { ledger, .. }) = self.flows.get(&key) else {
             return;
         };
-        let running = ledger.lines.iter().any(|line| !line.state.is_final());
-        if ledger.keep_until > now || running {
-            let at = ledger.keep_until.max(now + RECHECK);
-            self.open.push_back(FlowExpiry { at, key });
-            return;
+        // What was in progress elsewhere has ended by now, and the word of that was lost.
+        let running = |line: &Line| matches!(line.state, State::Running(_));
+        if ledger.keep_until > now || ledger.lines.iter().any(running) {
+            let due = ledger.keep_until.max(now + RECHECK);
+            return self.set_due(key, due);
         }
         self.remove(key);
     }
 
+    fn set_due(&mut self, key: FlowKey, due: Time) {
+        let Some(kept) = self.flows.get_mut(&key) else {
+            return;
+        };
+        self.due.remove(&(kept.due, key));
+        self.due.insert((due, key));
+        kept.due = due;
+    }
+
     /// Notes that the caller has closed a flow. Its ledger stays for as long as copies of its packets may be under way.
     pub fn close(&mut self, key: FlowKey, now: Time) {
-        let Some(ledger) = self.flows.get_mut(&key) else {
+        let Some(Kept { ledger, .. }) = self.flows.get_mut(&key) else {
             return;
         };
         let keep_until = now + PACKET_LIFE;
@@ -297,13 +303,14 @@
             return;
         }
         ledger.keep_until = keep_until;
-        self.closed.push_back(FlowExpiry { at: keep_until, key });
+        self.set_due(key, keep_until);
     }
 
     fn remove(&mut self, key: FlowKey) {
-        let Some(ledger) = self.flows.remove(&key) else {
+        let Some(Kept { ledger, due }) = self.flows.remove(&key) else {
             return;
         };
+        self.due.remove(&(due, key));
         for line in ledger.lines {
             if let State::Answered(answer) = line.state {
                 self.answer_bytes -= answer.body.len() as u64;
@@ -317,24 +324,18 @@
             return;
         }
         ledger.keep_until = now + self.keep_flows;
-        self.open.push_back(FlowExpiry {
-            at: ledger.keep_until,
-            key,
-        });
+        let due = ledger.keep_until;
+        self.due.insert((due, key));
         for line in &ledger.lines {
             if let State::Answered(answer) = &line.state {
                 self.answer_bytes += answer.body.len() as u64;
                 self.answers.push_back((key, line.seq));
             }
             if line.state.is_final() {
-                self.ended.push_back(LineExpiry {
-                    at: now + self.keep_answers,
-                    key,
-                    seq: line.seq,
-                });
+                self.sink_later(key, line.seq, now);
             }
         }
-        self.flows.insert(key, ledger);
+        self.flows.insert(key, Kept { ledger, due });
     }
 
     /// Lets a request that was in progress elsewhere begin here, because the other instance never ran it.
@@ -351,7 +352,7 @@
 
     /// The incarnation at which a request is in progress, if that is not this one.
     pub fn elsewhere_at(&self, key: FlowKey, seq: RequestSeq) -> Option<Incarnation> {
-        let line = self.flows.get(&key)?.line(seq)?;
+        let line = self.get(key)?.line(seq)?;
         match line.state {
             State::Elsewhere(incarnation) => Some(incarnation),
             _ => None,
@@ -361,8 +362,8 @@
     /// The requests that are in progress at another incarnation.
     pub fn elsewhere(&self, incarnation: Incarnation) -> Vec<(FlowKey, RequestSeq)> {
         let mut found = Vec::new();
-        for (key, ledger) in &self.flows {
-            for line in &ledger.lines {
+        for (key, kept) in &self.flows {
+            for line in &kept.ledger.lines {
                 if line.state == State::Elsewhere(incarnation) {
                     found.push((*key, line.seq));
                 }
@@ -374,10 +375,10 @@
 
     /// Takes all ledgers out, in a fixed order.
     pub fn take(&mut self) -> Vec<(FlowKey, Ledger)> {
-        let mut flows: Vec<_> = std::mem::take(&mut self.flows).into_iter().collect();
+        let flows = std::mem::take(&mut self.flows).into_iter();
+        let mut flows: Vec<_> = flows.map(|(key, kept)| (key, kept.ledger)).collect();
         flows.sort_unstable_by_key(|(key, _)| *key);
-        self.open.clear();
-        self.closed.clear();
+        self.due.clear();
         self.ended.clear();
         self.answers.clear();
         self.answer_bytes = 0;
@@ -385,8 +386,8 @@
     }
 }
 
-fn line_mut(flows: &mut HashMap<FlowKey, Ledger>, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
-    let ledger = flows.get_mut(&key)?;
+fn line_mut(flows: &mut HashMap<FlowKey, Kept>, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
+    let ledger = &mut flows.get_mut(&key)?.ledger;
     ledger.lines.iter_mut().find(|line| line.seq == seq)
 }
 
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -147,3 +147,31 @@
     assert_eq!(ledgers.len(), 0);
     assert_eq!(ledgers.answer_bytes(), 0);
 }
+
+#[test]
+fn a_flow_that_is_closed_again_and_again_costs_no_more_than_one() {
+    let mut ledgers = ledgers();
+    run(&mut ledgers, 1, START);
+    for second in 0..100 {
+        let now = START + Duration::from_secs(second);
+        check(&mut ledgers, 1, now, "answered");
+        ledgers.close(KEY, now);
+    }
+    assert_eq!(ledgers.expiries(), 1);
+    ledgers.expire(START + Duration::from_mins(4), PLENTY);
+    assert_eq!((ledgers.len(), ledgers.expiries()), (0, 0));
+}
+
+#[test]
+fn a_request_whose_end_is_never_told_does_not_keep_its_ledger_for_ever() {
+    let mut old = ledgers();
+    check(&mut old, 1, START, "new");
+    old.begin(KEY, RequestSeq(1), TicketId(1));
+    let (key, mut ledger) = old.take().remove(0);
+    ledger.lines[0].state = State::Elsewhere(Incarnation(1));
+    let mut ledgers = ledgers();
+    ledgers.install(key, ledger, START);
+    check(&mut ledgers, 1, START, "elsewhere");
+    ledgers.expire(START + KEEP_FLOWS, PLENTY);
+    assert_eq!(ledgers.len(), 0);
+}
