Leave ledgers for other callers, whatever one caller does

Cause: `limits.flows` bounded the ledgers of an owner and nothing shared them out.

Change: dynamic thresholds, as switches use for a buffer shared by many queues. A caller's address may have as many ledgers as are free: alone half, of two a third each, and some are always left. Callers are counted in 4,096 groups by a seeded hash of the address, so that memory doesn't grow with the number of callers and nobody can choose to share another's group. Flows that were handed over count for nobody, since their ledgers don't name the caller. Packets that come by way of another instance count for the caller's own address.

Ruled out: a fixed share, too small for the only caller behind one address and too large for the tenth; dropping the oldest ledgers, which would let numbers begin twice; an exact count for each address, which grows with callers.

The ledgers by flow, when they are due and whose they are stand in a module of their own, `flows`.

`cargo test -p node -p model -p tidy`: all pass. A share in `limits.requests` is still missing.

--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -1,9 +1,6 @@
 //! The ledgers of all flows that an instance owns, and how long they are kept.
 
-use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use thin_vec::ThinVec;
@@ -19,6 +16,8 @@
 use crate::Ledger;
 use crate::Line;
 use crate::State;
+use crate::flows::Flows;
+use crate::flows::Group;
 
 /// How long a copy of a datagram may be under way. A closed flow's ledger outlives its last packet by this.
 const PACKET_LIFE: Duration = Duration::from_mins(2);
@@ -27,6 +26,9 @@
 /// How soon a flow whose ledger is due but still in use is looked at again.
 const RECHECK: Duration = Duration::from_secs(1);
 
+/// Why a request that is looked up, begins or is refused has a ledger.
+const LOOKED_UP: &str = "looking a request up makes its flow's ledger";
+
 /// What a ledger says of a request that has just come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup<'a> {
@@ -40,13 +42,6 @@
     Full,
 }
 
-/// A flow's ledger, and when it is looked at to see whether it has been kept long enough.
-#[derive(Debug, Clone)]
-struct Kept {
-    ledger: Ledger,
-    due: Time,
-}
-
 /// When the line of a request that has ended sinks.
 #[derive(Debug, Clone)]
 struct LineExpiry {
@@ -58,9 +53,7 @@
 /// The ledgers of all flows that an instance owns.
 #[derive(Debug, Clone)]
 pub struct Ledgers {
-    flows: HashMap<FlowKey, Kept>,
-    /// Each flow once, by when it is due, so that what is queued is bounded by the number of flows.
-    due: BTreeSet<(Time, FlowKey)>,
+    flows: Flows,
     ended: VecDeque<LineExpiry>,
     /// Answers that may be held, oldest first.
     answers: VecDeque<(FlowKey, RequestSeq)>,
@@ -74,8 +67,7 @@
     /// and that hold an answer for `keep_answers`.
     pub fn new(keep_flows: Duration, keep_answers: Duration) -> Self {
         Self {
-            flows: HashMap::new(),
-            due: BTreeSet::new(),
+            flows: Flows::default(),
             ended: VecDeque::new(),
             answers: VecDeque::new(),
             answer_bytes: 0,
@@ -91,7 +83,7 @@
 
     /// Whether no flow has a ledger.
     pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
+        self.flows.len() == 0
     }
 
     /// How many bytes of answers are held.
@@ -101,17 +93,30 @@
 
     /// How many times of expiry are queued for flows.
     pub fn expiries(&self) -> usize {
-        self.due.len()
+        self.flows.expiries()
     }
 
     /// Whether this flow has a ledger.
     pub fn contains(&self, key: FlowKey) -> bool {
-        self.flows.contains_key(&key)
+        self.flows.contains(key)
+    }
+
+    /// Whether a group of callers may have one more flow, of `limit` in all.
+    ///
+    /// It may have as many as are free, so one caller gets half, two get a third each, and some are always left for
+    /// others. A fixed share would be too small for the only caller, or too large for the tenth.
+    pub(crate) fn has_room(&self, group: Group, limit: usize) -> bool {
+        self.flows.held(group) < limit.saturating_sub(self.len())
+    }
+
+    /// Counts a flow as one of this group's, unless it counts already. Flows that were handed over count for nobody.
+    pub(crate) fn charge(&mut self, key: FlowKey, group: Group) {
+        self.flows.charge(key, group);
     }
 
     /// The ledger of a flow.
     pub fn get(&self, key: FlowKey) -> Option<&Ledger> {
-        Some(&self.flows.get(&key)?.ledger)
+        self.flows.get(key)
     }
 
     /// Notes that a request has come and tells how it stands. `floor` is the token's, `sent` the packet's.
@@ -124,22 +129,14 @@
         now: Time,
     ) -> Lookup<'_> {
         let keep_until = now + self.keep_flows;
-        let ledger = match self.flows.entry(key) {
-            Entry::Occupied(entry) => &mut entry.into_mut().ledger,
-            Entry::Vacant(entry) => {
-                self.due.insert((keep_until, key));
-                let ledger = Ledger {
-                    floor,
-                    ..Ledger::default()
-                };
-                &mut entry
-                    .insert(Kept {
-                        ledger,
-                        due: keep_until,
-                    })
-                    .ledger
-            }
-        };
+        if !self.flows.contains(key) {
+            let ledger = Ledger {
+                floor,
+                ..Ledger::default()
+            };
+            self.flows.insert(key, ledger, keep_until);
+        }
+        let ledger = self.flows.get_mut(key).expect(LOOKED_UP);
         ledger.keep_until = keep_until;
         ledger.sent = ledger.sent.max(sent).max(seq);
         if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
@@ -165,8 +162,7 @@
     }
 
     fn write_new(&mut self, key: FlowKey, seq: RequestSeq, state: State) {
-        let kept = self.flows.get_mut(&key);
-        let ledger = &mut kept.expect("looking a request up makes its flow's ledger").ledger;
+        let ledger = self.flows.get_mut(key).expect(LOOKED_UP);
         assert!(ledger.line(seq).is_none(), "a request begins or is refused once");
         assert!(seq > ledger.floor, "a request at or below the floor may have run");
         ledger.lines.push(Line { seq, state });
@@ -239,10 +235,7 @@
         }
         shrink(&mut self.ended);
         shrink(&mut self.answers);
-        while let Some((due, key)) = self.due.first().copied() {
-            if due > now {
-                break;
-            }
+        while let Some(key) = self.flows.first_due(now) {
             self.expire_flow(key, now);
         }
     }
@@ -256,7 +249,7 @@
             }
             self.answers.pop_front();
         }
-        let Some(Kept { ledger, .. }) = self.flows.get_mut(&expiry.key) else {
+        let Some(ledger) = self.flows.get_mut(expiry.key) else {
             return;
         };
         let ended = |line: &Line| line.seq == expiry.seq && line.state.is_final();
@@ -272,30 +265,21 @@
     }
 
     fn expire_flow(&mut self, key: FlowKey, now: Time) {
-        let Some(Kept { ledger, .. }) = self.flows.get(&key) else {
+        let Some(ledger) = self.flows.get(key) else {
             return;
         };
         // What was in progress elsewhere has ended by now, and the word of that was lost.
         let running = |line: &Line| matches!(line.state, State::Running(_));
         if ledger.keep_until > now || ledger.lines.iter().any(running) {
             let due = ledger.keep_until.max(now + RECHECK);
-            return self.set_due(key, due);
+            return self.flows.set_due(key, due);
         }
         self.remove(key);
     }
 
-    fn set_due(&mut self, key: FlowKey, due: Time) {
-        let Some(kept) = self.flows.get_mut(&key) else {
-            return;
-        };
-        self.due.remove(&(kept.due, key));
-        self.due.insert((due, key));
-        kept.due = due;
-    }
-
     /// Notes that the caller has closed a flow. Its ledger stays for as long as copies of its packets may be under way.
     pub fn close(&mut self, key: FlowKey, now: Time) {
-        let Some(Kept { ledger, .. }) = self.flows.get_mut(&key) else {
+        let Some(ledger) = self.flows.get_mut(key) else {
             return;
         };
         let keep_until = now + PACKET_LIFE;
@@ -303,14 +287,13 @@
             return;
         }
         ledger.keep_until = keep_until;
-        self.set_due(key, keep_until);
+        self.flows.set_due(key, keep_until);
     }
 
     fn remove(&mut self, key: FlowKey) {
-        let Some(Kept { ledger, due }) = self.flows.remove(&key) else {
+        let Some(ledger) = self.flows.remove(key) else {
             return;
         };
-        self.due.remove(&(due, key));
         for line in ledger.lines {
             if let State::Answered(answer) = line.state {
                 self.answer_bytes -= answer.body.len() as u64;
@@ -320,12 +303,10 @@
 
     /// Takes over a ledger and keeps it as if a request had just come. One that is already there is left alone.
     pub fn install(&mut self, key: FlowKey, mut ledger: Ledger, now: Time) {
-        if self.flows.contains_key(&key) {
+        if self.flows.contains(key) {
             return;
         }
         ledger.keep_until = now + self.keep_flows;
-        let due = ledger.keep_until;
-        self.due.insert((due, key));
         for line in &ledger.lines {
             if let State::Answered(answer) = &line.state {
                 self.answer_bytes += answer.body.len() as u64;
@@ -335,7 +316,8 @@
                 self.sink_later(key, line.seq, now);
             }
         }
-        self.flows.insert(key, Kept { ledger, due });
+        let due = ledger.keep_until;
+        self.flows.insert(key, ledger, due);
     }
 
     /// Lets a request that was in progress elsewhere begin here, because the other instance never ran it.
@@ -362,10 +344,10 @@
     /// The requests that are in progress at another incarnation.
     pub fn elsewhere(&self, incarnation: Incarnation) -> Vec<(FlowKey, RequestSeq)> {
         let mut found = Vec::new();
-        for (key, kept) in &self.flows {
-            for line in &kept.ledger.lines {
+        for (key, ledger) in self.flows.iter() {
+            for line in &ledger.lines {
                 if line.state == State::Elsewhere(incarnation) {
-                    found.push((*key, line.seq));
+                    found.push((key, line.seq));
                 }
             }
         }
@@ -375,19 +357,15 @@
 
     /// Takes all ledgers out, in a fixed order.
     pub fn take(&mut self) -> Vec<(FlowKey, Ledger)> {
-        let flows = std::mem::take(&mut self.flows).into_iter();
-        let mut flows: Vec<_> = flows.map(|(key, kept)| (key, kept.ledger)).collect();
-        flows.sort_unstable_by_key(|(key, _)| *key);
-        self.due.clear();
         self.ended.clear();
         self.answers.clear();
         self.answer_bytes = 0;
-        flows
+        self.flows.take()
     }
 }
 
-fn line_mut(flows: &mut HashMap<FlowKey, Kept>, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
-    let ledger = &mut flows.get_mut(&key)?.ledger;
+fn line_mut(flows: &mut Flows, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
+    let ledger = flows.get_mut(key)?;
     ledger.lines.iter_mut().find(|line| line.seq == seq)
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod documents;
 mod event;
 mod fleet;
+mod flows;
 mod home;
 mod ingress;
 mod ledger;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -7,7 +7,7 @@
 /// Bounds on what a node keeps.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
-    /// The most flows with a ledger.
+    /// The most flows with a ledger. One caller gets as many as it leaves free.
     pub flows: usize,
     /// The most requests in progress.
     pub requests: usize,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -31,6 +31,7 @@
 use crate::Record;
 use crate::State;
 use crate::answers::push_chunk;
+use crate::flows::Group;
 use crate::ingress::Arrival;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
@@ -68,7 +69,9 @@
             flow: claims.flow,
         };
         let seq = request.seq;
-        if !self.ledgers.contains(key) && self.ledgers.len() >= self.limits.flows {
+        let fresh = !self.ledgers.contains(key);
+        let group = Group::of(arrival.caller.ip(), self.seed);
+        if fresh && !self.ledgers.has_room(group, self.limits.flows) {
             let refusal = (Verdict::MayHaveRun, Reason::Limit);
             return self.reply_refused(cx, arrival.caller, key, seq, refusal, RETRY_SOON, None);
         }
@@ -78,6 +81,9 @@
             Lookup::Full => Some(State::Refused(Verdict::MayHaveRun, Reason::Limit)),
             Lookup::Known(state) => Some(state.clone()),
         };
+        if fresh {
+            self.ledgers.charge(key, group);
+        }
         if let Some(state) = known {
             return self.repeat(cx, key, seq, &state, arrival.caller);
         }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use node::CallResult;
+use node::Event;
 use wire::Packet;
+use wire::encode_packet;
 
 use support::Fleet;
 use support::request;
@@ -146,3 +148,25 @@
     fleet.end_call(CallResult::Answered(Vec::new()));
     check(&fleet.got(), "chunk 0/1 of 1, new token");
 }
+
+#[test]
+fn one_caller_leaves_ledgers_for_others() {
+    let mut fleet = Fleet::new(0);
+    fleet.flows = 10;
+    let home = support::instance(0);
+    fleet.join(&home, 1);
+    fleet.pass(Duration::from_secs(3));
+    let mut got = Vec::new();
+    for _ in 0..10 {
+        let granted = fleet.open(&home, "availability");
+        fleet.send(&home, &request(&granted, "availability", "nonsense", 1));
+        got.push(fleet.got());
+    }
+    check(&got[4], "not run: unknown");
+    check(&got[5], "may have run: limit");
+    let granted = fleet.open(&home, "availability");
+    let packet = request(&granted, "availability", "nonsense", 1);
+    let other = "10.9.0.2:5000".parse().unwrap();
+    fleet.event(&home, Event::Datagram(other, encode_packet(&packet)));
+    check(&fleet.got(), "not run: unknown");
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -92,6 +92,8 @@
     pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
+    /// The most flows with a ledger at an instance that joins.
+    pub flows: usize,
 }
 
 impl Fleet {
@@ -106,6 +108,7 @@
             stopped: Vec::new(),
             polls: 0,
             cut: Vec::new(),
+            flows: Limits::default().flows,
         };
         for index in 0..count {
             fleet.join(&instance(index), index + 1);
@@ -125,6 +128,7 @@
             address: address(name),
             keyring: token::Keyring::new(&secret, &[], Duration::from_hours(1)),
             limits: Limits {
+                flows: self.flows,
                 max_timeout: Duration::from_secs(20),
                 ..Limits::default()
             },
