--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -77,7 +77,9 @@
     }
 
     /// Takes over a new description of the service. Slots in use stay so; removed upstreams get no new work.
-    pub fn configure(&mut self, service: &Service, now: Time, out: &mut Vec<Decision<K>>) {
+    ///
+    /// `leaving` names the upstreams that are known to leave. The queue may go to any other at once.
+    pub fn configure(&mut self, service: &Service, leaving: &[UpstreamName], now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         self.sharing = service.sharing.clone();
         self.budget.set_percent(service.sharing.retry_budget_percent);
@@ -94,10 +96,14 @@
                 self.targets.insert(index, target);
             }
         }
+        for upstream in leaving {
+            self.leave(upstream);
+        }
         self.settle_view(now, out);
     }
 
-    /// Asks for a slot. The decision comes at once if a slot is free or the ask is refused.
+    /// Asks for a slot. The decision comes at once if a slot is free or the ask is refused. An ask whose key waits or
+    /// holds a slot already is ignored.
     pub fn ask(&mut self, ask: Ask<K>, now: Time, out: &mut Vec<Decision<K>>) {
         self.now = now;
         if self.queue.contains(&ask.key) || self.held.contains(&ask.key) {
@@ -214,6 +220,11 @@
         self.held.get(key).map(|lease| &lease.upstream)
     }
 
+    /// How many upstreams it knows.
+    pub fn upstreams(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Whether nothing waits and no slot is lent.
     pub fn is_idle(&self) -> bool {
         self.queue.len() == 0 && self.held.is_empty()
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use node::Listed;
 use node::Node;
 use node::Peer;
+use node::Record;
 use node::Setup;
 
 pub const SECRET: &str = "a secret of at least thirty-two characters";
@@ -64,6 +65,17 @@
     )
 }
 
+/// A document whose first service has this many more upstreams.
+pub fn large_document(revision: u64, more: usize) -> String {
+    let mut lines = String::new();
+    for index in 0..more {
+        let line =
+            format!("      - {{name: more-{index}, zone: brugge, address: \"10.4.0.{index}:8080\", slots: 1}}\n");
+        lines.push_str(&line);
+    }
+    document(revision).replacen("    upstreams:\n", &format!("    upstreams:\n{lines}"), 1)
+}
+
 pub fn caller() -> SocketAddr {
     "10.9.0.1:5000".parse().unwrap()
 }
@@ -77,8 +89,14 @@
     pub calls: Vec<(InstanceName, Call)>,
     pub cancelled: Vec<CallId>,
     pub stopped: Vec<InstanceName>,
+    /// What instances noted for the time line about documents.
+    pub documents: Vec<String>,
+    /// How often upstreams were asked for health and load.
+    pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
+    /// The most flows with a ledger at an instance that joins.
+    pub flows: usize,
 }
 
 impl Fleet {
@@ -91,7 +109,10 @@
             calls: Vec::new(),
             cancelled: Vec::new(),
             stopped: Vec::new(),
+            documents: Vec::new(),
+            polls: 0,
             cut: Vec::new(),
+            flows: Limits::default().flows,
         };
         for index in 0..count {
             fleet.join(&instance(index), index + 1);
@@ -111,6 +132,7 @@
             address: address(name),
             keyring: token::Keyring::new(&secret, &[], Duration::from_hours(1)),
             limits: Limits {
+                flows: self.flows,
                 max_timeout: Duration::from_secs(20),
                 ..Limits::default()
             },
@@ -160,7 +182,11 @@
             Action::Call(call) => self.calls.push((from.name.clone(), call)),
             Action::Cancel(call) => self.cancelled.push(call),
             Action::Stopped => self.stopped.push(from.name.clone()),
-            Action::Poll(..) | Action::Watch(_) | Action::Record(_) => {}
+            Action::Poll(..) => self.polls += 1,
+            Action::Record(record @ (Record::InForce(_) | Record::DocumentRejected(_))) => {
+                self.documents.push(format!("{}: {record}", from.name));
+            }
+            Action::Watch(_) | Action::Record(_) => {}
         }
     }
 
