Forget inherited incarnations once their tokens have expired

Cause: a node kept every incarnation that it ever took over, and handed all of them on at its own stop, so the list grew with each stop for as long as the fleet lives. It costs 8 bytes each, so this is slow; but it is never given back, and it rides on each part of a hand-over.

Change: a node notes when it took an incarnation over, and drops it after a token's life and the margin for clocks. Every token that names it has expired by then, so that nothing can begin, and a hand-over that comes again from a process that was frozen meanwhile holds requests whose tokens are refused.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -7,6 +7,7 @@
 use membership::Standing;
 use rand::RngExt;
 use token::Claims;
+use units::Incarnation;
 use units::InstanceName;
 use units::ServiceName;
 use units::Time;
@@ -43,9 +44,14 @@
 }
 
 impl Node {
+    /// Whether this node owns the flows of an incarnation: it is its own, or it has taken over its ledgers.
+    pub(crate) fn owns(&self, incarnation: Incarnation) -> bool {
+        incarnation == self.me.incarnation || self.inherited.contains_key(&incarnation)
+    }
+
     /// Finds the owner of a flow.
     pub(crate) fn locate(&self, claims: &Claims) -> Place {
-        if self.owned.contains(&claims.incarnation) {
+        if self.owns(claims.incarnation) {
             return match self.stop.successor() {
                 Some(successor) => self.locate_successor(successor),
                 // The ledgers end with this process, which may take a moment.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,6 +42,11 @@
 /// How much longer a ledger is kept than a token lives, for clocks that differ.
 const CLOCK_MARGIN: Duration = Duration::from_mins(2);
 
+/// How long ledgers are kept after their last request, and incarnations after they were inherited.
+pub(crate) fn keep_flows(keyring: &Keyring) -> Duration {
+    keyring.lifetime() + CLOCK_MARGIN
+}
+
 /// What a node is told at its start.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -96,8 +101,8 @@
     pub(crate) rng: SmallRng,
     pub(crate) documents: Documents,
     pub(crate) membership: Membership,
-    /// The incarnations whose flows this node owns: its own, and those whose ledgers it has taken over.
-    pub(crate) owned: BTreeSet<Incarnation>,
+    /// The incarnations whose flows this node owns besides its own, and when it took over their ledgers.
+    pub(crate) inherited: BTreeMap<Incarnation, Time>,
     pub(crate) ledgers: Ledgers,
     pub(crate) tickets: BTreeMap<TicketId, Ticket>,
     pub(crate) deadlines: BTreeSet<(Time, TicketId)>,
@@ -131,7 +136,6 @@
             state: MemberState::Alive,
             refutation: 0,
         };
-        let keep_flows = setup.keyring.lifetime() + CLOCK_MARGIN;
         Self {
             me: Peer {
                 name: setup.name,
@@ -139,14 +143,14 @@
             },
             started: now,
             zone: setup.zone,
+            ledgers: Ledgers::new(keep_flows(&setup.keyring), setup.limits.keep_answers),
             keyring: setup.keyring,
             stop_within: setup.stop_within,
             seed: setup.seed,
             rng: SmallRng::seed_from_u64(setup.seed),
             documents: Documents::default(),
             membership: Membership::new(me, Timing::default(), setup.seed, now),
-            owned: BTreeSet::from([setup.incarnation]),
-            ledgers: Ledgers::new(keep_flows, setup.limits.keep_answers),
+            inherited: BTreeMap::new(),
             limits: setup.limits,
             tickets: BTreeMap::new(),
             deadlines: BTreeSet::new(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -198,6 +198,7 @@
     }
 
     fn send_ledgers(&mut self, cx: &mut Cx<'_>) {
+        self.forget_inherited(cx.now);
         let Stop::HandedOver(state) = &mut self.stop else {
             return;
         };
@@ -209,12 +210,7 @@
             to: peer.name.clone(),
             to_incarnation: peer.incarnation,
         };
-        let inherited: Vec<Incarnation> = self
-            .owned
-            .iter()
-            .copied()
-            .filter(|one| *one != self.me.incarnation)
-            .collect();
+        let inherited: Vec<Incarnation> = self.inherited.keys().copied().collect();
         let chunks = split(&state.flows);
         let parts = chunks.len() as u32;
         let mut frames = Vec::new();
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -23,6 +23,7 @@
 use crate::Peer;
 use crate::State;
 use crate::node::Cx;
+use crate::node::keep_flows;
 use crate::ticket::Phase;
 use crate::ticket::Ticket;
 
@@ -47,7 +48,7 @@
         if !for_me || from != peer.incarnation || handover.successor.from != peer.name {
             return;
         }
-        if self.owned.contains(&from) {
+        if self.owns(from) {
             // All of it is here already, and the word of that was lost.
             return self.send(cx, peer, Frame::HandoverDone(from));
         }
@@ -74,8 +75,11 @@
         inherited: &[Incarnation],
         flows: Vec<HandoverFlow>,
     ) {
-        self.owned.insert(record.from_incarnation);
-        self.owned.extend(inherited);
+        self.forget_inherited(cx.now);
+        self.inherited.insert(record.from_incarnation, cx.now);
+        for incarnation in inherited {
+            self.inherited.entry(*incarnation).or_insert(cx.now);
+        }
         let mut queued = Vec::new();
         let mut ledgers: BTreeMap<FlowKey, Ledger> = BTreeMap::new();
         for flow in flows {
@@ -101,6 +105,14 @@
         }
     }
 
+    /// Drops incarnations that were inherited so long ago that every token which names them has expired.
+    ///
+    /// Otherwise each hand-over would pass on all that ever stopped before.
+    pub(crate) fn forget_inherited(&mut self, now: Time) {
+        let keep = keep_flows(&self.keyring);
+        self.inherited.retain(|_, since| now.since(*since) < keep);
+    }
+
     /// Lets a request begin here that another instance had let wait.
     fn resume(&mut self, cx: &mut Cx<'_>, queued: Queued) {
         let Queued { key, seq, body } = queued;
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -6,6 +6,7 @@
 
 use node::CallResult;
 use node::Event;
+use units::Incarnation;
 
 use support::Fleet;
 use support::request;
@@ -142,3 +143,26 @@
     assert!(fleet.calls.is_empty());
     assert_eq!(fleet.got().matches("chunk 0/3933").count(), 4);
 }
+
+#[track_caller]
+fn check_inherited(after: Duration, expected: &[Incarnation]) {
+    let mut fleet = Fleet::new(2);
+    let first = support::instance(0);
+    let second = support::instance(1);
+    fleet.event(&first, Event::Stop);
+    fleet.pass(Duration::from_secs(2));
+    fleet.nodes.remove(&first);
+    fleet.inherited.clear();
+    fleet.now = fleet.now + after;
+    fleet.join(&support::instance(2), 3);
+    fleet.pass(Duration::from_secs(3));
+    fleet.event(&second, Event::Stop);
+    fleet.pass(Duration::from_secs(2));
+    assert_eq!(fleet.inherited, [expected]);
+}
+
+#[test]
+fn incarnations_are_inherited_for_as_long_as_their_tokens_live() {
+    check_inherited(Duration::from_mins(30), &[Incarnation(1)]);
+    check_inherited(Duration::from_mins(90), &[]);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -92,6 +92,8 @@
     pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
+    /// The incarnations that each part of a hand-over says are inherited.
+    pub inherited: Vec<Vec<Incarnation>>,
     /// The most flows with a ledger at an instance that joins.
     pub flows: usize,
 }
@@ -108,6 +110,7 @@
             stopped: Vec::new(),
             polls: 0,
             cut: Vec::new(),
+            inherited: Vec::new(),
             flows: Limits::default().flows,
         };
         for index in 0..count {
@@ -170,6 +173,9 @@
             Action::Send { to, frame, .. } => {
                 let len = wire::encode_frame(&frame).len();
                 assert!(len <= wire::MAX_FRAME_LEN, "a frame of {len} bytes can't be sent");
+                if let Frame::Handover(handover) = &frame {
+                    self.inherited.push(handover.inherited.clone());
+                }
                 let lost = self.cut.contains(&(from.name.clone(), to.clone())) || !self.nodes.contains_key(&to);
                 if !lost {
                     queue.push_back((to, Event::Frame(from.clone(), frame)));
