Own flows by name and incarnation, not by incarnation alone

Cause: a node took a token for its own if the incarnation in it was its own, whatever instance the token named. An incarnation is the start in milliseconds and 10 random bits, so two instances that start in the same millisecond have the same one time in 1,024. Both then owned each other's flows, and two copies of a request that reached the two ran twice. Worked out, not run: if 2,400 instances start within a second, about 2.8 pairs are expected to be so.

Change: a node owns what names it in both, and inherits lives, not numbers. This changes the contract: `Handover` carries `inherited` as lives (`wire::Life`), so instances from before and after can't hand over to each other once there is something inherited. Ledgers still go by incarnation and flow, since flows are 64 random bits.

Ruled out: more random bits in the incarnation. JSON keeps 53 bits exact, and that only makes it rarer.

After: `cargo test -p node -p wire`, all pass.

--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -12,6 +12,7 @@
 use units::ServiceName;
 use units::Time;
 use wire::Frame;
+use wire::Life;
 use wire::Reason;
 use wire::TicketId;
 
@@ -44,14 +45,22 @@
 }
 
 impl Node {
-    /// Whether this node owns the flows of an incarnation: it is its own, or it has taken over its ledgers.
-    pub(crate) fn owns(&self, incarnation: Incarnation) -> bool {
-        incarnation == self.me.incarnation || self.inherited.contains_key(&incarnation)
+    /// Whether this node owns the flows of this life of an instance: it is its own, or it has taken over its ledgers.
+    pub(crate) fn owns(&self, name: &InstanceName, incarnation: Incarnation) -> bool {
+        if incarnation == self.me.incarnation && *name == self.me.name {
+            return true;
+        }
+        // Most nodes have inherited nothing, and the name is copied for each packet otherwise.
+        if self.inherited.is_empty() {
+            return false;
+        }
+        let name = name.clone();
+        self.inherited.contains_key(&Life { name, incarnation })
     }
 
     /// Finds the owner of a flow.
     pub(crate) fn locate(&self, claims: &Claims) -> Place {
-        if self.owns(claims.incarnation) {
+        if self.owns(&claims.owner, claims.incarnation) {
             return match self.stop.successor() {
                 Some(successor) => self.locate_successor(successor),
                 // The ledgers end with this process, which may take a moment.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,7 @@
 use units::UpstreamName;
 use units::ZoneName;
 use wire::Frame;
+use wire::Life;
 use wire::Member;
 use wire::MemberState;
 use wire::TicketId;
@@ -101,8 +102,8 @@
     pub(crate) rng: SmallRng,
     pub(crate) documents: Documents,
     pub(crate) membership: Membership,
-    /// The incarnations whose flows this node owns besides its own, and when it took over their ledgers.
-    pub(crate) inherited: BTreeMap<Incarnation, Time>,
+    /// Whose flows this node owns besides its own, and when it took over their ledgers.
+    pub(crate) inherited: BTreeMap<Life, Time>,
     pub(crate) ledgers: Ledgers,
     pub(crate) tickets: BTreeMap<TicketId, Ticket>,
     pub(crate) deadlines: BTreeSet<(Time, TicketId)>,
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -15,6 +15,7 @@
 use wire::Frame;
 use wire::Handover;
 use wire::HandoverFlow;
+use wire::Life;
 use wire::Reason;
 use wire::Resolved;
 use wire::Successor;
@@ -210,7 +211,7 @@
             to: peer.name.clone(),
             to_incarnation: peer.incarnation,
         };
-        let inherited: Vec<Incarnation> = self.inherited.keys().copied().collect();
+        let inherited: Vec<Life> = self.inherited.keys().cloned().collect();
         let chunks = split(&state.flows);
         let parts = chunks.len() as u32;
         let mut frames = Vec::new();
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -11,6 +11,7 @@
 use wire::Frame;
 use wire::Handover;
 use wire::HandoverFlow;
+use wire::Life;
 use wire::Reason;
 use wire::Resolved;
 use wire::Successor;
@@ -48,7 +49,7 @@
         if !for_me || from != peer.incarnation || handover.successor.from != peer.name {
             return;
         }
-        if self.owns(from) {
+        if self.owns(&peer.name, from) {
             // All of it is here already, and the word of that was lost.
             return self.send(cx, peer, Frame::HandoverDone(from));
         }
@@ -72,13 +73,17 @@
         cx: &mut Cx<'_>,
         peer: &Peer,
         record: Successor,
-        inherited: &[Incarnation],
+        inherited: &[Life],
         flows: Vec<HandoverFlow>,
     ) {
         self.forget_inherited(cx.now);
-        self.inherited.insert(record.from_incarnation, cx.now);
-        for incarnation in inherited {
-            self.inherited.entry(*incarnation).or_insert(cx.now);
+        let from = Life {
+            name: record.from.clone(),
+            incarnation: record.from_incarnation,
+        };
+        self.inherited.insert(from, cx.now);
+        for life in inherited {
+            self.inherited.entry(life.clone()).or_insert(cx.now);
         }
         let mut queued = Vec::new();
         let mut ledgers: BTreeMap<FlowKey, Ledger> = BTreeMap::new();
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -170,3 +170,20 @@
     fleet.event(&home, Event::Datagram(other, encode_packet(&packet)));
     check(&fleet.got(), "not run: unknown");
 }
+
+#[test]
+fn two_instances_with_the_same_incarnation_do_not_run_each_others_requests() {
+    let mut fleet = Fleet::new(0);
+    for index in 0..2 {
+        fleet.join(&support::instance(index), 1);
+    }
+    fleet.pass(Duration::from_secs(3));
+    let home = fleet.home("availability");
+    let granted = fleet.open(&home, "availability");
+    let packet = request(&granted, "availability", "hold", 1);
+    fleet.send(&home, &packet);
+    let other = fleet.other(&home);
+    fleet.send(&other, &packet);
+    assert_eq!(fleet.calls.len(), 1);
+    check(&fleet.got(), "accepted 1");
+}
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -7,6 +7,7 @@
 use node::CallResult;
 use node::Event;
 use units::Incarnation;
+use wire::Life;
 
 use support::Fleet;
 use support::request;
@@ -145,7 +146,7 @@
 }
 
 #[track_caller]
-fn check_inherited(after: Duration, expected: &[Incarnation]) {
+fn check_inherited(after: Duration, expected: &[Life]) {
     let mut fleet = Fleet::new(2);
     let first = support::instance(0);
     let second = support::instance(1);
@@ -163,6 +164,10 @@
 
 #[test]
 fn incarnations_are_inherited_for_as_long_as_their_tokens_live() {
-    check_inherited(Duration::from_mins(30), &[Incarnation(1)]);
+    let first = Life {
+        name: support::instance(0),
+        incarnation: Incarnation(1),
+    };
+    check_inherited(Duration::from_mins(30), &[first]);
     check_inherited(Duration::from_mins(90), &[]);
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use units::Time;
 use wire::Frame;
 use wire::Granted;
+use wire::Life;
 use wire::Open;
 use wire::Packet;
 use wire::Reply;
@@ -92,8 +93,8 @@
     pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
-    /// The incarnations that each part of a hand-over says are inherited.
-    pub inherited: Vec<Vec<Incarnation>>,
+    /// Who each part of a hand-over says is inherited.
+    pub inherited: Vec<Vec<Life>>,
     /// The most flows with a ledger at an instance that joins.
     pub flows: usize,
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,6 +9,7 @@
 use serde_bytes::ByteBuf;
 use units::FlowId;
 use units::Incarnation;
+use units::InstanceName;
 use units::KindName;
 use units::Millis;
 use units::RequestSeq;
@@ -56,7 +57,7 @@
     /// Answers a probe.
     ProbeAck(u64, Gossip),
     /// Asks the receiver to probe another member.
-    ProbeFor(u64, units::InstanceName),
+    ProbeFor(u64, InstanceName),
     /// News that should not wait for a probe.
     News(Gossip),
     /// Asks for the configuration document, naming the revision already held.
@@ -235,14 +236,23 @@
     pub entries: Vec<(RequestSeq, Entry)>,
 }
 
+/// One life of an instance. Its number alone doesn't name it: two that start in the same millisecond may draw the same.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Life {
+    /// The instance.
+    pub name: InstanceName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
 /// A part of the ledgers of an instance that stops.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
     /// The successor record that takes effect once all parts have arrived.
     pub successor: Successor,
-    /// The incarnations whose ledgers the stopping instance had taken over itself.
+    /// Those whose ledgers the stopping instance had taken over itself.
     #[serde(deserialize_with = "crate::list::untrusted")]
-    pub inherited: Vec<Incarnation>,
+    pub inherited: Vec<Life>,
     /// This part's ledgers.
     #[serde(deserialize_with = "crate::list::untrusted")]
     pub flows: Vec<HandoverFlow>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -37,6 +37,7 @@
 pub use frame::Handover;
 pub use frame::HandoverFlow;
 pub use frame::Hold;
+pub use frame::Life;
 pub use frame::Outcome;
 pub use frame::Resolved;
 pub use frame::Settle;
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -30,6 +30,7 @@
 use wire::HandoverFlow;
 use wire::Head;
 use wire::LeavingUpstream;
+use wire::Life;
 use wire::Member;
 use wire::MemberState;
 use wire::Opened;
@@ -234,19 +235,16 @@
             entries,
         },
     );
-    (
-        successor(),
-        vec(incarnation(), 0..3),
-        vec(flow, 0..4),
-        any::<(u32, u32)>(),
-    )
-        .prop_map(|(successor, inherited, flows, (part, parts))| Handover {
+    let life = (name(), incarnation()).prop_map(|(name, incarnation)| Life { name, incarnation });
+    (successor(), vec(life, 0..3), vec(flow, 0..4), any::<(u32, u32)>()).prop_map(
+        |(successor, inherited, flows, (part, parts))| Handover {
             successor,
             inherited,
             flows,
             part,
             parts,
-        })
+        },
+    )
 }
 
 fn gossip() -> impl Strategy<Value = Gossip> {
