Forget upstreams that the document no longer has

Cause: a node noted each upstream that it ever polled, for ever. That is memory without bound where upstreams are renamed as they are replaced. And one that came back under its name on a machine whose clock is behind was not believed any more, since a report of a lower incarnation is dropped.

Change: what upstreams said of themselves goes with the document that named them. Which upstreams of a service are leaving was worked out in two places and now is in one.

After: `cargo test -p node`, all pass.

--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -24,6 +24,7 @@
 use crate::Node;
 use crate::Peer;
 use crate::Record;
+use crate::home::leaving_of;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
 use crate::ticket::Ticket;
@@ -147,6 +148,8 @@
         let mut outputs = Vec::new();
         self.membership.set_document(revision, digest, cx.now, &mut outputs);
         self.take_outputs(cx, outputs);
+        self.upstreams
+            .retain(|name, _| self.documents.service_of(name).is_some());
         self.configure_homes(cx);
         self.drop_unknown_services(cx);
         self.rehome(cx);
@@ -158,13 +161,7 @@
             let Some(service) = self.documents.service(name) else {
                 continue;
             };
-            let mut leaving = Vec::new();
-            for upstream in &service.upstreams {
-                let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
-                if self.membership.is_leaving(&upstream.name, incarnation) {
-                    leaving.push(upstream.name.clone());
-                }
-            }
+            let leaving = leaving_of(service, &self.upstreams, &self.membership);
             let mut decisions = Vec::new();
             home.pool.configure(service, &leaving, cx.now, &mut decisions);
             self.decisions.extend(decisions);
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -3,12 +3,16 @@
 //! What a home knows is soft. Owners ask again, and tell a new home what they hold, so nothing here needs to outlive
 //! the instance. A wrong view costs efficiency and never safety, since an upstream sheds what is too much.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use balance::Ask;
 use balance::Decision;
 use balance::Pool;
+use config::Service;
+use membership::Membership;
 use rand::RngExt;
+use units::Incarnation;
 use units::Millis;
 use units::ServiceName;
 use units::Time;
@@ -66,12 +70,8 @@
         let seed = self.rng.random();
         let service = self.documents.service(name)?;
         let mut pool = Pool::new(service, seed, now);
-        for upstream in &service.upstreams {
-            // The incarnation may not be known here yet. The first poll readmits an upstream that has begun anew.
-            let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
-            if self.membership.is_leaving(&upstream.name, incarnation) {
-                pool.leave(&upstream.name);
-            }
+        for upstream in leaving_of(service, &self.upstreams, &self.membership) {
+            pool.leave(&upstream);
         }
         Some(Home { pool, next_poll: now })
     }
@@ -260,3 +260,20 @@
         }
     }
 }
+
+/// The upstreams of a service that get no new work.
+pub(crate) fn leaving_of(
+    service: &Service,
+    known: &BTreeMap<UpstreamName, Incarnation>,
+    membership: &Membership,
+) -> Vec<UpstreamName> {
+    let mut leaving = Vec::new();
+    for upstream in &service.upstreams {
+        // The incarnation may not be known here yet. The first poll readmits an upstream that has begun anew.
+        let incarnation = known.get(&upstream.name).copied().unwrap_or_default();
+        if membership.is_leaving(&upstream.name, incarnation) {
+            leaving.push(upstream.name.clone());
+        }
+    }
+    leaving
+}
