--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -29,7 +29,6 @@
 use crate::violation::Violation;
 use crate::world::CallRef;
 use crate::world::Happening;
-use crate::world::STOP_WITHIN;
 use crate::world::World;
 
 /// How long an instance waits for a session with one that does not answer.
@@ -81,6 +80,10 @@
         if !told {
             self.note(None, format!("{}: {record}", peer.name));
         }
+        // A node cancels what it leaves before it says that it has stopped.
+        if let Record::Stopped(left) = record {
+            return self.check_nothing_cut(peer, *left as usize);
+        }
         let Record::InForce(revision) = record else {
             return Ok(());
         };
@@ -287,17 +290,7 @@
     fn stopped(&mut self, peer: &Peer) -> Result<(), Violation> {
         let left = self.in_progress(peer);
         self.note(None, format!("{} has stopped, {left} calls cut", peer.name));
-        let life = self
-            .instances
-            .get(&peer.name)
-            .and_then(|instance| instance.life.as_ref());
-        let stopping = life.and_then(|life| life.stopping);
-        let early = stopping.is_some_and(|at| self.now.since(at) < STOP_WITHIN);
-        // Whatever else happens, there is time left for what is in progress.
-        if left > 0 && early {
-            let text = format!("{} ends early with {left} calls in progress", peer.name);
-            return Err(self.violation(Promise::GracefulStop, None, text));
-        }
+        self.check_nothing_cut(peer, left)?;
         self.end_life(&peer.name);
         let soon: Time = self.now + Duration::from_millis(5);
         self.break_sessions_at(&peer.name, soon);
--- a/crates/proof/src/standing.rs
+++ b/crates/proof/src/standing.rs
@@ -157,6 +157,21 @@
         Ok(())
     }
 
+    /// A planned stop leaves nothing in progress, unless it has taken all its time.
+    pub(crate) fn check_nothing_cut(&self, peer: &Peer, left: usize) -> Result<(), Violation> {
+        let life = self
+            .instances
+            .get(&peer.name)
+            .and_then(|instance| instance.life.as_ref());
+        let stopping = life.and_then(|life| life.stopping);
+        let early = stopping.is_some_and(|at| self.now.since(at) < STOP_WITHIN);
+        if left == 0 || !early {
+            return Ok(());
+        }
+        let text = format!("{} ends early with {left} requests in progress", peer.name);
+        Err(self.violation(Promise::GracefulStop, None, text))
+    }
+
     /// Every planned stop ends in time.
     pub(crate) fn check_stops(&self) -> Result<(), Violation> {
         for (name, instance) in &self.instances {
