--- a/crates/node/src/ledgers.rs
+++ b/crates/node/src/ledgers.rs
@@ -1,6 +1,5 @@
 //! The ledgers of all flows that an instance owns, and how long they are kept.
 
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -17,6 +16,8 @@
 use crate::Ledger;
 use crate::Line;
 use crate::State;
+use crate::flows::Flows;
+use crate::flows::Group;
 
 /// How long a copy of a datagram may be under way. A closed flow's ledger outlives its last packet by this.
 const PACKET_LIFE: Duration = Duration::from_mins(2);
@@ -25,6 +26,9 @@
 /// How soon a flow whose ledger is due but still in use is looked at again.
 const RECHECK: Duration = Duration::from_secs(1);
 
+/// Why a request that is looked up, begins or is refused has a ledger.
+const LOOKED_UP: &str = "looking a request up makes its flow's ledger";
+
 /// What a ledger says of a request that has just come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup<'a> {
@@ -38,13 +42,6 @@
     Full,
 }
 
-/// When a flow's ledger is looked at.
-#[derive(Debug, Clone)]
-struct FlowExpiry {
-    at: Time,
-    key: FlowKey,
-}
-
 /// When the line of a request that has ended sinks.
 #[derive(Debug, Clone)]
 struct LineExpiry {
@@ -56,9 +53,7 @@
 /// The ledgers of all flows that an instance owns.
 #[derive(Debug, Clone)]
 pub struct Ledgers {
-    flows: HashMap<FlowKey, Ledger>,
-    open: VecDeque<FlowExpiry>,
-    closed: VecDeque<FlowExpiry>,
+    flows: Flows,
     ended: VecDeque<LineExpiry>,
     /// Answers that may be held, oldest first.
     answers: VecDeque<(FlowKey, RequestSeq)>,
@@ -72,9 +67,7 @@
     /// and that hold an answer for `keep_answers`.
     pub fn new(keep_flows: Duration, keep_answers: Duration) -> Self {
         Self {
-            flows: HashMap::new(),
-            open: VecDeque::new(),
-            closed: VecDeque::new(),
+            flows: Flows::default(),
             ended: VecDeque::new(),
             answers: VecDeque::new(),
             answer_bytes: 0,
@@ -90,7 +83,7 @@
 
     /// Whether no flow has a ledger.
     pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
+        self.flows.len() == 0
     }
 
     /// How many bytes of answers are held.
@@ -98,14 +91,32 @@
         self.answer_bytes
     }
 
+    /// How many times of expiry are queued for flows.
+    pub fn expiries(&self) -> usize {
+        self.flows.expiries()
+    }
+
     /// Whether this flow has a ledger.
     pub fn contains(&self, key: FlowKey) -> bool {
-        self.flows.contains_key(&key)
+        self.flows.contains(key)
+    }
+
+    /// Whether a group of callers may have one more flow, of `limit` in all.
+    ///
+    /// It may have as many as are free, so one caller gets half, two get a third each, and some are always left for
+    /// others. A fixed share would be too small for the only caller, or too large for the tenth.
+    pub(crate) fn has_room(&self, group: Group, limit: usize) -> bool {
+        self.flows.held(group) < limit.saturating_sub(self.len())
+    }
+
+    /// Counts a flow as one of this group's, unless it counts already. Flows that were handed over count for nobody.
+    pub(crate) fn charge(&mut self, key: FlowKey, group: Group) {
+        self.flows.charge(key, group);
     }
 
     /// The ledger of a flow.
     pub fn get(&self, key: FlowKey) -> Option<&Ledger> {
-        self.flows.get(&key)
+        self.flows.get(key)
     }
 
     /// Notes that a request has come and tells how it stands. `floor` is the token's, `sent` the packet's.
@@ -117,20 +128,16 @@
         sent: RequestSeq,
         now: Time,
     ) -> Lookup<'_> {
-        let ledger = match self.flows.entry(key) {
-            std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
-            std::collections::hash_map::Entry::Vacant(entry) => {
-                self.open.push_back(FlowExpiry {
-                    at: now + self.keep_flows,
-                    key,
-                });
-                entry.insert(Ledger {
-                    floor,
-                    ..Ledger::default()
-                })
-            }
-        };
-        ledger.keep_until = now + self.keep_flows;
+        let keep_until = now + self.keep_flows;
+        if !self.flows.contains(key) {
+            let ledger = Ledger {
+                floor,
+                ..Ledger::default()
+            };
+            self.flows.insert(key, ledger, keep_until);
+        }
+        let ledger = self.flows.get_mut(key).expect(LOOKED_UP);
+        ledger.keep_until = keep_until;
         ledger.sent = ledger.sent.max(sent).max(seq);
         if let Some(index) = ledger.lines.iter().position(|line| line.seq == seq) {
             return Lookup::Known(&ledger.lines[index].state);
@@ -151,13 +158,14 @@
 
     /// Writes the line of a request that begins. Only a [`Lookup::New`] may lead here.
     pub fn begin(&mut self, key: FlowKey, seq: RequestSeq, ticket: TicketId) {
-        let ledger = self.flows.entry(key).or_default();
-        assert!(ledger.line(seq).is_none(), "a request begins once in a ledger");
-        assert!(seq > ledger.floor, "a request at or below the floor never begins");
-        ledger.lines.push(Line {
-            seq,
-            state: State::Running(ticket),
-        });
+        self.write_new(key, seq, State::Running(ticket));
+    }
+
+    fn write_new(&mut self, key: FlowKey, seq: RequestSeq, state: State) {
+        let ledger = self.flows.get_mut(key).expect(LOOKED_UP);
+        assert!(ledger.line(seq).is_none(), "a request begins or is refused once");
+        assert!(seq > ledger.floor, "a request at or below the floor may have run");
+        ledger.lines.push(Line { seq, state });
     }
 
     /// Writes how a request ended. A request that has ended before keeps its first end.
@@ -175,34 +183,25 @@
         let ended = state.is_final();
         line.state = state;
         if ended {
-            self.ended.push_back(LineExpiry {
-                at: now + self.keep_answers,
-                key,
-                seq,
-            });
+            self.sink_later(key, seq, now);
         }
     }
 
-    /// Writes the final refusal of a request that never began.
+    /// Writes the final refusal of a request that never began. Only a [`Lookup::New`] may lead here.
     pub fn refuse(&mut self, key: FlowKey, seq: RequestSeq, reason: Reason, now: Time) {
-        let ledger = self.flows.entry(key).or_default();
-        assert!(
-            ledger.line(seq).is_none(),
-            "a request that is refused unbegun has no line"
-        );
-        assert!(seq > ledger.floor, "a request at or below the floor may have run");
-        let state = State::Refused(Verdict::NotRun, reason);
-        ledger.lines.push(Line { seq, state });
-        self.ended.push_back(LineExpiry {
-            at: now + self.keep_answers,
-            key,
-            seq,
-        });
+        self.write_new(key, seq, State::Refused(Verdict::NotRun, reason));
+        self.sink_later(key, seq, now);
+    }
+
+    /// Lets the line of a request that has ended sink when its answer needs to be kept no longer.
+    fn sink_later(&mut self, key: FlowKey, seq: RequestSeq, now: Time) {
+        let at = now + self.keep_answers;
+        self.ended.push_back(LineExpiry { at, key, seq });
     }
 
     /// The answer of a request, if it is held.
     pub fn answer(&self, key: FlowKey, seq: RequestSeq) -> Option<&Answer> {
-        let line = self.flows.get(&key)?.line(seq)?;
+        let line = self.get(key)?.line(seq)?;
         match &line.state {
             State::Answered(answer) => Some(answer),
             _ => None,
@@ -236,17 +235,8 @@
         }
         shrink(&mut self.ended);
         shrink(&mut self.answers);
-        while self.open.front().is_some_and(|expiry| expiry.at <= now) {
-            let Some(expiry) = self.open.pop_front() else {
-                break;
-            };
-            self.expire_flow(expiry.key, now);
-        }
-        while self.closed.front().is_some_and(|expiry| expiry.at <= now) {
-            let Some(expiry) = self.closed.pop_front() else {
-                break;
-            };
-            self.expire_flow(expiry.key, now);
+        while let Some(key) = self.flows.first_due(now) {
+            self.expire_flow(key, now);
         }
     }
 
@@ -259,7 +249,7 @@
             }
             self.answers.pop_front();
         }
-        let Some(ledger) = self.flows.get_mut(&expiry.key) else {
+        let Some(ledger) = self.flows.get_mut(expiry.key) else {
             return;
         };
         let ended = |line: &Line| line.seq == expiry.seq && line.state.is_final();
@@ -275,21 +265,21 @@
     }
 
     fn expire_flow(&mut self, key: FlowKey, now: Time) {
-        let Some(ledger) = self.flows.get(&key) else {
+        let Some(ledger) = self.flows.get(key) else {
             return;
         };
-        let running = ledger.lines.iter().any(|line| !line.state.is_final());
-        if ledger.keep_until > now || running {
-            let at = ledger.keep_until.max(now + RECHECK);
-            self.open.push_back(FlowExpiry { at, key });
-            return;
+        // What was in progress elsewhere has ended by now, and the word of that was lost.
+        let running = |line: &Line| matches!(line.state, State::Running(_));
+        if ledger.keep_until > now || ledger.lines.iter().any(running) {
+            let due = ledger.keep_until.max(now + RECHECK);
+            return self.flows.set_due(key, due);
         }
         self.remove(key);
     }
 
     /// Notes that the caller has closed a flow. Its ledger stays for as long as copies of its packets may be under way.
     pub fn close(&mut self, key: FlowKey, now: Time) {
-        let Some(ledger) = self.flows.get_mut(&key) else {
+        let Some(ledger) = self.flows.get_mut(key) else {
             return;
         };
         let keep_until = now + PACKET_LIFE;
@@ -297,11 +287,11 @@
             return;
         }
         ledger.keep_until = keep_until;
-        self.closed.push_back(FlowExpiry { at: keep_until, key });
+        self.flows.set_due(key, keep_until);
     }
 
     fn remove(&mut self, key: FlowKey) {
-        let Some(ledger) = self.flows.remove(&key) else {
+        let Some(ledger) = self.flows.remove(key) else {
             return;
         };
         for line in ledger.lines {
@@ -313,28 +303,21 @@
 
     /// Takes over a ledger and keeps it as if a request had just come. One that is already there is left alone.
     pub fn install(&mut self, key: FlowKey, mut ledger: Ledger, now: Time) {
-        if self.flows.contains_key(&key) {
+        if self.flows.contains(key) {
             return;
         }
         ledger.keep_until = now + self.keep_flows;
-        self.open.push_back(FlowExpiry {
-            at: ledger.keep_until,
-            key,
-        });
         for line in &ledger.lines {
             if let State::Answered(answer) = &line.state {
                 self.answer_bytes += answer.body.len() as u64;
                 self.answers.push_back((key, line.seq));
             }
             if line.state.is_final() {
-                self.ended.push_back(LineExpiry {
-                    at: now + self.keep_answers,
-                    key,
-                    seq: line.seq,
-                });
+                self.sink_later(key, line.seq, now);
             }
         }
-        self.flows.insert(key, ledger);
+        let due = ledger.keep_until;
+        self.flows.insert(key, ledger, due);
     }
 
     /// Lets a request that was in progress elsewhere begin here, because the other instance never ran it.
@@ -351,7 +334,7 @@
 
     /// The incarnation at which a request is in progress, if that is not this one.
     pub fn elsewhere_at(&self, key: FlowKey, seq: RequestSeq) -> Option<Incarnation> {
-        let line = self.flows.get(&key)?.line(seq)?;
+        let line = self.get(key)?.line(seq)?;
         match line.state {
             State::Elsewhere(incarnation) => Some(incarnation),
             _ => None,
@@ -361,10 +344,10 @@
     /// The requests that are in progress at another incarnation.
     pub fn elsewhere(&self, incarnation: Incarnation) -> Vec<(FlowKey, RequestSeq)> {
         let mut found = Vec::new();
-        for (key, ledger) in &self.flows {
+        for (key, ledger) in self.flows.iter() {
             for line in &ledger.lines {
                 if line.state == State::Elsewhere(incarnation) {
-                    found.push((*key, line.seq));
+                    found.push((key, line.seq));
                 }
             }
         }
@@ -374,19 +357,15 @@
 
     /// Takes all ledgers out, in a fixed order.
     pub fn take(&mut self) -> Vec<(FlowKey, Ledger)> {
-        let mut flows: Vec<_> = std::mem::take(&mut self.flows).into_iter().collect();
-        flows.sort_unstable_by_key(|(key, _)| *key);
-        self.open.clear();
-        self.closed.clear();
         self.ended.clear();
         self.answers.clear();
         self.answer_bytes = 0;
-        flows
+        self.flows.take()
     }
 }
 
-fn line_mut(flows: &mut HashMap<FlowKey, Ledger>, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
-    let ledger = flows.get_mut(&key)?;
+fn line_mut(flows: &mut Flows, key: FlowKey, seq: RequestSeq) -> Option<&mut Line> {
+    let ledger = flows.get_mut(key)?;
     ledger.lines.iter_mut().find(|line| line.seq == seq)
 }
 
