End the command line as usual when nobody reads its output

Cause: output to stderr went by eprintln!, which panics on a broken pipe: `jayquay nonsense 2>&1 | true` ended with 101 in place of 2. Output to stdout already passed over it.

Left: the scripts of `--bpaf-complete-style-*` are printed by bpaf itself, with print!, before the parser returns, and still panic. Resetting SIGPIPE was ruled out, as it needs unsafe code, and so was a panic hook.

--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -15,6 +15,7 @@
 use crate::exit::Report;
 use crate::experiment;
 use crate::load;
+use crate::output;
 use crate::stand_in;
 use crate::status;
 use crate::timeline;
@@ -62,7 +63,7 @@
         ParseFailure::Stdout(help, full) => format!("{}\n", help.monochrome(full)),
         ParseFailure::Completion(completion) => completion,
         ParseFailure::Stderr(message) => {
-            eprintln!("jayquay: {}", message.monochrome(true));
+            output::complain(&message.monochrome(true));
             return ExitCode::from(exit::BAD_USAGE);
         }
     };
--- a/crates/jayquay/src/exit.rs
+++ b/crates/jayquay/src/exit.rs
@@ -51,12 +51,12 @@
     let report = match result {
         Ok(report) => report,
         Err(error) => {
-            eprintln!("jayquay: {error}");
+            output::complain(&error.to_string());
             return ExitCode::from(REFUSED);
         }
     };
     if let Err(error) = output::print(&report.text) {
-        eprintln!("jayquay: stdout cannot be written: {error}");
+        output::complain(&format!("stdout cannot be written: {error}"));
         return ExitCode::from(REFUSED);
     }
     match report.outcome {
--- a/crates/jayquay/src/output.rs
+++ b/crates/jayquay/src/output.rs
@@ -1,4 +1,4 @@
-//! Writing results to stdout.
+//! Writing results to stdout, and errors and progress to stderr.
 
 use std::io;
 use std::io::Write;
@@ -15,6 +15,13 @@
     }
 }
 
+/// Writes a line to stderr after the program's name. Where nobody reads it, the exit code still tells.
+pub fn complain(text: &str) {
+    // One write, so that lines of processes that share the stream do not mix.
+    let line = format!("jayquay: {text}\n");
+    let _unread = io::stderr().write_all(line.as_bytes());
+}
+
 /// Writes an item as JSON for scripts, ending with a line feed.
 pub fn json<T: Serialize>(item: &T) -> String {
     let mut text = serde_json::to_string_pretty(item).expect("results hold only what has a JSON form");
