--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -10,7 +10,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use bpaf::Args;
 use bpaf::Bpaf;
+use bpaf::ParseFailure;
 use config::Settings;
 use env_logger::Env;
 use jayquayd::Addresses;
@@ -91,12 +93,15 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
+    let options = match options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return explain(failure),
+    };
     init_log();
     let settings = match read_settings(&options.settings) {
         Ok(settings) => settings,
         Err(text) => {
-            eprintln!("{text}");
+            complain(&text);
             return ExitCode::from(USAGE);
         }
     };
@@ -106,12 +111,32 @@
     match run(&settings) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("{error}");
+            complain(&error.to_string());
             ExitCode::from(FAILED)
         }
     }
 }
 
+/// Prints the help that the arguments ask for, or says what is wrong with them.
+fn explain(failure: ParseFailure) -> ExitCode {
+    let text = match failure {
+        ParseFailure::Stdout(help, full) => help.monochrome(full),
+        ParseFailure::Completion(completion) => completion,
+        ParseFailure::Stderr(message) => {
+            complain(&message.monochrome(true));
+            return ExitCode::from(USAGE);
+        }
+    };
+    // A reader that has gone, as `head` does, is no failure.
+    let _unread = writeln!(io::stdout(), "{text}");
+    ExitCode::SUCCESS
+}
+
+/// Writes a line to stderr. Where nobody reads it, the exit code still tells.
+fn complain(text: &str) {
+    let _unread = writeln!(io::stderr(), "{text}");
+}
+
 /// Each line begins with the name of its part, so that the module's path is left out.
 fn init_log() {
     let env = Env::default().default_filter_or("info");
--- a/crates/jayquayd/tests/process.rs
+++ b/crates/jayquayd/tests/process.rs
@@ -95,3 +95,22 @@
     let output = command(&example).arg("--check").output().unwrap();
     assert_eq!(output.status.code(), Some(0));
 }
+
+#[test]
+fn a_wrong_command_line_is_bad_usage() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jayquayd"));
+    let output = command.arg("--no-such-option").output().unwrap();
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    assert!(errors.contains("--no-such-option"), "{errors}");
+}
+
+#[test]
+fn help_that_nobody_reads_is_no_failure() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jayquayd"));
+    let output = command.arg("--help").stdout(writer).output().unwrap();
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(0), "{errors}");
+}
