Miss no instance that left as planned in the status

Cause: the entry of an instance that ended by a planned stop stands on the platform's list, marked leaving, until its lease lapses (90 s). `jayquay status` told of each as not reached and ended with 1 meanwhile, so that after a replacement of all instances the check could not pass for a minute and a half.

An instance that tells nothing and is marked leaving is shown as such and is no finding. If the others disagree on it, that is told as before. Deleting the lease at the end was ruled out: the platform's interface has no delete, and a lapsed lease keeps its version on purpose.

By hand before: 9 instances replaced one after the other, status 1 with one finding for each.

--- a/crates/jayquay/src/status.rs
+++ b/crates/jayquay/src/status.rs
@@ -68,6 +68,8 @@
 struct Target {
     name: Option<InstanceName>,
     address: Option<SocketAddr>,
+    /// The platform's list says that it is on a planned stop.
+    is_leaving: bool,
 }
 
 /// Asks the platform and the instances.
@@ -145,20 +147,28 @@
         targets.push(Target {
             name: None,
             address: Some(address),
+            is_leaving: false,
         });
     }
     for entry in listed {
-        let Listed::Entry { name, admin, .. } = entry else {
+        let Listed::Entry {
+            name, admin, leaving, ..
+        } = entry
+        else {
             continue;
         };
         let known = targets
             .iter_mut()
             .find(|target| admin.is_some() && target.address == admin);
         match known {
-            Some(target) => target.name = Some(name),
+            Some(target) => {
+                target.name = Some(name);
+                target.is_leaving = leaving;
+            }
             None => targets.push(Target {
                 name: Some(name),
                 address: admin,
+                is_leaving: leaving,
             }),
         }
     }
@@ -184,13 +194,18 @@
 }
 
 async fn ask_one(asker: Asker, target: Target) -> Asked {
-    let Target { name, address } = target;
+    let Target {
+        name,
+        address,
+        is_leaving,
+    } = target;
     let answer = match address {
         Some(address) => report(&asker, address).await,
         None => Err(Silence::NoAddress),
     };
     let answer = match (answer, &name) {
         (Ok(report), Some(name)) if report.node.name != *name => Err(Silence::Another(report.node.name)),
+        (Err(Silence::Unreachable(_) | Silence::NoAddress), _) if is_leaving => Err(Silence::Left),
         (answer, _) => answer,
     };
     Asked { name, address, answer }
--- a/crates/jayquay/tests/observe.rs
+++ b/crates/jayquay/tests/observe.rs
@@ -72,6 +72,17 @@
     assert!(text.contains("it cannot be reached"), "{text}");
 }
 
+#[test]
+fn an_instance_that_left_as_planned_is_not_missed() {
+    let mut fleet = Fleet::start("left");
+    fleet.replace_oldest();
+    let all = admins(&fleet);
+    // The entry of the one that left stands on the platform's list for longer than this waits.
+    wait_for("all is as approved", || status(&fleet, &all).0 == Some(0));
+    let (_, text) = status(&fleet, &all);
+    assert!(text.contains("entry-1   -"), "{text}");
+}
+
 #[test]
 fn a_request_is_followed_over_all_instances_and_gaps_are_shown() {
     let mut fleet = Fleet::start("timeline");
--- a/crates/observe/src/status.rs
+++ b/crates/observe/src/status.rs
@@ -50,6 +50,8 @@
     NoAddress,
     /// It did not answer.
     Unreachable(String),
+    /// It told nothing, and the platform's list says that it is on a planned stop.
+    Left,
     /// Its answer could not be read.
     Unreadable(String),
     /// At the address that it gave, another instance answered.
@@ -61,6 +63,7 @@
         match self {
             Self::NoAddress => f.write_str("no admin address is known"),
             Self::Unreachable(cause) => write!(f, "it cannot be reached: {cause}"),
+            Self::Left => f.write_str("it leaves, or has left, as planned"),
             Self::Another(name) => write!(f, "{name} answers at its admin address"),
             Self::Unreadable(cause) => write!(f, "its answer cannot be read: {cause}"),
         }
--- a/crates/observe/src/status/finding.rs
+++ b/crates/observe/src/status/finding.rs
@@ -143,12 +143,17 @@
 
     fn find_silent(&self, findings: &mut Vec<Finding>) {
         for asked in &self.instances {
-            if let Err(silence) = &asked.answer {
-                findings.push(Finding::Silent {
-                    instance: asked.label(),
-                    silence: silence.clone(),
-                });
+            let Err(silence) = &asked.answer else {
+                continue;
+            };
+            // Its entry stands on the list until it lapses, and is no fault meanwhile.
+            if *silence == Silence::Left {
+                continue;
             }
+            findings.push(Finding::Silent {
+                instance: asked.label(),
+                silence: silence.clone(),
+            });
         }
     }
 
--- a/crates/observe/tests/status.rs
+++ b/crates/observe/tests/status.rs
@@ -113,6 +113,9 @@
     silent.instances[2].name = Some("entry-3".parse().expect("a name"));
     silent.instances[2].answer = Err(Silence::Unreachable("connection refused".to_owned()));
     assert_snapshot!(check(&silent), @"entry-3: it cannot be reached: connection refused");
+    silent.instances[2].answer = Err(Silence::Unreadable("no JSON".to_owned()));
+    assert_snapshot!(check(&silent), @"entry-3: its answer cannot be read: no JSON");
+    silent.instances[2].answer = Err(Silence::Unreachable("connection refused".to_owned()));
     silent.instances[2].name = None;
     assert_snapshot!(check(&silent), @r"
     127.0.0.1:3: it cannot be reached: connection refused
@@ -122,6 +125,25 @@
     assert_snapshot!(check(&silent), @"entry-3 is seen as alive (incarnation 3) by entry-1, entry-2");
 }
 
+#[test]
+fn an_instance_that_left_as_planned_is_not_missed() {
+    let mut left = fleet(&[
+        (1, "/node/members/2/state", json!("Dead")),
+        (2, "/node/members/2/state", json!("Dead")),
+    ]);
+    left.instances[2].name = Some("entry-3".parse().expect("a name"));
+    left.instances[2].answer = Err(Silence::Left);
+    assert_snapshot!(check(&left), @"");
+    assert!(
+        left.to_string()
+            .contains("entry-3   -      it leaves, or has left, as planned")
+    );
+    // Its planned stop does not hide that the others disagree on it.
+    let mut disputed = fleet(&[(1, "/node/members/2/state", json!("Dead"))]);
+    disputed.instances[2].answer = Err(Silence::Left);
+    assert_snapshot!(check(&disputed), @"entry-3 is seen as alive (incarnation 3) by entry-2; dead by entry-1");
+}
+
 #[test]
 fn silent_instances_are_told_from_their_zones_summary() {
     let mut silent = fleet(&[]);
