Hold that instances which start together meet, though the list lags

Three instances in three zones that read the list before any stands on it stayed apart for a minute, each home of everything; the demo failed of it once.

--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod fleet;
 mod limits;
+mod meeting;
 mod outage;
 
 use std::sync::atomic::AtomicBool;
--- /dev/null
+++ b/crates/jayquayd/tests/whole/meeting.rs
@@ -0,0 +1,27 @@
+//! Instances that start together, before any of them stands on the platform's list.
+
+use standin::platform::Behaviour;
+use units::Millis;
+
+use crate::fleet::Fleet;
+use crate::fleet::until;
+
+#[tokio::test]
+async fn instances_that_start_together_meet_though_the_list_lags() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    let lagging = Behaviour {
+        list_lag: Millis(3_000),
+        ..Behaviour::default()
+    };
+    fleet.platform.behave(lagging).await;
+    // Each is alone in its zone, so that no watcher finds the others in its zone's list.
+    for (name, zone) in [("one", "zone-a"), ("two", "zone-b"), ("three", "zone-c")] {
+        let mut settings = fleet.settings(name, "a");
+        settings.zone = zone.parse().unwrap();
+        fleet.instances.push(jayquayd::start(&settings, None).await.unwrap());
+    }
+    for handle in &fleet.instances {
+        until(async || handle.status().await.is_some_and(|status| status.members.len() == 3)).await;
+    }
+}
