--- a/crates/jayquay/tests/experiment.rs
+++ b/crates/jayquay/tests/experiment.rs
@@ -55,7 +55,7 @@
     ");
     assert_snapshot!(check(&["--metric", "speed"]), @r"
     jayquay: couldn't parse `speed`: not one of: offered/s, weight/s, missed%, overload%, refused%, failed%,
-    max/mean, cv, long m/m, p50 ms, p99 ms, p999 ms, recov s, calls x
+    max/mean, cv, long m/m, local%, p50 ms, p99 ms, p999 ms, recov s, calls x
     exit 2
     ");
     assert_snapshot!(check(&["--load", "0"]), @r"
