--- a/crates/experiment/src/error.rs
+++ b/crates/experiment/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::scenario::Scenario;
+
 /// Why an experiment could not be run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -23,7 +25,10 @@
             Self::Yaml(text) => write!(f, "the deployment cannot be read: {text}"),
             Self::Name(error) => write!(f, "the deployment has a bad name: {error}"),
             Self::Missing(what) => write!(f, "there are no {what}"),
-            Self::Scenario(name) => write!(f, "no scenario is called {name}"),
+            Self::Scenario(name) => {
+                let known = Scenario::ALL.map(Scenario::as_str).join(", ");
+                write!(f, "no scenario is called {name}; there are: {known}")
+            }
             Self::Plot(text) => write!(f, "the plot cannot be drawn: {text}"),
         }
     }
--- a/crates/jayquay/tests/experiment.rs
+++ b/crates/jayquay/tests/experiment.rs
@@ -48,6 +48,12 @@
     jayquay: the deployment nowhere.yaml cannot be read: No such file or directory (os error 2)
     exit 1
     ");
+    assert_snapshot!(shown(&["experiment", "verblijfnet", "--scenario", "worst"]), @r"
+    jayquay: couldn't parse `worst`: no scenario is called worst; there are: calm, busy, overload, flood,
+    some-fail, all-fail, say-unhealthy, say-healthy, cold, slow, zone-loss, pinned, two-homes,
+    frozen-home
+    exit 2
+    ");
     assert_snapshot!(check(&["--rule", "best"]), @r"
     jayquay: couldn't parse `best`: not one of: pool, random, rendezvous, two-choices, least-own, bound-fifo,
     bound-valued
