--- a/crates/tidy/tests/pages.rs
+++ b/crates/tidy/tests/pages.rs
@@ -14,8 +14,10 @@
 /// The names of all pages.
 fn pages() -> Vec<String> {
     let folder = fs::read_dir(root().join("docs")).unwrap();
-    let names = folder.map(|entry| entry.unwrap().file_name().into_string().unwrap());
-    names.filter(|name| name.ends_with(".md")).collect()
+    let paths = folder.map(|entry| entry.unwrap().path());
+    let pages = paths.filter(|path| path.extension().is_some_and(|extension| extension == "md"));
+    let names = pages.map(|path| path.file_name().unwrap().to_owned());
+    names.map(|name| name.into_string().unwrap()).collect()
 }
 
 fn text(path: &str) -> String {
