Say not run when a deadline passes before a call's connection is made

Cause: one timeout lay around connecting and exchanging, so a call whose deadline passed while the upstream's address did not answer ended as TimedOut, which is may have run, though not a byte of the request had been sent. The node then refused a request that is not idempotent with may have run.

Ruled out: a layer around reqwest's connector that notes when a connection comes about. It has no way to tell which call it connects for but a task-local. A new result in the node's contract would let the health of upstreams leave such ends out of account; it is not needed for the verdict.

Change: a call connects by itself, for at most a second and no longer than its deadline, and then speaks HTTP by hyper on that connection (already in the tree, below reqwest and axum). Whatever fails before the connection stands is Unreachable, whatever fails after it is not. The two tests with an address that does not answer share what fills its queue.

Not covered: the node's own tick may give a call up as in doubt before this result has come.

--- a/crates/jayquayd/src/poll.rs
+++ b/crates/jayquayd/src/poll.rs
@@ -6,6 +6,7 @@
 use node::PollError;
 use node::Report;
 use reqwest::Client;
+use reqwest::Response;
 use reqwest::StatusCode;
 use reqwest::redirect::Policy;
 use reqwest::retry;
@@ -14,8 +15,6 @@
 use units::Incarnation;
 use units::Slots;
 
-use crate::upstreams::body;
-
 /// How long a report may take.
 const POLL_TIME: Duration = Duration::from_millis(500);
 /// The longest report, in bytes.
@@ -70,3 +69,15 @@
     let bytes = body(response, MAX_REPORT_LEN).await.ok_or(PollError)?;
     serde_json::from_slice(&bytes).map_err(|_| PollError)
 }
+
+/// Reads a body, unless it is cut off or longer than `max_len`.
+async fn body(mut response: Response, max_len: usize) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if bytes.len() + chunk.len() > max_len {
+            return None;
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Some(bytes)
+}
--- a/crates/jayquayd/src/upstreams.rs
+++ b/crates/jayquayd/src/upstreams.rs
@@ -2,26 +2,36 @@
 //!
 //! This part never retries. It tells the node exactly what is known of a call: `Unreachable` only when no
 //! connection came about, so that no byte of the request was sent. Therefore every call has a connection of its
-//! own: on a pooled one, a request that failed might or might not have been sent.
+//! own, made before the request is handed over: on a pooled one, a request that failed might or might not have been
+//! sent.
 
 use std::collections::HashMap;
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::http;
+use hyper_util::rt::TokioIo;
 use node::Call;
 use node::CallId;
 use node::CallResult;
 use node::Event;
 use reqwest::Client;
-use reqwest::RequestBuilder;
-use reqwest::Response;
-use reqwest::StatusCode;
-use reqwest::redirect::Policy;
-use reqwest::retry;
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use units::Incarnation;
 use units::InstanceName;
 use units::Millis;
@@ -63,7 +73,7 @@
     /// Calls in the name of this life of an instance.
     pub fn new(name: InstanceName, incarnation: Incarnation, intake: Intake) -> reqwest::Result<Self> {
         Ok(Self {
-            caller: Caller::new(name, incarnation)?,
+            caller: Caller::new(name, incarnation),
             polls: poll::client()?,
             running: HashMap::new(),
             tasks: JoinSet::new(),
@@ -126,64 +136,84 @@
 /// Makes single calls.
 #[derive(Debug, Clone)]
 pub struct Caller {
-    client: Client,
     name: InstanceName,
     incarnation: Incarnation,
 }
 
 impl Caller {
     /// Calls in the name of this life of an instance.
-    pub fn new(name: InstanceName, incarnation: Incarnation) -> reqwest::Result<Self> {
-        let client = Client::builder()
-            .no_proxy()
-            .redirect(Policy::none())
-            .retry(retry::never())
-            .referer(false)
-            .http1_only()
-            .tcp_nodelay(true)
-            .pool_max_idle_per_host(0)
-            .connect_timeout(CONNECT_TIME)
-            .build()?;
-        Ok(Self {
-            client,
-            name,
-            incarnation,
-        })
+    pub fn new(name: InstanceName, incarnation: Incarnation) -> Self {
+        Self { name, incarnation }
     }
 
     /// Makes a call. Dropping the future closes the connection.
     pub async fn call(&self, call: &Call) -> CallResult {
         let began = Instant::now();
-        let result = tokio::time::timeout(call.timeout, self.exchange(call)).await;
-        let result = result.unwrap_or(CallResult::TimedOut);
+        let result = self.call_within(call, began + call.timeout).await;
         metric::calls(label(&result)).increment(1);
         metric::call_seconds().record(began.elapsed());
         result
     }
 
-    async fn exchange(&self, call: &Call) -> CallResult {
+    async fn call_within(&self, call: &Call, deadline: Instant) -> CallResult {
+        // Connecting has a time of its own, because a deadline that passes meanwhile leaves nothing in doubt.
+        let connecting = tokio::time::timeout(CONNECT_TIME.min(call.timeout), connect(call.address));
+        let Ok(Ok(stream)) = connecting.await else {
+            return CallResult::Unreachable;
+        };
+        let exchange = tokio::time::timeout_at(deadline, self.exchange(call, stream)).await;
+        exchange.unwrap_or(CallResult::TimedOut)
+    }
+
+    async fn exchange(&self, call: &Call, stream: TcpStream) -> CallResult {
         let names = Names::new(call, &self.name, self.incarnation);
-        let request = self.request(call, &names);
-        let response = match request.send().await {
-            Ok(response) => response,
-            Err(error) => return unsent(&error),
+        let Ok(request) = request(call, &names) else {
+            return CallResult::Failed;
         };
-        match response.status() {
-            StatusCode::OK => answer(response, &names).await,
-            StatusCode::SERVICE_UNAVAILABLE => refusal(&response, &names),
-            _ => CallResult::Failed,
+        let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
+            Ok(halves) => halves,
+            Err(error) => return failed(&error),
+        };
+        let answer = async {
+            match sender.send_request(request).await {
+                Ok(response) => judge(response, &names).await,
+                Err(error) => failed(&error),
+            }
+        };
+        // What had arrived when the connection ended is still read, so its end ends nothing here.
+        let driven = async {
+            let _ended = connection.await;
+            std::future::pending().await
+        };
+        tokio::select! {
+            result = answer => result,
+            result = driven => result,
         }
     }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn request(call: &Call, names: &Names) -> http::Result<Request<Full<Bytes>>> {
+    Request::post("/run")
+        .header(HOST, call.address.to_string())
+        .header(REQUEST_HEADER, &names.request)
+        .header(CALL_HEADER, &names.call)
+        .header(SERVICE_HEADER, call.service.as_str())
+        .header(KIND_HEADER, call.kind.as_str())
+        .header(TIMEOUT_HEADER, Millis::from(call.timeout).0)
+        .body(Full::from(call.body.clone()))
+}
 
-    fn request(&self, call: &Call, names: &Names) -> RequestBuilder {
-        self.client
-            .post(format!("http://{}/run", call.address))
-            .header(REQUEST_HEADER, &names.request)
-            .header(CALL_HEADER, &names.call)
-            .header(SERVICE_HEADER, call.service.as_str())
-            .header(KIND_HEADER, call.kind.as_str())
-            .header(TIMEOUT_HEADER, Millis::from(call.timeout).0)
-            .body(call.body.clone())
+async fn judge(response: Response<Incoming>, names: &Names) -> CallResult {
+    match response.status() {
+        StatusCode::OK => answer(response, names).await,
+        StatusCode::SERVICE_UNAVAILABLE => refusal(&response, names),
+        _ => CallResult::Failed,
     }
 }
 
@@ -201,31 +231,28 @@
         }
     }
 
-    fn repeated_by(&self, response: &Response) -> bool {
+    fn repeated_by(&self, response: &Response<Incoming>) -> bool {
         header(response, REQUEST_HEADER) == Some(&self.request) && header(response, CALL_HEADER) == Some(&self.call)
     }
 
     /// Whether the response names another request or call. One that names none is not contradicted.
-    fn contradicted_by(&self, response: &Response) -> bool {
+    fn contradicted_by(&self, response: &Response<Incoming>) -> bool {
         let differs = |name, own: &str| header(response, name).is_some_and(|value| value != own);
         differs(REQUEST_HEADER, &self.request) || differs(CALL_HEADER, &self.call)
     }
 }
 
-fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+fn header<'a>(response: &'a Response<Incoming>, name: &str) -> Option<&'a str> {
     response.headers().get(name)?.to_str().ok()
 }
 
-/// Tells a request that was surely not sent from one that may have been.
-fn unsent(error: &reqwest::Error) -> CallResult {
-    if error.is_connect() {
-        return CallResult::Unreachable;
-    }
+/// The call failed on its connection, and the request may have been sent.
+fn failed(error: &hyper::Error) -> CallResult {
     log::debug!("upstreams: a call failed: {error}, {:?}", error.source());
     CallResult::Failed
 }
 
-fn refusal(response: &Response, names: &Names) -> CallResult {
+fn refusal(response: &Response<Incoming>, names: &Names) -> CallResult {
     if names.contradicted_by(response) {
         return CallResult::Mismatched;
     }
@@ -236,30 +263,15 @@
     }
 }
 
-async fn answer(response: Response, names: &Names) -> CallResult {
+async fn answer(response: Response<Incoming>, names: &Names) -> CallResult {
     if !names.repeated_by(&response) {
         return CallResult::Mismatched;
     }
-    match body(response, MAX_ANSWER_LEN).await {
-        Some(bytes) => CallResult::Answered(bytes),
-        None => CallResult::Mismatched,
-    }
-}
-
-/// Reads a body, unless it is cut off or longer than `max_len`.
-pub(crate) async fn body(mut response: Response, max_len: usize) -> Option<Vec<u8>> {
-    let claimed = usize::try_from(response.content_length().unwrap_or(0)).unwrap_or(usize::MAX);
-    if claimed > max_len {
-        return None;
-    }
-    let mut bytes = Vec::new();
-    while let Some(chunk) = response.chunk().await.ok()? {
-        if bytes.len() + chunk.len() > max_len {
-            return None;
-        }
-        bytes.extend_from_slice(&chunk);
+    // A body that is cut off or too long is none.
+    match Limited::new(response.into_body(), MAX_ANSWER_LEN).collect().await {
+        Ok(body) => CallResult::Answered(body.to_bytes().into()),
+        Err(_) => CallResult::Mismatched,
     }
-    Some(bytes)
 }
 
 fn label(result: &CallResult) -> &'static str {
--- a/crates/jayquayd/tests/upstreams.rs
+++ b/crates/jayquayd/tests/upstreams.rs
@@ -1,6 +1,7 @@
 //! Calls to an upstream that answers as a case tells, byte for byte.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use jayquayd::intake::Input;
@@ -40,7 +41,7 @@
 }
 
 fn caller() -> Caller {
-    Caller::new("entry-1".parse().unwrap(), Incarnation(9)).unwrap()
+    Caller::new("entry-1".parse().unwrap(), Incarnation(9))
 }
 
 async fn read_request(stream: &mut TcpStream) -> String {
@@ -220,21 +221,36 @@
     server.await.unwrap();
 }
 
-#[tokio::test]
-async fn a_connection_that_takes_too_long_is_unreachable() {
+/// A listener that nobody takes connections from, and those that fill its queue, so that the system answers no other.
+async fn unanswering() -> (TcpListener, Vec<Pin<Box<impl Future>>>) {
     let socket = TcpSocket::new_v4().unwrap();
     socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = socket.local_addr().unwrap();
-    // Nobody takes connections here, and once the queue is full the system answers none.
     let listener = socket.listen(1).unwrap();
     let mut waiting = Vec::new();
+    let mut is_full = false;
     for _ in 0..8 {
         let mut stream = Box::pin(TcpStream::connect(address));
         let polled = tokio::time::timeout(Duration::from_millis(20), &mut stream).await;
-        waiting.push((stream, polled.is_ok()));
+        is_full = polled.is_err();
+        waiting.push(stream);
     }
-    assert!(!waiting[7].1, "the queue never filled");
+    assert!(is_full, "the queue never filled");
+    (listener, waiting)
+}
+
+#[tokio::test]
+async fn a_connection_that_takes_too_long_is_unreachable() {
+    let (listener, _waiting) = unanswering().await;
+    let address = listener.local_addr().unwrap();
     let result = caller().call(&call(address, PATIENCE)).await;
     assert_eq!(result, CallResult::Unreachable);
-    drop(listener);
+}
+
+#[tokio::test]
+async fn a_deadline_that_passes_while_connecting_leaves_nothing_in_doubt() {
+    let (listener, _waiting) = unanswering().await;
+    let address = listener.local_addr().unwrap();
+    let result = caller().call(&call(address, Duration::from_millis(100))).await;
+    assert_eq!(result, CallResult::Unreachable);
 }
