Bound what is read of the platform's answers

Cause: answers of the platform were read whole, whatever their length, and so were the explanations of refusals, which go into logs as they are. A platform, or whatever stands at its address, could make an instance of 128 MB hold as much as arrives within two seconds.

Change: at most 8 MiB of an answer are taken (an object of the longest value fits with all of its text escaped), for a history so much for each revision, and 4 KiB of an explanation. A longer answer to a read is Malformed; to a write it leaves the write in doubt, since the status alone does not name the revision. What a read needs is a type of its own now.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -52,6 +52,35 @@
     }
 }
 
+/// The longest answer that is read, in bytes: an object with the longest value, all of it escaped, or a long list.
+pub(crate) const MAX_ANSWER_LEN: usize = 8 * 1_024 * 1_024;
+
+/// The longest explanation of a refusal that is kept, in bytes.
+const MAX_EXPLANATION_LEN: usize = 4 * 1_024;
+
+/// One read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Read<'a> {
+    pub(crate) path: &'a str,
+    /// How long the platform may wait for something newer.
+    pub(crate) wait: Duration,
+    /// What still has this tag is not sent.
+    pub(crate) tag: Option<&'a str>,
+    /// The longest answer that is taken, in bytes.
+    pub(crate) max_len: usize,
+}
+
+impl<'a> Read<'a> {
+    pub(crate) fn new(path: &'a str) -> Self {
+        Self {
+            path,
+            wait: Duration::ZERO,
+            tag: None,
+            max_len: MAX_ANSWER_LEN,
+        }
+    }
+}
+
 /// What was read, and the tag by which a later read tells whether it has changed.
 #[derive(Debug)]
 pub(crate) struct Tagged<T> {
@@ -95,23 +124,22 @@
 
     /// Reads what lies at a path. `None` if nothing does, or if nothing newer came within `wait`.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<Option<T>, Error> {
-        let found = self.get_unless(path, wait, None).await?;
+        let read = Read {
+            wait,
+            ..Read::new(path)
+        };
+        let found = self.read(read).await?;
         Ok(found.map(|found| found.value))
     }
 
-    /// Reads what lies at a path, unless it still has this tag.
-    pub(crate) async fn get_unless<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        wait: Duration,
-        tag: Option<&str>,
-    ) -> Result<Option<Tagged<T>>, Error> {
+    /// Reads what lies at a path. `None` if nothing does, if nothing newer came in time, or if it still has the tag.
+    pub(crate) async fn read<T: DeserializeOwned>(&self, read: Read<'_>) -> Result<Option<Tagged<T>>, Error> {
         let mut cause = "no address is set".to_owned();
         let first = self.in_use.load(Ordering::Relaxed);
         for offset in 0..self.options.addresses.len() {
             let index = first.wrapping_add(offset);
-            let mut request = self.request(Method::GET, index, path, wait);
-            if let Some(tag) = tag {
+            let mut request = self.request(Method::GET, index, read.path, read.wait);
+            if let Some(tag) = read.tag {
                 request = request.header(IF_NONE_MATCH, tag);
             }
             let response = match request.send().await {
@@ -135,15 +163,15 @@
             }
             let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
             let tag = tag.map(str::to_owned);
-            let bytes = match response.bytes().await {
-                Ok(bytes) => bytes,
+            let body = match body(response, read.max_len).await {
+                Ok(body) => body,
                 Err(error) => {
                     cause = describe(&error);
                     continue;
                 }
             };
             self.in_use.store(index, Ordering::Relaxed);
-            let value = parse(&bytes)?;
+            let value = parse(&body)?;
             return Ok(Some(Tagged { value, tag }));
         }
         Err(Error::Unavailable(cause))
@@ -196,14 +224,14 @@
 async fn written(response: Response) -> Result<Revision, Error> {
     let status = response.status();
     if status.is_success() {
-        let bytes = response.bytes().await.map_err(|error| in_doubt(&error))?;
-        let written: Written = parse(&bytes).map_err(|error| Error::InDoubt(error.to_string()))?;
+        let body = body(response, MAX_ANSWER_LEN).await.map_err(|error| in_doubt(&error))?;
+        let written: Written = parse(&body).map_err(|error| Error::InDoubt(error.to_string()))?;
         return Ok(written.version);
     }
     if status == StatusCode::PRECONDITION_FAILED {
         // The status alone says that the write lost. Who won is a courtesy that may be missing.
-        let bytes = response.bytes().await.unwrap_or_default();
-        let current: Option<Object> = parse(&bytes).unwrap_or_default();
+        let current = body(response, MAX_ANSWER_LEN).await.ok();
+        let current: Option<Object> = current.and_then(|body| parse(&body).ok()).flatten();
         return Err(Error::Conflict {
             current: current.map(Box::new),
         });
@@ -216,12 +244,38 @@
 
 async fn rejected(response: Response) -> Error {
     let status = response.status().as_u16();
-    let text = response.text().await.unwrap_or_default();
+    let body = body(response, MAX_EXPLANATION_LEN).await.unwrap_or_default();
+    let text = String::from_utf8_lossy(&body.bytes).into_owned();
     Error::Rejected { status, text }
 }
 
-fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(bytes).map_err(|error| Error::Malformed(error.to_string()))
+/// What was read of a body.
+#[derive(Debug, Default)]
+struct Body {
+    bytes: Vec<u8>,
+    /// Whether there was more than may be read.
+    is_cut: bool,
+}
+
+/// Reads at most `max_len` bytes of a body, whatever length it claims.
+async fn body(mut response: Response, max_len: usize) -> reqwest::Result<Body> {
+    let mut body = Body::default();
+    while let Some(chunk) = response.chunk().await? {
+        let room = max_len - body.bytes.len();
+        body.bytes.extend_from_slice(&chunk[..chunk.len().min(room)]);
+        if chunk.len() > room {
+            body.is_cut = true;
+            break;
+        }
+    }
+    Ok(body)
+}
+
+fn parse<T: DeserializeOwned>(body: &Body) -> Result<T, Error> {
+    if body.is_cut {
+        return Err(Error::Malformed(format!("longer than {} bytes", body.bytes.len())));
+    }
+    serde_json::from_slice(&body.bytes).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 fn in_doubt(error: &reqwest::Error) -> Error {
--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -16,6 +16,8 @@
 use crate::api::Key;
 use crate::api::Object;
 use crate::api::Put;
+use crate::client::MAX_ANSWER_LEN;
+use crate::client::Read;
 
 /// How long to wait before a watch that ended early is begun again.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
@@ -145,8 +147,12 @@
     pub async fn history(&self, limit: u32) -> Result<Vec<Document>, Error> {
         let path = Key::document().path();
         let path = format!("{path}?{}={limit}", api::HISTORY);
-        let history: Option<History> = self.get(&path, Duration::ZERO).await?;
-        let versions = history.map(|history| history.versions).unwrap_or_default();
+        let read = Read {
+            max_len: MAX_ANSWER_LEN.saturating_mul(limit as usize),
+            ..Read::new(&path)
+        };
+        let history = self.read::<History>(read).await?;
+        let versions = history.map(|history| history.value.versions).unwrap_or_default();
         versions.into_iter().map(|object| document(object, false)).collect()
     }
 
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,7 +1,5 @@
 //! The platform's list of live and leaving instances and upstreams, or a part of it. It lags.
 
-use std::time::Duration;
-
 use node::Listed;
 use units::ZoneName;
 
@@ -9,6 +7,7 @@
 use crate::Error;
 use crate::api;
 use crate::api::Listing;
+use crate::client::Read;
 
 /// Which part of the list is read.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -69,10 +68,11 @@
     /// Reads a part of the list again, and tells whether there may be something new. What has not changed is not sent.
     pub async fn refresh(&self, list: &mut List) -> Result<bool, Error> {
         let path = list.scope.path();
-        let found = self
-            .get_unless::<Listing>(&path, Duration::ZERO, list.tag.as_deref())
-            .await?;
-        let Some(found) = found else {
+        let read = Read {
+            tag: list.tag.as_deref(),
+            ..Read::new(&path)
+        };
+        let Some(found) = self.read::<Listing>(read).await? else {
             return Ok(false);
         };
         list.tag = found.tag;
--- a/crates/platform/tests/answers.rs
+++ b/crates/platform/tests/answers.rs
@@ -19,6 +19,9 @@
 use units::Nonce;
 use units::Revision;
 
+/// Longer than any answer that is taken, in bytes.
+const LONG: usize = 9 * 1_024 * 1_024;
+
 /// A server that gives this answer to whatever it is asked, an empty one being a closed connection.
 async fn canned(answer: String, tasks: &mut JoinSet<()>) -> SocketAddr {
     counted(answer, tasks).await.0
@@ -131,6 +134,50 @@
     .await;
 }
 
+/// A server that gives a long answer to one request, even if nobody reads it to its end.
+async fn long(status: &str, body: &str, tasks: &mut JoinSet<()>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    let address = listener.local_addr().expect("bound");
+    // The length is not told, so that only reading finds it out.
+    let answer = format!(
+        "HTTP/1.1 {status}\r\nconnection: close\r\n\r\n{body}{}",
+        " ".repeat(LONG)
+    );
+    tasks.spawn(async move {
+        let (mut connection, _from) = listener.accept().await.expect("loopback works");
+        let mut seen = Vec::new();
+        while !is_whole(&seen) {
+            connection.read_buf(&mut seen).await.expect("the client sends");
+        }
+        let _hung_up = connection.write_all(answer.as_bytes()).await;
+    });
+    address
+}
+
+#[tokio::test]
+async fn no_more_than_a_bound_is_read_of_an_answer() {
+    let mut tasks = JoinSet::new();
+    let object = r#"{"version": 1, "nonce": 1, "writer": "ann", "written_at": 0, "value": "text"}"#;
+    let address = long("200 OK", object, &mut tasks).await;
+    let read = Client::new(Options::new(vec![address])).document().await;
+    assert_eq!(read.map_err(|error| kind(&error)), Err("malformed"));
+    let address = long("200 OK", object, &mut tasks).await;
+    let write = Write {
+        base: Revision(0),
+        text: "text".to_owned(),
+        writer: "ann".to_owned(),
+        nonce: Nonce(1),
+    };
+    let written = Client::new(Options::new(vec![address])).write(&write).await;
+    assert_eq!(written.map_err(|error| kind(&error)), Err("in doubt"));
+    let address = long("400 Bad", "no", &mut tasks).await;
+    let refused = Client::new(Options::new(vec![address])).document().await;
+    let Err(Error::Rejected { text, .. }) = refused else {
+        panic!("the read was not rejected");
+    };
+    assert!(text.starts_with("no") && text.len() < 10_000, "{} bytes", text.len());
+}
+
 #[tokio::test]
 async fn a_watch_that_ends_early_is_not_begun_again_in_a_tight_loop() {
     let old = r#"{"version": 2, "nonce": 1, "writer": "ann", "written_at": 0, "value": "old"}"#;
