Apply a draft to its end when the browser hangs up

Cause: the handler that applies a draft is dropped when the browser closes its connection, wherever it stands. A write that had been sent could take effect, while the console's draft stayed at the revision before it: its author, who tried again, was told that he had lost a race.

Change: the draft is applied by a task of its own, which holds the session until the end is known.

--- a/crates/console/src/routes.rs
+++ b/crates/console/src/routes.rs
@@ -11,6 +11,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::extract::Path;
 use axum::extract::State;
+use axum::http::StatusCode;
 use axum::middleware;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -156,17 +157,25 @@
     Ok(())
 }
 
-/// Applies the draft. The session stays locked, so that what is applied is what was shown.
+/// Applies the draft, to its end even if the browser hangs up: a write that is cut off could take effect all the
+/// same, and its author would then be told that somebody else came first.
 async fn apply_draft(State(console): Shared, posted: Posted) -> Response {
+    let applying = tokio::spawn(async move { apply_locked(&console, &posted).await });
+    let applied = applying.await;
+    applied.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
+
+/// Applies the draft. The session stays locked, so that what is applied is what was shown.
+async fn apply_locked(console: &Console, posted: &Posted) -> Response {
     let mut session = console.session.lock().await;
-    if let Err(Outdated) = edit(&mut session, &posted) {
+    if let Err(Outdated) = edit(&mut session, posted) {
         return answer::outdated();
     }
     session.tried = true;
     let Some(document) = session.check().document else {
         return answer::go_to(page::REVIEW);
     };
-    match carry_out(&console, &session, document).await {
+    match carry_out(console, &session, document).await {
         Ok(applied) => {
             let told = answer::applied(&applied.document, &applied.differences, applied.read_back);
             session.restart(Some(applied.document));
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use insta::assert_snapshot;
 use reqwest::Method;
 use reqwest::StatusCode;
@@ -282,6 +284,32 @@
     assert_eq!(text(&browser).await, before);
 }
 
+#[tokio::test]
+async fn a_browser_that_hangs_up_does_not_cut_the_write_off() {
+    let (handle, browser) = start().await;
+    let slots = [("services[0].upstreams[0].slots", "5")];
+    browser.press(SERVICE, SERVICE, "save", &slots).await;
+    let shown = browser.get("/review").await;
+    let slow = standin::platform::Behaviour {
+        slow: units::Millis(300),
+        ..Default::default()
+    };
+    handle.behave(slow).await;
+    let begun = async {
+        while handle.counts().writes == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::select! {
+        answer = browser.post("/apply", &shown, "apply", &CHANGE) => panic!("answered too early: {answer:?}"),
+        () = begun => {}
+    }
+    let next = text(&browser).await;
+    assert!(next.starts_with("revision: 3\n"), "{next}");
+    let held = handle.object(&platform::api::Key::document());
+    assert_eq!(held.map(|held| held.version), Some(units::Revision(2)));
+}
+
 #[tokio::test]
 async fn the_loser_of_a_race_keeps_the_draft() {
     let (handle, browser) = start().await;
