Bound the connections to the operators' endpoints

Cause: the endpoints took any number of connections and let each stay open for ever without a request, so that whoever reaches them could use up the file descriptors that sessions and calls to upstreams need, and with them the instance.

Ruled out: a limit on requests alone, as connections that ask for nothing never become requests.

Change: at most 64 connections at a time, one request each, 15 seconds from the beginning to the last byte of the answer. One too many is closed at once, as with handshakes of instances.

Not covered: whoever keeps 64 connections busy keeps probes out as well; an admin address off loopback belongs behind the operators' own network rules.

--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here reads. Nothing that is asked here changes what the instance does.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Json;
@@ -13,21 +14,33 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::PrometheusHandle;
 use node::Stage;
 use node::Status;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 use units::Time;
 
 use crate::clock::Clock;
 use crate::daemon::Addresses;
 use crate::intake::Intake;
+use crate::throttle::Throttle;
 use crate::timeline::Seq;
 
 /// How long the engine may take to answer before the process counts as not alive.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// How long a connection may last, from its beginning to the last byte of its answer.
+const CONNECTION_TIME: Duration = Duration::from_secs(15);
+/// How many connections there may be at a time, so that those who ask leave file descriptors for sessions and calls.
+const MAX_CONNECTIONS: usize = 64;
+/// How long to wait after the system refused to take a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the endpoints need.
 #[derive(Debug, Clone)]
@@ -117,18 +130,47 @@
     since: Seq,
 }
 
-/// Answers requests for ever.
+/// Answers requests for ever. A connection carries one request, and ends within [`CONNECTION_TIME`].
 pub async fn serve(listener: TcpListener, context: Context) {
-    let router = Router::new()
+    let router = router(context);
+    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let throttle = Throttle::default();
+    let mut tasks = JoinSet::new();
+    loop {
+        while tasks.try_join_next().is_some() {}
+        let (tcp, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("admin: no connection could be taken: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            if let Some(held_back) = throttle.pass() {
+                log::warn!("admin: too many connections, refused {from}{held_back}");
+            }
+            continue;
+        };
+        let service = TowerToHyperService::new(router.clone());
+        tasks.spawn(async move {
+            let mut server = http1::Builder::new();
+            let connection = server.keep_alive(false).serve_connection(TokioIo::new(tcp), service);
+            // Whoever asked may hang up, or be too slow for the time that a connection has.
+            let _ended = tokio::time::timeout(CONNECTION_TIME, connection).await;
+            drop(permit);
+        });
+    }
+}
+
+fn router(context: Context) -> Router {
+    Router::new()
         .route("/live", get(live))
         .route("/ready", get(ready))
         .route("/status", get(status))
         .route("/timeline", get(timeline))
         .route("/metrics", get(metrics))
-        .with_state(context);
-    if let Err(error) = axum::serve(listener, router).await {
-        log::error!("admin: endpoints ended: {error}");
-    }
+        .with_state(context)
 }
 
 async fn ask(context: &Context) -> Option<Status> {
--- /dev/null
+++ b/crates/jayquayd/tests/admin.rs
@@ -0,0 +1,79 @@
+//! The operators' endpoints under connections that ask for nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jayquayd::Addresses;
+use jayquayd::admin;
+use jayquayd::admin::Context;
+use jayquayd::clock::Clock;
+use jayquayd::intake::Intake;
+use jayquayd::intake::Queues;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// Longer than any step of a test takes, unless it hangs.
+const PATIENCE: Duration = Duration::from_mins(1);
+/// More connections than are served at a time.
+const MANY: usize = 100;
+
+async fn start() -> (SocketAddr, Queues) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (intake, queues) = Intake::new();
+    let context = Context {
+        intake,
+        clock: Clock::start(),
+        addresses: Addresses {
+            callers: address,
+            instances: address,
+            admin: address,
+        },
+        metrics: None,
+    };
+    tokio::spawn(admin::serve(listener, context));
+    (address, queues)
+}
+
+/// Asks for the metrics, which this process does not have, and tells whether there was an answer.
+async fn is_answered(address: SocketAddr) -> bool {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /metrics HTTP/1.1\r\nhost: jayquay\r\nconnection: close\r\n\r\n";
+    let mut answer = Vec::new();
+    // A connection that is refused is closed, which either of these may find out.
+    if stream.write_all(request).await.is_err() || stream.read_to_end(&mut answer).await.is_err() {
+        return false;
+    }
+    answer.starts_with(b"HTTP/1.1 404")
+}
+
+#[tokio::test]
+async fn connections_are_bounded_in_number() {
+    let (address, _queues) = start().await;
+    assert!(is_answered(address).await);
+    let mut idle = Vec::new();
+    for _ in 0..MANY {
+        idle.push(TcpStream::connect(address).await.unwrap());
+    }
+    assert!(!is_answered(address).await, "there was room for yet another connection");
+    drop(idle);
+    let answered = async {
+        while !is_answered(address).await {
+            tokio::task::yield_now().await;
+        }
+    };
+    let answered = tokio::time::timeout(PATIENCE, answered).await;
+    assert!(answered.is_ok(), "the room was not given back");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_without_a_request_ends() {
+    let (address, _queues) = start().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"GET /metrics HTTP/1.1\r\n").await.unwrap();
+    let mut answer = Vec::new();
+    let ended = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    assert!(ended.is_ok(), "the connection is still open");
+}
