Take no token that leaves a flow too few request numbers

Cause: a reissued token whose floor is the highest number was declined, but the first token of a flow with that floor, and a reissued one just below it, were taken. The next number saturates there, so two requests would have been sent under the same number, and the second one would have got the first one's answer. Only an instance that is wrong or hostile issues such a token.

Change: a floor above half of all numbers is declined and counted, whichever way the token comes.

--- a/crates/caller/src/receive.rs
+++ b/crates/caller/src/receive.rs
@@ -28,6 +28,10 @@
 use crate::timer::Timer;
 use crate::timer::jitter;
 
+/// The highest floor of a token that is taken. The numbers that are left above it outlast any flow, while without
+/// them the last number would be used again, and one request get another one's answer.
+const MAX_FLOOR: RequestSeq = RequestSeq(u64::MAX / 2);
+
 impl Flow {
     pub(crate) fn receive(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Action>) {
         let Ok(reply) = wire::decode_reply(bytes) else {
@@ -51,6 +55,10 @@
             self.tally.foreign += 1;
             return;
         }
+        if opened.granted.floor > MAX_FLOOR {
+            self.tally.declined += 1;
+            return;
+        }
         self.session = Session::Open(Open {
             flow: opened.flow,
             token: opened.granted.token,
@@ -204,7 +212,7 @@
         if open.flow != flow || open.token == granted.token {
             return;
         }
-        if granted.floor < self.highest || granted.floor == RequestSeq(u64::MAX) {
+        if granted.floor < self.highest || granted.floor > MAX_FLOOR {
             self.tally.declined += 1;
             return;
         }
--- a/crates/caller/src/tally.rs
+++ b/crates/caller/src/tally.rs
@@ -15,7 +15,7 @@
     pub crossed: u64,
     /// Whole answers that did not match their digest.
     pub corrupt: u64,
-    /// Tokens not adopted, because a higher number than their floor was in use.
+    /// Tokens not adopted, because a higher number than their floor was in use, or they would leave too few numbers.
     pub declined: u64,
     /// Tokens adopted in place of an earlier one.
     pub adopted: u64,
