--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -88,6 +88,16 @@
     pub(crate) tag: Option<String>,
 }
 
+/// What one address had to say.
+enum Outcome {
+    /// Something, with its tag.
+    Found(Option<String>, Body),
+    /// Nothing lies there, or nothing new.
+    Nothing,
+    /// The address does not serve, and why.
+    Unserved(String),
+}
+
 /// A client of the platform. Clones share connections, the address in use and the highest revision seen.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -138,45 +148,52 @@
         let first = self.in_use.load(Ordering::Relaxed);
         for offset in 0..self.options.addresses.len() {
             let index = first.wrapping_add(offset);
-            let mut request = self.request(Method::GET, index, read.path, read.wait);
-            if let Some(tag) = read.tag {
-                request = request.header(IF_NONE_MATCH, tag);
-            }
-            let response = match request.send().await {
-                Ok(response) => response,
-                Err(error) => {
-                    cause = describe(&error);
+            let found = match self.read_at(index, read).await? {
+                Outcome::Found(tag, body) => Some((tag, body)),
+                Outcome::Nothing => None,
+                Outcome::Unserved(why) => {
+                    cause = why;
                     continue;
                 }
             };
-            let status = response.status();
-            if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
-                cause = format!("status {status}");
-                continue;
-            }
-            if matches!(status, StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED) {
-                self.in_use.store(index, Ordering::Relaxed);
+            self.in_use.store(index, Ordering::Relaxed);
+            let Some((tag, body)) = found else {
                 return Ok(None);
-            }
-            if !status.is_success() {
-                return Err(rejected(response).await);
-            }
-            let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
-            let tag = tag.map(str::to_owned);
-            let body = match body(response, read.max_len).await {
-                Ok(body) => body,
-                Err(error) => {
-                    cause = describe(&error);
-                    continue;
-                }
             };
-            self.in_use.store(index, Ordering::Relaxed);
             let value = parse(&body)?;
             return Ok(Some(Tagged { value, tag }));
         }
         Err(Error::Unavailable(cause))
     }
 
+    /// Reads from one address.
+    async fn read_at(&self, index: usize, read: Read<'_>) -> Result<Outcome, Error> {
+        let mut request = self.request(Method::GET, index, read.path, read.wait);
+        if let Some(tag) = read.tag {
+            request = request.header(IF_NONE_MATCH, tag);
+        }
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => return Ok(Outcome::Unserved(describe(&error))),
+        };
+        let status = response.status();
+        if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+            return Ok(Outcome::Unserved(format!("status {status}")));
+        }
+        if matches!(status, StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED) {
+            return Ok(Outcome::Nothing);
+        }
+        if !status.is_success() {
+            return Err(rejected(response).await);
+        }
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.map(str::to_owned);
+        match body(response, read.max_len).await {
+            Ok(body) => Ok(Outcome::Found(tag, body)),
+            Err(error) => Ok(Outcome::Unserved(describe(&error))),
+        }
+    }
+
     /// Writes an object. A further address is tried only while it is sure that the write has not taken effect.
     pub(crate) async fn put(&self, key: &Key, condition: Condition, put: &Put) -> Result<Revision, Error> {
         let mut cause = "no address is set".to_owned();
