--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinSet;
 use units::Time;
 
+use crate::accept;
 use crate::clock::Clock;
 use crate::daemon::Addresses;
 use crate::intake::Intake;
@@ -39,8 +40,6 @@
 const CONNECTION_TIME: Duration = Duration::from_secs(15);
 /// How many connections there may be at a time, so that those who ask leave file descriptors for sessions and calls.
 const MAX_CONNECTIONS: usize = 64;
-/// How long to wait after the system refused to take a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the endpoints need.
 #[derive(Debug, Clone)]
@@ -138,14 +137,7 @@
     let mut tasks = JoinSet::new();
     loop {
         while tasks.try_join_next().is_some() {}
-        let (tcp, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!("admin: no connection could be taken: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (tcp, from) = accept::next(&listener, "admin").await;
         let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
             if let Some(held_back) = throttle.pass() {
                 log::warn!("admin: too many connections, refused {from}{held_back}");
--- a/crates/jayquayd/src/lib.rs
+++ b/crates/jayquayd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod timeline;
 pub mod upstreams;
 
+mod accept;
 mod gauges;
 mod poll;
 mod throttle;
--- a/crates/jayquayd/src/sessions/listener.rs
+++ b/crates/jayquayd/src/sessions/listener.rs
@@ -1,7 +1,6 @@
 //! Takes connections of other instances.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -17,14 +16,13 @@
 use super::handshake::Side;
 use super::link;
 use super::note_end;
+use crate::accept;
 use crate::intake::Input;
 use crate::metric;
 use crate::throttle::Throttle;
 
 /// How many connections may be in their handshake at a time.
 pub const MAX_HANDSHAKES: usize = 64;
-/// How long to wait after the system refused to take a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Takes connections for ever.
 pub async fn listen(listener: TcpListener, context: Context) {
@@ -33,14 +31,7 @@
     let mut tasks = JoinSet::new();
     loop {
         while tasks.try_join_next().is_some() {}
-        let (tcp, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!("sessions: no connection could be taken: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (tcp, from) = accept::next(&listener, "sessions").await;
         let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else {
             metric::sessions_failed("busy").increment(1);
             continue;
