Leave the console's key out of what is printed of its server

Cause: the server's Debug output held the address with the key that lets anybody in, so that a log line with it would have given the console away. Nothing prints it today.

Change: the output names the listener only.

Before (cargo test -p console): what_is_printed_of_a_server_lets_nobody_in failed, 9 others passed. After: 10 passed.

--- a/crates/console/src/server.rs
+++ b/crates/console/src/server.rs
@@ -48,13 +48,21 @@
 impl std::error::Error for Error {}
 
 /// A console that listens and is ready to run.
-#[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
     url: String,
     console: Arc<Console>,
 }
 
+impl fmt::Debug for Server {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Whoever reads the address in a log could use the console.
+        f.debug_struct("Server")
+            .field("listener", &self.listener)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Server {
     /// Loads the document and listens.
     pub async fn bind(options: Options) -> Result<Self, Error> {
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -269,6 +269,20 @@
     assert_eq!(text(&browser).await, before);
 }
 
+#[tokio::test]
+async fn what_is_printed_of_a_server_lets_nobody_in() {
+    let handle = standin::platform::start(standin::platform::Options::default()).await;
+    let handle = handle.expect("the stand-in starts");
+    let platform = platform::Options::new(vec![handle.address()]);
+    let server = console::Server::bind(console::Options {
+        address: "127.0.0.1:0".parse().expect("the address is valid"),
+        platform: platform::Client::new(platform),
+    });
+    let server = server.await.expect("the console starts");
+    let (_, key) = server.url().split_once("key=").expect("the address holds the key");
+    assert!(!format!("{server:?}").contains(key));
+}
+
 #[tokio::test]
 async fn a_form_that_shows_an_older_draft_is_not_taken() {
     let (_handle, browser) = start().await;
