Keep a private constant out of the public documentation

rustdoc refused the link from admin::serve. cargo doc with warnings denied failed before and passes now for jayquayd, platform, console and caller.

--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -129,7 +129,7 @@
     since: Seq,
 }
 
-/// Answers requests for ever. A connection carries one request, and ends within [`CONNECTION_TIME`].
+/// Answers requests for ever. A connection carries one request, and ends within 15 seconds.
 pub async fn serve(listener: TcpListener, context: Context) {
     let router = router(context);
     let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
