--- a/crates/node/src/documents.rs
+++ b/crates/node/src/documents.rs
@@ -24,6 +24,7 @@
 use crate::Node;
 use crate::Peer;
 use crate::Record;
+use crate::home::leaving_of;
 use crate::ingress::RETRY_SOON;
 use crate::node::Cx;
 use crate::ticket::Ticket;
@@ -45,6 +46,7 @@
     wanted: Option<(Revision, Time)>,
     /// Documents that were refused because they did not pass the checks.
     pub rejected: u64,
+    last_rejected: Option<Revision>,
 }
 
 impl Documents {
@@ -134,10 +136,7 @@
         }
         let document = match config::parse(text) {
             Ok(document) if document.revision == revision => document,
-            Ok(_) | Err(_) => {
-                self.documents.rejected += 1;
-                return;
-            }
+            Ok(_) | Err(_) => return self.reject_document(cx, revision),
         };
         let digest = document.digest;
         if !self.documents.install(document) {
@@ -147,24 +146,29 @@
         let mut outputs = Vec::new();
         self.membership.set_document(revision, digest, cx.now, &mut outputs);
         self.take_outputs(cx, outputs);
+        self.upstreams
+            .retain(|name, _| self.documents.service_of(name).is_some());
         self.configure_homes(cx);
         self.drop_unknown_services(cx);
         self.rehome(cx);
     }
 
+    /// Keeps the document in force, and says once for each revision that a newer one can't be used.
+    fn reject_document(&mut self, cx: &mut Cx<'_>, revision: Revision) {
+        self.documents.rejected += 1;
+        if self.documents.last_rejected != Some(revision) {
+            self.documents.last_rejected = Some(revision);
+            cx.record(Record::DocumentRejected(revision));
+        }
+    }
+
     fn configure_homes(&mut self, cx: &mut Cx<'_>) {
         self.homes.retain(|name, _| self.documents.service(name).is_some());
         for (name, home) in &mut self.homes {
             let Some(service) = self.documents.service(name) else {
                 continue;
             };
-            let mut leaving = Vec::new();
-            for upstream in &service.upstreams {
-                let incarnation = self.upstreams.get(&upstream.name).copied().unwrap_or_default();
-                if self.membership.is_leaving(&upstream.name, incarnation) {
-                    leaving.push(upstream.name.clone());
-                }
-            }
+            let leaving = leaving_of(service, &self.upstreams, &self.membership);
             let mut decisions = Vec::new();
             home.pool.configure(service, &leaving, cx.now, &mut decisions);
             self.decisions.extend(decisions);
@@ -231,8 +235,7 @@
 
     pub(crate) fn take_document(&mut self, cx: &mut Cx<'_>, document: &wire::Document) {
         let Ok(text) = std::str::from_utf8(&document.text) else {
-            self.documents.rejected += 1;
-            return;
+            return self.reject_document(cx, document.revision);
         };
         self.load_document(cx, document.revision, text);
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use units::Time;
 use wire::Frame;
 use wire::Granted;
+use wire::Life;
 use wire::Open;
 use wire::Packet;
 use wire::Reply;
@@ -32,6 +33,7 @@
 use node::Listed;
 use node::Node;
 use node::Peer;
+use node::Record;
 use node::Setup;
 
 pub const SECRET: &str = "a secret of at least thirty-two characters";
@@ -88,10 +90,16 @@
     pub calls: Vec<(InstanceName, Call)>,
     pub cancelled: Vec<CallId>,
     pub stopped: Vec<InstanceName>,
+    /// What instances noted for the time line about documents.
+    pub documents: Vec<String>,
     /// How often upstreams were asked for health and load.
     pub polls: usize,
     /// Frames from the first to the second instance are lost.
     pub cut: Vec<(InstanceName, InstanceName)>,
+    /// Who each part of a hand-over says is inherited.
+    pub inherited: Vec<Vec<Life>>,
+    /// The most flows with a ledger at an instance that joins.
+    pub flows: usize,
 }
 
 impl Fleet {
@@ -104,8 +112,11 @@
             calls: Vec::new(),
             cancelled: Vec::new(),
             stopped: Vec::new(),
+            documents: Vec::new(),
             polls: 0,
             cut: Vec::new(),
+            inherited: Vec::new(),
+            flows: Limits::default().flows,
         };
         for index in 0..count {
             fleet.join(&instance(index), index + 1);
@@ -125,6 +136,7 @@
             address: address(name),
             keyring: token::Keyring::new(&secret, &[], Duration::from_hours(1)),
             limits: Limits {
+                flows: self.flows,
                 max_timeout: Duration::from_secs(20),
                 ..Limits::default()
             },
@@ -166,6 +178,9 @@
             Action::Send { to, frame, .. } => {
                 let len = wire::encode_frame(&frame).len();
                 assert!(len <= wire::MAX_FRAME_LEN, "a frame of {len} bytes can't be sent");
+                if let Frame::Handover(handover) = &frame {
+                    self.inherited.push(handover.inherited.clone());
+                }
                 let lost = self.cut.contains(&(from.name.clone(), to.clone())) || !self.nodes.contains_key(&to);
                 if !lost {
                     queue.push_back((to, Event::Frame(from.clone(), frame)));
@@ -175,6 +190,9 @@
             Action::Cancel(call) => self.cancelled.push(call),
             Action::Stopped => self.stopped.push(from.name.clone()),
             Action::Poll(..) => self.polls += 1,
+            Action::Record(record @ (Record::InForce(_) | Record::DocumentRejected(_))) => {
+                self.documents.push(format!("{}: {record}", from.name));
+            }
             Action::Watch(_) | Action::Record(_) => {}
         }
     }
--- a/crates/proof/src/act.rs
+++ b/crates/proof/src/act.rs
@@ -80,6 +80,10 @@
         if !told {
             self.note(None, format!("{}: {record}", peer.name));
         }
+        // A node cancels what it leaves before it says that it has stopped.
+        if let Record::Stopped(left) = record {
+            return self.check_nothing_cut(peer, *left as usize);
+        }
         let Record::InForce(revision) = record else {
             return Ok(());
         };
@@ -286,10 +290,7 @@
     fn stopped(&mut self, peer: &Peer) -> Result<(), Violation> {
         let left = self.in_progress(peer);
         self.note(None, format!("{} has stopped, {left} calls cut", peer.name));
-        if left > 0 && self.book.planned_only {
-            let text = format!("{} ends with {left} calls in progress", peer.name);
-            return Err(self.violation(Promise::GracefulStop, None, text));
-        }
+        self.check_nothing_cut(peer, left)?;
         self.end_life(&peer.name);
         let soon: Time = self.now + Duration::from_millis(5);
         self.break_sessions_at(&peer.name, soon);
