Tell an instance whose secret differs why it is alone

Cause: an instance with another secret than its fleet's logged nothing about it at the usual level: whoever refuses a stranger hangs up without a word. It stayed at `no-document`, or became ready by itself, and only the others' logs told why.

When the other side ends a handshake, the instance that dialled now warns and asks whether the secrets are the same, one line per 5 s over all sessions. Telling the stranger the cause was ruled out: it has not proved who it is.

--- a/crates/jayquayd/src/sessions.rs
+++ b/crates/jayquayd/src/sessions.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use node::Peer;
@@ -118,6 +119,8 @@
     failures: HashMap<InstanceName, Failure>,
     tasks: JoinSet<()>,
     throttle: Throttle,
+    /// Limits what is said of handshakes that others ended.
+    ended: Arc<Throttle>,
 }
 
 impl Sessions {
@@ -130,6 +133,7 @@
             failures: HashMap::new(),
             tasks: JoinSet::new(),
             throttle: Throttle::default(),
+            ended: Arc::default(),
         }
     }
 
@@ -209,6 +213,7 @@
             to: to.clone(),
             address,
             not_before: self.failures.get(to).map(|failure| failure.until),
+            ended: Arc::clone(&self.ended),
         };
         self.tasks.spawn(outgoing.run(self.context.clone(), receiver));
         Link {
--- a/crates/jayquayd/src/sessions/outward.rs
+++ b/crates/jayquayd/src/sessions/outward.rs
@@ -1,6 +1,7 @@
 //! A session that this side makes, from the first attempt to connect to its end.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -18,6 +19,7 @@
 use super::note_end;
 use crate::intake::Input;
 use crate::metric;
+use crate::throttle::Throttle;
 
 /// A session that this side makes.
 pub(super) struct Outward {
@@ -25,6 +27,7 @@
     pub(super) to: InstanceName,
     pub(super) address: SocketAddr,
     pub(super) not_before: Option<Instant>,
+    pub(super) ended: Arc<Throttle>,
 }
 
 impl Outward {
@@ -38,7 +41,7 @@
             Ok(connection) => self.converse(connection, &context, &mut queue).await,
             Err(error) => {
                 metric::sessions_failed(error.as_str()).increment(1);
-                log::debug!("sessions: no session with {} at {}: {error}", self.to, self.address);
+                self.note(error);
                 true
             }
         };
@@ -50,6 +53,18 @@
         let _closed = context.intake.put(Input::Session(change)).await;
     }
 
+    /// Who refuses a stranger ends the handshake without a word, so that this side can only ask about its secrets.
+    fn note(&self, error: handshake::Error) {
+        let Self { to, address, .. } = self;
+        log::debug!("sessions: no session with {to} at {address}: {error}");
+        if error != handshake::Error::Closed {
+            return;
+        }
+        if let Some(held_back) = self.ended.pass() {
+            log::warn!("sessions: {to} at {address} ended the handshake; are the secrets the same?{held_back}");
+        }
+    }
+
     fn check_name(&self, connection: Connection) -> Result<Connection, handshake::Error> {
         if connection.other.name != self.to {
             return Err(handshake::Error::WrongName);
--- a/crates/jayquayd/tests/process.rs
+++ b/crates/jayquayd/tests/process.rs
@@ -114,3 +114,41 @@
     let errors = String::from_utf8(output.stderr).unwrap();
     assert_eq!(output.status.code(), Some(0), "{errors}");
 }
+
+/// What a process that can reach no platform says until it says `text`, or has complained of the platform three times.
+fn said(running: &mut Running, text: &str) -> Vec<String> {
+    let stderr = BufReader::new(running.0.stderr.take().unwrap());
+    let mut lines = Vec::new();
+    let mut silent = 0;
+    for line in stderr.lines() {
+        let line = line.unwrap();
+        silent += usize::from(line.contains("entry not renewed"));
+        let is_said = line.contains(text);
+        lines.push(line);
+        if is_said || silent == 3 {
+            break;
+        }
+    }
+    lines
+}
+
+#[test]
+fn an_instance_with_another_secret_is_told_so() {
+    let first = settings_file("first.yaml", VALID);
+    let child = command(&first).stdout(Stdio::piped()).spawn().unwrap();
+    let mut first = Running(child);
+    let mut line = String::new();
+    let stdout = first.0.stdout.take().unwrap();
+    BufReader::new(stdout).read_line(&mut line).unwrap();
+    let addresses: Addresses = serde_json::from_str(&line).unwrap();
+    let peers = format!(
+        "peers: [{{name: one, zone: zone-a, address: \"{}\"}}]",
+        addresses.instances
+    );
+    let other = VALID.replace("name: one", "name: two").replace("0123", "3210");
+    let second = settings_file("second.yaml", &format!("{other}{peers}\n"));
+    let child = command(&second).stderr(Stdio::piped()).spawn().unwrap();
+    let told = format!("sessions: one at {} ended the handshake", addresses.instances);
+    let lines = said(&mut Running(child), &told);
+    assert!(lines.iter().any(|line| line.contains(&told)), "{lines:#?}");
+}
