Count and log packets that no instance can use, and find owners in one place

Cause: refusals of forged and wrong-service packets were not in the refusals metric, since they are no records of a flow, and nothing said in the log that such packets came. Locating an owner and a successor stood twice in the node. Change: the refusals metric follows the node's own counts; a line in the log, at a limited rate, tells the totals by cause; one function places an incarnation in the view. cargo test -p node -p jayquayd passes, the new process test among them; it was not run against the older code.

--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -76,6 +76,7 @@
     actions: Vec<Action>,
     end: Option<End>,
     in_doubt: u32,
+    unusable: gauges::Watch,
 }
 
 impl Engine {
@@ -93,6 +94,7 @@
             actions: Vec::new(),
             end: None,
             in_doubt: 0,
+            unusable: gauges::Watch::default(),
         }
     }
 
@@ -129,9 +131,11 @@
         }
     }
 
-    fn report(&self) {
+    fn report(&mut self) {
         let now = self.clock.now();
-        gauges::set(&self.node.status(now), now);
+        let status = self.node.status(now);
+        gauges::set(&status, now);
+        self.unusable.look(&status);
     }
 
     fn take_more(&mut self, datagrams: &mut Vec<Datagram>) {
@@ -229,7 +233,6 @@
         match &record {
             Record::Opened(..) => metric::opened().increment(1),
             Record::Answered(..) => metric::answered().increment(1),
-            Record::Refused(_, _, _, reason) => metric::refusals(reason.as_str()).increment(1),
             Record::InForce(revision) => {
                 metric::revision().set(revision.0 as f64);
                 log::info!("daemon: {record}");
@@ -240,7 +243,7 @@
                 log::info!("daemon: {record}");
             }
             Record::UpstreamLeaving(..) | Record::Ejected(..) | Record::Restored(..) => log::info!("daemon: {record}"),
-            Record::Accepted(..) | Record::Called(..) | Record::Ended(..) | Record::Stopping => {}
+            Record::Accepted(..) | Record::Refused(..) | Record::Called(..) | Record::Ended(..) | Record::Stopping => {}
         }
         let stamp = self.hybrid.tick(self.clock.now());
         self.parts.ring.push(stamp, record);
--- a/crates/jayquayd/src/gauges.rs
+++ b/crates/jayquayd/src/gauges.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use node::RefusedCount;
 use node::Status;
 use node::UpstreamLine;
 use units::Time;
 use wire::MemberState;
+use wire::Reason;
 
 use crate::metric;
+use crate::throttle::Throttle;
 
 /// How often the node is asked.
 pub(crate) const EVERY: Duration = Duration::from_secs(1);
@@ -23,6 +26,42 @@
     (MemberState::Dead, "dead"),
 ];
 
+/// Says in the log, at a limited rate, that packets came which no instance can use.
+#[derive(Debug, Default)]
+pub(crate) struct Watch {
+    /// How many there were when the log last said so.
+    said: u64,
+    throttle: Throttle,
+}
+
+impl Watch {
+    /// Compares with the last look.
+    pub(crate) fn look(&mut self, status: &Status) {
+        let tokens = refused(status, Reason::Token);
+        let services = refused(status, Reason::WrongService);
+        let unusable = status.malformed + tokens + services;
+        if unusable <= self.said {
+            return;
+        }
+        let Some(held_back) = self.throttle.pass() else {
+            return;
+        };
+        self.said = unusable;
+        let malformed = status.malformed;
+        log::warn!(
+            "callers: unusable packets so far: {malformed} malformed, {tokens} with a bad token, {services} of another service{held_back}"
+        );
+    }
+}
+
+fn refused(status: &Status, reason: Reason) -> u64 {
+    let counts = status
+        .refused
+        .iter()
+        .filter(|refused: &&RefusedCount| refused.reason == reason);
+    counts.map(|refused| refused.count).sum()
+}
+
 /// Sets the metrics that the node's status tells.
 pub(crate) fn set(status: &Status, now: Time) {
     metric::flows().set(status.flows as f64);
@@ -31,6 +70,9 @@
     metric::packets().absolute(status.packets);
     metric::malformed().absolute(status.malformed);
     metric::forwarded().absolute(status.forwarded);
+    for reason in Reason::ALL {
+        metric::refusals(reason.as_str()).absolute(refused(status, reason));
+    }
     metric::documents_rejected().absolute(status.documents_rejected);
     metric::time().set(now.0 as f64 / 1e6);
     for (state, label) in MEMBER_STATES {
--- a/crates/jayquayd/tests/process.rs
+++ b/crates/jayquayd/tests/process.rs
@@ -152,3 +152,33 @@
     let lines = said(&mut Running(child), &told);
     assert!(lines.iter().any(|line| line.contains(&told)), "{lines:#?}");
 }
+
+#[test]
+fn unusable_packets_are_counted_by_cause_and_said_in_the_log() {
+    let settings = settings_file("unusable.yaml", VALID);
+    let mut child = command(&settings);
+    let child = child.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut running = Running(child);
+    let mut line = String::new();
+    BufReader::new(running.0.stdout.take().unwrap())
+        .read_line(&mut line)
+        .unwrap();
+    let addresses: Addresses = serde_json::from_str(&line).unwrap();
+    let forged = wire::Packet::Request(wire::Request {
+        token: wire::Sealed(vec![7; 60].into()),
+        service: "availability".parse().unwrap(),
+        seq: units::RequestSeq(1),
+        sent: units::RequestSeq(1),
+        kind: "hold".parse().unwrap(),
+        timeout: units::Millis(1_000),
+        body: Vec::new().into(),
+    });
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for bytes in [b"no packet".to_vec(), wire::encode_packet(&forged)] {
+        socket.send_to(&bytes, addresses.callers).unwrap();
+    }
+    // Reads the log until the line comes. The process goes on writing, so this does not wait for its end.
+    let log = BufReader::new(running.0.stderr.take().unwrap()).lines();
+    let expected = "unusable packets so far: 1 malformed, 1 with a bad token, 0 of another service";
+    assert!(log.map_while(Result::ok).any(|line| line.contains(expected)));
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -68,25 +68,20 @@
                 None => Place::Here,
             };
         }
-        match self.membership.standing(&claims.owner, claims.incarnation) {
-            Standing::Alive(member)
-            | Standing::Suspect(member)
-            | Standing::Leaving(member)
-            | Standing::Succeeded(member) => {
-                let peer = Peer {
-                    name: member.name.clone(),
-                    incarnation: member.incarnation,
-                };
-                Place::There(peer, member.address)
-            }
-            // A record that names this node counts only once the ledgers are here.
-            Standing::Me | Standing::SucceededByMe | Standing::Unknown => Place::Unknown,
-            Standing::Gone => Place::Gone,
-        }
+        self.place(&claims.owner, claims.incarnation)
     }
 
+    /// Finds whoever holds the ledgers that went to this successor.
     pub(crate) fn locate_successor(&self, successor: &Peer) -> Place {
-        match self.membership.standing(&successor.name, successor.incarnation) {
+        match self.place(&successor.name, successor.incarnation) {
+            Place::Unknown => Place::Gone,
+            place => place,
+        }
+    }
+
+    /// Where another incarnation, or who has its ledgers now, is in the present view.
+    fn place(&self, name: &InstanceName, incarnation: Incarnation) -> Place {
+        match self.membership.standing(name, incarnation) {
             Standing::Alive(member)
             | Standing::Suspect(member)
             | Standing::Leaving(member)
@@ -97,7 +92,9 @@
                 };
                 Place::There(peer, member.address)
             }
-            Standing::Me | Standing::SucceededByMe | Standing::Unknown | Standing::Gone => Place::Gone,
+            // A record that names this node counts only once the ledgers are here.
+            Standing::Me | Standing::SucceededByMe | Standing::Unknown => Place::Unknown,
+            Standing::Gone => Place::Gone,
         }
     }
 
