--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -205,12 +205,7 @@
         };
         state.sent_at = cx.now;
         let peer = state.successor.clone();
-        let successor = Successor {
-            from: self.me.name.clone(),
-            from_incarnation: self.me.incarnation,
-            to: peer.name.clone(),
-            to_incarnation: peer.incarnation,
-        };
+        let successor = record_of(&self.me, &peer);
         let inherited: Vec<Life> = self.inherited.keys().cloned().collect();
         let chunks = split(&state.flows);
         let parts = chunks.len() as u32;
@@ -255,12 +250,7 @@
         for one in resolved {
             self.send(cx, peer, Frame::Resolved(one));
         }
-        let record = Successor {
-            from: self.me.name.clone(),
-            from_incarnation: self.me.incarnation,
-            to: peer.name.clone(),
-            to_incarnation: peer.incarnation,
-        };
+        let record = record_of(&self.me, peer);
         cx.record(Record::HandedOver(record.from.clone(), record.to.clone()));
         let mut outputs = Vec::new();
         self.membership.add_successor(record, cx.now, &mut outputs);
@@ -288,17 +278,7 @@
             State::Refused(verdict, reason) => Entry::Refused(*verdict, *reason),
             State::Forgotten | State::Running(_) | State::Elsewhere(_) => Entry::Forgotten,
         };
-        let at = self.me.incarnation;
-        self.tell_resolved(
-            cx,
-            Resolved {
-                at,
-                owner: key.owner,
-                flow: key.flow,
-                seq,
-                entry,
-            },
-        );
+        self.tell_end(cx, key, seq, entry);
     }
 
     /// Gives the successor a request that was in progress here but has not run to an end.
@@ -309,17 +289,18 @@
         let key = ticket.key();
         let seq = ticket.request.seq;
         let entry = Entry::Queued(body_of(ticket, cx.now));
-        let at = self.me.incarnation;
-        self.tell_resolved(
-            cx,
-            Resolved {
-                at,
-                owner: key.owner,
-                flow: key.flow,
-                seq,
-                entry,
-            },
-        );
+        self.tell_end(cx, key, seq, entry);
+    }
+
+    fn tell_end(&mut self, cx: &mut Cx<'_>, key: FlowKey, seq: RequestSeq, entry: Entry) {
+        let resolved = Resolved {
+            at: self.me.incarnation,
+            owner: key.owner,
+            flow: key.flow,
+            seq,
+            entry,
+        };
+        self.tell_resolved(cx, resolved);
     }
 
     /// Sends the end of a request to whoever holds its ledger by now.
@@ -348,3 +329,13 @@
         cx.push(Action::Stopped);
     }
 }
+
+/// The record that the ledgers of one incarnation are at another.
+fn record_of(from: &Peer, to: &Peer) -> Successor {
+    Successor {
+        from: from.name.clone(),
+        from_incarnation: from.incarnation,
+        to: to.name.clone(),
+        to_incarnation: to.incarnation,
+    }
+}
