Forward flows on the users' platform: the whole path, thin

The daemon gets a flow mode. A pure core places flows by their opening packets and forwards the rest by an echo, four bytes that both ends return; an adapter reads the platform's packets and objects; watchers of each zone follow the store and the others learn from them by gossip and pulls.

--- /dev/null
+++ b/crates/flow/src/directory.rs
@@ -0,0 +1,82 @@
+//! Upstreams by echo and by service, rebuilt whenever what is known of them changes.
+
+use std::collections::HashMap;
+use std::collections::hash_map;
+
+use units::Time;
+
+use crate::knowledge::Knowledge;
+use crate::packet::Echo;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamId;
+
+/// An upstream as the flow path uses it.
+#[derive(Debug, Clone)]
+pub(crate) struct Listed {
+    pub(crate) upstream: Upstream,
+    pub(crate) echo: Echo,
+    /// Since when it is no longer listed.
+    pub(crate) gone_since: Option<Time>,
+    /// Until when it is slow after its start.
+    pub(crate) cold_until: Time,
+}
+
+/// Upstreams by echo and by service.
+#[derive(Debug, Default, Clone)]
+pub struct Directory {
+    listed: HashMap<UpstreamId, Listed>,
+    /// `None` where two ids have one echo: a packet with it can't be forwarded.
+    by_echo: HashMap<Echo, Option<UpstreamId>>,
+    by_service: HashMap<String, Vec<UpstreamId>>,
+}
+
+impl Directory {
+    /// Indexes what is known. Cold times already running are kept from `earlier`.
+    pub(crate) fn new(knowledge: &Knowledge, earlier: &Self, now: Time) -> Self {
+        let mut directory = Self::default();
+        for (id, entry) in knowledge.upstreams() {
+            let echo = id.echo();
+            match directory.by_echo.entry(echo) {
+                hash_map::Entry::Occupied(mut held) => {
+                    held.insert(None);
+                }
+                hash_map::Entry::Vacant(free) => {
+                    free.insert(Some(id));
+                }
+            }
+            let known_cold = earlier.listed.get(&id).map(|held| held.cold_until);
+            let listed = Listed {
+                upstream: entry.upstream.clone(),
+                echo,
+                gone_since: knowledge.gone_since(id).filter(|_| entry.gone),
+                cold_until: known_cold.unwrap_or(now + entry.upstream.cold_for),
+            };
+            let service = listed.upstream.service.clone();
+            directory.by_service.entry(service).or_default().push(id);
+            directory.listed.insert(id, listed);
+        }
+        directory
+    }
+
+    /// The one upstream that an echo stands for.
+    pub(crate) fn by_echo(&self, echo: Echo) -> Option<UpstreamId> {
+        self.by_echo.get(&echo).copied().flatten()
+    }
+
+    /// An upstream by its id.
+    pub(crate) fn get(&self, id: UpstreamId) -> Option<&Listed> {
+        self.listed.get(&id)
+    }
+
+    /// The upstreams of a service that a packet can be led back to, gone ones among them.
+    pub(crate) fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = (UpstreamId, &'a Listed)> + use<'a> {
+        let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let listed = ids.iter().filter_map(|id| Some((*id, self.listed.get(id)?)));
+        listed.filter(|(id, listed)| self.by_echo(listed.echo) == Some(*id))
+    }
+
+    /// Whether an upstream is remembered.
+    pub(crate) fn contains(&self, id: UpstreamId) -> bool {
+        self.listed.contains_key(&id)
+    }
+}
--- /dev/null
+++ b/crates/flow/src/knowledge.rs
@@ -0,0 +1,199 @@
+//! What instances know of the platform and tell one another: the document and the upstreams, each with a revision.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use units::Revision;
+use units::Time;
+
+use crate::route::Document;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamId;
+
+/// One upstream's entry. An upstream that has gone is remembered without what it was.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The platform's revision at which it became so, or a later one.
+    pub revision: Revision,
+    /// The upstream as it was listed last.
+    pub upstream: Upstream,
+    /// Whether it is no longer listed.
+    pub gone: bool,
+}
+
+/// What one holder knows that another does not.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The newest document, with the platform's revision at which it was written.
+    pub document: Option<(Revision, Document)>,
+    /// The revision that the upstreams stand at after this change.
+    pub upstreams_at: Revision,
+    /// The upstreams that have changed since the revision that was asked for.
+    pub upstreams: Vec<(UpstreamId, Entry)>,
+}
+
+/// The document and the upstreams that an instance holds. Nothing here ever steps down to an older revision.
+#[derive(Debug, Default, Clone)]
+pub struct Knowledge {
+    document: Option<(Revision, Document)>,
+    upstreams_at: Revision,
+    upstreams: BTreeMap<UpstreamId, Entry>,
+    /// When each upstream went, as this instance learnt it.
+    gone_since: BTreeMap<UpstreamId, Time>,
+}
+
+impl Knowledge {
+    /// The document, and the platform's revision at which it was written.
+    pub fn document(&self) -> Option<&(Revision, Document)> {
+        self.document.as_ref()
+    }
+
+    /// The platform's revision of the document held, zero without one.
+    pub fn document_at(&self) -> Revision {
+        self.document.as_ref().map(|(at, _)| *at).unwrap_or_default()
+    }
+
+    /// The revision up to which all changes of upstreams are held, zero if none were read yet.
+    pub fn upstreams_at(&self) -> Revision {
+        self.upstreams_at
+    }
+
+    /// All upstreams, also those remembered after they went.
+    pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamId, &Entry)> {
+        self.upstreams.iter().map(|(id, entry)| (*id, entry))
+    }
+
+    /// An upstream as it was listed last, also after it went.
+    pub fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.upstreams.get(&id).map(|entry| &entry.upstream)
+    }
+
+    /// Whether flows can be placed: there are a document and a list of upstreams.
+    pub fn is_ready(&self) -> bool {
+        self.document.is_some() && self.upstreams_at > Revision(0)
+    }
+
+    /// One number that differs between two holders whenever one knows more than the other.
+    ///
+    /// Each part only grows, so whoever has the lower sum lacks something; equal sums with different parts are told
+    /// apart by [`Knowledge::parts`].
+    pub fn level(&self) -> Revision {
+        Revision(self.document_at().0.saturating_add(self.upstreams_at.0))
+    }
+
+    /// The revisions of both parts, in a form that can be compared for equality.
+    pub fn parts(&self) -> [u8; 16] {
+        let mut parts = [0; 16];
+        parts[..8].copy_from_slice(&self.document_at().0.to_be_bytes());
+        parts[8..].copy_from_slice(&self.upstreams_at.0.to_be_bytes());
+        parts
+    }
+
+    /// What a holder at these revisions lacks.
+    pub fn since(&self, document_at: Revision, upstreams_at: Revision) -> Change {
+        let document = self.document.as_ref().filter(|(at, _)| *at > document_at);
+        let newer = self.upstreams.iter().filter(|(_, entry)| entry.revision > upstreams_at);
+        Change {
+            document: document.cloned(),
+            upstreams_at: self.upstreams_at,
+            upstreams: newer.map(|(id, entry)| (*id, entry.clone())).collect(),
+        }
+    }
+
+    /// Takes in what another holder knows. Tells whether anything is new.
+    pub fn take(&mut self, change: Change, now: Time) -> bool {
+        let has_document = change
+            .document
+            .is_some_and(|(at, document)| self.take_document(at, document));
+        let is_ahead = change.upstreams_at > self.upstreams_at;
+        self.apply(change.upstreams_at, change.upstreams, now) || is_ahead || has_document
+    }
+
+    /// Takes in a document. Tells whether it is newer than the one held.
+    pub fn take_document(&mut self, at: Revision, document: Document) -> bool {
+        let is_newer = self
+            .document
+            .as_ref()
+            .is_none_or(|(held_at, held)| at > *held_at && document.revision >= held.revision);
+        if is_newer {
+            self.document = Some((at, document));
+        }
+        is_newer
+    }
+
+    /// Takes in the whole list of upstreams as it stood at a revision. Tells whether anything has changed.
+    pub fn take_list(&mut self, at: Revision, list: Vec<(UpstreamId, Revision, Upstream)>, now: Time) -> bool {
+        if at <= self.upstreams_at {
+            return false;
+        }
+        let mut changes = Vec::new();
+        for (id, held) in &self.upstreams {
+            if !held.gone && !list.iter().any(|(listed, _, _)| listed == id) {
+                changes.push((
+                    *id,
+                    Entry {
+                        revision: at,
+                        gone: true,
+                        ..held.clone()
+                    },
+                ));
+            }
+        }
+        for (id, revision, upstream) in list {
+            changes.push((
+                id,
+                Entry {
+                    revision,
+                    upstream,
+                    gone: false,
+                },
+            ));
+        }
+        let is_first = self.upstreams_at == Revision(0);
+        self.apply(at, changes, now) || is_first
+    }
+
+    /// Takes in single changes that lead from the revision held, or an earlier one, to `at`. Tells whether anything
+    /// has changed.
+    pub fn apply(&mut self, at: Revision, changes: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
+        if at <= self.upstreams_at {
+            return false;
+        }
+        let mut has_changed = false;
+        for (id, entry) in changes {
+            let held = self.upstreams.get(&id);
+            if held.is_some_and(|held| held.revision >= entry.revision) {
+                continue;
+            }
+            has_changed = true;
+            if entry.gone {
+                self.gone_since.entry(id).or_insert(now);
+            } else {
+                self.gone_since.remove(&id);
+            }
+            self.upstreams.insert(id, entry);
+        }
+        self.upstreams_at = at;
+        has_changed
+    }
+
+    /// When an upstream went, as far as this instance knows.
+    pub fn gone_since(&self, id: UpstreamId) -> Option<Time> {
+        self.gone_since.get(&id).copied()
+    }
+
+    /// Forgets upstreams that went before `then`. Flows must not outlive this memory.
+    pub fn forget(&mut self, then: Time) -> bool {
+        let before = self.upstreams.len();
+        let gone_since = &mut self.gone_since;
+        self.upstreams.retain(|id, entry| {
+            if !entry.gone || gone_since.get(id).is_none_or(|since| *since >= then) {
+                return true;
+            }
+            gone_since.remove(id);
+            false
+        });
+        self.upstreams.len() < before
+    }
+}
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,42 @@
+//! The flow path: which upstream gets a new flow, where each later packet goes, and when a flow is given up.
+//!
+//! A flow is a connection between a client and one upstream that only these two can read. The upstream is chosen once,
+//! by the flow's first packet. That choice travels in each later packet as an *echo*, four bytes that both ends return,
+//! so any instance forwards any packet of any flow without having seen the flow before. What an instance remembers of
+//! a flow serves decisions only (load, stalled upstreams), never correctness.
+//!
+//! This crate is pure: it does no I/O, reads no clock and draws on no randomness but from the seed it is given. It
+//! does not know how packets, routes and upstreams are written down.
+
+mod core;
+mod directory;
+mod flows;
+mod health;
+mod knowledge;
+mod packet;
+mod place;
+mod route;
+mod upstream;
+
+pub use crate::core::Core;
+pub use crate::core::Options;
+pub use crate::core::Stats;
+pub use crate::core::Verdict;
+pub use crate::directory::Directory;
+pub use crate::flows::FlowKey;
+pub use crate::health::Report;
+pub use crate::knowledge::Change;
+pub use crate::knowledge::Entry;
+pub use crate::knowledge::Knowledge;
+pub use crate::packet::DropCause;
+pub use crate::packet::Echo;
+pub use crate::packet::Flags;
+pub use crate::packet::Packet;
+pub use crate::packet::Reset;
+pub use crate::packet::ResetCause;
+pub use crate::route::Document;
+pub use crate::route::Route;
+pub use crate::route::Share;
+pub use crate::upstream::ParseUpstreamIdError;
+pub use crate::upstream::Upstream;
+pub use crate::upstream::UpstreamId;
--- /dev/null
+++ b/crates/flow/src/route.rs
@@ -0,0 +1,95 @@
+//! The routes in force.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use units::Revision;
+use units::Weight;
+
+/// A part of a route's new flows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service that gets it.
+    pub service: String,
+    /// Its size, relative to the route's other shares.
+    pub weight: Weight,
+}
+
+/// Where new flows to one address go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name in the document.
+    pub name: String,
+    /// The address that clients dial.
+    pub address: SocketAddrV4,
+    /// The services that share its new flows, at least one.
+    pub shares: Vec<Share>,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// How soon a request should be answered.
+    pub aim: Duration,
+}
+
+impl Route {
+    /// The service for a new flow: the same for all copies of its opening packet, at every instance.
+    pub fn service_for(&self, client: SocketAddrV4) -> Option<&str> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight.0)).sum();
+        if self.shares.len() == 1 || total == 0 {
+            return self.shares.first().map(|share| share.service.as_str());
+        }
+        let mut point = spread(client, self.address) % total;
+        for share in &self.shares {
+            let weight = u64::from(share.weight.0);
+            if point < weight {
+                return Some(&share.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
+
+/// A number that is spread evenly over flows.
+fn spread(client: SocketAddrV4, route: SocketAddrV4) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&client.ip().octets());
+    bytes[4..6].copy_from_slice(&client.port().to_be_bytes());
+    bytes[6..10].copy_from_slice(&route.ip().octets());
+    bytes[10..].copy_from_slice(&route.port().to_be_bytes());
+    let hash = blake3::hash(&bytes);
+    let head = hash.as_bytes().first_chunk::<8>().copied().unwrap_or_default();
+    u64::from_be_bytes(head)
+}
+
+/// The routes in force, as one document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The number that operators gave it. It only grows.
+    pub revision: Revision,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// How long a flow may be silent before it may be forgotten.
+    pub idle_timeout: Duration,
+}
+
+/// Routes by the address that clients dial.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Routes {
+    by_address: HashMap<SocketAddrV4, Route>,
+}
+
+impl Routes {
+    pub(crate) fn new(document: &Document) -> Self {
+        let routes = document.routes.iter().map(|route| (route.address, route.clone()));
+        Self {
+            by_address: routes.collect(),
+        }
+    }
+
+    pub(crate) fn at(&self, address: SocketAddrV4) -> Option<&Route> {
+        self.by_address.get(&address)
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward.rs
@@ -0,0 +1,20 @@
+//! The daemon's flow mode: it forwards packets of flows that only their two ends read.
+//!
+//! The decisions are those of [`flow::Core`]. Around it stand the packets' socket, the store's watches, the exchange
+//! with other instances, and the HTTP endpoints. Every part but the packets' may be late or fail without harm to a flow.
+
+pub mod settings;
+
+mod gossip;
+mod http;
+mod packets;
+mod pull;
+mod relay;
+mod run;
+mod shared;
+mod stop;
+mod watch;
+
+pub use run::RunError;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -0,0 +1,229 @@
+//! Membership over UDP: one datagram, one frame. What is lost is sent again by the protocol above.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ciborium::de;
+use membership::Membership;
+use membership::Output;
+use membership::Timing;
+use platform::transport::Transport;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use units::Incarnation;
+use units::InstanceName;
+use wire::Digest;
+use wire::Frame;
+use wire::Gossip;
+use wire::Member;
+
+use super::pull;
+use super::shared::Shared;
+
+/// How often membership is given the time.
+const TICK: Duration = Duration::from_millis(100);
+/// How often seeds are asked while no other instance is known.
+const SEED_PAUSE: Duration = Duration::from_millis(300);
+/// How many instances that hold newer knowledge may wait to be asked.
+const PULLS: usize = 64;
+/// How far the incarnation is raised when others know a later one, as after the wall clock was set back.
+const INCARNATION_STEP: u64 = 10_000 << 10;
+/// The longest datagram that is read.
+const MAX_LEN: usize = 65_536;
+/// How deeply a message may nest.
+const MAX_DEPTH: usize = 16;
+
+/// How often members look after one another. A probe a second from each of two zones finds a dead watcher within the
+/// bound for a change to be in force, and costs each instance about two datagrams a second.
+pub(crate) fn timing() -> Timing {
+    Timing {
+        probe_every: Duration::from_secs(1),
+        probe_timeout: Duration::from_millis(300),
+        suspect_for: Duration::from_secs(1),
+        dead_probe_every: Duration::from_secs(3),
+        dead_keep: Duration::from_mins(2),
+        ..Timing::default()
+    }
+}
+
+/// A frame and who sends it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Message {
+    from: InstanceName,
+    incarnation: Incarnation,
+    frame: Frame,
+}
+
+/// Membership over one socket.
+pub(crate) struct Peers {
+    socket: Arc<UdpSocket>,
+    shared: Shared,
+    /// Where seeds listen for other instances.
+    seeds: Vec<SocketAddr>,
+    pulls: mpsc::Sender<SocketAddr>,
+}
+
+impl Peers {
+    /// Starts the task that asks others for their knowledge, and takes the seeds' addresses from their hosts.
+    pub(crate) fn new(socket: UdpSocket, shared: Shared, seeds: &[IpAddr], port: u16) -> Self {
+        let (pulls, wanted) = mpsc::channel(PULLS);
+        tokio::spawn(ask(wanted, shared.clone()));
+        Self {
+            socket: Arc::new(socket),
+            shared,
+            seeds: seeds.iter().map(|ip| SocketAddr::new(*ip, port)).collect(),
+            pulls,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(self) {
+        let mut buffer = vec![0; MAX_LEN];
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut next_seed = self.shared.now();
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((len, from)) => self.receive(&buffer[..len], from),
+                    Err(error) => log::debug!("peers: {error}"),
+                },
+                _ = tick.tick() => {
+                    self.tick();
+                    let now = self.shared.now();
+                    if now >= next_seed && self.is_alone() {
+                        next_seed = now + SEED_PAUSE;
+                        self.ask_seeds();
+                    }
+                }
+                () = self.shared.grown() => self.tell(),
+            }
+        }
+    }
+
+    fn is_alone(&self) -> bool {
+        self.shared.members().members().nth(1).is_none()
+    }
+
+    fn ask_seeds(&self) {
+        let frame = {
+            let members = self.shared.members();
+            Frame::News(Gossip {
+                members: vec![members.me().clone()],
+                document: members.document(),
+                ..Gossip::default()
+            })
+        };
+        let own = self.shared.members().me().address;
+        for seed in &self.seeds {
+            if *seed == own {
+                continue;
+            }
+            self.send(*seed, frame.clone());
+        }
+    }
+
+    fn tick(&self) {
+        let mut out = Vec::new();
+        let now = self.shared.now();
+        self.shared.members().tick(now, &mut out);
+        self.carry_out(out);
+    }
+
+    /// Lets others know that this instance knows more.
+    fn tell(&self) {
+        let mut out = Vec::new();
+        let (level, digest) = {
+            let core = self.shared.core();
+            (core.knowledge().level(), digest(&core.knowledge().parts()))
+        };
+        let now = self.shared.now();
+        self.shared.members().set_document(level, digest, now, &mut out);
+        self.carry_out(out);
+    }
+
+    fn receive(&self, bytes: &[u8], from: SocketAddr) {
+        let message: Result<Message, _> = de::from_reader_with_recursion_limit(bytes, MAX_DEPTH);
+        let Ok(message) = message else {
+            metrics::counter!("jayquay_frames_unread_total").increment(1);
+            log::debug!("peers: a message from {from} can't be read");
+            return;
+        };
+        let mut out = Vec::new();
+        let now = self.shared.now();
+        {
+            let mut members = self.shared.members();
+            members.handle(now, &message.from, message.incarnation, &message.frame, &mut out);
+            if members.is_replaced() {
+                raise_incarnation(&mut members, &self.shared);
+            }
+        }
+        self.carry_out(out);
+    }
+
+    fn carry_out(&self, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send { address, frame, .. } => self.send(address, frame),
+                Output::DocumentSeen { address, .. } => {
+                    // A queue that is full holds others that know more; whoever is left out is seen again.
+                    let _full = self.pulls.try_send(address);
+                }
+                Output::Up(member) => log::info!("peers: {} ({}) is up", member.name, member.incarnation),
+                Output::Leaving(member) => log::info!("peers: {} is leaving", member.name),
+                Output::Down(member) => log::info!("peers: {} is down", member.name),
+                Output::Succeeded(_) | Output::UpstreamLeaving(_) => {}
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, frame: Frame) {
+        let message = {
+            let members = self.shared.members();
+            let me = members.me();
+            Message {
+                from: me.name.clone(),
+                incarnation: me.incarnation,
+                frame,
+            }
+        };
+        let mut bytes = Vec::with_capacity(256);
+        ciborium::into_writer(&message, &mut bytes).expect("a vector takes every write, and a frame has a CBOR form");
+        metrics::counter!("jayquay_frame_bytes_sent_total").increment(bytes.len() as u64);
+        if let Err(error) = self.socket.try_send_to(&bytes, to) {
+            log::debug!("peers: not sent to {to}: {error}");
+        }
+    }
+}
+
+/// Begins a later life under the same name. Nothing but the membership hangs on it here, as no flow has an owner.
+fn raise_incarnation(members: &mut Membership, shared: &Shared) {
+    let me = members.me();
+    let me = Member {
+        incarnation: Incarnation(me.incarnation.0 + INCARNATION_STEP),
+        refutation: 0,
+        ..me.clone()
+    };
+    log::warn!(
+        "peers: a later life of {} is known, going on as {}",
+        me.name,
+        me.incarnation
+    );
+    *members = Membership::new(me, timing(), rand::random(), shared.now());
+}
+
+fn digest(parts: &[u8; 16]) -> Digest {
+    Digest::of(parts)
+}
+
+/// Asks others for their knowledge, one after the other, and only while they still know more.
+async fn ask(mut wanted: mpsc::Receiver<SocketAddr>, shared: Shared) {
+    let transport = Transport::new(pull::TIMEOUT);
+    while let Some(from) = wanted.recv().await {
+        pull::pull(&transport, from, &shared).await;
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward/http.rs
@@ -0,0 +1,86 @@
+//! HTTP endpoints: readiness for the platform; changes and metrics for other instances and operators.
+
+use std::io;
+use std::net::SocketAddr;
+
+use adapter::ready;
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+
+use super::relay;
+use super::relay::Since;
+use super::shared::Shared;
+
+/// The path of the metrics, as text.
+pub(crate) const METRICS: &str = "/metrics";
+
+/// What the endpoints need.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) shared: Shared,
+    pub(crate) metrics: PrometheusHandle,
+}
+
+/// Answers whether flows may be led here.
+pub(crate) async fn serve_ready(listener: TcpListener, shared: Shared) -> io::Result<()> {
+    let router = Router::new().route(ready::PATH, get(is_ready)).with_state(shared);
+    axum::serve(listener, router).await
+}
+
+/// Serves other instances and operators.
+pub(crate) async fn serve_peers(listener: TcpListener, context: Context) -> io::Result<()> {
+    let router = Router::new()
+        .route(relay::PATH, get(changes))
+        .route(METRICS, get(metrics))
+        .with_state(context);
+    axum::serve(listener, router).await
+}
+
+/// Listens, and can listen again at once after an earlier process at the same address.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// How many connections may wait to be accepted. A whole fleet may ask one instance at the same time.
+const BACKLOG: u32 = 1_024;
+
+async fn is_ready(State(shared): State<Shared>) -> StatusCode {
+    if shared.is_ready() {
+        return StatusCode::OK;
+    }
+    StatusCode::SERVICE_UNAVAILABLE
+}
+
+async fn changes(State(context): State<Context>, Query(since): Query<Since>) -> Vec<u8> {
+    let core = context.shared.core();
+    let change = core.knowledge().since(since.document_at, since.upstreams_at);
+    relay::encode(&change)
+}
+
+async fn metrics(State(context): State<Context>) -> String {
+    report(&context.shared);
+    context.metrics.render()
+}
+
+/// Brings the counters up to date. They are kept by the flow path, which would otherwise pay for each packet.
+fn report(shared: &Shared) {
+    let core = shared.core();
+    let stats = core.stats();
+    metrics::counter!("jayquay_flows_placed_total").absolute(stats.placed);
+    metrics::counter!("jayquay_flow_packets_forwarded_total").absolute(stats.forwarded);
+    metrics::gauge!("jayquay_flows_remembered").set(core.flow_count() as f64);
+    for (cause, count) in &stats.resets {
+        metrics::counter!("jayquay_flow_resets_total", "cause" => cause.to_string()).absolute(*count);
+    }
+    for (cause, count) in &stats.drops {
+        metrics::counter!("jayquay_flow_drops_total", "cause" => cause.to_string()).absolute(*count);
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -0,0 +1,58 @@
+//! Asks another instance for what it knows and this one does not.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::transport;
+use platform::transport::Transport;
+use reqwest::Method;
+use reqwest::StatusCode;
+
+use super::relay;
+use super::relay::Since;
+use super::shared::Shared;
+
+/// How long another instance may take to answer. It holds all it gives in memory.
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks one instance, and takes in what it tells. Tells whether it answered.
+pub(crate) async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) -> bool {
+    let since = held(shared);
+    let path = format!(
+        "{}?document_at={}&upstreams_at={}",
+        relay::PATH,
+        since.document_at,
+        since.upstreams_at
+    );
+    let request = transport.request(Method::GET, from, &path, Duration::ZERO);
+    let response = match request.send().await {
+        Ok(response) if response.status() == StatusCode::OK => response,
+        Ok(response) => {
+            log::debug!("peers: {from} answers {}", response.status());
+            return false;
+        }
+        Err(error) => {
+            log::info!("peers: {from}: {}", transport::describe(&error));
+            return false;
+        }
+    };
+    let Ok(body) = transport::body(response, relay::MAX_CHANGE_LEN).await else {
+        return false;
+    };
+    let Some(change) = relay::decode(&body.bytes) else {
+        metrics::counter!("jayquay_changes_malformed_total").increment(1);
+        log::warn!("peers: {from} sent a change that can't be read");
+        return false;
+    };
+    let now = shared.now();
+    shared.learn(|knowledge| knowledge.take(change, now));
+    true
+}
+
+fn held(shared: &Shared) -> Since {
+    let core = shared.core();
+    Since {
+        document_at: core.knowledge().document_at(),
+        upstreams_at: core.knowledge().upstreams_at(),
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward/run.rs
@@ -0,0 +1,133 @@
+//! Puts the parts of the flow mode together and runs them.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::Store;
+use flow::Core;
+use flow::Options;
+use membership::Membership;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use wire::Member;
+use wire::MemberState;
+
+use super::gossip;
+use super::gossip::Peers;
+use super::http;
+use super::http::Context;
+use super::packets;
+use super::settings::Settings;
+use super::shared::Shared;
+use super::stop;
+use super::watch;
+use crate::clock::Clock;
+
+/// How often flows that are silent are forgotten.
+const TICK: Duration = Duration::from_secs(1);
+
+/// Why a process in flow mode could not run.
+#[derive(Debug)]
+pub enum RunError {
+    /// An address could not be listened at.
+    Listen(SocketAddr, io::Error),
+    /// Signals could not be caught, or a socket failed.
+    Io(io::Error),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address, error) => write!(f, "cannot listen at {address}: {error}"),
+            Self::Io(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+impl From<io::Error> for RunError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Runs until SIGTERM or SIGINT, and then until this instance is no longer used.
+pub async fn run(settings: &Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let shared = share(settings);
+    let listen = settings.listen;
+    let packets = bind_udp(listen.packets).await?;
+    let ready = http::bind(listen.ready).map_err(|error| RunError::Listen(listen.ready, error))?;
+    let peers_http = http::bind(listen.peers).map_err(|error| RunError::Listen(listen.peers, error))?;
+    let peers = Peers::new(
+        bind_udp(listen.peers).await?,
+        shared.clone(),
+        &settings.seeds,
+        listen.peers.port(),
+    );
+    tokio::spawn(watch::run(Store::new(settings.store), shared.clone()));
+    tokio::spawn(http::serve_ready(ready, shared.clone()));
+    let context = Context {
+        shared: shared.clone(),
+        metrics,
+    };
+    tokio::spawn(http::serve_peers(peers_http, context));
+    tokio::spawn(peers.run());
+    tokio::spawn(packets::run(Arc::new(packets), listen.packets.port(), shared.clone()));
+    tokio::spawn(tick(shared.clone()));
+    log::info!("daemon: {} started in zone {}", settings.name, settings.zone);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!("daemon: told that {} changed", path.display()),
+        }
+    }
+    log::info!("daemon: stopping");
+    shared.stop();
+    stop::wait(&shared, settings.grace).await;
+    log::info!("daemon: stopped");
+    Ok(())
+}
+
+fn share(settings: &Settings) -> Shared {
+    let clock = Clock::start();
+    let core = Core::new(Options {
+        zone: settings.zone.clone(),
+        max_flow: settings.max_flow,
+        seed: rand::random(),
+    });
+    let me = Member {
+        name: settings.name.clone(),
+        incarnation: clock.incarnation(),
+        zone: settings.zone.clone(),
+        address: settings.listen.peers,
+        state: MemberState::Alive,
+        refutation: 0,
+    };
+    let members = Membership::new(me, gossip::timing(), rand::random(), clock.now());
+    Shared::new(clock, core, members)
+}
+
+async fn bind_udp(address: SocketAddr) -> Result<UdpSocket, RunError> {
+    let socket = UdpSocket::bind(address).await;
+    socket.map_err(|error| RunError::Listen(address, error))
+}
+
+async fn tick(shared: Shared) {
+    let mut interval = tokio::time::interval(TICK);
+    loop {
+        interval.tick().await;
+        let now = shared.now();
+        shared.core().tick(now);
+    }
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -0,0 +1,98 @@
+//! What the parts of a process share: the flow path, the members, and whether it stops.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use flow::Core;
+use flow::Knowledge;
+use membership::Membership;
+use tokio::sync::Notify;
+use units::Time;
+
+use crate::clock::Clock;
+
+/// What the parts of a process share. All of them run on one thread, so that locks are never waited for.
+#[derive(Debug, Clone)]
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    core: Mutex<Core>,
+    members: Mutex<Membership>,
+    /// Knowledge has grown, or the members have changed.
+    news: Notify,
+    is_stopping: AtomicBool,
+    last_packet: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn new(clock: Clock, core: Core, members: Membership) -> Self {
+        Self {
+            clock,
+            inner: Arc::new(Inner {
+                core: Mutex::new(core),
+                members: Mutex::new(members),
+                news: Notify::new(),
+                is_stopping: AtomicBool::new(false),
+                last_packet: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.inner.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, Membership> {
+        self.inner.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what the store or another instance told, and lets others know if it is new.
+    pub(crate) fn learn(&self, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
+        let now = self.now();
+        let has_grown = self.core().learn(now, change);
+        if has_grown {
+            self.inner.news.notify_one();
+        }
+        has_grown
+    }
+
+    /// Waits until knowledge has grown.
+    pub(crate) async fn grown(&self) {
+        self.inner.news.notified().await;
+    }
+
+    /// Whether flows may be led here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.core().knowledge().is_ready()
+    }
+
+    pub(crate) fn stop(&self) {
+        self.inner.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.inner.is_stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn note_packet(&self, now: Time) {
+        self.inner.last_packet.store(now.0, Ordering::Relaxed);
+    }
+
+    /// When the last packet came.
+    pub(crate) fn last_packet(&self) -> Time {
+        Time(self.inner.last_packet.load(Ordering::Relaxed))
+    }
+}
--- a/crates/jayquayd/src/lib.rs
+++ b/crates/jayquayd/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod feed;
+pub mod forward;
 pub mod intake;
 pub mod metric;
 pub mod sessions;
--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io;
 use std::io::Write;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use jayquayd::End;
 use jayquayd::Handle;
 use jayquayd::StartError;
+use jayquayd::forward;
 use jayquayd::metric;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -49,6 +51,8 @@
     /// The instance's settings, a YAML file
     #[bpaf(argument("FILE"))]
     settings: PathBuf,
+    /// Forward flows without reading them: the settings are those of the flow mode
+    flows: bool,
     /// Check the settings and end
     check: bool,
 }
@@ -62,6 +66,8 @@
     Io(io::Error),
     /// The daemon did not start.
     Start(StartError),
+    /// The flow mode did not start.
+    Forward(forward::RunError),
 }
 
 impl fmt::Display for RunError {
@@ -70,6 +76,7 @@
             Self::Metrics(error) => write!(f, "metrics: {error}"),
             Self::Io(error) => error.fmt(f),
             Self::Start(error) => error.fmt(f),
+            Self::Forward(error) => error.fmt(f),
         }
     }
 }
@@ -92,12 +99,21 @@
     }
 }
 
+impl From<forward::RunError> for RunError {
+    fn from(error: forward::RunError) -> Self {
+        Self::Forward(error)
+    }
+}
+
 fn main() -> ExitCode {
     let options = match options().run_inner(Args::current_args()) {
         Ok(options) => options,
         Err(failure) => return explain(failure),
     };
     init_log();
+    if options.flows {
+        return forward(&options);
+    }
     let settings = match read_settings(&options.settings) {
         Ok(settings) => settings,
         Err(text) => {
@@ -151,6 +167,42 @@
     })
 }
 
+/// Runs the flow mode. One thread does all: its work is a few microseconds a packet, and a second thread would only
+/// add switches between the two.
+fn forward(options: &Options) -> ExitCode {
+    let text = match fs::read_to_string(&options.settings) {
+        Ok(text) => text,
+        Err(error) => {
+            complain(&format!("{}: {error}", options.settings.display()));
+            return ExitCode::from(USAGE);
+        }
+    };
+    let settings = match forward::settings::parse(&text) {
+        Ok(settings) => settings,
+        Err(error) => {
+            complain(&format!("{}: {error}", options.settings.display()));
+            return ExitCode::from(USAGE);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    match forward_until_stopped(&settings, &options.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            complain(&error.to_string());
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn forward_until_stopped(settings: &forward::Settings, path: &Path) -> Result<(), RunError> {
+    let metrics = install_recorder()?;
+    forward::run(settings, path, metrics).await?;
+    Ok(())
+}
+
 #[tokio::main]
 async fn run(settings: &Settings) -> Result<ExitCode, RunError> {
     let metrics = install_recorder()?;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,8 +14,6 @@
 use reqwest::header::ETAG;
 use reqwest::header::IF_MATCH;
 use reqwest::header::IF_NONE_MATCH;
-use reqwest::redirect::Policy;
-use reqwest::retry;
 use serde::de::DeserializeOwned;
 use units::Revision;
 
@@ -26,9 +24,10 @@
 use crate::api::Put;
 use crate::api::Tag;
 use crate::api::Written;
-
-/// How long a connection may take to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::transport::Body;
+use crate::transport::Transport;
+use crate::transport::body;
+use crate::transport::describe;
 
 /// How long one address may take to answer, unless the options say otherwise.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -101,7 +100,7 @@
 /// A client of the platform. Clones share connections, the address in use and the highest revision seen.
 #[derive(Debug, Clone)]
 pub struct Client {
-    http: reqwest::Client,
+    transport: Transport,
     options: Arc<Options>,
     in_use: Arc<AtomicUsize>,
     seen: Arc<AtomicU64>,
@@ -110,17 +109,9 @@
 impl Client {
     /// A client that has not called yet.
     pub fn new(options: Options) -> Self {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(Policy::none())
-            .retry(retry::never())
-            .referer(false)
-            .http1_only()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .build()
-            .expect("a client without TLS, proxies and resolvers needs nothing from the system");
+        let transport = Transport::new(options.timeout);
         Self {
-            http,
+            transport,
             options: Arc::new(options),
             in_use: Arc::new(AtomicUsize::new(0)),
             seen: Arc::new(AtomicU64::new(0)),
@@ -222,10 +213,7 @@
 
     fn request(&self, method: Method, index: usize, path: &str, wait: Duration) -> RequestBuilder {
         let address = self.options.addresses[index % self.options.addresses.len()];
-        let timeout = self.options.timeout + wait;
-        self.http
-            .request(method, format!("http://{address}{path}"))
-            .timeout(timeout)
+        self.transport.request(method, address, path, wait)
     }
 }
 
@@ -266,28 +254,6 @@
     Error::Rejected { status, text }
 }
 
-/// What was read of a body.
-#[derive(Debug, Default)]
-struct Body {
-    bytes: Vec<u8>,
-    /// Whether there was more than may be read.
-    is_cut: bool,
-}
-
-/// Reads at most `max_len` bytes of a body, whatever length it claims.
-async fn body(mut response: Response, max_len: usize) -> reqwest::Result<Body> {
-    let mut body = Body::default();
-    while let Some(chunk) = response.chunk().await? {
-        let room = max_len - body.bytes.len();
-        body.bytes.extend_from_slice(&chunk[..chunk.len().min(room)]);
-        if chunk.len() > room {
-            body.is_cut = true;
-            break;
-        }
-    }
-    Ok(body)
-}
-
 fn parse<T: DeserializeOwned>(body: &Body) -> Result<T, Error> {
     if body.is_cut {
         return Err(Error::Malformed(format!("longer than {} bytes", body.bytes.len())));
@@ -298,15 +264,3 @@
 fn in_doubt(error: &reqwest::Error) -> Error {
     Error::InDoubt(describe(error))
 }
-
-/// The innermost cause, which is the one that tells an operator something.
-fn describe(error: &reqwest::Error) -> String {
-    if error.is_timeout() {
-        return "no answer in time".to_owned();
-    }
-    let mut cause: &dyn std::error::Error = error;
-    while let Some(inner) = cause.source() {
-        cause = inner;
-    }
-    cause.to_string()
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! repeats a write of its own accord.
 
 pub mod api;
+pub mod transport;
 
 mod client;
 mod document;
--- /dev/null
+++ b/crates/platform/src/transport.rs
@@ -0,0 +1,83 @@
+//! HTTP calls with a time limit each, to one address a call.
+//!
+//! Whatever speaks to a platform's service goes through here, whichever API that service has.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::Client;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::redirect::Policy;
+use reqwest::retry;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Makes HTTP calls. Clones share connections.
+#[derive(Debug, Clone)]
+pub struct Transport {
+    http: Client,
+    timeout: Duration,
+}
+
+impl Transport {
+    /// Calls that may take `timeout` each, on top of the time that the service is asked to wait.
+    ///
+    /// A connection that is silent for good shows only by this limit, and is not used again after it.
+    pub fn new(timeout: Duration) -> Self {
+        let http = Client::builder()
+            .no_proxy()
+            .redirect(Policy::none())
+            .retry(retry::never())
+            .referer(false)
+            .http1_only()
+            .connect_timeout(CONNECT_TIMEOUT.min(timeout))
+            .build()
+            .expect("a client without TLS, proxies and resolvers needs nothing from the system");
+        Self { http, timeout }
+    }
+
+    /// A call to an address. `path` may hold a query; `wait` is how long the service may hold its answer back.
+    pub fn request(&self, method: Method, address: SocketAddr, path: &str, wait: Duration) -> RequestBuilder {
+        self.http
+            .request(method, format!("http://{address}{path}"))
+            .timeout(self.timeout + wait)
+    }
+}
+
+/// What was read of a body.
+#[derive(Debug, Default)]
+pub struct Body {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Whether there was more than may be read.
+    pub is_cut: bool,
+}
+
+/// Reads at most `max_len` bytes of a body, whatever length it claims.
+pub async fn body(mut response: Response, max_len: usize) -> reqwest::Result<Body> {
+    let mut body = Body::default();
+    while let Some(chunk) = response.chunk().await? {
+        let room = max_len - body.bytes.len();
+        body.bytes.extend_from_slice(&chunk[..chunk.len().min(room)]);
+        if chunk.len() > room {
+            body.is_cut = true;
+            break;
+        }
+    }
+    Ok(body)
+}
+
+/// The innermost cause of a failed call, which is the one that tells an operator something.
+pub fn describe(error: &reqwest::Error) -> String {
+    if error.is_timeout() {
+        return "no answer in time".to_owned();
+    }
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
