Take other zones' upstreams to be as busy as one's own

Cause: an instance sees only its own flows, so upstreams of other zones looked idle and drew flows at four times the cost; when a zone is cut, those flows are lost. Ruled out: late resets alone (the share lost stays level through the whole cut). Change: an upstream of another zone counts as at least as busy as the mean of one's own zone.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -26,6 +26,7 @@
 use crate::packet::ResetCause;
 use crate::place;
 use crate::place::Candidate;
+use crate::place::Mean;
 use crate::place::Tier;
 use crate::route::Routes;
 use crate::upstream::UpstreamId;
@@ -208,11 +209,18 @@
         let zone = &self.options.zone;
         let unused = Health::default();
         let tier = |id, listed: &Listed| tier(listed, health.get(&id), now);
+        let load = |id, listed: &Listed| place::load(listed, health.get(&id).unwrap_or(&unused), now);
+        let mut at_home = Mean::default();
+        for (id, listed, _) in place::candidates(&self.directory, service, None, tier) {
+            if listed.upstream.zone == *zone {
+                at_home.add(load(id, listed));
+            }
+        }
         let candidates = place::candidates(&self.directory, service, except, tier);
         let costed = candidates.map(|(id, listed, tier)| Candidate {
             id,
             tier,
-            cost: place::cost(listed, health.get(&id).unwrap_or(&unused), zone, now, rng),
+            cost: place::cost(listed, load(id, listed), at_home, zone, now, rng),
         });
         place::best(costed).map(|candidate| candidate.id)
     }
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -42,15 +42,41 @@
     pub(crate) cost: f64,
 }
 
-/// What a new flow costs at an upstream: its load for each slot, by zone and warmth.
-pub(crate) fn cost(listed: &Listed, health: &Health, zone: &ZoneName, now: Time, rng: &mut SmallRng) -> f64 {
+/// How busy an upstream's slots look from here: its flows seen here and the requests of the last second, for each slot.
+pub(crate) fn load(listed: &Listed, health: &Health, now: Time) -> f64 {
     let flows = f64::from(health.flows);
-    let load = BASE_LOAD + flows * FLOW_WEIGHT + health.activity(now);
-    let slots = f64::from(listed.upstream.slots.0.max(1));
-    let mut cost = load / slots;
-    if listed.upstream.zone != *zone {
-        cost *= OTHER_ZONE_FACTOR;
+    let load = flows * FLOW_WEIGHT + health.activity(now);
+    load / f64::from(listed.upstream.slots.0.max(1))
+}
+
+/// The mean load of the upstreams of a service in one's own availability zone.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Mean {
+    sum: f64,
+    count: u32,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, load: f64) {
+        self.sum += load;
+        self.count += 1;
     }
+
+    fn value(self) -> f64 {
+        self.sum / f64::from(self.count.max(1))
+    }
+}
+
+/// What a new flow costs at an upstream: its load, by zone and warmth.
+///
+/// Flows that others lead to another zone's upstreams can't be seen from here. They are taken to be as busy as those
+/// of one's own zone at least; without that, idle as they look, they would draw flows away from a zone in good order.
+pub(crate) fn cost(listed: &Listed, load: f64, at_home: Mean, zone: &ZoneName, now: Time, rng: &mut SmallRng) -> f64 {
+    let mut cost = if listed.upstream.zone == *zone {
+        BASE_LOAD + load
+    } else {
+        (BASE_LOAD + load.max(at_home.value())) * OTHER_ZONE_FACTOR
+    };
     if now < listed.cold_until {
         cost *= COLD_FACTOR;
     }
