Count response times in placement, squared

Ruled out: a lower factor for other zones alone (it loses more in a cut zone). Change: a moving mean of the time from a request to the first sign of an answer, taken only where a bare acknowledgement shows it, multiplies the cost squared. Copies of data count only if spaced, so that a process that was held up does not take a backlog for a stall.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -26,7 +26,7 @@
 use crate::packet::ResetCause;
 use crate::place;
 use crate::place::Candidate;
-use crate::place::Mean;
+use crate::place::Peers;
 use crate::place::Tier;
 use crate::route::Routes;
 use crate::upstream::UpstreamId;
@@ -209,18 +209,16 @@
         let zone = &self.options.zone;
         let unused = Health::default();
         let tier = |id, listed: &Listed| tier(listed, health.get(&id), now);
-        let load = |id, listed: &Listed| place::load(listed, health.get(&id).unwrap_or(&unused), now);
-        let mut at_home = Mean::default();
+        let view = |id, listed: &Listed| place::View::new(listed, health.get(&id).unwrap_or(&unused), now);
+        let mut peers = Peers::default();
         for (id, listed, _) in place::candidates(&self.directory, service, None, tier) {
-            if listed.upstream.zone == *zone {
-                at_home.add(load(id, listed));
-            }
+            peers.add(view(id, listed), listed.upstream.zone == *zone);
         }
         let candidates = place::candidates(&self.directory, service, except, tier);
         let costed = candidates.map(|(id, listed, tier)| Candidate {
             id,
             tier,
-            cost: place::cost(listed, load(id, listed), at_home, zone, now, rng),
+            cost: place::cost(listed, view(id, listed), &peers, zone, now, rng),
         });
         place::best(costed).map(|candidate| candidate.id)
     }
@@ -236,7 +234,7 @@
             return self.forward(id);
         }
         let sign = self.see(&key, id, packet, now);
-        if sign == Sign::Copy && self.is_stalled(&key) {
+        if sign.is_copy && self.is_stalled(&key) {
             let seq = packet.ack;
             self.close(&key);
             return Verdict::Reset(Reset {
@@ -257,19 +255,21 @@
             self.health.entry(id).or_default().flows += 1;
         }
         let Some(flow) = self.flows.get_mut(key) else {
-            return Sign::Nothing;
+            return Sign::default();
         };
         let sign = flow.see(packet, now);
         let health = self.health.entry(id).or_default();
-        match sign {
-            Sign::Progress => health.note_progress(now),
-            Sign::Request => health.note_request(now),
-            Sign::ProgressAndRequest => {
-                health.note_progress(now);
-                health.note_request(now);
-            }
-            Sign::Copy => health.note_copy(flow, now),
-            Sign::Nothing => {}
+        if sign.is_progress {
+            health.note_progress(now);
+        }
+        if let Some(waited) = sign.waited {
+            health.note_response(waited, now);
+        }
+        if sign.is_request {
+            health.note_request(now);
+        }
+        if sign.is_copy {
+            health.note_copy(flow, now);
         }
         sign
     }
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -9,6 +9,10 @@
 use crate::packet::Packet;
 use crate::upstream::UpstreamId;
 
+/// The least time between two copies that count. An end waits 200 milliseconds before the first copy and longer
+/// before each further one.
+const COPY_SPACE: Duration = Duration::from_millis(120);
+
 /// Names a flow: its two ends, as client, upstream and every instance see them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowKey {
@@ -54,32 +58,22 @@
     pub(crate) seq: u32,
     /// How many copies came after the first.
     pub(crate) copies: u8,
+    /// When it came last.
+    copied_at: Time,
 }
 
 /// What a packet tells about its flow's upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Sign {
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Sign {
     /// The upstream has answered something.
-    Progress,
-    /// New data is on its way to the upstream.
-    Request,
-    /// The upstream has answered something, and new data is on its way.
-    ProgressAndRequest,
-    /// Data came once more, as the upstream has not reacted.
-    Copy,
-    /// Nothing either way.
-    Nothing,
-}
-
-impl Sign {
-    fn new(has_progress: bool, has_request: bool) -> Self {
-        match (has_progress, has_request) {
-            (true, true) => Self::ProgressAndRequest,
-            (true, false) => Self::Progress,
-            (false, true) => Self::Request,
-            (false, false) => Self::Nothing,
-        }
-    }
+    pub(crate) is_progress: bool,
+    /// How long it took to answer, if that can be told. An answer that shows only in the client's next request says
+    /// more about the client's pause.
+    pub(crate) waited: Option<Duration>,
+    /// A new request is on its way to it.
+    pub(crate) is_request: bool,
+    /// Data came once more, as it has not reacted.
+    pub(crate) is_copy: bool,
 }
 
 impl Flow {
@@ -100,35 +94,48 @@
         self.last_seen = now;
         let was_open = self.is_open;
         self.is_open = true;
-        let has_progress = !was_open || is_ahead(packet.ack, self.client_ack);
-        if has_progress {
+        let mut sign = Sign::default();
+        if !was_open || is_ahead(packet.ack, self.client_ack) {
             self.client_ack = packet.ack;
-            self.pending = None;
+            let pending = self.pending.take();
+            sign.is_progress = true;
+            sign.waited = pending
+                .filter(|pending| packet.len == 0 && pending.copies == 0)
+                .map(|pending| now.since(pending.since));
         }
         if packet.len == 0 {
-            return Sign::new(has_progress, false);
+            return sign;
         }
         let end = packet.seq.wrapping_add(u32::from(packet.len));
-        let is_new = !was_open || is_ahead(end, self.next_seq);
-        if is_new {
+        if !was_open || is_ahead(end, self.next_seq) {
             self.next_seq = end;
-            let first = Pending {
+            sign.is_request = self.pending.is_none();
+            self.pending.get_or_insert(Pending {
                 since: now,
                 seq: packet.seq,
                 copies: 0,
-            };
-            let is_request = self.pending.is_none();
-            self.pending.get_or_insert(first);
-            return Sign::new(has_progress, is_request);
+                copied_at: now,
+            });
+            return sign;
         }
-        let Some(pending) = &mut self.pending else {
-            return Sign::new(has_progress, false);
-        };
-        if pending.seq != packet.seq {
-            return Sign::Nothing;
+        if let Some(pending) = &mut self.pending {
+            sign.is_copy = pending.note_copy(packet.seq, now);
+        }
+        sign
+    }
+}
+
+impl Pending {
+    /// Counts a copy. Copies that come together were held up on their way here, or this process was, and tell nothing
+    /// about the upstream.
+    fn note_copy(&mut self, seq: u32, now: Time) -> bool {
+        let is_spaced = now.since(self.copied_at) >= COPY_SPACE;
+        if seq != self.seq || !is_spaced {
+            return false;
         }
-        pending.copies = pending.copies.saturating_add(1);
-        Sign::Copy
+        self.copies = self.copies.saturating_add(1);
+        self.copied_at = now;
+        true
     }
 }
 
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -13,6 +13,12 @@
 /// shorter span would see mostly chance.
 const ACTIVITY_SPAN: Duration = Duration::from_secs(1);
 
+/// How much a new sample of the response time counts. About ten requests a second reach an upstream from one instance,
+/// so that a change shows within a second or two.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// For how long samples count after the last one. A slow upstream is tried again after it.
+const SAMPLE_KEEP: Duration = Duration::from_secs(4);
+
 /// What an instance tells others of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -31,6 +37,9 @@
     pub(crate) flows: u32,
     activity: f64,
     activity_at: Time,
+    /// A moving mean of its response times, in seconds.
+    response: Option<f64>,
+    response_at: Time,
     /// When it last answered something.
     pub(crate) last_progress: Time,
     /// How many different flows have sent data again since then.
@@ -53,6 +62,19 @@
         }
     }
 
+    /// The upstream took this long to answer a request.
+    pub(crate) fn note_response(&mut self, waited: Duration, now: Time) {
+        let sample = waited.as_secs_f64();
+        let held = self.response(now).unwrap_or(sample);
+        self.response = Some(held + (sample - held) * SAMPLE_WEIGHT);
+        self.response_at = now;
+    }
+
+    /// How long it takes to answer, in seconds, if that was seen lately.
+    pub(crate) fn response(&self, now: Time) -> Option<f64> {
+        self.response.filter(|_| now.since(self.response_at) < SAMPLE_KEEP)
+    }
+
     /// A request is on its way to it.
     pub(crate) fn note_request(&mut self, now: Time) {
         self.activity = self.activity(now) + 1.0;
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -19,6 +19,8 @@
 const FLOW_WEIGHT: f64 = 0.5;
 /// What a free upstream counts, so that factors apply to it as well.
 const BASE_LOAD: f64 = 0.5;
+/// Response times below this, in seconds, count as equal: the way there and back takes as long.
+const LEAST_RESPONSE: f64 = 0.005;
 /// Up to which part of its load an upstream may be favoured by chance, so that instances that know the same don't all
 /// choose the same.
 const JITTER: f64 = 0.1;
@@ -42,41 +44,71 @@
     pub(crate) cost: f64,
 }
 
-/// How busy an upstream's slots look from here: its flows seen here and the requests of the last second, for each slot.
-pub(crate) fn load(listed: &Listed, health: &Health, now: Time) -> f64 {
-    let flows = f64::from(health.flows);
-    let load = flows * FLOW_WEIGHT + health.activity(now);
-    load / f64::from(listed.upstream.slots.0.max(1))
+/// How an upstream looks from here.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct View {
+    /// Its flows seen here and the requests of the last second, for each slot.
+    load: f64,
+    /// How long it takes to answer, in seconds, if that was seen lately.
+    response: Option<f64>,
+}
+
+impl View {
+    pub(crate) fn new(listed: &Listed, health: &Health, now: Time) -> Self {
+        let flows = f64::from(health.flows);
+        let load = flows * FLOW_WEIGHT + health.activity(now);
+        Self {
+            load: load / f64::from(listed.upstream.slots.0.max(1)),
+            response: health.response(now),
+        }
+    }
 }
 
-/// The mean load of the upstreams of a service in one's own availability zone.
+/// What the upstreams of a service have in common.
 #[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct Mean {
-    sum: f64,
-    count: u32,
+pub(crate) struct Peers {
+    /// The sum of loads in one's own availability zone.
+    load_at_home: f64,
+    at_home: u32,
+    /// The shortest response time seen, in seconds.
+    fastest: Option<f64>,
 }
 
-impl Mean {
-    pub(crate) fn add(&mut self, load: f64) {
-        self.sum += load;
-        self.count += 1;
+impl Peers {
+    pub(crate) fn add(&mut self, view: View, is_at_home: bool) {
+        if is_at_home {
+            self.load_at_home += view.load;
+            self.at_home += 1;
+        }
+        let fastest = [self.fastest, view.response].into_iter().flatten();
+        self.fastest = fastest.min_by(f64::total_cmp);
+    }
+
+    fn mean_at_home(&self) -> f64 {
+        self.load_at_home / f64::from(self.at_home.max(1))
     }
 
-    fn value(self) -> f64 {
-        self.sum / f64::from(self.count.max(1))
+    /// How much slower than the fastest an upstream answers, at least 1.
+    fn slowness(&self, view: View) -> f64 {
+        let (Some(fastest), Some(response)) = (self.fastest, view.response) else {
+            return 1.0;
+        };
+        (response / fastest.max(LEAST_RESPONSE)).max(1.0)
     }
 }
 
-/// What a new flow costs at an upstream: its load, by zone and warmth.
+/// What a new flow costs at an upstream: its load, by zone, warmth and response time.
 ///
 /// Flows that others lead to another zone's upstreams can't be seen from here. They are taken to be as busy as those
 /// of one's own zone at least; without that, idle as they look, they would draw flows away from a zone in good order.
-pub(crate) fn cost(listed: &Listed, load: f64, at_home: Mean, zone: &ZoneName, now: Time, rng: &mut SmallRng) -> f64 {
+/// Response times count squared, so that flows leave a zone whose upstreams answer twice as slowly as others do.
+pub(crate) fn cost(listed: &Listed, view: View, peers: &Peers, zone: &ZoneName, now: Time, rng: &mut SmallRng) -> f64 {
     let mut cost = if listed.upstream.zone == *zone {
-        BASE_LOAD + load
+        BASE_LOAD + view.load
     } else {
-        (BASE_LOAD + load.max(at_home.value())) * OTHER_ZONE_FACTOR
+        (BASE_LOAD + view.load.max(peers.mean_at_home())) * OTHER_ZONE_FACTOR
     };
+    cost *= peers.slowness(view).powi(2);
     if now < listed.cold_until {
         cost *= COLD_FACTOR;
     }
