Take an upstream for dead when three flows wait in vain, and log decisions

Ruled out: a reset at the second copy of one flow, as loss alone looks like that. Change: copies count only if the upstream has answered nobody since the flow began to wait; the third such flow ends all flows of the upstream that were seen here, silent ones too. Later tries wait 1, 2, 4 s. A flow first seen in its middle is no sign of life.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -10,12 +10,14 @@
 use units::Time;
 use units::ZoneName;
 
+use crate::decision::Decision;
 use crate::directory::Directory;
 use crate::directory::Listed;
 use crate::flows::Flow;
 use crate::flows::FlowKey;
 use crate::flows::Flows;
 use crate::flows::Sign;
+use crate::flows::Stage;
 use crate::health::Health;
 use crate::knowledge::Knowledge;
 use crate::packet::DropCause;
@@ -34,8 +36,6 @@
 /// How long an upstream that is no longer listed may still get flows if its service has no other: its entry may have
 /// lapsed with the platform's store, and entries that did are back within about two seconds.
 const LAPSED_GRACE: Duration = Duration::from_secs(2);
-/// How long an upstream that flows wait for is spared new ones before one is tried again.
-const SUSPECT_PAUSE: Duration = Duration::from_secs(1);
 /// At which copy of the same data a flow counts as stalled, if its upstream has answered nobody meanwhile. Copies come
 /// 200 and 600 milliseconds after the first, and loss alone makes one copy common.
 const STALLED_COPIES: u8 = 2;
@@ -92,6 +92,8 @@
     directory: Directory,
     health: HashMap<UpstreamId, Health>,
     flows: Flows,
+    resets: Vec<Reset>,
+    decisions: Vec<Decision>,
     stats: Stats,
 }
 
@@ -106,6 +108,8 @@
             directory: Directory::default(),
             health: HashMap::new(),
             flows: Flows::default(),
+            resets: Vec::new(),
+            decisions: Vec::new(),
             stats: Stats::default(),
         }
     }
@@ -146,15 +150,26 @@
         } else {
             self.carry(packet, now)
         };
-        self.count(verdict);
+        self.note(packet, verdict);
         verdict
     }
 
-    fn count(&mut self, verdict: Verdict) {
+    /// Counts a verdict, and notes it unless it only follows from an earlier one.
+    fn note(&mut self, packet: &Packet, verdict: Verdict) {
+        let flow = FlowKey::from(packet);
         match verdict {
             Verdict::Forward { .. } => self.stats.forwarded += 1,
-            Verdict::Reset(reset) => *self.stats.resets.entry(reset.cause).or_default() += 1,
-            Verdict::Drop(cause) => *self.stats.drops.entry(cause).or_default() += 1,
+            Verdict::Reset(reset) => {
+                *self.stats.resets.entry(reset.cause).or_default() += 1;
+                let upstream = self.directory.by_echo(packet.echo);
+                let cause = reset.cause;
+                self.decisions.push(Decision::Reset { flow, upstream, cause });
+            }
+            Verdict::Drop(cause) => {
+                *self.stats.drops.entry(cause).or_default() += 1;
+                let echo = packet.echo;
+                self.decisions.push(Decision::Dropped { flow, echo, cause });
+            }
         }
     }
 
@@ -172,15 +187,20 @@
         let service = service.to_owned();
         let key = FlowKey::from(packet);
         let earlier = self.forget_opening(&key, now);
-        let Some(id) = self.place(&service, earlier, now) else {
+        let Some(candidate) = self.place(&service, earlier, now) else {
             return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
         };
+        let id = candidate.id;
         self.stats.placed += 1;
-        let mut flow = Flow::new(id, packet, now);
-        let health = self.health.entry(id).or_default();
-        health.flows += 1;
-        health.placed_at = now;
-        flow.next_seq = packet.seq;
+        self.decisions.push(Decision::Placed {
+            flow: key,
+            upstream: id,
+            earlier,
+            tier: candidate.tier,
+            cost: candidate.cost,
+        });
+        let flow = Flow::new(id, Stage::Opening, packet, now);
+        self.health.entry(id).or_default().note_placed(now);
         self.flows.insert(key, flow);
         self.forward(id)
     }
@@ -191,19 +211,19 @@
         let mut flow = self.flows.remove(key)?;
         let health = self.health.get_mut(&flow.upstream)?;
         health.flows = health.flows.saturating_sub(1);
-        if !flow.is_open {
-            health.note_copy(&mut flow, now);
+        if flow.stage == Stage::Opening && health.note_copy(&mut flow, now) {
+            self.give_up(flow.upstream);
         }
         Some(flow.upstream)
     }
 
     /// The best upstream for a new flow, another than `earlier` if there is one.
-    fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<UpstreamId> {
+    fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
         self.best(service, earlier, now)
             .or_else(|| self.best(service, None, now))
     }
 
-    fn best(&mut self, service: &str, except: Option<UpstreamId>, now: Time) -> Option<UpstreamId> {
+    fn best(&mut self, service: &str, except: Option<UpstreamId>, now: Time) -> Option<Candidate> {
         let health = &self.health;
         let rng = &mut self.rng;
         let zone = &self.options.zone;
@@ -220,7 +240,7 @@
             tier,
             cost: place::cost(listed, view(id, listed), &peers, zone, now, rng),
         });
-        place::best(costed).map(|candidate| candidate.id)
+        place::best(costed)
     }
 
     /// Forwards a packet of a flow to the upstream that its echo names.
@@ -233,25 +253,30 @@
             self.close(&key);
             return self.forward(id);
         }
+        // A packet that shows a sign of life ends the belief that its upstream is dead, so this comes first.
         let sign = self.see(&key, id, packet, now);
+        if packet.len > 0 && self.is_dead(id, now) {
+            self.close(&key);
+            return Verdict::Reset(reset_open(packet, ResetCause::Dead));
+        }
         if sign.is_copy && self.is_stalled(&key) {
-            let seq = packet.ack;
             self.close(&key);
-            return Verdict::Reset(Reset {
-                client: packet.client,
-                route: packet.route,
-                seq,
-                cause: ResetCause::Stalled,
-            });
+            return Verdict::Reset(reset_open(packet, ResetCause::Stalled));
         }
         self.forward(id)
     }
 
+    /// Whether data for an upstream is answered with a reset, as the upstream was taken for dead a moment ago: the flow
+    /// comes from another instance, or the first reset was lost.
+    fn is_dead(&self, id: UpstreamId, now: Time) -> bool {
+        self.health.get(&id).is_some_and(|health| health.is_dead(now))
+    }
+
     /// Notes what a packet tells of its flow and of its upstream.
     fn see(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Sign {
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
             self.close(key);
-            self.flows.insert(*key, Flow::new(id, packet, now));
+            self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
             self.health.entry(id).or_default().flows += 1;
         }
         let Some(flow) = self.flows.get_mut(key) else {
@@ -259,8 +284,8 @@
         };
         let sign = flow.see(packet, now);
         let health = self.health.entry(id).or_default();
-        if sign.is_progress {
-            health.note_progress(now);
+        if sign.is_progress && health.note_progress(now) {
+            self.decisions.push(Decision::Revived(id));
         }
         if let Some(waited) = sign.waited {
             health.note_response(waited, now);
@@ -268,12 +293,49 @@
         if sign.is_request {
             health.note_request(now);
         }
-        if sign.is_copy {
-            health.note_copy(flow, now);
+        if sign.is_copy && health.note_copy(flow, now) {
+            self.give_up(id);
         }
         sign
     }
 
+    /// Ends all flows of an upstream that is taken for dead, also those that are silent: a client whose flow is reset
+    /// before its next request opens another one in time, and loses nothing.
+    fn give_up(&mut self, id: UpstreamId) {
+        let flows = self.flows.take_of(id);
+        let Some(health) = self.health.get_mut(&id) else {
+            return;
+        };
+        health.flows = 0;
+        self.decisions.push(Decision::Died {
+            upstream: id,
+            stalled: health.stalled(),
+            flows: flows.len(),
+        });
+        for (key, flow) in flows {
+            if flow.stage == Stage::Opening {
+                continue;
+            }
+            *self.stats.resets.entry(ResetCause::Dead).or_default() += 1;
+            self.resets.push(Reset {
+                client: key.client,
+                route: key.route,
+                seq: flow.client_ack,
+                cause: ResetCause::Dead,
+            });
+        }
+    }
+
+    /// Resets that the last packets led to, beside their own verdicts.
+    pub fn take_resets(&mut self) -> Vec<Reset> {
+        std::mem::take(&mut self.resets)
+    }
+
+    /// What was decided since the last call, in order. Forwarding by an echo is no decision.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Whether a flow waits for an upstream that answers nobody.
     fn is_stalled(&mut self, key: &FlowKey) -> bool {
         let Some(flow) = self.flows.get_mut(key) else {
@@ -285,7 +347,10 @@
         let Some(health) = self.health.get(&flow.upstream) else {
             return false;
         };
-        pending.copies >= STALLED_COPIES && health.last_progress <= pending.since
+        if pending.copies < STALLED_COPIES || health.last_progress > pending.since {
+            return false;
+        }
+        true
     }
 
     /// Forgets a flow that has ended.
@@ -340,7 +405,7 @@
     let Some(health) = health else {
         return Some(Tier::Ready);
     };
-    if health.stalled > 0 && now.since(health.placed_at) < SUSPECT_PAUSE {
+    if health.is_suspect(now) {
         return Some(Tier::Suspect);
     }
     Some(Tier::Ready)
@@ -355,6 +420,15 @@
     }
 }
 
+fn reset_open(packet: &Packet, cause: ResetCause) -> Reset {
+    Reset {
+        client: packet.client,
+        route: packet.route,
+        seq: packet.ack,
+        cause,
+    }
+}
+
 fn unknown_echo(packet: &Packet) -> DropCause {
     if packet.flags.has(Flags::RST) {
         return DropCause::Reset;
--- /dev/null
+++ b/crates/flow/src/decision.rs
@@ -0,0 +1,55 @@
+//! What was decided, for those who have to explain it later.
+
+use crate::flows::FlowKey;
+use crate::packet::DropCause;
+use crate::packet::Echo;
+use crate::packet::ResetCause;
+use crate::place::Tier;
+use crate::upstream::UpstreamId;
+
+/// A decision that touches a flow, or a change of what is believed of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Decision {
+    /// A new flow goes to an upstream.
+    Placed {
+        /// The flow.
+        flow: FlowKey,
+        /// Its upstream.
+        upstream: UpstreamId,
+        /// The upstream that an earlier copy of the same opening packet went to.
+        earlier: Option<UpstreamId>,
+        /// How good a choice the upstream is at best.
+        tier: Tier,
+        /// What the flow costs there: its load for each slot, by zone, warmth and response time.
+        cost: f64,
+    },
+    /// A flow is ended towards its client.
+    Reset {
+        /// The flow.
+        flow: FlowKey,
+        /// Its upstream, if it has one.
+        upstream: Option<UpstreamId>,
+        /// Why.
+        cause: ResetCause,
+    },
+    /// A packet goes nowhere.
+    Dropped {
+        /// Its flow.
+        flow: FlowKey,
+        /// The echo that it carries.
+        echo: Echo,
+        /// Why.
+        cause: DropCause,
+    },
+    /// An upstream is taken for dead, and its flows are reset.
+    Died {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// How many flows waited for it in vain.
+        stalled: u32,
+        /// How many flows it had here.
+        flows: usize,
+    },
+    /// An upstream that was taken for dead answers again.
+    Revived(UpstreamId),
+}
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -1,6 +1,7 @@
 //! What this instance has seen of each flow. It is a cache for decisions: any of it may be lost at any time.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -22,6 +23,12 @@
     pub route: SocketAddrV4,
 }
 
+impl fmt::Display for FlowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}>{}", self.client, self.route)
+    }
+}
+
 impl From<&Packet> for FlowKey {
     fn from(packet: &Packet) -> Self {
         Self {
@@ -31,13 +38,26 @@
     }
 }
 
+/// How far a flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It was placed here, and its upstream has not answered yet.
+    Opening,
+    /// Its packets came from another instance, or from before this one started.
+    Adopted,
+    /// It is open.
+    Open,
+}
+
 /// What this instance has seen of one flow.
 #[derive(Debug, Clone)]
 pub(crate) struct Flow {
     /// Where its packets go.
     pub(crate) upstream: UpstreamId,
-    /// Whether its handshake is known to be over.
-    pub(crate) is_open: bool,
+    /// How far it has come.
+    pub(crate) stage: Stage,
+    /// When its first packet came here.
+    pub(crate) first_seen: Time,
     pub(crate) last_seen: Time,
     /// How far the client has everything from the upstream.
     pub(crate) client_ack: u32,
@@ -77,25 +97,30 @@
 }
 
 impl Flow {
-    pub(crate) fn new(upstream: UpstreamId, packet: &Packet, now: Time) -> Self {
+    pub(crate) fn new(upstream: UpstreamId, stage: Stage, packet: &Packet, now: Time) -> Self {
         Self {
             upstream,
-            is_open: false,
+            stage,
+            first_seen: now,
             last_seen: now,
-            client_ack: 0,
+            client_ack: packet.ack,
             next_seq: packet.seq,
             pending: None,
             counted_in: 0,
         }
     }
 
+    /// Since when it waits for its upstream.
+    pub(crate) fn waits_since(&self) -> Time {
+        self.pending.map_or(self.first_seen, |pending| pending.since)
+    }
+
     /// Takes in a packet that is not an opening one.
     pub(crate) fn see(&mut self, packet: &Packet, now: Time) -> Sign {
         self.last_seen = now;
-        let was_open = self.is_open;
-        self.is_open = true;
+        let stage = std::mem::replace(&mut self.stage, Stage::Open);
         let mut sign = Sign::default();
-        if !was_open || is_ahead(packet.ack, self.client_ack) {
+        if stage == Stage::Opening || is_ahead(packet.ack, self.client_ack) {
             self.client_ack = packet.ack;
             let pending = self.pending.take();
             sign.is_progress = true;
@@ -107,7 +132,7 @@
             return sign;
         }
         let end = packet.seq.wrapping_add(u32::from(packet.len));
-        if !was_open || is_ahead(end, self.next_seq) {
+        if stage != Stage::Open || is_ahead(end, self.next_seq) {
             self.next_seq = end;
             sign.is_request = self.pending.is_none();
             self.pending.get_or_insert(Pending {
@@ -168,6 +193,12 @@
         self.flows.remove(key)
     }
 
+    /// Takes out the flows of one upstream.
+    pub(crate) fn take_of(&mut self, upstream: UpstreamId) -> Vec<(FlowKey, Flow)> {
+        let flows = self.flows.extract_if(|_, flow| flow.upstream == upstream);
+        flows.collect()
+    }
+
     /// Takes out the flows that have been silent for longer than they may be remembered.
     pub(crate) fn take_idle(&mut self, idle: Duration, now: Time) -> Vec<Flow> {
         let idle = self.flows.extract_if(|_, flow| now.since(flow.last_seen) > idle);
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -19,6 +19,16 @@
 /// For how long samples count after the last one. A slow upstream is tried again after it.
 const SAMPLE_KEEP: Duration = Duration::from_secs(4);
 
+/// How many different flows must wait in vain, while none is answered, until an upstream is taken for dead. One or two
+/// may have lost a packet in the same fifth of a second.
+const DEAD_FLOWS: u32 = 3;
+/// For how long an upstream counts as dead after flows have waited in vain.
+const DEAD_KEEP: Duration = Duration::from_secs(3);
+/// How long an upstream that flows wait for in vain is spared new ones, at first.
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+/// The longest time between two tries of such an upstream.
+const LAST_RETRY: Duration = Duration::from_secs(4);
+
 /// What an instance tells others of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -42,24 +52,24 @@
     response_at: Time,
     /// When it last answered something.
     pub(crate) last_progress: Time,
-    /// How many different flows have sent data again since then.
-    pub(crate) stalled: u32,
-    /// Since when flows have sent data again.
-    pub(crate) stalled_since: Option<Time>,
+    /// How many different flows have waited in vain since then.
+    stalled: u32,
     /// Numbers its stalls, so that a flow is counted once in each.
     stall: u32,
-    /// When it was last given a new flow.
-    pub(crate) placed_at: Time,
+    /// When it was last found dead, if it has not answered since.
+    dead_since: Option<Time>,
+    /// When a flow may try it again, while flows wait in vain.
+    retry_at: Time,
+    retry_pause: Duration,
 }
 
 impl Health {
-    /// The upstream has answered something.
-    pub(crate) fn note_progress(&mut self, now: Time) {
+    /// The upstream has answered something. Tells whether it was taken for dead.
+    pub(crate) fn note_progress(&mut self, now: Time) -> bool {
         self.last_progress = now;
-        if self.stalled > 0 {
-            self.stalled = 0;
-            self.stalled_since = None;
-        }
+        self.stalled = 0;
+        self.retry_pause = Duration::ZERO;
+        self.dead_since.take().is_some()
     }
 
     /// The upstream took this long to answer a request.
@@ -81,16 +91,63 @@
         self.activity_at = now;
     }
 
-    /// Data or an opening packet came once more for it.
-    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) {
+    /// A flow has sent something once more, as the upstream has not reacted. Tells whether it is taken for dead from
+    /// now on.
+    ///
+    /// Nothing is counted if the upstream has answered another flow meanwhile: then only this flow's packet was lost.
+    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) -> bool {
+        if self.last_progress >= flow.waits_since() {
+            return false;
+        }
         if self.stalled == 0 {
             self.stall = self.stall.wrapping_add(1).max(1);
-            self.stalled_since = Some(now);
         }
         if flow.counted_in != self.stall {
             flow.counted_in = self.stall;
             self.stalled += 1;
         }
+        if self.now_may_retry(now) {
+            self.postpone(now);
+        }
+        if self.stalled < DEAD_FLOWS || self.is_dead(now) {
+            return false;
+        }
+        self.dead_since = Some(now);
+        true
+    }
+
+    /// Whether it was found dead a moment ago. Without new flows that wait in vain, this ends by itself: an upstream that
+    /// nobody may try can't show that it lives.
+    pub(crate) fn is_dead(&self, now: Time) -> bool {
+        self.dead_since.is_some_and(|since| now.since(since) < DEAD_KEEP)
+    }
+
+    /// Whether flows wait for it in vain and none should try it yet.
+    pub(crate) fn is_suspect(&self, now: Time) -> bool {
+        self.stalled > 0 && now < self.retry_at
+    }
+
+    /// How many flows wait for it in vain.
+    pub(crate) fn stalled(&self) -> u32 {
+        self.stalled
+    }
+
+    fn now_may_retry(&self, now: Time) -> bool {
+        now >= self.retry_at
+    }
+
+    /// Puts the next try off, by twice as much each time.
+    fn postpone(&mut self, now: Time) {
+        self.retry_pause = (self.retry_pause * 2).clamp(FIRST_RETRY, LAST_RETRY);
+        self.retry_at = now + self.retry_pause;
+    }
+
+    /// A new flow tries it.
+    pub(crate) fn note_placed(&mut self, now: Time) {
+        self.flows += 1;
+        if self.stalled > 0 {
+            self.postpone(now);
+        }
     }
 
     /// About how many requests it got within the last [`ACTIVITY_SPAN`].
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 //! does not know how packets, routes and upstreams are written down.
 
 mod core;
+mod decision;
 mod directory;
 mod flows;
 mod health;
@@ -22,6 +23,7 @@
 pub use crate::core::Options;
 pub use crate::core::Stats;
 pub use crate::core::Verdict;
+pub use crate::decision::Decision;
 pub use crate::directory::Directory;
 pub use crate::flows::FlowKey;
 pub use crate::health::Report;
@@ -34,6 +36,7 @@
 pub use crate::packet::Packet;
 pub use crate::packet::Reset;
 pub use crate::packet::ResetCause;
+pub use crate::place::Tier;
 pub use crate::route::Document;
 pub use crate::route::Route;
 pub use crate::route::Share;
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -77,8 +77,10 @@
     NoRoute,
     /// No upstream of the service can take a flow.
     NoUpstream,
-    /// The flow's upstream has stopped answering.
+    /// The flow waits in vain while its upstream answers nobody.
     Stalled,
+    /// The flow's upstream is taken for dead.
+    Dead,
 }
 
 impl fmt::Display for ResetCause {
@@ -87,6 +89,7 @@
             Self::NoRoute => "no route",
             Self::NoUpstream => "no upstream",
             Self::Stalled => "stalled",
+            Self::Dead => "dead",
         })
     }
 }
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -1,5 +1,7 @@
 //! Which upstream gets a new flow.
 
+use std::fmt;
+
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use units::Time;
@@ -27,7 +29,7 @@
 
 /// How good a choice an upstream is at best, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Tier {
+pub enum Tier {
     /// It is listed as ready and answers.
     Ready,
     /// Flows wait for a sign of life from it.
@@ -36,6 +38,16 @@
     Lapsed,
 }
 
+impl fmt::Display for Tier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ready => "ready",
+            Self::Suspect => "suspect",
+            Self::Lapsed => "lapsed",
+        })
+    }
+}
+
 /// An upstream that could take a new flow.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Candidate {
--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -5,6 +5,7 @@
 
 pub mod settings;
 
+mod decisions;
 mod gossip;
 mod http;
 mod packets;
--- a/crates/jayquayd/src/forward/packets.rs
+++ b/crates/jayquayd/src/forward/packets.rs
@@ -9,14 +9,19 @@
 use flow::Verdict;
 use tokio::net::UdpSocket;
 
+use super::decisions::DecisionLog;
 use super::shared::Shared;
 
 /// Carries packets until the process ends.
 pub(crate) async fn run(socket: Arc<UdpSocket>, client_port: u16, shared: Shared) -> io::Result<()> {
     let mut buffer = [0; packet::MAX_DATAGRAM_LEN];
+    let mut log = DecisionLog::default();
+    // Until the document and the upstreams are known, packets wait in the socket's buffer. They would only be dropped
+    // here, and be sent again 200 milliseconds later.
+    shared.until_ready().await;
     loop {
         socket.readable().await?;
-        while carry_one(&socket, client_port, &shared, &mut buffer) {}
+        while carry_one(&socket, client_port, &shared, &mut buffer, &mut log) {}
     }
 }
 
@@ -26,6 +31,7 @@
     client_port: u16,
     shared: &Shared,
     buffer: &mut [u8; packet::MAX_DATAGRAM_LEN],
+    log: &mut DecisionLog,
 ) -> bool {
     let len = match socket.try_recv(&mut buffer[packet::ADDRESSEE_LEN..]) {
         Ok(len) => len,
@@ -43,7 +49,15 @@
     };
     let now = shared.now();
     shared.note_packet(now);
-    let verdict = shared.core().packet(&head, now);
+    let (verdict, resets, decisions) = {
+        let mut core = shared.core();
+        let verdict = core.packet(&head, now);
+        (verdict, core.take_resets(), core.take_decisions())
+    };
+    log.tell(&decisions, now);
+    for reset in &resets {
+        send_reset(socket, client_port, reset);
+    }
     match verdict {
         Verdict::Forward {
             upstream,
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -29,6 +29,8 @@
     members: Mutex<Membership>,
     /// Knowledge has grown, or the members have changed.
     news: Notify,
+    /// There is enough knowledge to serve.
+    ready: Notify,
     is_stopping: AtomicBool,
     last_packet: AtomicU64,
 }
@@ -41,6 +43,7 @@
                 core: Mutex::new(core),
                 members: Mutex::new(members),
                 news: Notify::new(),
+                ready: Notify::new(),
                 is_stopping: AtomicBool::new(false),
                 last_packet: AtomicU64::new(0),
             }),
@@ -65,6 +68,7 @@
         let has_grown = self.core().learn(now, change);
         if has_grown {
             self.inner.news.notify_one();
+            self.inner.ready.notify_one();
         }
         has_grown
     }
@@ -74,6 +78,13 @@
         self.inner.news.notified().await;
     }
 
+    /// Waits until there is enough knowledge to serve. Only one task may wait.
+    pub(crate) async fn until_ready(&self) {
+        while !self.core().knowledge().is_ready() {
+            self.inner.ready.notified().await;
+        }
+    }
+
     /// Whether flows may be led here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.core().knowledge().is_ready()
