Let watches wait longer and new watchers go on from what others told; test the flow mode over real processes

Change: waits of 4 to 8 s, drawn anew each time, so that one of the watchers finds a silent connection within a second or two and the others hear of the news from it; a new watcher goes on from the revision that it has from another instance.

--- a/crates/jayquayd/src/forward/watch.rs
+++ b/crates/jayquayd/src/forward/watch.rs
@@ -13,9 +13,11 @@
 
 use super::shared::Shared;
 
-/// How long a watch waits for a change. Long waits cost fewer calls; a connection that has gone silent for good shows
-/// only after one.
-const WAIT: Duration = Duration::from_secs(3);
+/// The shortest and the longest time that a watch waits for a change. Each call costs the same however long it waits. A
+/// connection that has gone silent for good shows only after the wait; as the watchers' waits differ, one of them finds
+/// out within a second or two, and the others hear of the news from it.
+const SHORTEST_WAIT: Duration = Duration::from_secs(4);
+const LONGEST_WAIT: Duration = Duration::from_secs(8);
 /// How long changes are gathered before the next call asks for more, so that a series of them costs few calls.
 const GATHER: Duration = Duration::from_millis(300);
 /// The first pause after a call that failed. It doubles with each further one.
@@ -41,6 +43,11 @@
     }
 }
 
+/// How long the next watch waits.
+fn wait() -> Duration {
+    rand::rng().random_range(SHORTEST_WAIT..LONGEST_WAIT)
+}
+
 /// Keeps the document and the upstreams up to date.
 pub(crate) async fn run(store: Store, shared: Shared) {
     tokio::join!(documents(&store, &shared), upstreams(&store, &shared));
@@ -62,7 +69,7 @@
         }
         let result = match cursor {
             None => store.read_document().await,
-            Some(since) => store.watch_document(since, WAIT).await,
+            Some(since) => store.watch_document(since, wait()).await,
         };
         let documents = match result {
             Ok(documents) => documents,
@@ -85,12 +92,12 @@
 }
 
 async fn upstreams(store: &Store, shared: &Shared) {
-    let mut cursor = None;
+    let mut cursor = held(shared);
     let mut backoff = Backoff::new();
     loop {
         if !is_asked(shared) {
-            cursor = None;
             tokio::time::sleep(IDLE).await;
+            cursor = held(shared);
             continue;
         }
         let result = match cursor {
@@ -121,6 +128,12 @@
     tokio::time::sleep(backoff.next()).await;
 }
 
+/// The revision from which a new watcher can go on without reading the whole list: it has it from another instance.
+fn held(shared: &Shared) -> Option<Revision> {
+    let at = shared.core().knowledge().upstreams_at();
+    (at > Revision(0)).then_some(at)
+}
+
 async fn list(store: &Store, shared: &Shared) -> Result<(Revision, bool), Error> {
     let list = store.list_upstreams().await?;
     let count = list.upstreams.len();
@@ -131,7 +144,7 @@
 }
 
 async fn watch(store: &Store, shared: &Shared, since: Revision) -> Result<(Revision, bool), Error> {
-    let watched = store.watch_upstreams(since, WAIT).await?;
+    let watched = store.watch_upstreams(since, wait()).await?;
     if watched.changes.is_empty() {
         return Ok((watched.at, false));
     }
--- /dev/null
+++ b/crates/jayquayd/tests/flows.rs
@@ -0,0 +1,321 @@
+//! The flow mode over real processes: instances, the platform's store, upstreams and clients, on loopback.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter_standin::Client;
+use adapter_standin::Fault;
+use adapter_standin::Seen;
+use adapter_standin::Store;
+use adapter_standin::Upstream;
+use flow::UpstreamId;
+
+/// How often something is looked for, and how often at most. Tests fail by this only if it never comes.
+const PAUSE: Duration = Duration::from_millis(50);
+const TRIES: u32 = 400;
+
+/// The route that clients dial.
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Gives each test a part of the loopback network of its own, so that all its processes can use the same ports.
+static NEXT_NET: AtomicU8 = AtomicU8::new(1);
+
+/// A system on a part of the loopback network.
+struct World {
+    net: u8,
+    /// Where packets are taken, on every host.
+    packets: u16,
+    ready: u16,
+    peers: u16,
+    store: Store,
+}
+
+/// An instance. Dropping it kills it.
+struct Instance {
+    child: Child,
+    ip: Ipv4Addr,
+    world: (u16, u16),
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl Instance {
+    fn packets(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.world.0))
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    fn is_ready(&self) -> bool {
+        let url = SocketAddr::from((self.ip, self.world.1));
+        let Ok(mut stream) = std::net::TcpStream::connect_timeout(&url, PAUSE) else {
+            return false;
+        };
+        let mut answer = [0; 12];
+        let asked = std::io::Write::write_all(&mut stream, b"GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n");
+        asked.is_ok() && std::io::Read::read_exact(&mut stream, &mut answer).is_ok() && answer.ends_with(b"200")
+    }
+}
+
+/// A port that is free on this part of the network.
+fn free_port(net: u8) -> u16 {
+    let socket = UdpSocket::bind((Ipv4Addr::new(127, net, 0, 1), 0)).unwrap();
+    socket.local_addr().unwrap().port()
+}
+
+impl World {
+    async fn new() -> Self {
+        let net = 64 + NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        Self {
+            net,
+            packets: free_port(net),
+            ready: free_port(net),
+            peers: free_port(net),
+            store: Store::start().await.unwrap(),
+        }
+    }
+
+    fn ip(&self, group: u8, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, group, number)
+    }
+
+    /// Starts an instance that is told to ask the first one.
+    fn start(&self, number: u8) -> Instance {
+        let ip = self.ip(1, number);
+        let text = format!(
+            "name: entry-{number}\nzone: zone-a\nlisten: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n\
+             store: \"{}\"\nseeds: [\"{}:1\"]\ngrace_s: 6\nmax_flow_s: 60\nunknown: true\n",
+            self.packets,
+            self.ready,
+            self.peers,
+            self.store.address(),
+            self.ip(1, 1),
+        );
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("flows-{}-{number}.yaml", self.net));
+        fs::write(&path, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_jayquayd"))
+            .args(["--flows", "--settings"])
+            .arg(&path)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let world = (self.packets, self.ready);
+        Instance { child, ip, world }
+    }
+
+    async fn start_ready(&self, number: u8) -> Instance {
+        let instance = self.start(number);
+        until("the instance is ready", || instance.is_ready()).await;
+        instance
+    }
+
+    async fn client(&self, number: u8) -> Client {
+        let own = SocketAddrV4::new(self.ip(2, number), 40_000);
+        Client::new(own, self.packets).await.unwrap()
+    }
+
+    /// Starts an upstream and lists it.
+    async fn upstream(&self, id: u64, name: &str, service: &str) -> Upstream {
+        let address = SocketAddrV4::new(self.ip(3, 1), 0);
+        self.upstream_at(id, name, service, address).await
+    }
+
+    async fn upstream_at(&self, id: u64, name: &str, service: &str, address: SocketAddrV4) -> Upstream {
+        let id = UpstreamId(id);
+        let upstream = Upstream::start(id, name, address, self.packets).await.unwrap();
+        self.store
+            .put_upstream(id, service, upstream.address(), "zone-a", "ready");
+        upstream
+    }
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never: {what}");
+}
+
+/// Opens flows until one ends as expected. What was written to the store takes a moment to be known.
+async fn until_open(client: &mut Client, route: SocketAddrV4, through: SocketAddr, expected: &Seen) {
+    for _ in 0..TRIES {
+        if client.open(route, through).await.unwrap() == *expected {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never: {expected:?}");
+}
+
+fn answer(text: &str) -> Seen {
+    Seen::Answer(text.as_bytes().to_vec())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_stays_whole_while_its_instance_is_stopped_and_replaced() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let upstream = world.upstream(0xa1, "one", "search").await;
+    let mut first = world.start_ready(1).await;
+    let second = world.start_ready(2).await;
+    let mut client = world.client(1).await;
+    assert_eq!(client.open(ROUTE, first.packets()).await.unwrap(), Seen::Opened);
+    assert_eq!(client.ask(b"a", first.packets()).await.unwrap(), answer("one: a"));
+    assert_eq!(client.ask(b"b", second.packets()).await.unwrap(), answer("one: b"));
+    first.signal("TERM");
+    until("the stopping instance is not ready", || !first.is_ready()).await;
+    assert_eq!(client.ask(b"c", first.packets()).await.unwrap(), answer("one: c"));
+    let status = first.child.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+    let first = world.start_ready(1).await;
+    assert_eq!(client.ask(b"d", first.packets()).await.unwrap(), answer("one: d"));
+    assert_eq!(upstream.opened(), 1);
+    assert_eq!(upstream.strays(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_packet_never_reaches_the_next_upstream_at_an_address() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let old = world.upstream(0xb1, "old", "search").await;
+    let entry = world.start_ready(1).await;
+    let mut client = world.client(1).await;
+    assert_eq!(client.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+    let address = old.address();
+    old.crash().await;
+    world.store.remove_upstream(UpstreamId(0xb1));
+    let new = world.upstream_at(0xb2, "new", "photos", address).await;
+    client.send(b"late", entry.packets()).await.unwrap();
+    until("the packet is at the address", || new.strays() > 0).await;
+    assert_eq!(new.opened(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_keeps_its_flows_and_gets_no_new_ones() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let leaving = world.upstream(0xc1, "leaving", "search").await;
+    let entry = world.start_ready(1).await;
+    let mut old = world.client(1).await;
+    assert_eq!(old.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+    let _staying = world.upstream(0xc2, "staying", "search").await;
+    world
+        .store
+        .put_upstream(UpstreamId(0xc1), "search", leaving.address(), "zone-a", "draining");
+    // Changes are taken in order, so once the route's last change is in force, so is the one before it.
+    let marker = SocketAddrV4::new(*ROUTE.ip(), 444);
+    let _mark = world.upstream(0xc3, "mark", "mark").await;
+    world.store.put_document(2, &[(ROUTE, "search"), (marker, "mark")]);
+    let mut new = world.client(2).await;
+    until_open(&mut new, marker, entry.packets(), &Seen::Opened).await;
+    let before = leaving.opened();
+    for _ in 0..20 {
+        assert_eq!(new.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+        assert_eq!(new.ask(b"q", entry.packets()).await.unwrap(), answer("staying: q"));
+    }
+    assert_eq!(leaving.opened(), before);
+    assert_eq!(old.ask(b"a", entry.packets()).await.unwrap(), answer("leaving: a"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routes_come_and_go_with_the_document_and_leave_open_flows_alone() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _upstream = world.upstream(0xd1, "one", "search").await;
+    let entry = world.start_ready(1).await;
+    let mut old = world.client(1).await;
+    assert_eq!(old.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+    world.store.put_document(2, &[]);
+    let mut new = world.client(2).await;
+    until_open(&mut new, ROUTE, entry.packets(), &Seen::Reset).await;
+    assert_eq!(old.ask(b"a", entry.packets()).await.unwrap(), answer("one: a"));
+    world.store.put_document(3, &[(ROUTE, "search")]);
+    until_open(&mut new, ROUTE, entry.packets(), &Seen::Opened).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_ready_only_with_a_document_and_upstreams() {
+    let world = World::new().await;
+    for fault in [Fault::Busy, Fault::Many, Fault::Silent, Fault::Garbage] {
+        world.store.set_fault(fault);
+        let entry = world.start(1);
+        until("the store was asked", || world.store.calls() > 2).await;
+        assert!(!entry.is_ready(), "{fault:?}");
+    }
+    world.store.set_fault(Fault::None);
+    let entry = world.start(1);
+    until("the store was asked", || world.store.calls() > 2).await;
+    assert!(!entry.is_ready(), "without a document");
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    until("the instance is ready", || entry.is_ready()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newcomer_learns_from_others_while_the_store_is_silent() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _upstream = world.upstream(0xe1, "one", "search").await;
+    let _first = world.start_ready(1).await;
+    world.store.set_fault(Fault::Silent);
+    let second = world.start_ready(2).await;
+    let mut client = world.client(1).await;
+    assert_eq!(client.open(ROUTE, second.packets()).await.unwrap(), Seen::Opened);
+    assert_eq!(client.ask(b"a", second.packets()).await.unwrap(), answer("one: a"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_changed_is_known_after_the_history_is_gone_and_garbage_is_skipped() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let entry = world.start_ready(1).await;
+    let mut client = world.client(1).await;
+    assert_eq!(
+        client.open(ROUTE, entry.packets()).await.unwrap(),
+        Seen::Reset,
+        "no upstream"
+    );
+    world.store.set_fault(Fault::Busy);
+    world
+        .store
+        .put("servers", "i-nonsense", serde_json::json!({"service": 7}));
+    world.store.put("config", "other", serde_json::json!([]));
+    let _upstreams = [
+        world.upstream(0xf1, "one", "search").await,
+        world.upstream(0xf2, "two", "search").await,
+        world.upstream(0xf3, "three", "search").await,
+        world.upstream(0xf4, "four", "photos").await,
+    ];
+    world.store.put_document(2, &[(ROUTE, "photos")]);
+    world.store.compact();
+    world.store.set_fault(Fault::None);
+    until_open(&mut client, ROUTE, entry.packets(), &Seen::Opened).await;
+    for _ in 0..TRIES {
+        if client.ask(b"a", entry.packets()).await.unwrap() == answer("four: a") {
+            return;
+        }
+        until_open(&mut client, ROUTE, entry.packets(), &Seen::Opened).await;
+    }
+    panic!("the new document never came into force");
+}
