Keep an entry that goes and comes back within one answer of a watch

Ruled out: the cut zone, which has no upstream of its own but lost nothing. Change: of several changes of one upstream in an answer the last counts. Also kept: second watchers of a zone wait 20 s and gather 1.5 s, first ones gather 0.7 s.

--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -154,6 +154,39 @@
         self.apply(at, changes, now) || is_first
     }
 
+    /// Takes in what a watch told: changes in their order, without an upstream where it is no longer listed.
+    ///
+    /// Of several changes of one upstream the last counts. A change that takes an entry away counts as of `at`, which
+    /// may lie after the revision at which the entry came back. An upstream that went keeps what was known of it; one
+    /// that was never known matters to nobody.
+    pub fn take_watched(
+        &mut self,
+        at: Revision,
+        changes: Vec<(UpstreamId, Revision, Option<Upstream>)>,
+        now: Time,
+    ) -> bool {
+        let changes = changes
+            .into_iter()
+            .map(|(id, revision, upstream)| (id, (revision, upstream)));
+        let last: BTreeMap<_, _> = changes.collect();
+        let mut entries = Vec::new();
+        for (id, (revision, upstream)) in last {
+            let gone = upstream.is_none();
+            let Some(upstream) = upstream.or_else(|| self.upstream(id).cloned()) else {
+                continue;
+            };
+            entries.push((
+                id,
+                Entry {
+                    revision,
+                    upstream,
+                    gone,
+                },
+            ));
+        }
+        self.apply(at, entries, now)
+    }
+
     /// Takes in single changes that lead from the revision held, or an earlier one, to `at`. Tells whether anything
     /// has changed.
     pub fn apply(&mut self, at: Revision, changes: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
--- a/crates/jayquayd/src/forward/watch.rs
+++ b/crates/jayquayd/src/forward/watch.rs
@@ -4,10 +4,6 @@
 
 use adapter::Store;
 use adapter::store::Error;
-use adapter::store::Watched;
-use flow::Entry;
-use flow::Knowledge;
-use flow::UpstreamId;
 use rand::RngExt;
 use units::Revision;
 
@@ -19,7 +15,12 @@
 const SHORTEST_WAIT: Duration = Duration::from_secs(4);
 const LONGEST_WAIT: Duration = Duration::from_secs(8);
 /// How long changes are gathered before the next call asks for more, so that a series of them costs few calls.
-const GATHER: Duration = Duration::from_millis(300);
+const GATHER: Duration = Duration::from_millis(700);
+/// How long a zone's second watcher gathers changes. It is there for the moment in which the first one fails, and what
+/// it learns late is still in force within the bounds for a change, the shortest of which are three seconds.
+const GATHER_SECOND: Duration = Duration::from_millis(1_500);
+/// How long a zone's second watcher waits for a change.
+const SECOND_WAIT: Duration = Duration::from_secs(20);
 /// The first pause after a call that failed. It doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause between calls that fail.
@@ -43,33 +44,63 @@
     }
 }
 
-/// How long the next watch waits.
-fn wait() -> Duration {
-    rand::rng().random_range(SHORTEST_WAIT..LONGEST_WAIT)
-}
-
 /// Keeps the document and the upstreams up to date.
 pub(crate) async fn run(store: Store, shared: Shared) {
     tokio::join!(documents(&store, &shared), upstreams(&store, &shared));
 }
 
-/// Whether this instance has to ask the store: it is a watcher, or it holds too little to serve.
-fn is_asked(shared: &Shared) -> bool {
-    shared.members().is_watcher() || !shared.core().knowledge().is_ready()
+/// This instance's part in watching the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Duty {
+    /// It is its zone's first watcher, or it holds too little to serve.
+    First,
+    /// It is its zone's second watcher.
+    Second,
+}
+
+impl Duty {
+    /// `None` while others watch for this instance.
+    fn of(shared: &Shared) -> Option<Self> {
+        if !shared.core().knowledge().is_ready() {
+            return Some(Self::First);
+        }
+        let members = shared.members();
+        let own = &members.me().name;
+        match members.watchers().position(|member| member.name == *own) {
+            Some(0) => Some(Self::First),
+            Some(_) => Some(Self::Second),
+            None => None,
+        }
+    }
+
+    /// How long the next watch waits.
+    fn wait(self) -> Duration {
+        match self {
+            Self::First => rand::rng().random_range(SHORTEST_WAIT..LONGEST_WAIT),
+            Self::Second => SECOND_WAIT,
+        }
+    }
+
+    fn gather(self) -> Duration {
+        match self {
+            Self::First => GATHER,
+            Self::Second => GATHER_SECOND,
+        }
+    }
 }
 
 async fn documents(store: &Store, shared: &Shared) {
     let mut cursor = None;
     let mut backoff = Backoff::new();
     loop {
-        if !is_asked(shared) {
+        let Some(duty) = Duty::of(shared) else {
             cursor = None;
             tokio::time::sleep(IDLE).await;
             continue;
-        }
+        };
         let result = match cursor {
             None => store.read_document().await,
-            Some(since) => store.watch_document(since, wait()).await,
+            Some(since) => store.watch_document(since, duty.wait()).await,
         };
         let documents = match result {
             Ok(documents) => documents,
@@ -87,7 +118,7 @@
         if shared.learn(|knowledge| knowledge.take_document(at, document)) {
             log::info!("store: document {revision} at {at}");
         }
-        tokio::time::sleep(GATHER).await;
+        tokio::time::sleep(duty.gather()).await;
     }
 }
 
@@ -95,14 +126,14 @@
     let mut cursor = held(shared);
     let mut backoff = Backoff::new();
     loop {
-        if !is_asked(shared) {
+        let Some(duty) = Duty::of(shared) else {
             tokio::time::sleep(IDLE).await;
             cursor = held(shared);
             continue;
-        }
+        };
         let result = match cursor {
             None => list(store, shared).await,
-            Some(since) => watch(store, shared, since).await,
+            Some(since) => watch(store, shared, since, duty.wait()).await,
         };
         let (at, has_changed) = match result {
             Ok(told) => told,
@@ -114,7 +145,7 @@
         backoff = Backoff::new();
         cursor = Some(at);
         if has_changed {
-            tokio::time::sleep(GATHER).await;
+            tokio::time::sleep(duty.gather()).await;
         }
     }
 }
@@ -143,37 +174,13 @@
     Ok((list.at, has_changed))
 }
 
-async fn watch(store: &Store, shared: &Shared, since: Revision) -> Result<(Revision, bool), Error> {
-    let watched = store.watch_upstreams(since, wait()).await?;
+async fn watch(store: &Store, shared: &Shared, since: Revision, wait: Duration) -> Result<(Revision, bool), Error> {
+    let watched = store.watch_upstreams(since, wait).await?;
     if watched.changes.is_empty() {
         return Ok((watched.at, false));
     }
     let at = watched.at;
     let now = shared.now();
-    shared.learn(|knowledge| {
-        let changes = entries(knowledge, watched);
-        knowledge.apply(at, changes, now)
-    });
+    shared.learn(|knowledge| knowledge.take_watched(at, watched.changes, now));
     Ok((at, true))
 }
-
-/// Turns what a watch told into entries. An upstream that went keeps what was known of it; one that was never known
-/// matters to nobody.
-fn entries(knowledge: &Knowledge, watched: Watched) -> Vec<(UpstreamId, Entry)> {
-    let mut entries = Vec::new();
-    for (id, revision, upstream) in watched.changes {
-        let gone = upstream.is_none();
-        let Some(upstream) = upstream.or_else(|| knowledge.upstream(id).cloned()) else {
-            continue;
-        };
-        entries.push((
-            id,
-            Entry {
-                revision,
-                upstream,
-                gone,
-            },
-        ));
-    }
-    entries
-}
