Tell whole lists to those who may lack a removal

Cause: a holder tells others what changed since their revision, but one that read a list, or saw an upstream come and go in one answer, does not know of removals before it; whoever asked it kept an upstream that had gone. Found by a new randomised test in which four holders list, watch and ask each other; each of its three minimal cases stands as a test. Scenarios in a small language for the flow core, too, which showed that a flow whose packet led to its upstream's end was reset twice.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -154,6 +154,11 @@
         } else {
             self.carry(packet, now)
         };
+        if matches!(verdict, Verdict::Reset(_)) {
+            let flow = FlowKey::from(packet);
+            self.resets
+                .retain(|reset| (reset.client, reset.route) != (flow.client, flow.route));
+        }
         self.note(packet, verdict);
         verdict
     }
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -193,10 +193,12 @@
         self.flows.remove(key)
     }
 
-    /// Takes out the flows of one upstream.
+    /// Takes out the flows of one upstream, in the order of their ends.
     pub(crate) fn take_of(&mut self, upstream: UpstreamId) -> Vec<(FlowKey, Flow)> {
         let flows = self.flows.extract_if(|_, flow| flow.upstream == upstream);
-        flows.collect()
+        let mut flows: Vec<_> = flows.collect();
+        flows.sort_unstable_by_key(|(key, _)| *key);
+        flows
     }
 
     /// Takes out the flows that have been silent for longer than they may be remembered.
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What instances know of the platform and tell one another: the document and the upstreams, each with a revision.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,7 +30,9 @@
     pub document: Option<(Revision, Document)>,
     /// The revision that the upstreams stand at after this change.
     pub upstreams_at: Revision,
-    /// The upstreams that have changed since the revision that was asked for.
+    /// Whether all upstreams are told, and not only those that have changed since the revision that was asked for.
+    pub is_whole: bool,
+    /// The upstreams that have changed, or all.
     pub upstreams: Vec<(UpstreamId, Entry)>,
 }
 
@@ -38,6 +41,8 @@
 pub struct Knowledge {
     document: Option<(Revision, Document)>,
     upstreams_at: Revision,
+    /// The revision from which on all changes are remembered, those that took an upstream away among them.
+    complete_since: Revision,
     upstreams: BTreeMap<UpstreamId, Entry>,
     /// When each upstream went, as this instance learnt it.
     gone_since: BTreeMap<UpstreamId, Time>,
@@ -91,13 +96,20 @@
     }
 
     /// What a holder at these revisions lacks.
+    ///
+    /// A list that was read from the platform does not tell what went before. A holder from before then gets all
+    /// upstreams, so that it finds out by what is missing.
     pub fn since(&self, document_at: Revision, upstreams_at: Revision) -> Change {
         let document = self.document.as_ref().filter(|(at, _)| *at > document_at);
-        let newer = self.upstreams.iter().filter(|(_, entry)| entry.revision > upstreams_at);
+        let is_newer = self.upstreams_at > upstreams_at;
+        let is_whole = is_newer && upstreams_at < self.complete_since;
+        let told = self.upstreams.iter();
+        let told = told.filter(|(_, entry)| is_whole || (is_newer && entry.revision > upstreams_at));
         Change {
             document: document.cloned(),
             upstreams_at: self.upstreams_at,
-            upstreams: newer.map(|(id, entry)| (*id, entry.clone())).collect(),
+            is_whole,
+            upstreams: told.map(|(id, entry)| (*id, entry.clone())).collect(),
         }
     }
 
@@ -107,7 +119,12 @@
             .document
             .is_some_and(|(at, document)| self.take_document(at, document));
         let is_ahead = change.upstreams_at > self.upstreams_at;
-        self.apply(change.upstreams_at, change.upstreams, now) || is_ahead || has_document
+        if change.is_whole {
+            self.replace(change.upstreams_at, change.upstreams, now);
+        } else {
+            self.apply(change.upstreams_at, change.upstreams, now);
+        }
+        is_ahead || has_document
     }
 
     /// Takes in a document. Tells whether it is newer than the one held.
@@ -124,41 +141,49 @@
 
     /// Takes in the whole list of upstreams as it stood at a revision. Tells whether anything has changed.
     pub fn take_list(&mut self, at: Revision, list: Vec<(UpstreamId, Revision, Upstream)>, now: Time) -> bool {
-        if at <= self.upstreams_at {
-            return false;
-        }
-        let mut changes = Vec::new();
-        for (id, held) in &self.upstreams {
-            if !held.gone && !list.iter().any(|(listed, _, _)| listed == id) {
-                changes.push((
-                    *id,
-                    Entry {
-                        revision: at,
-                        gone: true,
-                        ..held.clone()
-                    },
-                ));
-            }
-        }
-        for (id, revision, upstream) in list {
-            changes.push((
+        let entries = list.into_iter().map(|(id, revision, upstream)| {
+            let gone = false;
+            (
                 id,
                 Entry {
                     revision,
                     upstream,
-                    gone: false,
+                    gone,
                 },
-            ));
+            )
+        });
+        self.replace(at, entries.collect(), now)
+    }
+
+    /// Takes in all upstreams as they stood at a revision. Those that are not told as listed have gone by then, whenever
+    /// the teller learnt it.
+    fn replace(&mut self, at: Revision, mut entries: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
+        if at <= self.upstreams_at {
+            return false;
         }
         let is_first = self.upstreams_at == Revision(0);
-        self.apply(at, changes, now) || is_first
+        let listed = entries.iter().filter(|(_, entry)| !entry.gone);
+        let listed: BTreeSet<UpstreamId> = listed.map(|(id, _)| *id).collect();
+        for (id, held) in &self.upstreams {
+            if held.gone || listed.contains(id) {
+                continue;
+            }
+            let gone = Entry {
+                revision: at,
+                gone: true,
+                upstream: held.upstream.clone(),
+            };
+            entries.push((*id, gone));
+        }
+        self.complete_since = at;
+        self.apply(at, entries, now) || is_first
     }
 
     /// Takes in what a watch told: changes in their order, without an upstream where it is no longer listed.
     ///
     /// Of several changes of one upstream the last counts. A change that takes an entry away counts as of `at`, which
-    /// may lie after the revision at which the entry came back. An upstream that went keeps what was known of it; one
-    /// that was never known matters to nobody.
+    /// may lie after the revision at which the entry came back. An upstream that went keeps what was known of it. One
+    /// that was never known here can't be remembered, so holders from before get all upstreams.
     pub fn take_watched(
         &mut self,
         at: Revision,
@@ -173,6 +198,7 @@
         for (id, (revision, upstream)) in last {
             let gone = upstream.is_none();
             let Some(upstream) = upstream.or_else(|| self.upstream(id).cloned()) else {
+                self.complete_since = self.complete_since.max(at);
                 continue;
             };
             entries.push((
@@ -220,11 +246,13 @@
     pub fn forget(&mut self, then: Time) -> bool {
         let before = self.upstreams.len();
         let gone_since = &mut self.gone_since;
+        let complete_since = &mut self.complete_since;
         self.upstreams.retain(|id, entry| {
             if !entry.gone || gone_since.get(id).is_none_or(|since| *since >= then) {
                 return true;
             }
             gone_since.remove(id);
+            *complete_since = (*complete_since).max(entry.revision);
             false
         });
         self.upstreams.len() < before
--- /dev/null
+++ b/crates/flow/tests/knowledge.rs
@@ -0,0 +1,269 @@
+//! However what is known travels, it never steps down, and all holders end with what the platform holds.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use flow::Document;
+use flow::Knowledge;
+use flow::Upstream;
+use flow::UpstreamId;
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
+use units::Revision;
+use units::Slots;
+use units::Time;
+
+const HOLDERS: usize = 4;
+const UPSTREAMS: u64 = 5;
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An upstream writes its entry.
+    Put(u64, bool),
+    /// An entry is removed.
+    Remove(u64),
+    /// Operators write the next document.
+    Document,
+    /// A holder reads the whole list.
+    List(usize),
+    /// A holder's watch answers. It has seen the changes up to its last answer.
+    Watch(usize),
+    /// A holder reads the document.
+    Read(usize),
+    /// A holder asks another.
+    Pull(usize, usize),
+    /// The answer to an earlier question comes once more, late.
+    Repeat(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let holder = 0..HOLDERS;
+    prop_oneof![
+        (0..UPSTREAMS, any::<bool>()).prop_map(|(id, leaving)| Step::Put(id, leaving)),
+        (0..UPSTREAMS).prop_map(Step::Remove),
+        any::<bool>().prop_map(|_| Step::Document),
+        holder.clone().prop_map(Step::List),
+        holder.clone().prop_map(Step::Watch),
+        holder.clone().prop_map(Step::Read),
+        (holder.clone(), 0..HOLDERS).prop_map(|(to, from)| Step::Pull(to, from)),
+        (holder, any::<usize>()).prop_map(|(to, index)| Step::Repeat(to, index)),
+    ]
+}
+
+fn upstream(leaving: bool, number: u16) -> Upstream {
+    Upstream {
+        service: "search".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
+        zone: "zone-a".parse().unwrap(),
+        slots: Slots(2),
+        leaving,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// What the platform holds, with all changes.
+#[derive(Default)]
+struct Platform {
+    revision: u64,
+    document: Option<(Revision, Document)>,
+    entries: BTreeMap<UpstreamId, (Revision, Upstream)>,
+    history: Vec<(Revision, UpstreamId, Option<Upstream>)>,
+}
+
+impl Platform {
+    fn put(&mut self, id: u64, leaving: bool) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let upstream = upstream(leaving, u16::try_from(self.revision).unwrap());
+        self.entries.insert(UpstreamId(id), (revision, upstream.clone()));
+        self.history.push((revision, UpstreamId(id), Some(upstream)));
+    }
+
+    fn remove(&mut self, id: u64) {
+        if self.entries.remove(&UpstreamId(id)).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.history.push((Revision(self.revision), UpstreamId(id), None));
+    }
+
+    fn write_document(&mut self) {
+        self.revision += 1;
+        let document = Document {
+            revision: Revision(self.revision * 10),
+            routes: Vec::new(),
+            idle_timeout: Duration::from_secs(1),
+        };
+        self.document = Some((Revision(self.revision), document));
+    }
+
+    fn list(&self) -> Vec<(UpstreamId, Revision, Upstream)> {
+        let entries = self.entries.iter();
+        entries
+            .map(|(id, (revision, upstream))| (*id, *revision, upstream.clone()))
+            .collect()
+    }
+
+    /// What a watch tells. A removal carries the revision of the entry's last write, so that it says nothing.
+    fn since(&self, since: Revision) -> Vec<(UpstreamId, Revision, Option<Upstream>)> {
+        let at = Revision(self.revision);
+        let new = self.history.iter().filter(|(revision, _, _)| *revision > since);
+        new.map(|(revision, id, upstream)| (*id, if upstream.is_some() { *revision } else { at }, upstream.clone()))
+            .collect()
+    }
+}
+
+fn run(steps: Vec<Step>) {
+    let mut platform = Platform {
+        revision: 1,
+        ..Platform::default()
+    };
+    let mut holders = vec![Knowledge::default(); HOLDERS];
+    let mut cursors = [None; HOLDERS];
+    let mut changes = Vec::new();
+    for (index, step) in steps.into_iter().enumerate() {
+        let now = Time(index as u64);
+        let before: Vec<_> = holders
+            .iter()
+            .map(|held| (held.document_at(), held.upstreams_at()))
+            .collect();
+        match step {
+            Step::Put(id, leaving) => platform.put(id, leaving),
+            Step::Remove(id) => platform.remove(id),
+            Step::Document => platform.write_document(),
+            Step::List(holder) => {
+                let at = Revision(platform.revision);
+                holders[holder].take_list(at, platform.list(), now);
+                cursors[holder] = Some(at);
+            }
+            Step::Watch(holder) => {
+                let Some(since) = cursors[holder] else {
+                    continue;
+                };
+                let at = Revision(platform.revision);
+                holders[holder].take_watched(at, platform.since(since), now);
+                cursors[holder] = Some(at);
+            }
+            Step::Read(holder) => {
+                if let Some((at, document)) = platform.document.clone() {
+                    holders[holder].take_document(at, document);
+                }
+            }
+            Step::Pull(to, from) => {
+                let (document_at, upstreams_at) = (holders[to].document_at(), holders[to].upstreams_at());
+                let change = holders[from].since(document_at, upstreams_at);
+                changes.push((upstreams_at, change.clone()));
+                holders[to].take(change, now);
+            }
+            Step::Repeat(to, index) => {
+                let Some((since, change)) = changes.get(index % changes.len().max(1)).cloned() else {
+                    continue;
+                };
+                // Only whoever asked gets the answer, so it has what came before.
+                if since <= holders[to].upstreams_at() {
+                    holders[to].take(change, now);
+                }
+            }
+        }
+        for (held, (document_at, upstreams_at)) in holders.iter().zip(before) {
+            assert!(held.document_at() >= document_at && held.upstreams_at() >= upstreams_at);
+        }
+    }
+    settle(&platform, &mut holders);
+}
+
+/// One holder reads everything, the others ask it. Then all hold what the platform holds.
+fn settle(platform: &Platform, holders: &mut [Knowledge]) {
+    let now = Time(1_000_000);
+    let at = Revision(platform.revision);
+    let (first, others) = holders.split_first_mut().unwrap();
+    first.take_list(at, platform.list(), now);
+    if let Some((at, document)) = platform.document.clone() {
+        first.take_document(at, document);
+    }
+    for other in others.iter_mut() {
+        other.take(first.since(other.document_at(), other.upstreams_at()), now);
+        assert_eq!(other.level(), first.level());
+        assert_eq!(other.parts(), first.parts());
+    }
+    for held in [&*first].into_iter().chain(&*others) {
+        let document = held.document().map(|(_, document)| document.revision);
+        assert_eq!(
+            document,
+            platform.document.as_ref().map(|(_, document)| document.revision)
+        );
+        let listed = held.upstreams().filter(|(_, entry)| !entry.gone);
+        let listed: Vec<_> = listed.map(|(id, entry)| (id, entry.upstream.clone())).collect();
+        let expected: Vec<_> = platform
+            .list()
+            .into_iter()
+            .map(|(id, _, upstream)| (id, upstream))
+            .collect();
+        assert_eq!(listed, expected);
+    }
+}
+
+/// A holder that has read the list after an upstream went does not know that it was ever there. Another one, which does,
+/// must still learn from it that it went.
+#[test]
+fn who_never_knew_an_upstream_can_tell_that_it_went() {
+    run(vec![Step::Put(3, false), Step::List(1), Step::Remove(3)]);
+}
+
+/// So can one whose watch told of an upstream's coming and going at once.
+#[test]
+fn who_saw_an_upstream_come_and_go_at_once_can_tell_that_it_went() {
+    let steps = [
+        Step::List(0),
+        Step::List(1),
+        Step::Put(4, false),
+        Step::Watch(1),
+        Step::Remove(4),
+        Step::Watch(0),
+    ];
+    run([steps.to_vec(), vec![Step::Pull(1, 0), Step::Put(1, false)]].concat());
+}
+
+/// An upstream that went, came back and went again is gone, though the teller knows only of the first time.
+#[test]
+fn an_upstream_that_went_twice_is_gone() {
+    let before = [
+        Step::Put(4, false),
+        Step::List(2),
+        Step::List(0),
+        Step::Remove(4),
+        Step::Watch(0),
+    ];
+    let after = [Step::Put(4, false), Step::List(1), Step::Remove(4)];
+    run([before.to_vec(), after.to_vec()].concat());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn knowledge_never_steps_down_and_ends_as_the_platform_has_it(steps in vec(step(), 0..80)) {
+        run(steps);
+    }
+}
+
+#[test]
+fn what_went_long_ago_is_forgotten() {
+    let mut knowledge = Knowledge::default();
+    let id = UpstreamId(1);
+    knowledge.take_watched(Revision(2), vec![(id, Revision(2), Some(upstream(false, 1)))], Time(0));
+    knowledge.take_watched(Revision(3), vec![(id, Revision(3), None)], Time(10));
+    assert_eq!(knowledge.gone_since(id), Some(Time(10)));
+    assert!(!knowledge.forget(Time(10)));
+    assert!(knowledge.forget(Time(11)));
+    assert_eq!(knowledge.upstreams().count(), 0);
+    assert_eq!(knowledge.upstreams_at(), Revision(3), "the revision stays");
+}
--- /dev/null
+++ b/crates/flow/tests/scenarios.rs
@@ -0,0 +1,264 @@
+//! Scenarios in a small language: what one instance is told, what packets come, and what becomes of them.
+//!
+//! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` and `upstreams` (one a line: `ID SERVICE ZONE
+//! [leaving] [slots=N] [cold=MS]`, or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
+//! packet of a client's flow. `idle` lets time pass for flows that are silent.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use datadriven::TestCase;
+use flow::Core;
+use flow::Decision;
+use flow::Document;
+use flow::Echo;
+use flow::Flags;
+use flow::Options;
+use flow::Packet;
+use flow::Route;
+use flow::Share;
+use flow::Upstream;
+use flow::UpstreamId;
+use flow::Verdict;
+use units::Revision;
+use units::Slots;
+use units::Time;
+use units::Weight;
+
+/// How many bytes a request has.
+const REQUEST: u16 = 100;
+/// How many bytes an answer has.
+const ANSWER: u32 = 1_000;
+
+/// A client's end of a flow.
+#[derive(Debug, Clone, Copy)]
+struct End {
+    client: SocketAddrV4,
+    route: SocketAddrV4,
+    copies: u32,
+    echo: Echo,
+    seq: u32,
+    ack: u32,
+}
+
+struct World {
+    core: Core,
+    now: Time,
+    revision: u64,
+    ends: BTreeMap<String, End>,
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+}
+
+fn millis(text: &str) -> u64 {
+    text.parse().unwrap()
+}
+
+fn route(port: &str) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port.parse().unwrap())
+}
+
+impl World {
+    fn new() -> Self {
+        let options = Options {
+            zone: "zone-a".parse().unwrap(),
+            max_flow: Duration::from_mins(1),
+            seed: 7,
+        };
+        Self {
+            core: Core::new(options),
+            now: Time(1_000_000_000),
+            revision: 1,
+            ends: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+        }
+    }
+
+    fn run(&mut self, case: &TestCase) -> String {
+        let words: Vec<&str> = case.input.lines().collect();
+        let argument = |index: usize| case.args.keys().nth(index).cloned().unwrap_or_default();
+        match case.directive.as_str() {
+            "at" => {
+                self.now = Time(1_000_000_000 + millis(&argument(0)) * 1_000);
+                self.core.tick(self.now);
+                String::new()
+            }
+            "document" => self.document(&words),
+            "upstreams" => self.list(&words),
+            "packets" => self.packets(&words),
+            "repeat" => {
+                let times = millis(&argument(0));
+                (0..times).map(|_| self.packets(&words)).collect()
+            }
+            "stats" => format!("{:?}\n", self.core.stats()),
+            other => panic!("no such command: {other}"),
+        }
+    }
+
+    fn document(&mut self, lines: &[&str]) -> String {
+        let revision = Revision(millis(lines[0]));
+        let routes = lines[1..].iter().map(|line| {
+            let (port, shares) = line.split_once(' ').unwrap();
+            let shares = shares.split_whitespace().map(|share| {
+                let (service, weight) = share.split_once(':').unwrap_or((share, "1"));
+                Share {
+                    service: service.to_owned(),
+                    weight: Weight(weight.parse().unwrap()),
+                }
+            });
+            Route {
+                name: format!("r-{port}"),
+                address: route(port),
+                shares: shares.collect(),
+                idempotent: true,
+                aim: Duration::from_millis(100),
+            }
+        });
+        let document = Document {
+            revision,
+            routes: routes.collect(),
+            idle_timeout: Duration::from_secs(15),
+        };
+        self.revision += 1;
+        let at = Revision(self.revision);
+        let is_new = self
+            .core
+            .learn(self.now, |knowledge| knowledge.take_document(at, document));
+        if is_new {
+            String::new()
+        } else {
+            "not newer\n".to_owned()
+        }
+    }
+
+    fn list(&mut self, lines: &[&str]) -> String {
+        let mut changes = Vec::new();
+        self.revision += 1;
+        for line in lines {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let id: UpstreamId = words[0].parse().unwrap();
+            let revision = Revision(self.revision);
+            if words[1] == "gone" {
+                changes.push((id, revision, None));
+                continue;
+            }
+            let value = |name: &str| words.iter().find_map(|word| word.strip_prefix(name));
+            let number = u16::try_from(self.upstreams.len()).unwrap();
+            let known = self.upstreams.get(&id).map(|upstream| upstream.address);
+            let upstream = Upstream {
+                service: words[1].to_owned(),
+                address: known.unwrap_or(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 8_000 + number)),
+                zone: words[2].parse().unwrap(),
+                slots: Slots(value("slots=").map_or(2, |slots| slots.parse().unwrap())),
+                leaving: words.contains(&"leaving"),
+                cold_for: Duration::from_millis(value("cold=").map_or(0, millis)),
+            };
+            self.upstreams.insert(id, upstream.clone());
+            changes.push((id, revision, Some(upstream)));
+        }
+        let at = Revision(self.revision);
+        let now = self.now;
+        self.core
+            .learn(now, |knowledge| knowledge.take_watched(at, changes, now));
+        String::new()
+    }
+
+    /// Lines of `WHAT CLIENT [PORT]`, or `+MS`.
+    fn packets(&mut self, lines: &[&str]) -> String {
+        let mut out = String::new();
+        for line in lines {
+            if let Some(span) = line.strip_prefix('+') {
+                self.now = self.now + Duration::from_millis(millis(span));
+                continue;
+            }
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let port = words.get(2).copied().unwrap_or("443");
+            self.packet(words[0], words[1], port, &mut out);
+        }
+        out
+    }
+
+    fn packet(&mut self, what: &str, name: &str, port: &str, out: &mut String) {
+        let number = u16::try_from(self.ends.len()).unwrap();
+        let end = self.ends.entry(name.to_owned()).or_insert(End {
+            client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 40_000 + number),
+            route: route(port),
+            copies: 0,
+            echo: Echo::NONE,
+            seq: 500,
+            ack: 9_000,
+        });
+        let mut packet = Packet {
+            client: end.client,
+            route: end.route,
+            flags: Flags::ACK,
+            echo: end.echo,
+            seq: end.seq,
+            ack: end.ack,
+            len: 0,
+        };
+        match what {
+            "syn" => {
+                packet.flags = Flags::SYN;
+                packet.ack = end.copies;
+                packet.echo = Echo::NONE;
+                end.copies += 1;
+            }
+            // The answer has come.
+            "ack" => {
+                end.ack += ANSWER;
+                packet.ack = end.ack;
+            }
+            "open" => packet.ack = end.ack,
+            "data" => {
+                packet.len = REQUEST;
+                end.seq += u32::from(REQUEST);
+            }
+            "copy" => {
+                packet.len = REQUEST;
+                packet.seq = end.seq - u32::from(REQUEST);
+            }
+            "fin" => packet.flags = Flags::FIN | Flags::ACK,
+            "rst" => packet.flags = Flags::RST,
+            "lost-echo" => packet.echo = Echo(0x0bad_0bad),
+            other => panic!("no such packet: {other}"),
+        }
+        let verdict = self.core.packet(&packet, self.now);
+        let end = self.ends.get_mut(name).unwrap();
+        match verdict {
+            Verdict::Forward { upstream, echo, .. } => {
+                assert_eq!(echo, upstream.echo());
+                end.echo = echo;
+                writeln!(out, "{what} {name}: to {:x}", upstream.0).unwrap();
+            }
+            Verdict::Reset(reset) => {
+                assert!(reset.seq == 0 || reset.seq == packet.ack);
+                writeln!(out, "{what} {name}: reset, {}", reset.cause).unwrap();
+            }
+            Verdict::Drop(cause) => writeln!(out, "{what} {name}: dropped, {cause}").unwrap(),
+        }
+        for reset in self.core.take_resets() {
+            let (name, _) = self.ends.iter().find(|(_, end)| end.client == reset.client).unwrap();
+            writeln!(out, "  {name} is reset, {}", reset.cause).unwrap();
+        }
+        for decision in self.core.take_decisions() {
+            match decision {
+                Decision::Died { upstream, stalled, .. } => {
+                    writeln!(out, "  {:x} is taken for dead, {stalled} wait", upstream.0).unwrap();
+                }
+                Decision::Revived(upstream) => writeln!(out, "  {:x} answers again", upstream.0).unwrap(),
+                Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut world = World::new();
+        file.run(|case| world.run(case));
+    });
+}
