Tell documents as steps, and ask only who still knows more

Change: a holder remembers the last 16 steps from one document to the next and tells these, with the digest of the result; news that is already known is not asked for again.

--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -8,6 +8,8 @@
 use units::Revision;
 use units::Time;
 
+use crate::documents::Documents;
+use crate::documents::Update;
 use crate::route::Document;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
@@ -26,8 +28,8 @@
 /// What one holder knows that another does not.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
-    /// The newest document, with the platform's revision at which it was written.
-    pub document: Option<(Revision, Document)>,
+    /// The newest document, or the steps to it.
+    pub document: Update,
     /// The revision that the upstreams stand at after this change.
     pub upstreams_at: Revision,
     /// Whether all upstreams are told, and not only those that have changed since the revision that was asked for.
@@ -39,7 +41,7 @@
 /// The document and the upstreams that an instance holds. Nothing here ever steps down to an older revision.
 #[derive(Debug, Default, Clone)]
 pub struct Knowledge {
-    document: Option<(Revision, Document)>,
+    documents: Documents,
     upstreams_at: Revision,
     /// The revision from which on all changes are remembered, those that took an upstream away among them.
     complete_since: Revision,
@@ -51,12 +53,12 @@
 impl Knowledge {
     /// The document, and the platform's revision at which it was written.
     pub fn document(&self) -> Option<&(Revision, Document)> {
-        self.document.as_ref()
+        self.documents.current()
     }
 
     /// The platform's revision of the document held, zero without one.
     pub fn document_at(&self) -> Revision {
-        self.document.as_ref().map(|(at, _)| *at).unwrap_or_default()
+        self.documents.at()
     }
 
     /// The revision up to which all changes of upstreams are held, zero if none were read yet.
@@ -76,7 +78,7 @@
 
     /// Whether flows can be placed: there are a document and a list of upstreams.
     pub fn is_ready(&self) -> bool {
-        self.document.is_some() && self.upstreams_at > Revision(0)
+        self.document().is_some() && self.upstreams_at > Revision(0)
     }
 
     /// One number that differs between two holders whenever one knows more than the other.
@@ -100,13 +102,12 @@
     /// A list that was read from the platform does not tell what went before. A holder from before then gets all
     /// upstreams, so that it finds out by what is missing.
     pub fn since(&self, document_at: Revision, upstreams_at: Revision) -> Change {
-        let document = self.document.as_ref().filter(|(at, _)| *at > document_at);
         let is_newer = self.upstreams_at > upstreams_at;
         let is_whole = is_newer && upstreams_at < self.complete_since;
         let told = self.upstreams.iter();
         let told = told.filter(|(_, entry)| is_whole || (is_newer && entry.revision > upstreams_at));
         Change {
-            document: document.cloned(),
+            document: self.documents.since(document_at),
             upstreams_at: self.upstreams_at,
             is_whole,
             upstreams: told.map(|(id, entry)| (*id, entry.clone())).collect(),
@@ -115,9 +116,7 @@
 
     /// Takes in what another holder knows. Tells whether anything is new.
     pub fn take(&mut self, change: Change, now: Time) -> bool {
-        let has_document = change
-            .document
-            .is_some_and(|(at, document)| self.take_document(at, document));
+        let has_document = self.documents.update(change.document);
         let is_ahead = change.upstreams_at > self.upstreams_at;
         if change.is_whole {
             self.replace(change.upstreams_at, change.upstreams, now);
@@ -129,14 +128,7 @@
 
     /// Takes in a document. Tells whether it is newer than the one held.
     pub fn take_document(&mut self, at: Revision, document: Document) -> bool {
-        let is_newer = self
-            .document
-            .as_ref()
-            .is_none_or(|(held_at, held)| at > *held_at && document.revision >= held.revision);
-        if is_newer {
-            self.document = Some((at, document));
-        }
-        is_newer
+        self.documents.take(at, document)
     }
 
     /// Takes in the whole list of upstreams as it stood at a revision. Tells whether anything has changed.
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -1,5 +1,6 @@
 //! The routes in force.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -21,8 +22,6 @@
 /// Where new flows to one address go.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
-    /// Its name in the document.
-    pub name: String,
     /// The address that clients dial.
     pub address: SocketAddrV4,
     /// The services that share its new flows, at least one.
@@ -69,12 +68,26 @@
 pub struct Document {
     /// The number that operators gave it. It only grows.
     pub revision: Revision,
-    /// All routes.
-    pub routes: Vec<Route>,
+    /// All routes by name.
+    pub routes: BTreeMap<String, Route>,
     /// How long a flow may be silent before it may be forgotten.
     pub idle_timeout: Duration,
 }
 
+impl Document {
+    /// A digest over all of it. Two instances that hold the same document compute the same.
+    pub fn digest(&self) -> Digest {
+        let bytes = postcard::to_stdvec(self).expect("a document has a binary form, and a vector takes every write");
+        let hash = blake3::hash(&bytes);
+        Digest(hash.as_bytes().first_chunk().copied().unwrap_or_default())
+    }
+}
+
+/// The digest of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub [u8; 16]);
+
 /// Routes by the address that clients dial.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Routes {
@@ -83,7 +96,7 @@
 
 impl Routes {
     pub(crate) fn new(document: &Document) -> Self {
-        let routes = document.routes.iter().map(|route| (route.address, route.clone()));
+        let routes = document.routes.values().map(|route| (route.address, route.clone()));
         Self {
             by_address: routes.collect(),
         }
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -7,6 +7,7 @@
 
 use flow::Document;
 use flow::Knowledge;
+use flow::Route;
 use flow::Upstream;
 use flow::UpstreamId;
 use proptest::collection::vec;
@@ -97,9 +98,23 @@
 
     fn write_document(&mut self) {
         self.revision += 1;
+        let mut routes = self
+            .document
+            .take()
+            .map(|(_, document)| document.routes)
+            .unwrap_or_default();
+        let port = u16::try_from(self.revision).unwrap();
+        routes.remove(&format!("r-{}", port % 3));
+        let route = Route {
+            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+            shares: Vec::new(),
+            idempotent: true,
+            aim: Duration::ZERO,
+        };
+        routes.insert(format!("r-{}", port % 7), route);
         let document = Document {
             revision: Revision(self.revision * 10),
-            routes: Vec::new(),
+            routes,
             idle_timeout: Duration::from_secs(1),
         };
         self.document = Some((Revision(self.revision), document));
@@ -195,11 +210,7 @@
         assert_eq!(other.parts(), first.parts());
     }
     for held in [&*first].into_iter().chain(&*others) {
-        let document = held.document().map(|(_, document)| document.revision);
-        assert_eq!(
-            document,
-            platform.document.as_ref().map(|(_, document)| document.revision)
-        );
+        assert_eq!(held.document(), platform.document.as_ref());
         let listed = held.upstreams().filter(|(_, entry)| !entry.gone);
         let listed: Vec<_> = listed.map(|(id, entry)| (id, entry.upstream.clone())).collect();
         let expected: Vec<_> = platform
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -108,13 +108,13 @@
                     weight: Weight(weight.parse().unwrap()),
                 }
             });
-            Route {
-                name: format!("r-{port}"),
+            let route = Route {
                 address: route(port),
                 shares: shares.collect(),
                 idempotent: true,
                 aim: Duration::from_millis(100),
-            }
+            };
+            (format!("r-{port}"), route)
         });
         let document = Document {
             revision,
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use units::Incarnation;
 use units::InstanceName;
+use units::Revision;
 use wire::Digest;
 use wire::Frame;
 use wire::Gossip;
@@ -58,13 +59,23 @@
     frame: Frame,
 }
 
+/// An instance that knows something newer, or something else.
+#[derive(Debug, Clone, Copy)]
+struct Newer {
+    address: SocketAddr,
+    /// How much it knows.
+    level: Revision,
+    /// Which parts that is made of.
+    parts: Digest,
+}
+
 /// Membership over one socket.
 pub(crate) struct Peers {
     socket: Arc<UdpSocket>,
     shared: Shared,
     /// Where seeds listen for other instances.
     seeds: Vec<SocketAddr>,
-    pulls: mpsc::Sender<SocketAddr>,
+    pulls: mpsc::Sender<Newer>,
 }
 
 impl Peers {
@@ -137,12 +148,9 @@
     /// Lets others know that this instance knows more.
     fn tell(&self) {
         let mut out = Vec::new();
-        let (level, digest) = {
-            let core = self.shared.core();
-            (core.knowledge().level(), digest(&core.knowledge().parts()))
-        };
+        let (level, parts) = held(&self.shared);
         let now = self.shared.now();
-        self.shared.members().set_document(level, digest, now, &mut out);
+        self.shared.members().set_document(level, parts, now, &mut out);
         self.carry_out(out);
     }
 
@@ -169,9 +177,18 @@
         for output in out {
             match output {
                 Output::Send { address, frame, .. } => self.send(address, frame),
-                Output::DocumentSeen { address, .. } => {
+                Output::DocumentSeen {
+                    address,
+                    revision,
+                    digest,
+                    ..
+                } => {
                     // A queue that is full holds others that know more; whoever is left out is seen again.
-                    let _full = self.pulls.try_send(address);
+                    let _full = self.pulls.try_send(Newer {
+                        address,
+                        level: revision,
+                        parts: digest,
+                    });
                 }
                 Output::Up(member) => log::info!("peers: {} ({}) is up", member.name, member.incarnation),
                 Output::Leaving(member) => log::info!("peers: {} is leaving", member.name),
@@ -216,14 +233,22 @@
     *members = Membership::new(me, timing(), rand::random(), shared.now());
 }
 
-fn digest(parts: &[u8; 16]) -> Digest {
-    Digest::of(parts)
+/// How much this instance knows, and which parts that is made of.
+fn held(shared: &Shared) -> (Revision, Digest) {
+    let core = shared.core();
+    let knowledge = core.knowledge();
+    (knowledge.level(), Digest::of(&knowledge.parts()))
 }
 
 /// Asks others for their knowledge, one after the other, and only while they still know more.
-async fn ask(mut wanted: mpsc::Receiver<SocketAddr>, shared: Shared) {
+async fn ask(mut wanted: mpsc::Receiver<Newer>, shared: Shared) {
     let transport = Transport::new(pull::TIMEOUT);
-    while let Some(from) = wanted.recv().await {
-        pull::pull(&transport, from, &shared).await;
+    while let Some(newer) = wanted.recv().await {
+        // Several instances tell of the same news, and the first one asked has it.
+        let (level, parts) = held(&shared);
+        if level > newer.level || (level, parts) == (newer.level, newer.parts) {
+            continue;
+        }
+        pull::pull(&transport, newer.address, &shared).await;
     }
 }
