Corroborate stalls before flows are reset

Ruled out: more copies alone (the fourth comes after 1.4 s, beyond the time limit). Change: an instance tells a dozen others which upstreams its flows wait for, and whoever has seen one of them answer since says so; an upstream is taken for dead only if another instance agrees or most others answer here; a single flow needs a second one that waits, or a fourth sending.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -19,6 +19,8 @@
 use crate::flows::Sign;
 use crate::flows::Stage;
 use crate::health::Health;
+use crate::health::Report;
+use crate::health::ReporterId;
 use crate::knowledge::Knowledge;
 use crate::packet::DropCause;
 use crate::packet::Echo;
@@ -37,9 +39,20 @@
 /// How long an upstream that is no longer listed may still get flows if its service has no other: its entry may have
 /// lapsed with the platform's store, and entries that did are back within about two seconds.
 const LAPSED_GRACE: Duration = Duration::from_secs(2);
-/// At which copy of the same data a flow counts as stalled, if its upstream has answered nobody meanwhile. Copies come
-/// 200 and 600 milliseconds after the first, and loss alone makes one copy common.
+/// At which copy of the same data a flow counts as stalled, if its upstream has answered nobody meanwhile and another
+/// flow waits in vain as well. Copies come 200, 600 and 1,400 milliseconds after the first, and loss alone makes one common.
 const STALLED_COPIES: u8 = 2;
+/// The same where no other flow waits.
+const STALLED_COPIES_ALONE: u8 = 3;
+/// An upstream that answered within this time answers. Most get a request every few hundred milliseconds.
+const ANSWERED_LATELY: Duration = Duration::from_secs(1);
+/// How many upstreams must answer for each one that is silent, or else this instance doubts itself.
+const ANSWERING_PER_SILENT: u32 = 2;
+/// How many reports are sent at a time.
+const REPORTS: usize = 16;
+/// How much later an answer must have been seen here than by the one who reports, to count as better knowledge. Reports
+/// take a few milliseconds.
+const REPORT_SLACK: Duration = Duration::from_millis(20);
 
 /// What an instance is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -220,8 +233,9 @@
         let mut flow = self.flows.remove(key)?;
         let health = self.health.get_mut(&flow.upstream)?;
         health.flows = health.flows.saturating_sub(1);
-        if flow.stage == Stage::Opening && health.note_copy(&mut flow, now) {
-            self.give_up(flow.upstream);
+        if flow.stage == Stage::Opening {
+            health.note_copy(&mut flow, now);
+            self.judge(flow.upstream, now);
         }
         Some(flow.upstream)
     }
@@ -272,7 +286,7 @@
             self.close(&key);
             return Verdict::Reset(reset_open(packet, ResetCause::Dead));
         }
-        if sign.is_copy && self.is_stalled(&key) {
+        if sign.is_copy && self.is_stalled(&key, now) {
             self.close(&key);
             return Verdict::Reset(reset_open(packet, ResetCause::Stalled));
         }
@@ -306,25 +320,86 @@
         if sign.is_request {
             health.note_request(now);
         }
-        if sign.is_copy && health.note_copy(flow, now) {
-            self.give_up(id);
+        if sign.is_copy {
+            health.note_copy(flow, now);
+            self.judge(id, now);
         }
         sign
     }
 
+    /// Takes an upstream for dead if the signs say so.
+    fn judge(&mut self, id: UpstreamId, now: Time) {
+        let others_answer = self.others_answer(now);
+        let health = self.health.entry(id).or_default();
+        let was_dead = health.is_given_up();
+        if health.dies(others_answer, now) {
+            self.give_up(id, was_dead);
+        }
+    }
+
+    /// Whether most upstreams that this instance hears of answer. If many are silent at once, it may be this instance's
+    /// own link that is full or lossy.
+    fn others_answer(&self, now: Time) -> bool {
+        let mut answering = 0;
+        let mut silent = 0;
+        for health in self.health.values() {
+            if health.stalled() > 0 {
+                silent += 1;
+            } else if now.since(health.last_progress) < ANSWERED_LATELY {
+                answering += 1;
+            }
+        }
+        answering >= silent * ANSWERING_PER_SILENT
+    }
+
+    /// What other instances should know of upstreams that flows wait for in vain.
+    pub fn take_reports(&mut self, now: Time) -> Vec<Report> {
+        let stalled = self.health.iter_mut().filter(|(_, health)| health.stalled() > 0);
+        let mut stalled: Vec<_> = stalled.collect();
+        stalled.sort_unstable_by_key(|(id, _)| **id);
+        let reports = stalled.into_iter().filter_map(|(id, health)| health.report(*id, now));
+        reports.take(REPORTS).collect()
+    }
+
+    /// Takes in another instance's reports, and answers those that this instance knows better.
+    pub fn hear(&mut self, from: ReporterId, reports: &[Report], now: Time) -> Vec<Report> {
+        let mut answers = Vec::new();
+        for report in reports {
+            if !self.directory.contains(report.upstream) {
+                continue;
+            }
+            let answered_at = now.before(report.silent_for);
+            let health = self.health.entry(report.upstream).or_default();
+            if health.last_progress > answered_at + REPORT_SLACK && report.stalled > 0 {
+                answers.push(health.answer(report.upstream, now));
+                continue;
+            }
+            if health.note_progress(answered_at) {
+                self.decisions.push(Decision::Revived(report.upstream));
+            }
+            if report.stalled > 0 {
+                health.hear(from, report.stalled, now);
+                self.judge(report.upstream, now);
+            }
+        }
+        answers
+    }
+
     /// Ends all flows of an upstream that is taken for dead, also those that are silent: a client whose flow is reset
     /// before its next request opens another one in time, and loses nothing.
-    fn give_up(&mut self, id: UpstreamId) {
+    fn give_up(&mut self, id: UpstreamId, was_dead: bool) {
         let flows = self.flows.take_of(id);
         let Some(health) = self.health.get_mut(&id) else {
             return;
         };
         health.flows = 0;
-        self.decisions.push(Decision::Died {
-            upstream: id,
-            stalled: health.stalled(),
-            flows: flows.len(),
-        });
+        if !was_dead || !flows.is_empty() {
+            self.decisions.push(Decision::Died {
+                upstream: id,
+                stalled: health.stalled(),
+                flows: flows.len(),
+            });
+        }
         for (key, flow) in flows {
             if flow.stage == Stage::Opening {
                 continue;
@@ -339,7 +414,7 @@
         }
     }
 
-    /// Resets that the last packets led to, beside their own verdicts.
+    /// Resets that packets and reports led to since the last call, beside the packets' own verdicts.
     pub fn take_resets(&mut self) -> Vec<Reset> {
         std::mem::take(&mut self.resets)
     }
@@ -350,7 +425,7 @@
     }
 
     /// Whether a flow waits for an upstream that answers nobody.
-    fn is_stalled(&mut self, key: &FlowKey) -> bool {
+    fn is_stalled(&mut self, key: &FlowKey, now: Time) -> bool {
         let Some(flow) = self.flows.get_mut(key) else {
             return false;
         };
@@ -360,10 +435,12 @@
         let Some(health) = self.health.get(&flow.upstream) else {
             return false;
         };
-        if pending.copies < STALLED_COPIES || health.last_progress > pending.since {
-            return false;
-        }
-        true
+        let copies = if health.is_corroborated(now) {
+            STALLED_COPIES
+        } else {
+            STALLED_COPIES_ALONE
+        };
+        pending.copies >= copies && health.last_progress <= pending.since && self.others_answer(now)
     }
 
     /// Forgets a flow that has ended.
@@ -398,11 +475,7 @@
                 health.flows = health.flows.saturating_sub(1);
             }
         }
-        let memory = self.options.max_flow * 2;
-        let then = Time(
-            now.0
-                .saturating_sub(u64::try_from(memory.as_micros()).unwrap_or(u64::MAX)),
-        );
+        let then = now.before(self.options.max_flow * 2);
         self.learn(now, |knowledge| knowledge.forget(then));
     }
 }
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -29,15 +29,33 @@
 /// The longest time between two tries of such an upstream.
 const LAST_RETRY: Duration = Duration::from_secs(4);
 
+/// For how long another instance's report counts. Flows that still wait are reported again within that time.
+const REPORT_KEEP: Duration = Duration::from_secs(1);
+/// How many other instances' reports are kept for each upstream.
+const REPORTERS: usize = 8;
+
+/// Names an instance that reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ReporterId(pub u64);
+
 /// What an instance tells others of one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The upstream.
     pub upstream: UpstreamId,
-    /// How many flows of the reporting instance it holds.
-    pub flows: u32,
-    /// How many of these wait for a sign of life.
+    /// How many flows of the reporting instance wait for it in vain.
     pub stalled: u32,
+    /// How long ago it last answered something there.
+    pub silent_for: Duration,
+}
+
+/// Another instance's report.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    from: ReporterId,
+    stalled: u32,
+    at: Time,
 }
 
 /// What is known of one upstream from the packets that passed here.
@@ -54,6 +72,13 @@
     pub(crate) last_progress: Time,
     /// How many different flows have waited in vain since then.
     stalled: u32,
+    /// Since when the first of them has waited.
+    stalled_since: Time,
+    /// Other instances' reports.
+    heard: Vec<Heard>,
+    /// Whether others were told of all flows that wait.
+    is_reported: bool,
+    reported_at: Time,
     /// Numbers its stalls, so that a flow is counted once in each.
     stall: u32,
     /// When it was last found dead, if it has not answered since.
@@ -64,10 +89,17 @@
 }
 
 impl Health {
-    /// The upstream has answered something. Tells whether it was taken for dead.
-    pub(crate) fn note_progress(&mut self, now: Time) -> bool {
-        self.last_progress = now;
+    /// The upstream has answered something, here or elsewhere. Tells whether it was taken for dead.
+    pub(crate) fn note_progress(&mut self, at: Time) -> bool {
+        if at <= self.last_progress {
+            return false;
+        }
+        self.last_progress = at;
+        if at < self.stalled_since {
+            return false;
+        }
         self.stalled = 0;
+        self.heard.clear();
         self.retry_pause = Duration::ZERO;
         self.dead_since.take().is_some()
     }
@@ -91,31 +123,84 @@
         self.activity_at = now;
     }
 
-    /// A flow has sent something once more, as the upstream has not reacted. Tells whether it is taken for dead from
-    /// now on.
+    /// A flow has sent something once more, as the upstream has not reacted.
     ///
     /// Nothing is counted if the upstream has answered another flow meanwhile: then only this flow's packet was lost.
-    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) -> bool {
+    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) {
         if self.last_progress >= flow.waits_since() {
-            return false;
+            return;
         }
         if self.stalled == 0 {
             self.stall = self.stall.wrapping_add(1).max(1);
+            self.stalled_since = flow.waits_since();
         }
         if flow.counted_in != self.stall {
             flow.counted_in = self.stall;
             self.stalled += 1;
+            self.is_reported = false;
         }
-        if self.now_may_retry(now) {
+        if now >= self.retry_at {
             self.postpone(now);
         }
-        if self.stalled < DEAD_FLOWS || self.is_dead(now) {
+    }
+
+    /// Another instance has reported that flows wait for this upstream in vain.
+    pub(crate) fn hear(&mut self, from: ReporterId, stalled: u32, now: Time) {
+        self.heard
+            .retain(|heard| heard.from != from && now.since(heard.at) < REPORT_KEEP);
+        if self.heard.len() < REPORTERS {
+            self.heard.push(Heard { from, stalled, at: now });
+        }
+    }
+
+    /// How many flows of other instances wait for it in vain.
+    fn stalled_elsewhere(&self, now: Time) -> u32 {
+        let heard = self.heard.iter().filter(|heard| now.since(heard.at) < REPORT_KEEP);
+        heard.map(|heard| heard.stalled).sum()
+    }
+
+    /// Whether it is to be taken for dead from now on: enough flows wait in vain, and this instance is not alone in
+    /// seeing so, or sees that other upstreams answer.
+    pub(crate) fn dies(&mut self, others_answer: bool, now: Time) -> bool {
+        let elsewhere = self.stalled_elsewhere(now);
+        let is_enough = self.stalled > 0 && self.stalled + elsewhere >= DEAD_FLOWS;
+        if !is_enough || !(others_answer || elsewhere > 0) || self.is_dead(now) {
             return false;
         }
         self.dead_since = Some(now);
         true
     }
 
+    /// Whether any other flow, here or elsewhere, waits for it in vain.
+    pub(crate) fn is_corroborated(&self, now: Time) -> bool {
+        self.stalled > 1 || self.stalled_elsewhere(now) > 0
+    }
+
+    /// What to tell others, if that has changed since the last time or is about to lapse.
+    pub(crate) fn report(&mut self, upstream: UpstreamId, now: Time) -> Option<Report> {
+        let is_due = !self.is_reported || now.since(self.reported_at) >= REPORT_KEEP / 2;
+        if self.stalled == 0 || !is_due {
+            return None;
+        }
+        self.is_reported = true;
+        self.reported_at = now;
+        Some(self.answer(upstream, now))
+    }
+
+    /// What is known here, for another instance that reported.
+    pub(crate) fn answer(&self, upstream: UpstreamId, now: Time) -> Report {
+        Report {
+            upstream,
+            stalled: self.stalled,
+            silent_for: now.since(self.last_progress),
+        }
+    }
+
+    /// Whether it was found dead and has not answered since.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.dead_since.is_some()
+    }
+
     /// Whether it was found dead a moment ago. Without new flows that wait in vain, this ends by itself: an upstream that
     /// nobody may try can't show that it lives.
     pub(crate) fn is_dead(&self, now: Time) -> bool {
@@ -132,10 +217,6 @@
         self.stalled
     }
 
-    fn now_may_retry(&self, now: Time) -> bool {
-        now >= self.retry_at
-    }
-
     /// Puts the next try off, by twice as much each time.
     fn postpone(&mut self, now: Time) {
         self.retry_pause = (self.retry_pause * 2).clamp(FIRST_RETRY, LAST_RETRY);
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -30,6 +30,7 @@
 pub use crate::documents::Update;
 pub use crate::flows::FlowKey;
 pub use crate::health::Report;
+pub use crate::health::ReporterId;
 pub use crate::knowledge::Change;
 pub use crate::knowledge::Entry;
 pub use crate::knowledge::Knowledge;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` and `upstreams` (one a line: `ID SERVICE ZONE
 //! [leaving] [slots=N] [cold=MS]`, or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
-//! packet of a client's flow. `idle` lets time pass for flows that are silent.
+//! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -18,6 +18,8 @@
 use flow::Flags;
 use flow::Options;
 use flow::Packet;
+use flow::Report;
+use flow::ReporterId;
 use flow::Route;
 use flow::Share;
 use flow::Upstream;
@@ -180,7 +182,41 @@
         out
     }
 
+    fn tell(&mut self, what: &str, name: &str, report: &str, out: &mut String) {
+        if what == "hear" {
+            return self.hear(name, report, out);
+        }
+        for report in self.core.take_reports(self.now) {
+            writeln!(
+                out,
+                "  {name} hears: {} wait for {:x}",
+                report.stalled, report.upstream.0
+            )
+            .unwrap();
+        }
+    }
+
+    /// Another instance, `name`, reports `UPSTREAM/STALLED/SILENT_MS`.
+    fn hear(&mut self, name: &str, report: &str, out: &mut String) {
+        let mut fields = report.split('/');
+        let mut field = || fields.next().unwrap();
+        let report = Report {
+            upstream: field().parse().unwrap(),
+            stalled: field().parse().unwrap(),
+            silent_for: Duration::from_millis(millis(field())),
+        };
+        let from = ReporterId(name.bytes().map(u64::from).sum());
+        for answer in self.core.hear(from, &[report], self.now) {
+            let silent = answer.silent_for.as_millis();
+            writeln!(out, "  tells {name}: {:x} answered {silent} ms ago", answer.upstream.0).unwrap();
+        }
+        self.show(out);
+    }
+
     fn packet(&mut self, what: &str, name: &str, port: &str, out: &mut String) {
+        if matches!(what, "hear" | "reports") {
+            return self.tell(what, name, port, out);
+        }
         let number = u16::try_from(self.ends.len()).unwrap();
         let end = self.ends.entry(name.to_owned()).or_insert(End {
             client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 40_000 + number),
@@ -222,6 +258,7 @@
             }
             "fin" => packet.flags = Flags::FIN | Flags::ACK,
             "rst" => packet.flags = Flags::RST,
+
             "lost-echo" => packet.echo = Echo(0x0bad_0bad),
             other => panic!("no such packet: {other}"),
         }
@@ -239,6 +276,11 @@
             }
             Verdict::Drop(cause) => writeln!(out, "{what} {name}: dropped, {cause}").unwrap(),
         }
+        self.show(out);
+    }
+
+    /// Shows what was decided beside the verdict.
+    fn show(&mut self, out: &mut String) {
         for reset in self.core.take_resets() {
             let (name, _) = self.ends.iter().find(|(_, end)| end.client == reset.client).unwrap();
             writeln!(out, "  {name} is reset, {}", reset.cause).unwrap();
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use ciborium::de;
+use flow::Report;
+use flow::ReporterId;
 use membership::Membership;
 use membership::Output;
 use membership::Timing;
 use platform::transport::Transport;
+use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -31,6 +34,10 @@
 const SEED_PAUSE: Duration = Duration::from_millis(300);
 /// How many instances that hold newer knowledge may wait to be asked.
 const PULLS: usize = 64;
+/// How many instances of the own zone, and of other zones, get a report. In its own zone most of an upstream's flows are
+/// seen by a dozen others; one that lies elsewhere is known to some there.
+const NEAR_LISTENERS: usize = 8;
+const FAR_LISTENERS: usize = 4;
 /// How far the incarnation is raised when others know a later one, as after the wall clock was set back.
 const INCARNATION_STEP: u64 = 10_000 << 10;
 /// The longest datagram that is read.
@@ -51,12 +58,21 @@
     }
 }
 
-/// A frame and who sends it.
+/// What an instance tells another, and who it is.
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
     from: InstanceName,
     incarnation: Incarnation,
-    frame: Frame,
+    body: Body,
+}
+
+/// What an instance tells another.
+#[derive(Debug, Serialize, Deserialize)]
+enum Body {
+    /// A frame of the membership.
+    Member(Box<Frame>),
+    /// Upstreams that flows wait for in vain, or an answer to that.
+    Reports(Vec<Report>),
 }
 
 /// An instance that knows something newer, or something else.
@@ -105,6 +121,7 @@
                 },
                 _ = tick.tick() => {
                     self.tick();
+                    self.report();
                     let now = self.shared.now();
                     if now >= next_seed && self.is_alone() {
                         next_seed = now + SEED_PAUSE;
@@ -134,7 +151,7 @@
             if *seed == own {
                 continue;
             }
-            self.send(*seed, frame.clone());
+            self.send(*seed, Body::Member(Box::new(frame.clone())));
         }
     }
 
@@ -164,8 +181,15 @@
         let mut out = Vec::new();
         let now = self.shared.now();
         {
+            let frame = match message.body {
+                Body::Member(frame) => frame,
+                Body::Reports(reports) => {
+                    self.hear(&message.from, &reports, from);
+                    return;
+                }
+            };
             let mut members = self.shared.members();
-            members.handle(now, &message.from, message.incarnation, &message.frame, &mut out);
+            members.handle(now, &message.from, message.incarnation, &frame, &mut out);
             if members.is_replaced() {
                 raise_incarnation(&mut members, &self.shared);
             }
@@ -173,10 +197,49 @@
         self.carry_out(out);
     }
 
+    /// Takes in another instance's reports, and tells it what is known better here.
+    fn hear(&self, from: &InstanceName, reports: &[Report], address: SocketAddr) {
+        let hash = blake3::hash(from.as_str().as_bytes());
+        let id = hash.as_bytes().first_chunk().copied().unwrap_or_default();
+        let now = self.shared.now();
+        let answers = self
+            .shared
+            .core()
+            .hear(ReporterId(u64::from_be_bytes(id)), reports, now);
+        if !answers.is_empty() {
+            self.send(address, Body::Reports(answers));
+        }
+    }
+
+    /// Tells some of the zone's instances which upstreams flows wait for in vain, and as many elsewhere: whoever has
+    /// seen one answer meanwhile says so.
+    fn report(&self) {
+        let now = self.shared.now();
+        let reports = self.shared.core().take_reports(now);
+        if reports.is_empty() {
+            return;
+        }
+        for address in self.listeners() {
+            self.send(address, Body::Reports(reports.clone()));
+        }
+    }
+
+    /// Who gets a report, drawn anew each time.
+    fn listeners(&self) -> Vec<SocketAddr> {
+        let members = self.shared.members();
+        let me = members.me();
+        let others = members.members().filter(|member| member.name != me.name);
+        let (near, far): (Vec<&Member>, Vec<&Member>) = others.partition(|member| member.zone == me.zone);
+        let mut rng = rand::rng();
+        let near = near.into_iter().sample(&mut rng, NEAR_LISTENERS);
+        let far = far.into_iter().sample(&mut rng, FAR_LISTENERS);
+        near.iter().chain(&far).map(|member| member.address).collect()
+    }
+
     fn carry_out(&self, out: Vec<Output>) {
         for output in out {
             match output {
-                Output::Send { address, frame, .. } => self.send(address, frame),
+                Output::Send { address, frame, .. } => self.send(address, Body::Member(Box::new(frame))),
                 Output::DocumentSeen {
                     address,
                     revision,
@@ -198,14 +261,14 @@
         }
     }
 
-    fn send(&self, to: SocketAddr, frame: Frame) {
+    fn send(&self, to: SocketAddr, body: Body) {
         let message = {
             let members = self.shared.members();
             let me = members.me();
             Message {
                 from: me.name.clone(),
                 incarnation: me.incarnation,
-                frame,
+                body,
             }
         };
         let mut bytes = Vec::with_capacity(256);
--- a/crates/units/src/time.rs
+++ b/crates/units/src/time.rs
@@ -35,6 +35,13 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// The time this long ago.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// How long it is until `later`, zero if it has passed.
     pub fn until(self, later: Self) -> Duration {
         later.since(self)
