--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,8 +1,9 @@
 //! One instance's flow path: packets and news in, verdicts out.
 
+mod silence;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -19,11 +20,8 @@
 use crate::flows::Sign;
 use crate::flows::Stage;
 use crate::health::Health;
-use crate::health::Report;
-use crate::health::ReporterId;
 use crate::knowledge::Knowledge;
 use crate::packet::DropCause;
-use crate::packet::Echo;
 use crate::packet::Flags;
 use crate::packet::Packet;
 use crate::packet::Reset;
@@ -35,25 +33,14 @@
 use crate::place::Tier;
 use crate::route::Routes;
 use crate::upstream::UpstreamId;
+use crate::verdict::Verdict;
+use crate::verdict::reset_open;
+use crate::verdict::reset_opening;
+use crate::verdict::unknown_echo;
 
 /// How long an upstream that is no longer listed may still get flows if its service has no other: its entry may have
 /// lapsed with the platform's store, and entries that did are back within about two seconds.
 const LAPSED_GRACE: Duration = Duration::from_secs(2);
-/// At which copy of the same data a flow counts as stalled, if its upstream has answered nobody meanwhile and another
-/// flow waits in vain as well. Copies come 200, 600 and 1,400 milliseconds after the first, and loss alone makes one common.
-const STALLED_COPIES: u8 = 2;
-/// The same where no other flow waits.
-const STALLED_COPIES_ALONE: u8 = 3;
-/// An upstream that answered within this time answers. Most get a request every few hundred milliseconds.
-const ANSWERED_LATELY: Duration = Duration::from_secs(1);
-/// How many upstreams must answer for each one that is silent, or else this instance doubts itself.
-const ANSWERING_PER_SILENT: u32 = 2;
-/// How many reports are sent at a time.
-const REPORTS: usize = 16;
-/// How much later an answer must have been seen here than by the one who reports, to count as better knowledge. Reports
-/// take a few milliseconds.
-const REPORT_SLACK: Duration = Duration::from_millis(20);
-
 /// What an instance is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -65,24 +52,6 @@
     pub seed: u64,
 }
 
-/// What becomes of a packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It goes to an upstream with this echo.
-    Forward {
-        /// The upstream.
-        upstream: UpstreamId,
-        /// Where it takes packets.
-        address: SocketAddrV4,
-        /// The echo that the packet carries from here on.
-        echo: Echo,
-    },
-    /// Its flow is ended.
-    Reset(Reset),
-    /// It goes nowhere.
-    Drop(DropCause),
-}
-
 /// Counts since the start.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Stats {
@@ -293,12 +262,6 @@
         self.forward(id)
     }
 
-    /// Whether data for an upstream is answered with a reset, as the upstream was taken for dead a moment ago: the flow
-    /// comes from another instance, or the first reset was lost.
-    fn is_dead(&self, id: UpstreamId, now: Time) -> bool {
-        self.health.get(&id).is_some_and(|health| health.is_dead(now))
-    }
-
     /// Notes what a packet tells of its flow and of its upstream.
     fn see(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Sign {
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
@@ -327,93 +290,6 @@
         sign
     }
 
-    /// Takes an upstream for dead if the signs say so.
-    fn judge(&mut self, id: UpstreamId, now: Time) {
-        let others_answer = self.others_answer(now);
-        let health = self.health.entry(id).or_default();
-        let was_dead = health.is_given_up();
-        if health.dies(others_answer, now) {
-            self.give_up(id, was_dead);
-        }
-    }
-
-    /// Whether most upstreams that this instance hears of answer. If many are silent at once, it may be this instance's
-    /// own link that is full or lossy.
-    fn others_answer(&self, now: Time) -> bool {
-        let mut answering = 0;
-        let mut silent = 0;
-        for health in self.health.values() {
-            if health.stalled() > 0 {
-                silent += 1;
-            } else if now.since(health.last_progress) < ANSWERED_LATELY {
-                answering += 1;
-            }
-        }
-        answering >= silent * ANSWERING_PER_SILENT
-    }
-
-    /// What other instances should know of upstreams that flows wait for in vain.
-    pub fn take_reports(&mut self, now: Time) -> Vec<Report> {
-        let stalled = self.health.iter_mut().filter(|(_, health)| health.stalled() > 0);
-        let mut stalled: Vec<_> = stalled.collect();
-        stalled.sort_unstable_by_key(|(id, _)| **id);
-        let reports = stalled.into_iter().filter_map(|(id, health)| health.report(*id, now));
-        reports.take(REPORTS).collect()
-    }
-
-    /// Takes in another instance's reports, and answers those that this instance knows better.
-    pub fn hear(&mut self, from: ReporterId, reports: &[Report], now: Time) -> Vec<Report> {
-        let mut answers = Vec::new();
-        for report in reports {
-            if !self.directory.contains(report.upstream) {
-                continue;
-            }
-            let answered_at = now.before(report.silent_for);
-            let health = self.health.entry(report.upstream).or_default();
-            if health.last_progress > answered_at + REPORT_SLACK && report.stalled > 0 {
-                answers.push(health.answer(report.upstream, now));
-                continue;
-            }
-            if health.note_progress(answered_at) {
-                self.decisions.push(Decision::Revived(report.upstream));
-            }
-            if report.stalled > 0 {
-                health.hear(from, report.stalled, now);
-                self.judge(report.upstream, now);
-            }
-        }
-        answers
-    }
-
-    /// Ends all flows of an upstream that is taken for dead, also those that are silent: a client whose flow is reset
-    /// before its next request opens another one in time, and loses nothing.
-    fn give_up(&mut self, id: UpstreamId, was_dead: bool) {
-        let flows = self.flows.take_of(id);
-        let Some(health) = self.health.get_mut(&id) else {
-            return;
-        };
-        health.flows = 0;
-        if !was_dead || !flows.is_empty() {
-            self.decisions.push(Decision::Died {
-                upstream: id,
-                stalled: health.stalled(),
-                flows: flows.len(),
-            });
-        }
-        for (key, flow) in flows {
-            if flow.stage == Stage::Opening {
-                continue;
-            }
-            *self.stats.resets.entry(ResetCause::Dead).or_default() += 1;
-            self.resets.push(Reset {
-                client: key.client,
-                route: key.route,
-                seq: flow.client_ack,
-                cause: ResetCause::Dead,
-            });
-        }
-    }
-
     /// Resets that packets and reports led to since the last call, beside the packets' own verdicts.
     pub fn take_resets(&mut self) -> Vec<Reset> {
         std::mem::take(&mut self.resets)
@@ -424,25 +300,6 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Whether a flow waits for an upstream that answers nobody.
-    fn is_stalled(&mut self, key: &FlowKey, now: Time) -> bool {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return false;
-        };
-        let Some(pending) = flow.pending else {
-            return false;
-        };
-        let Some(health) = self.health.get(&flow.upstream) else {
-            return false;
-        };
-        let copies = if health.is_corroborated(now) {
-            STALLED_COPIES
-        } else {
-            STALLED_COPIES_ALONE
-        };
-        pending.copies >= copies && health.last_progress <= pending.since && self.others_answer(now)
-    }
-
     /// Forgets a flow that has ended.
     fn close(&mut self, key: &FlowKey) {
         let Some(flow) = self.flows.remove(key) else {
@@ -496,31 +353,3 @@
     }
     Some(Tier::Ready)
 }
-
-fn reset_opening(packet: &Packet, cause: ResetCause) -> Reset {
-    Reset {
-        client: packet.client,
-        route: packet.route,
-        seq: 0,
-        cause,
-    }
-}
-
-fn reset_open(packet: &Packet, cause: ResetCause) -> Reset {
-    Reset {
-        client: packet.client,
-        route: packet.route,
-        seq: packet.ack,
-        cause,
-    }
-}
-
-fn unknown_echo(packet: &Packet) -> DropCause {
-    if packet.flags.has(Flags::RST) {
-        return DropCause::Reset;
-    }
-    if packet.echo == Echo::NONE {
-        return DropCause::NoEcho;
-    }
-    DropCause::UnknownEcho
-}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -19,11 +19,11 @@
 mod place;
 mod route;
 mod upstream;
+mod verdict;
 
 pub use crate::core::Core;
 pub use crate::core::Options;
 pub use crate::core::Stats;
-pub use crate::core::Verdict;
 pub use crate::decision::Decision;
 pub use crate::directory::Directory;
 pub use crate::documents::Step;
@@ -48,3 +48,4 @@
 pub use crate::upstream::ParseUpstreamIdError;
 pub use crate::upstream::Upstream;
 pub use crate::upstream::UpstreamId;
+pub use crate::verdict::Verdict;
--- a/crates/jayquayd/tests/flows.rs
+++ b/crates/jayquayd/tests/flows.rs
@@ -71,7 +71,8 @@
             return false;
         };
         let mut answer = [0; 12];
-        let asked = std::io::Write::write_all(&mut stream, b"GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n");
+        let request = format!("GET {} HTTP/1.1\r\nHost: a\r\n\r\n", adapter::ready::PATH);
+        let asked = std::io::Write::write_all(&mut stream, request.as_bytes());
         asked.is_ok() && std::io::Read::read_exact(&mut stream, &mut answer).is_ok() && answer.ends_with(b"200")
     }
 }
--- a/crates/tidy/src/lib.rs
+++ b/crates/tidy/src/lib.rs
@@ -12,7 +12,36 @@
 pub const MAX_LINES: usize = 400;
 
 /// The crates on a request's path, where calls are never dispatched at run time.
-const REQUEST_PATH: [&str; 7] = ["units", "wire", "token", "balance", "membership", "node", "jayquayd"];
+const REQUEST_PATH: [&str; 8] = [
+    "units",
+    "wire",
+    "token",
+    "balance",
+    "membership",
+    "node",
+    "flow",
+    "jayquayd",
+];
+
+/// The folder in which the users' platform is met.
+const PLATFORM: &str = "platform";
+
+/// Words of the users' platform, which no other folder knows: names on its wire, in its settings and of its tools. They
+/// are written in two parts here, so that this file keeps the rule as well.
+const PLATFORM_WORDS: [&str; 12] = [
+    concat!("path_", "prefix"),
+    concat!("slo_", "ms"),
+    concat!("cold_", "left_ms"),
+    concat!("packet_", "addr"),
+    concat!("ready_", "addr"),
+    concat!("stale_", "read"),
+    concat!("skew_max_", "ms"),
+    concat!("stable_", "window"),
+    concat!("JAYQUAY_", "SETTINGS"),
+    concat!("fleet", "bench"),
+    concat!("has_", "more"),
+    concat!("/api/", "objects"),
+];
 
 /// A source file of the workspace.
 #[derive(Debug, Clone)]
@@ -69,6 +98,8 @@
     Dynamic,
     /// No stub is landed and no test is ignored.
     Stub,
+    /// The users' platform is met in its own folder only.
+    PlatformWord,
 }
 
 impl fmt::Display for Rule {
@@ -79,15 +110,16 @@
             Self::TestInSource => "tests live in test files",
             Self::Dynamic => "no dynamic dispatch on the request path",
             Self::Stub => "no stubs and no ignored tests",
+            Self::PlatformWord => "a word of the users' platform outside its folder",
         };
         f.write_str(text)
     }
 }
 
-/// Reads all Rust files of the crates below `root`.
+/// Reads all Rust files below `root`: those of the crates, and of the folder for the users' platform.
 pub fn read_sources(root: &Path) -> io::Result<Vec<Source>> {
     let mut sources = Vec::new();
-    let mut folders = vec![root.join("crates")];
+    let mut folders = vec![root.join("crates"), root.join(PLATFORM)];
     while let Some(folder) = folders.pop() {
         for entry in fs::read_dir(folder)? {
             let path = entry?.path();
@@ -131,6 +163,9 @@
         if source.is_on_request_path() && (text.contains("dyn ") || text.contains("<dyn")) {
             report(line, Rule::Dynamic);
         }
+        if !is_platform(source) && PLATFORM_WORDS.iter().any(|word| text.contains(word)) {
+            report(line, Rule::PlatformWord);
+        }
         if ["todo!(", "unimplemented!(", "#[ignore"]
             .iter()
             .any(|stub| text.contains(stub))
@@ -146,6 +181,11 @@
     breaches
 }
 
+/// Whether a file may know the words of the users' platform.
+fn is_platform(source: &Source) -> bool {
+    source.path.starts_with(PLATFORM)
+}
+
 /// Whether this is the file that names the stubs in order to find them.
 fn is_here(source: &Source) -> bool {
     source.path.starts_with("crates/tidy")
--- a/crates/tidy/tests/tidy.rs
+++ b/crates/tidy/tests/tidy.rs
@@ -34,6 +34,13 @@
         ("crates/caller/src/a.rs", "    todo!()\n", Rule::Stub),
         ("crates/caller/tests/a.rs", "#[ignore]\n", Rule::Stub),
         ("crates/caller/src/a.rs", long.as_str(), Rule::Length),
+        ("crates/flow/src/a.rs", "fn f(a: &dyn Fn()) {}\n", Rule::Dynamic),
+        (
+            "crates/jayquayd/tests/a.rs",
+            concat!("ready_", "addr\n"),
+            Rule::PlatformWord,
+        ),
+        ("platform/src/a.rs", "#[test]\n", Rule::TestInSource),
     ];
     for (path, text, rule) in cases {
         let source = Source {
@@ -46,6 +53,7 @@
     let harmless = [
         ("crates/caller/src/a.rs", "fn f(a: &dyn Fn()) {}\n"),
         ("crates/node/tests/a.rs", "#[test]\n"),
+        ("platform/src/a.rs", concat!("ready_", "addr\n")),
     ];
     for (path, text) in harmless {
         let source = Source {
