Take changed settings while running, with a signal or without

The flow mode read its settings once. Tests over real processes: a store that moves without a signal, wrong settings, and each kind of wrong value. Before: no such test.

--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -11,10 +11,11 @@
 mod packets;
 mod pull;
 mod relay;
+mod reload;
 mod run;
 mod shared;
 mod stop;
-mod watch;
+mod store;
 
 pub use run::RunError;
 pub use run::run;
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -1,6 +1,5 @@
 //! Membership over UDP: one datagram, one frame. What is lost is sent again by the protocol above.
 
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use units::Incarnation;
 use units::InstanceName;
 use units::Revision;
@@ -26,6 +26,7 @@
 use wire::Member;
 
 use super::pull;
+use super::settings::Settings;
 use super::shared::Shared;
 
 /// How often membership is given the time.
@@ -89,20 +90,22 @@
 pub(crate) struct Peers {
     socket: Arc<UdpSocket>,
     shared: Shared,
-    /// Where seeds listen for other instances.
-    seeds: Vec<SocketAddr>,
+    settings: watch::Receiver<Settings>,
+    /// The port at which every instance listens for others.
+    port: u16,
     pulls: mpsc::Sender<Newer>,
 }
 
 impl Peers {
     /// Starts the task that asks others for their knowledge, and takes the seeds' addresses from their hosts.
-    pub(crate) fn new(socket: UdpSocket, shared: Shared, seeds: &[IpAddr], port: u16) -> Self {
+    pub(crate) fn new(socket: UdpSocket, shared: Shared, settings: watch::Receiver<Settings>, port: u16) -> Self {
         let (pulls, wanted) = mpsc::channel(PULLS);
         tokio::spawn(ask(wanted, shared.clone()));
         Self {
             socket: Arc::new(socket),
             shared,
-            seeds: seeds.iter().map(|ip| SocketAddr::new(*ip, port)).collect(),
+            settings,
+            port,
             pulls,
         }
     }
@@ -147,11 +150,13 @@
             })
         };
         let own = self.shared.members().me().address;
-        for seed in &self.seeds {
-            if *seed == own {
+        let seeds = self.settings.borrow().seeds.clone();
+        for ip in seeds {
+            let seed = SocketAddr::new(ip, self.port);
+            if seed == own {
                 continue;
             }
-            self.send(*seed, Body::Member(Box::new(frame.clone())));
+            self.send(seed, Body::Member(Box::new(frame.clone())));
         }
     }
 
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::Store;
 use flow::Core;
 use flow::Options;
 use membership::Membership;
@@ -15,6 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 use wire::Member;
 use wire::MemberState;
 
@@ -23,10 +23,11 @@
 use super::http;
 use super::http::Context;
 use super::packets;
+use super::reload;
 use super::settings::Settings;
 use super::shared::Shared;
 use super::stop;
-use super::watch;
+use super::store;
 use crate::clock::Clock;
 
 /// How often flows that are silent are forgotten.
@@ -62,7 +63,9 @@
 pub async fn run(settings: &Settings, path: &Path, metrics: PrometheusHandle) -> Result<(), RunError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let (changes, current) = watch::channel(settings.clone());
+    tokio::spawn(reload::run(path.to_owned(), hangup, changes));
     let shared = share(settings);
     let listen = settings.listen;
     let packets = bind_udp(listen.packets).await?;
@@ -71,10 +74,10 @@
     let peers = Peers::new(
         bind_udp(listen.peers).await?,
         shared.clone(),
-        &settings.seeds,
+        current.clone(),
         listen.peers.port(),
     );
-    tokio::spawn(watch::run(Store::new(settings.store), shared.clone()));
+    tokio::spawn(store::run(current.clone(), shared.clone()));
     tokio::spawn(http::serve_ready(ready, shared.clone()));
     let context = Context {
         shared: shared.clone(),
@@ -85,16 +88,14 @@
     tokio::spawn(packets::run(Arc::new(packets), listen.packets.port(), shared.clone()));
     tokio::spawn(tick(shared.clone()));
     log::info!("daemon: {} started in zone {}", settings.name, settings.zone);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!("daemon: told that {} changed", path.display()),
-        }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
     log::info!("daemon: stopping");
     shared.stop();
-    stop::wait(&shared, settings.grace).await;
+    let grace = current.borrow().grace;
+    stop::wait(&shared, grace).await;
     log::info!("daemon: stopped");
     Ok(())
 }
--- a/crates/jayquayd/src/forward/watch.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -1,12 +1,15 @@
 //! The store's watches. Only the watchers of an availability zone keep them; the others learn from these.
 
+use std::convert::Infallible;
 use std::time::Duration;
 
 use adapter::Store;
 use adapter::store::Error;
 use rand::RngExt;
+use tokio::sync::watch;
 use units::Revision;
 
+use super::settings::Settings;
 use super::shared::Shared;
 
 /// The shortest and the longest time that a watch waits for a change. Each call costs the same however long it waits. A
@@ -44,9 +47,21 @@
     }
 }
 
-/// Keeps the document and the upstreams up to date.
-pub(crate) async fn run(store: Store, shared: Shared) {
-    tokio::join!(documents(&store, &shared), upstreams(&store, &shared));
+/// Keeps the document and the upstreams up to date, wherever the settings say the store is.
+pub(crate) async fn run(mut settings: watch::Receiver<Settings>, shared: Shared) {
+    loop {
+        let address = settings.borrow_and_update().store;
+        let store = Store::new(address);
+        let has_moved = settings.wait_for(|new| new.store != address);
+        tokio::select! {
+            _ = documents(&store, &shared) => {}
+            _ = upstreams(&store, &shared) => {}
+            moved = has_moved => if moved.is_err() {
+                return;
+            },
+        }
+        log::info!("store: moved from {address}");
+    }
 }
 
 /// This instance's part in watching the store.
@@ -89,7 +104,7 @@
     }
 }
 
-async fn documents(store: &Store, shared: &Shared) {
+async fn documents(store: &Store, shared: &Shared) -> Infallible {
     let mut cursor = None;
     let mut backoff = Backoff::new();
     loop {
@@ -122,7 +137,7 @@
     }
 }
 
-async fn upstreams(store: &Store, shared: &Shared) {
+async fn upstreams(store: &Store, shared: &Shared) -> Infallible {
     let mut cursor = held(shared);
     let mut backoff = Backoff::new();
     loop {
--- a/crates/jayquayd/tests/flows.rs
+++ b/crates/jayquayd/tests/flows.rs
@@ -99,20 +99,28 @@
         Ipv4Addr::new(127, self.net, group, number)
     }
 
-    /// Starts an instance that is told to ask the first one.
-    fn start(&self, number: u8) -> Instance {
+    /// The settings of an instance that is told to ask the first one.
+    fn settings(&self, number: u8, store: &Store) -> String {
         let ip = self.ip(1, number);
-        let text = format!(
+        format!(
             "name: entry-{number}\nzone: zone-a\nlisten: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n\
              store: \"{}\"\nseeds: [\"{}:1\"]\ngrace_s: 6\nmax_flow_s: 60\nunknown: true\n",
             self.packets,
             self.ready,
             self.peers,
-            self.store.address(),
+            store.address(),
             self.ip(1, 1),
-        );
-        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("flows-{}-{number}.yaml", self.net));
-        fs::write(&path, text).unwrap();
+        )
+    }
+
+    fn path(&self, number: u8) -> PathBuf {
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("flows-{}-{number}.yaml", self.net))
+    }
+
+    fn start(&self, number: u8) -> Instance {
+        let ip = self.ip(1, number);
+        let path = self.path(number);
+        fs::write(&path, self.settings(number, &self.store)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_jayquayd"))
             .args(["--flows", "--settings"])
             .arg(&path)
@@ -320,3 +328,74 @@
     }
     panic!("the new document never came into force");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings_are_taken_with_a_signal_and_without_and_wrong_ones_are_not() {
+    let world = World::new().await;
+    world.store.put_document(1, &[]);
+    let entry = world.start_ready(1).await;
+    let mut client = world.client(1).await;
+    assert_eq!(
+        client.open(ROUTE, entry.packets()).await.unwrap(),
+        Seen::Reset,
+        "no route"
+    );
+    let next = Store::start().await.unwrap();
+    for _ in 0..5 {
+        next.put("other", "name", serde_json::json!(1));
+    }
+    let upstream = Upstream::start(
+        UpstreamId(0x71),
+        "one",
+        SocketAddrV4::new(world.ip(3, 1), 0),
+        world.packets,
+    );
+    let upstream = upstream.await.unwrap();
+    next.put_upstream(UpstreamId(0x71), "search", upstream.address(), "zone-a", "ready");
+    next.put_document(2, &[(ROUTE, "search")]);
+    fs::write(world.path(1), "store: nonsense").unwrap();
+    entry.signal("HUP");
+    tokio::time::sleep(PAUSE).await;
+    assert!(entry.is_ready(), "wrong settings change nothing");
+    // Without a signal: the file is looked at every other second.
+    fs::write(world.path(1), world.settings(1, &next)).unwrap();
+    until_open(&mut client, ROUTE, entry.packets(), &Seen::Opened).await;
+    let third = Store::start().await.unwrap();
+    for _ in 0..20 {
+        third.put("other", "name", serde_json::json!(1));
+    }
+    third.put_document(3, &[]);
+    fs::write(world.path(1), world.settings(1, &third)).unwrap();
+    entry.signal("HUP");
+    until_open(&mut client, ROUTE, entry.packets(), &Seen::Reset).await;
+}
+
+#[test]
+fn wrong_settings_of_the_flow_mode_are_bad_usage() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("flows-wrong.yaml");
+    let cases = [
+        ("name: a", "missing field"),
+        (
+            "{name: A, zone: z, listen: {packets: '1.1.1.1:1', ready: '1.1.1.1:1', peers: '1.1.1.1:1'}, \
+             store: '1.1.1.1:1', grace_s: 6, max_flow_s: 60}",
+            "name: a name starts with a lower-case letter",
+        ),
+        (
+            "{name: a, zone: z, listen: {packets: '1.1.1.1:1', ready: '1.1.1.1:1', peers: '1.1.1.1:1'}, \
+             store: '1.1.1.1:1', grace_s: -6, max_flow_s: 60}",
+            "grace_s: -6 is no span in seconds",
+        ),
+    ];
+    for (text, expected) in cases {
+        fs::write(&path, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jayquayd"));
+        let output = command
+            .args(["--flows", "--check", "--settings"])
+            .arg(&path)
+            .output()
+            .unwrap();
+        let errors = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{errors}");
+        assert!(errors.contains(expected), "{errors}");
+    }
+}
