Take an upstream for dead only beyond chance, and soak the real processes

Ruled out: a full link (10 packets a second), a dead upstream (no other instance saw it). Change: only answers since the stall began count; packets that turn out to have been lost on ways that work raise the number of flows that must wait, here and at those that report; without most others answering, another instance has to see it too.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -21,6 +21,7 @@
 use crate::flows::Stage;
 use crate::health::Health;
 use crate::knowledge::Knowledge;
+use crate::loss::Loss;
 use crate::packet::DropCause;
 use crate::packet::Flags;
 use crate::packet::Packet;
@@ -76,6 +77,7 @@
     health: HashMap<UpstreamId, Health>,
     /// How long each service's upstreams take to answer at best.
     bases: HashMap<String, Base>,
+    loss: Loss,
     flows: Flows,
     resets: Vec<Reset>,
     decisions: Vec<Decision>,
@@ -93,6 +95,7 @@
             directory: Directory::default(),
             health: HashMap::new(),
             bases: HashMap::new(),
+            loss: Loss::default(),
             flows: Flows::default(),
             resets: Vec::new(),
             decisions: Vec::new(),
@@ -192,6 +195,7 @@
         });
         let flow = Flow::new(id, Stage::Opening, packet, now);
         self.health.entry(id).or_default().note_placed(now);
+        self.loss.note_attempt(now);
         self.flows.insert(key, flow);
         self.forward(id)
     }
@@ -203,7 +207,8 @@
         let health = self.health.get_mut(&flow.upstream)?;
         health.flows = health.flows.saturating_sub(1);
         if flow.stage == Stage::Opening {
-            health.note_copy(&mut flow, now);
+            let is_lost = health.note_copy(&mut flow, now);
+            self.loss.note_losses(is_lost.into(), now);
             self.judge(flow.upstream, now);
         }
         Some(flow.upstream)
@@ -274,17 +279,23 @@
         };
         let sign = flow.see(packet, now);
         let health = self.health.entry(id).or_default();
-        if sign.is_progress && health.note_progress(now) {
-            self.decisions.push(Decision::Revived(id));
+        if sign.is_progress {
+            let progress = health.note_progress(now);
+            self.loss.note_losses(progress.losses, now);
+            if progress.is_revived {
+                self.decisions.push(Decision::Revived(id));
+            }
         }
         if let Some(waited) = sign.waited {
             health.note_response(waited, now);
         }
         if sign.is_request {
             health.note_request(now);
+            self.loss.note_attempt(now);
         }
         if sign.is_copy {
-            health.note_copy(flow, now);
+            let is_lost = health.note_copy(flow, now);
+            self.loss.note_losses(is_lost.into(), now);
             self.judge(id, now);
         }
         sign
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -23,10 +23,9 @@
 const STALLED_COPIES: u8 = 2;
 /// The same where no other flow waits.
 const STALLED_COPIES_ALONE: u8 = 3;
-/// An upstream that answered within this time answers. Most get a request every few hundred milliseconds.
-const ANSWERED_LATELY: Duration = Duration::from_secs(1);
-/// How many upstreams must answer for each one that is silent, or else this instance doubts itself.
-const ANSWERING_PER_SILENT: u32 = 2;
+/// How many upstreams must have answered since for each one that is silent, or else this instance doubts what it sees: its
+/// own link, or its clients', may lose packets. While a third of them is lost, two openings of three go unanswered.
+const ANSWERING_PER_SILENT: u32 = 3;
 /// How many reports are sent at a time.
 const REPORTS: usize = 16;
 /// How much later an answer must have been seen here than by the one who reports, to count as better knowledge. Reports
@@ -36,23 +35,27 @@
 impl Core {
     /// Takes an upstream for dead if the signs say so.
     pub(super) fn judge(&mut self, id: UpstreamId, now: Time) {
-        let others_answer = self.others_answer(now);
+        let Some(health) = self.health.get(&id) else {
+            return;
+        };
+        let others_answer = self.others_answer(health.stalled_since());
+        let loss = self.loss.percent(now);
         let health = self.health.entry(id).or_default();
         let was_dead = health.is_given_up();
-        if health.dies(others_answer, now) {
+        if health.dies(others_answer, loss, now) {
             self.give_up(id, was_dead);
         }
     }
 
-    /// Whether most upstreams that this instance hears of answer. If many are silent at once, it may be this instance's
-    /// own link that is full or lossy.
-    fn others_answer(&self, now: Time) -> bool {
+    /// Whether most upstreams that this instance hears of have answered since. If many are silent at once, it may be this
+    /// instance's own link, or its clients', that loses packets.
+    fn others_answer(&self, since: Time) -> bool {
         let mut answering = 0;
         let mut silent = 0;
         for health in self.health.values() {
             if health.stalled() > 0 {
                 silent += 1;
-            } else if now.since(health.last_progress) < ANSWERED_LATELY {
+            } else if health.last_progress > since {
                 answering += 1;
             }
         }
@@ -64,13 +67,17 @@
         let stalled = self.health.iter_mut().filter(|(_, health)| health.stalled() > 0);
         let mut stalled: Vec<_> = stalled.collect();
         stalled.sort_unstable_by_key(|(id, _)| **id);
-        let reports = stalled.into_iter().filter_map(|(id, health)| health.report(*id, now));
+        let loss = self.loss.percent(now);
+        let reports = stalled
+            .into_iter()
+            .filter_map(|(id, health)| health.report(*id, loss, now));
         reports.take(REPORTS).collect()
     }
 
     /// Takes in another instance's reports, and answers those that this instance knows better.
     pub fn hear(&mut self, from: ReporterId, reports: &[Report], now: Time) -> Vec<Report> {
         let mut answers = Vec::new();
+        let loss = self.loss.percent(now);
         for report in reports {
             if !self.directory.contains(report.upstream) {
                 continue;
@@ -78,14 +85,16 @@
             let answered_at = now.before(report.silent_for);
             let health = self.health.entry(report.upstream).or_default();
             if health.last_progress > answered_at + REPORT_SLACK && report.stalled > 0 {
-                answers.push(health.answer(report.upstream, now));
+                answers.push(health.answer(report.upstream, loss, now));
                 continue;
             }
-            if health.note_progress(answered_at) {
+            let progress = health.note_progress(answered_at);
+            self.loss.note_losses(progress.losses, now);
+            if progress.is_revived {
                 self.decisions.push(Decision::Revived(report.upstream));
             }
             if report.stalled > 0 {
-                health.hear(from, report.stalled, now);
+                health.hear(from, report, now);
                 self.judge(report.upstream, now);
             }
         }
@@ -137,7 +146,7 @@
         } else {
             STALLED_COPIES_ALONE
         };
-        pending.copies >= copies && health.last_progress <= pending.since && self.others_answer(now)
+        pending.copies >= copies && health.last_progress <= pending.since && self.others_answer(pending.since)
     }
 
     /// Whether data for an upstream is answered with a reset, as the upstream was taken for dead a moment ago: the flow
--- /dev/null
+++ b/crates/flow/src/decay.rs
@@ -0,0 +1,24 @@
+//! Counts that fade with time.
+
+use std::time::Duration;
+
+use units::Time;
+
+/// A count in which an event weighs less the longer ago it was: a third after the span, a twentieth after three.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Decayed {
+    value: f64,
+    at: Time,
+}
+
+impl Decayed {
+    pub(crate) fn add(&mut self, count: u32, span: Duration, now: Time) {
+        self.value = self.value(span, now) + f64::from(count);
+        self.at = now;
+    }
+
+    pub(crate) fn value(&self, span: Duration, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.value * (-age / span.as_secs_f64()).exp()
+    }
+}
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -6,7 +6,10 @@
 use serde::Serialize;
 use units::Time;
 
+use crate::decay::Decayed;
 use crate::flows::Flow;
+use crate::loss;
+use crate::loss::Percent;
 use crate::upstream::UpstreamId;
 
 /// Requests count towards an upstream's activity for about this long. A flow sends a request or so a second, so a
@@ -19,9 +22,9 @@
 /// For how long samples count after the last one. A slow upstream is tried again after it.
 const SAMPLE_KEEP: Duration = Duration::from_secs(4);
 
-/// How many different flows must wait in vain, while none is answered, until an upstream is taken for dead. One or two
-/// may have lost a packet in the same fifth of a second.
-const DEAD_FLOWS: u32 = 3;
+/// How many flows must wait in vain, here and at another instance, where too few other upstreams answer to tell a dead one
+/// from a bad link.
+const DEAD_FLOWS_IN_DOUBT: u32 = 5;
 /// For how long an upstream counts as dead after flows have waited in vain.
 const DEAD_KEEP: Duration = Duration::from_secs(3);
 /// How long an upstream that flows wait for in vain is spared new ones, at first.
@@ -48,6 +51,17 @@
     pub stalled: u32,
     /// How long ago it last answered something there.
     pub silent_for: Duration,
+    /// How many packets of a hundred are lost there on ways that work otherwise.
+    pub loss_percent: u8,
+}
+
+/// What a sign of life ends.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Progress {
+    /// The upstream was taken for dead.
+    pub(crate) is_revived: bool,
+    /// How many packets were lost on the way to an upstream that lives, as it turns out.
+    pub(crate) losses: u32,
 }
 
 /// Another instance's report.
@@ -55,6 +69,7 @@
 struct Heard {
     from: ReporterId,
     stalled: u32,
+    loss: Percent,
     at: Time,
 }
 
@@ -63,8 +78,7 @@
 pub(crate) struct Health {
     /// How many flows seen here it holds.
     pub(crate) flows: u32,
-    activity: f64,
-    activity_at: Time,
+    activity: Decayed,
     /// A moving mean of its response times, in seconds.
     response: Option<f64>,
     response_at: Time,
@@ -72,6 +86,8 @@
     pub(crate) last_progress: Time,
     /// How many different flows have waited in vain since then.
     stalled: u32,
+    /// How often they have sent something again since then.
+    copies: u32,
     /// Since when the first of them has waited.
     stalled_since: Time,
     /// Other instances' reports.
@@ -89,19 +105,23 @@
 }
 
 impl Health {
-    /// The upstream has answered something, here or elsewhere. Tells whether it was taken for dead.
-    pub(crate) fn note_progress(&mut self, at: Time) -> bool {
+    /// The upstream has answered something, here or elsewhere.
+    pub(crate) fn note_progress(&mut self, at: Time) -> Progress {
         if at <= self.last_progress {
-            return false;
+            return Progress::default();
         }
         self.last_progress = at;
         if at < self.stalled_since {
-            return false;
+            return Progress::default();
         }
         self.stalled = 0;
+        let losses = std::mem::take(&mut self.copies);
         self.heard.clear();
         self.retry_pause = Duration::ZERO;
-        self.dead_since.take().is_some()
+        Progress {
+            is_revived: self.dead_since.take().is_some(),
+            losses,
+        }
     }
 
     /// The upstream took this long to answer a request.
@@ -119,17 +139,18 @@
 
     /// A request is on its way to it.
     pub(crate) fn note_request(&mut self, now: Time) {
-        self.activity = self.activity(now) + 1.0;
-        self.activity_at = now;
+        self.activity.add(1, ACTIVITY_SPAN, now);
     }
 
     /// A flow has sent something once more, as the upstream has not reacted.
     ///
-    /// Nothing is counted if the upstream has answered another flow meanwhile: then only this flow's packet was lost.
-    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) {
+    /// Nothing is counted if the upstream has answered another flow meanwhile: then only this flow's packet was lost, which
+    /// this tells.
+    pub(crate) fn note_copy(&mut self, flow: &mut Flow, now: Time) -> bool {
         if self.last_progress >= flow.waits_since() {
-            return;
+            return true;
         }
+        self.copies += 1;
         if self.stalled == 0 {
             self.stall = self.stall.wrapping_add(1).max(1);
             self.stalled_since = flow.waits_since();
@@ -142,29 +163,48 @@
         if now >= self.retry_at {
             self.postpone(now);
         }
+        false
     }
 
     /// Another instance has reported that flows wait for this upstream in vain.
-    pub(crate) fn hear(&mut self, from: ReporterId, stalled: u32, now: Time) {
+    pub(crate) fn hear(&mut self, from: ReporterId, report: &Report, now: Time) {
         self.heard
             .retain(|heard| heard.from != from && now.since(heard.at) < REPORT_KEEP);
         if self.heard.len() < REPORTERS {
-            self.heard.push(Heard { from, stalled, at: now });
+            self.heard.push(Heard {
+                from,
+                stalled: report.stalled,
+                loss: report.loss_percent,
+                at: now,
+            });
         }
     }
 
+    /// The reports that count.
+    fn reports(&self, now: Time) -> impl Iterator<Item = &Heard> {
+        self.heard.iter().filter(move |heard| now.since(heard.at) < REPORT_KEEP)
+    }
+
     /// How many flows of other instances wait for it in vain.
     fn stalled_elsewhere(&self, now: Time) -> u32 {
-        let heard = self.heard.iter().filter(|heard| now.since(heard.at) < REPORT_KEEP);
-        heard.map(|heard| heard.stalled).sum()
+        self.reports(now).map(|heard| heard.stalled).sum()
+    }
+
+    /// Since when flows have waited for it in vain.
+    pub(crate) fn stalled_since(&self) -> Time {
+        self.stalled_since
     }
 
-    /// Whether it is to be taken for dead from now on: enough flows wait in vain, and this instance is not alone in
-    /// seeing so, or sees that other upstreams answer.
-    pub(crate) fn dies(&mut self, others_answer: bool, now: Time) -> bool {
+    /// Whether it is to be taken for dead from now on: more flows wait in vain than chance explains while this much is
+    /// lost, and most other upstreams answer here, or another instance sees it as well.
+    pub(crate) fn dies(&mut self, others_answer: bool, loss: Percent, now: Time) -> bool {
         let elsewhere = self.stalled_elsewhere(now);
-        let is_enough = self.stalled > 0 && self.stalled + elsewhere >= DEAD_FLOWS;
-        if !is_enough || !(others_answer || elsewhere > 0) || self.is_dead(now) {
+        let total = self.stalled + elsewhere;
+        let loss = self.reports(now).map(|heard| heard.loss).fold(loss, Percent::max);
+        let beyond_chance = loss::flows_beyond_chance(loss);
+        let is_clear = others_answer && total >= beyond_chance;
+        let is_shared = elsewhere > 0 && total >= beyond_chance.max(DEAD_FLOWS_IN_DOUBT);
+        if self.stalled == 0 || !(is_clear || is_shared) || self.is_dead(now) {
             return false;
         }
         self.dead_since = Some(now);
@@ -177,22 +217,23 @@
     }
 
     /// What to tell others, if that has changed since the last time or is about to lapse.
-    pub(crate) fn report(&mut self, upstream: UpstreamId, now: Time) -> Option<Report> {
+    pub(crate) fn report(&mut self, upstream: UpstreamId, loss: Percent, now: Time) -> Option<Report> {
         let is_due = !self.is_reported || now.since(self.reported_at) >= REPORT_KEEP / 2;
         if self.stalled == 0 || !is_due {
             return None;
         }
         self.is_reported = true;
         self.reported_at = now;
-        Some(self.answer(upstream, now))
+        Some(self.answer(upstream, loss, now))
     }
 
     /// What is known here, for another instance that reported.
-    pub(crate) fn answer(&self, upstream: UpstreamId, now: Time) -> Report {
+    pub(crate) fn answer(&self, upstream: UpstreamId, loss: Percent, now: Time) -> Report {
         Report {
             upstream,
             stalled: self.stalled,
             silent_for: now.since(self.last_progress),
+            loss_percent: loss,
         }
     }
 
@@ -233,7 +274,6 @@
 
     /// About how many requests it got within the last [`ACTIVITY_SPAN`].
     pub(crate) fn activity(&self, now: Time) -> f64 {
-        let age = now.since(self.activity_at).as_secs_f64();
-        self.activity * (-age / ACTIVITY_SPAN.as_secs_f64()).exp()
+        self.activity.value(ACTIVITY_SPAN, now)
     }
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,12 +9,14 @@
 //! does not know how packets, routes and upstreams are written down.
 
 mod core;
+mod decay;
 mod decision;
 mod directory;
 mod documents;
 mod flows;
 mod health;
 mod knowledge;
+mod loss;
 mod packet;
 mod place;
 mod route;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -204,6 +204,7 @@
             upstream: field().parse().unwrap(),
             stalled: field().parse().unwrap(),
             silent_for: Duration::from_millis(millis(field())),
+            loss_percent: 0,
         };
         let from = ReporterId(name.bytes().map(u64::from).sum());
         for answer in self.core.hear(from, &[report], self.now) {
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -16,6 +16,7 @@
 use crate::experiment;
 use crate::load;
 use crate::output;
+use crate::soak;
 use crate::stand_in;
 use crate::status;
 use crate::timeline;
@@ -48,6 +49,9 @@
     /// Compare the decisions under load with other rules, in virtual time.
     #[bpaf(command("experiment"), header(experiment::HEADER), footer(experiment::EXAMPLES))]
     Experiment(#[bpaf(external(experiment::args))] experiment::Args),
+    /// Run the flow mode as processes under random faults, failing if it breaks a promise.
+    #[bpaf(command("soak"), header(soak::HEADER), footer(soak::EXAMPLES))]
+    Soak(#[bpaf(external(soak::args))] soak::Args),
     /// Run a stand-in for a part of the outside world, for trials.
     #[bpaf(command("stand-in"), header(stand_in::HEADER))]
     StandIn(#[bpaf(external(stand_in::command))] stand_in::Command),
@@ -81,6 +85,7 @@
         Command::Status(args) => exit::finish(status::run(args).await),
         Command::Timeline(args) => exit::finish(timeline::run(args).await),
         Command::Experiment(args) => exit::finish(experiment::run(args).await),
+        Command::Soak(args) => exit::finish(soak::run(args).await),
         Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
 }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -11,6 +11,7 @@
 mod instance;
 mod load;
 mod output;
+mod soak;
 mod stand_in;
 mod status;
 mod timeline;
--- /dev/null
+++ b/crates/soak/src/upstreams.rs
@@ -0,0 +1,178 @@
+//! The upstreams of a soak: which lived when, and what became of them.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use adapter_standin::Store;
+use adapter_standin::Upstream;
+use flow::Echo;
+use flow::UpstreamId;
+
+use crate::violation::Book;
+use crate::violation::Violation;
+
+/// How long a leaving upstream still accepts flows without a fault being found, counted from its entry's change.
+pub(crate) const DRAIN: Duration = Duration::from_secs(3);
+/// How long a leaving upstream goes on.
+const LEAVES_AFTER: Duration = Duration::from_secs(5);
+
+/// One place for an upstream, which one after another holds.
+#[derive(Debug)]
+struct Seat {
+    service: &'static str,
+    zone: &'static str,
+    id: UpstreamId,
+    upstream: Upstream,
+}
+
+/// One that leaves.
+#[derive(Debug)]
+struct Leaving {
+    id: UpstreamId,
+    upstream: Upstream,
+    since: Instant,
+}
+
+/// Which upstreams live, as clients may ask.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Living {
+    by_echo: Arc<Mutex<HashMap<Echo, Life>>>,
+}
+
+/// What is known of one upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Life {
+    pub(crate) id: UpstreamId,
+    pub(crate) service: &'static str,
+    pub(crate) is_alive: bool,
+}
+
+impl Living {
+    fn lives(&self) -> MutexGuard<'_, HashMap<Echo, Life>> {
+        self.by_echo.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The upstream that an echo stands for.
+    pub(crate) fn find(&self, echo: Echo) -> Option<Life> {
+        self.lives().get(&echo).copied()
+    }
+
+    fn end(&self, id: UpstreamId) {
+        if let Some(life) = self.lives().get_mut(&id.echo()) {
+            life.is_alive = false;
+        }
+    }
+}
+
+/// The upstreams of a soak.
+#[derive(Debug)]
+pub(crate) struct Upstreams {
+    ip: Ipv4Addr,
+    port: u16,
+    next: u64,
+    seats: Vec<Seat>,
+    leaving: Vec<Leaving>,
+    pub(crate) living: Living,
+}
+
+impl Upstreams {
+    pub(crate) fn new(ip: Ipv4Addr, port: u16) -> Self {
+        Self {
+            ip,
+            port,
+            next: 0x10,
+            seats: Vec::new(),
+            leaving: Vec::new(),
+            living: Living::default(),
+        }
+    }
+
+    /// Starts an upstream at a new address.
+    pub(crate) async fn add(&mut self, store: &Store, service: &'static str, zone: &'static str) -> io::Result<()> {
+        let address = SocketAddrV4::new(self.ip, 0);
+        let seat = self.start(store, service, zone, address).await?;
+        self.seats.push(seat);
+        Ok(())
+    }
+
+    async fn start(
+        &mut self,
+        store: &Store,
+        service: &'static str,
+        zone: &'static str,
+        address: SocketAddrV4,
+    ) -> io::Result<Seat> {
+        self.next += 1;
+        let id = UpstreamId(self.next);
+        let upstream = Upstream::start(id, &id.to_string(), address, self.port).await?;
+        let life = Life {
+            id,
+            service,
+            is_alive: true,
+        };
+        self.living.lives().insert(id.echo(), life);
+        store.put_upstream(id, service, upstream.address(), zone, "ready");
+        Ok(Seat {
+            service,
+            zone,
+            id,
+            upstream,
+        })
+    }
+
+    /// An upstream crashes. The next one, of the same service, starts at its address at once.
+    pub(crate) async fn crash(&mut self, index: usize, store: &Store) -> io::Result<()> {
+        let old = self.seats.remove(index);
+        let address = old.upstream.address();
+        self.living.end(old.id);
+        old.upstream.crash().await;
+        store.remove_upstream(old.id);
+        let new = self.start(store, old.service, old.zone, address).await?;
+        self.seats.insert(index, new);
+        Ok(())
+    }
+
+    /// An upstream leaves. The next one starts first.
+    pub(crate) async fn leave(&mut self, index: usize, store: &Store) -> io::Result<()> {
+        let (service, zone) = (self.seats[index].service, self.seats[index].zone);
+        let new = self.start(store, service, zone, SocketAddrV4::new(self.ip, 0)).await?;
+        let old = std::mem::replace(&mut self.seats[index], new);
+        store.put_upstream(old.id, service, old.upstream.address(), zone, "draining");
+        self.leaving.push(Leaving {
+            id: old.id,
+            upstream: old.upstream,
+            since: Instant::now(),
+        });
+        Ok(())
+    }
+
+    /// Ends those whose time is up. `calm_since` is when the last disturbance of instances and store ended: a flow that
+    /// was opened at a leaving upstream later than the bound, in calm, is a broken promise.
+    pub(crate) fn tend(&mut self, store: &Store, calm_since: Instant, book: &Book) {
+        for leaving in &self.leaving {
+            let bound = (leaving.since + DRAIN).max(calm_since + DRAIN);
+            if leaving.upstream.last_opened().is_some_and(|at| at > bound) {
+                book.add(Violation::Drained(format!("upstream {}", leaving.id)));
+            }
+        }
+        let over = self
+            .leaving
+            .extract_if(.., |leaving| leaving.since.elapsed() > LEAVES_AFTER);
+        for leaving in over {
+            self.living.end(leaving.id);
+            store.remove_upstream(leaving.id);
+        }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.seats.len()
+    }
+}
