Notice a zone that is cut off from its upstreams' silence together

Ruled out: waiting for other instances' reports (they see as few). Change: if at least two upstreams of another zone are silent, none there has answered since, and those at home do, the ones that flows wait for are given up and all of that zone come after others in placement, until one answers.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -20,6 +20,7 @@
 use crate::flows::Sign;
 use crate::flows::Stage;
 use crate::health::Health;
+use crate::health::Progress;
 use crate::knowledge::Knowledge;
 use crate::loss::Loss;
 use crate::packet::DropCause;
@@ -279,13 +280,12 @@
         };
         let sign = flow.see(packet, now);
         let health = self.health.entry(id).or_default();
-        if sign.is_progress {
-            let progress = health.note_progress(now);
-            self.loss.note_losses(progress.losses, now);
-            if progress.is_revived {
-                self.decisions.push(Decision::Revived(id));
-            }
-        }
+        let progress = if sign.is_progress {
+            health.note_progress(now)
+        } else {
+            Progress::default()
+        };
+        self.loss.note_losses(progress.losses, now);
         if let Some(waited) = sign.waited {
             health.note_response(waited, now);
         }
@@ -298,6 +298,10 @@
             self.loss.note_losses(is_lost.into(), now);
             self.judge(id, now);
         }
+        if progress.is_revived {
+            self.decisions.push(Decision::Revived(id));
+            self.revive_zone(id);
+        }
         sign
     }
 
@@ -359,7 +363,7 @@
     let Some(health) = health else {
         return Some(Tier::Ready);
     };
-    if health.is_suspect(now) {
+    if health.is_avoided(now) {
         return Some(Tier::Suspect);
     }
     Some(Tier::Ready)
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -7,13 +7,17 @@
 use std::time::Duration;
 
 use units::Time;
+use units::ZoneName;
 
 use super::Core;
 use crate::decision::Decision;
 use crate::flows::FlowKey;
 use crate::flows::Stage;
+use crate::health::Health;
 use crate::health::Report;
 use crate::health::ReporterId;
+use crate::loss;
+use crate::loss::Percent;
 use crate::packet::Reset;
 use crate::packet::ResetCause;
 use crate::upstream::UpstreamId;
@@ -26,12 +30,45 @@
 /// How many upstreams must have answered since for each one that is silent, or else this instance doubts what it sees: its
 /// own link, or its clients', may lose packets. While a third of them is lost, two openings of three go unanswered.
 const ANSWERING_PER_SILENT: u32 = 3;
+/// How many upstreams of another zone must be silent until its zone is taken for cut off. One may just have died.
+const SILENT_IN_ZONE: u32 = 2;
 /// How many reports are sent at a time.
 const REPORTS: usize = 16;
 /// How much later an answer must have been seen here than by the one who reports, to count as better knowledge. Reports
 /// take a few milliseconds.
 const REPORT_SLACK: Duration = Duration::from_millis(20);
 
+/// How a zone's upstreams look from here.
+#[derive(Debug, Default, Clone, Copy)]
+struct Outlook {
+    /// How many of them have got flows from here.
+    seen: u32,
+    /// How many of these have flows that wait in vain.
+    silent: u32,
+    /// How many flows wait.
+    stalled: u32,
+    /// Since when the first of them waits.
+    since: Time,
+    /// When one of them last answered.
+    last_progress: Time,
+}
+
+impl Outlook {
+    fn add(&mut self, health: &Health) {
+        self.seen += 1;
+        self.last_progress = self.last_progress.max(health.last_progress);
+        if health.stalled() == 0 {
+            return;
+        }
+        let is_first = self.silent == 0 || health.stalled_since() < self.since;
+        if is_first {
+            self.since = health.stalled_since();
+        }
+        self.silent += 1;
+        self.stalled += health.stalled();
+    }
+}
+
 impl Core {
     /// Takes an upstream for dead if the signs say so.
     pub(super) fn judge(&mut self, id: UpstreamId, now: Time) {
@@ -45,6 +82,75 @@
         if health.dies(others_answer, loss, now) {
             self.give_up(id, was_dead);
         }
+        self.judge_zone(id, loss, now);
+    }
+
+    /// Gives up those upstreams of another availability zone that flows wait for, and spares the others new flows, if none
+    /// there answers while those at home do: the way there is cut.
+    ///
+    /// One zone's upstreams get too few flows from another for each to be found silent by itself. Their flows together
+    /// show it within half a second, where one by one it took the length of a cut. An upstream that no flow waits for may
+    /// live: several of its zone may have died at once. So its flows are left alone.
+    fn judge_zone(&mut self, id: UpstreamId, loss: Percent, now: Time) {
+        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream.zone.clone()) else {
+            return;
+        };
+        if zone == self.options.zone {
+            return;
+        }
+        let there = self.outlook(&zone);
+        let is_silent = there.stalled >= loss::flows_beyond_chance(loss) && there.silent >= SILENT_IN_ZONE;
+        if !is_silent || there.last_progress >= there.since {
+            return;
+        }
+        let home = self.options.zone.clone();
+        let at_home = self.outlook(&home);
+        if at_home.last_progress <= there.since || at_home.silent * 2 > at_home.seen {
+            return;
+        }
+        for id in self.upstreams_in(&zone) {
+            let health = self.health.entry(id).or_default();
+            health.avoid(now);
+            if health.stalled() > 0 && !health.is_dead(now) {
+                let was_dead = health.is_given_up();
+                health.find_dead(now);
+                self.give_up(id, was_dead);
+            }
+        }
+    }
+
+    /// Ends the belief that a zone is cut off, as one of its upstreams answers.
+    pub(super) fn revive_zone(&mut self, id: UpstreamId) {
+        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream.zone.clone()) else {
+            return;
+        };
+        if zone == self.options.zone {
+            return;
+        }
+        for id in self.upstreams_in(&zone) {
+            if let Some(health) = self.health.get_mut(&id) {
+                health.revive();
+            }
+        }
+    }
+
+    fn upstreams_in(&self, zone: &ZoneName) -> Vec<UpstreamId> {
+        let there = self.directory.all().filter(|(_, listed)| listed.upstream.zone == *zone);
+        let mut ids: Vec<_> = there.map(|(id, _)| id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// How a zone's upstreams look from here.
+    fn outlook(&self, zone: &ZoneName) -> Outlook {
+        let mut outlook = Outlook::default();
+        for id in self.upstreams_in(zone) {
+            let Some(health) = self.health.get(&id) else {
+                continue;
+            };
+            outlook.add(health);
+        }
+        outlook
     }
 
     /// Whether most upstreams that this instance hears of have answered since. If many are silent at once, it may be this
@@ -92,7 +198,9 @@
             self.loss.note_losses(progress.losses, now);
             if progress.is_revived {
                 self.decisions.push(Decision::Revived(report.upstream));
+                self.revive_zone(report.upstream);
             }
+            let health = self.health.entry(report.upstream).or_default();
             if report.stalled > 0 {
                 health.hear(from, report, now);
                 self.judge(report.upstream, now);
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -75,6 +75,11 @@
         listed.filter(|(id, listed)| self.by_echo(listed.echo) == Some(*id))
     }
 
+    /// All upstreams, those remembered after they went among them.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (UpstreamId, &Listed)> {
+        self.listed.iter().map(|(id, listed)| (*id, listed))
+    }
+
     /// Whether an upstream is remembered.
     pub(crate) fn contains(&self, id: UpstreamId) -> bool {
         self.listed.contains_key(&id)
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -99,6 +99,8 @@
     stall: u32,
     /// When it was last found dead, if it has not answered since.
     dead_since: Option<Time>,
+    /// Until when its zone counts as cut off.
+    avoid_until: Time,
     /// When a flow may try it again, while flows wait in vain.
     retry_at: Time,
     retry_pause: Duration,
@@ -207,7 +209,7 @@
         if self.stalled == 0 || !(is_clear || is_shared) || self.is_dead(now) {
             return false;
         }
-        self.dead_since = Some(now);
+        self.find_dead(now);
         true
     }
 
@@ -237,6 +239,29 @@
         }
     }
 
+    /// It is taken for dead.
+    pub(crate) fn find_dead(&mut self, now: Time) {
+        self.dead_since = Some(now);
+    }
+
+    /// It gets no new flows for a while, as its zone seems to be cut off.
+    pub(crate) fn avoid(&mut self, now: Time) {
+        self.avoid_until = now + DEAD_KEEP;
+    }
+
+    /// Whether others go before it.
+    pub(crate) fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoid_until || self.is_suspect(now) || self.is_dead(now)
+    }
+
+    /// It is no longer taken for dead, as another one of its zone answers.
+    pub(crate) fn revive(&mut self) {
+        self.dead_since = None;
+        self.avoid_until = Time::default();
+        self.stalled = 0;
+        self.copies = 0;
+    }
+
     /// Whether it was found dead and has not answered since.
     pub(crate) fn is_given_up(&self) -> bool {
         self.dead_since.is_some()
@@ -249,7 +274,7 @@
     }
 
     /// Whether flows wait for it in vain and none should try it yet.
-    pub(crate) fn is_suspect(&self, now: Time) -> bool {
+    fn is_suspect(&self, now: Time) -> bool {
         self.stalled > 0 && now < self.retry_at
     }
 
