Leave long lists to the seeds, and ask other zones a little later

Change: beyond four pages only seeds go on at once, the others wait to be told; pages that were read stay when one is refused; an instance of another zone is asked 0.2 s later, if nobody nearer has told the same; entries are told without the names of their fields.

--- a/crates/flow/src/upstream.rs
+++ b/crates/flow/src/upstream.rs
@@ -55,7 +55,11 @@
 }
 
 /// An upstream as the directory lists it.
+///
+/// Between instances it is told without the names of its fields, which halves it to about 50 bytes: thousands of entries
+/// go to each instance that starts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Told", into = "Told")]
 pub struct Upstream {
     /// The service that it runs, as the document names it.
     pub service: String,
@@ -70,3 +74,34 @@
     /// How much longer it was slow after its start, when this entry was written.
     pub cold_for: Duration,
 }
+
+/// An upstream as instances tell it: service, address, zone, slots, whether it leaves, and for how many milliseconds it
+/// was cold.
+type Told = (String, SocketAddrV4, ZoneName, Slots, bool, u64);
+
+impl From<Told> for Upstream {
+    fn from((service, address, zone, slots, leaving, cold_ms): Told) -> Self {
+        Self {
+            service,
+            address,
+            zone,
+            slots,
+            leaving,
+            cold_for: Duration::from_millis(cold_ms),
+        }
+    }
+}
+
+impl From<Upstream> for Told {
+    fn from(upstream: Upstream) -> Self {
+        let cold_ms = u64::try_from(upstream.cold_for.as_millis()).unwrap_or(u64::MAX);
+        (
+            upstream.service,
+            upstream.address,
+            upstream.zone,
+            upstream.slots,
+            upstream.leaving,
+            cold_ms,
+        )
+    }
+}
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use units::Incarnation;
 use units::InstanceName;
 use units::Revision;
@@ -39,6 +40,9 @@
 /// seen by a dozen others; one that lies elsewhere is known to some there.
 const NEAR_LISTENERS: usize = 8;
 const FAR_LISTENERS: usize = 4;
+/// How long an instance waits for its own zone to tell what another zone has told already. Its own zone's watchers learn it
+/// from the store as soon, and bytes between zones cost more.
+const FAR_PAUSE: Duration = Duration::from_millis(200);
 /// How far the incarnation is raised when others know a later one, as after the wall clock was set back.
 const INCARNATION_STEP: u64 = 10_000 << 10;
 /// The longest datagram that is read.
@@ -84,6 +88,8 @@
     level: Revision,
     /// Which parts that is made of.
     parts: Digest,
+    /// Whether it is asked only if nobody nearer has told the same meanwhile.
+    is_far: bool,
 }
 
 /// Membership over one socket.
@@ -100,7 +106,7 @@
     /// Starts the task that asks others for their knowledge, and takes the seeds' addresses from their hosts.
     pub(crate) fn new(socket: UdpSocket, shared: Shared, settings: watch::Receiver<Settings>, port: u16) -> Self {
         let (pulls, wanted) = mpsc::channel(PULLS);
-        tokio::spawn(ask(wanted, shared.clone()));
+        tokio::spawn(ask(wanted, pulls.clone(), shared.clone()));
         Self {
             socket: Arc::new(socket),
             shared,
@@ -167,6 +173,14 @@
         self.carry_out(out);
     }
 
+    /// Whether an instance is in another zone. Until this instance can serve, none is too far.
+    fn is_far(&self, name: &InstanceName) -> bool {
+        let members = self.shared.members();
+        let zone = members.member(name).map(|member| &member.zone);
+        let is_elsewhere = zone.is_some_and(|zone| *zone != members.me().zone);
+        is_elsewhere && self.shared.core().knowledge().is_ready()
+    }
+
     /// Lets others know that this instance knows more.
     fn tell(&self) {
         let mut out = Vec::new();
@@ -246,6 +260,7 @@
             match output {
                 Output::Send { address, frame, .. } => self.send(address, Body::Member(Box::new(frame))),
                 Output::DocumentSeen {
+                    from,
                     address,
                     revision,
                     digest,
@@ -256,6 +271,7 @@
                         address,
                         level: revision,
                         parts: digest,
+                        is_far: self.is_far(&from),
                     });
                 }
                 Output::Up(member) => log::info!("peers: {} ({}) is up", member.name, member.incarnation),
@@ -301,6 +317,14 @@
     *members = Membership::new(me, timing(), rand::random(), shared.now());
 }
 
+/// Asks an instance of another zone a little later, if nobody nearer has told the same by then.
+async fn ask_later(newer: Newer, again: mpsc::Sender<Newer>) {
+    tokio::time::sleep(FAR_PAUSE).await;
+    let near = Newer { is_far: false, ..newer };
+    // The queue is gone only with the process.
+    let _closed = again.send(near).await;
+}
+
 /// How much this instance knows, and which parts that is made of.
 fn held(shared: &Shared) -> (Revision, Digest) {
     let core = shared.core();
@@ -309,14 +333,20 @@
 }
 
 /// Asks others for their knowledge, one after the other, and only while they still know more.
-async fn ask(mut wanted: mpsc::Receiver<Newer>, shared: Shared) {
+async fn ask(mut wanted: mpsc::Receiver<Newer>, again: mpsc::Sender<Newer>, shared: Shared) {
     let transport = Transport::new(pull::TIMEOUT);
+    let mut put_off = None;
     while let Some(newer) = wanted.recv().await {
         // Several instances tell of the same news, and the first one asked has it.
         let (level, parts) = held(&shared);
         if level > newer.level || (level, parts) == (newer.level, newer.parts) {
             continue;
         }
+        if newer.is_far {
+            put_off = put_off.filter(|task: &JoinHandle<()>| !task.is_finished());
+            put_off.get_or_insert_with(|| tokio::spawn(ask_later(newer, again.clone())));
+            continue;
+        }
         pull::pull(&transport, newer.address, &shared).await;
     }
 }
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -12,8 +12,9 @@
 use super::relay::Since;
 use super::shared::Shared;
 
-/// How long another instance may take to answer. It holds all it gives in memory.
-pub(crate) const TIMEOUT: Duration = Duration::from_millis(500);
+/// How long another instance may take to answer. It holds all it gives in memory, but thousands of upstreams take a third
+/// of a second on a link of 10 Mbit/s.
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Asks one instance, and takes in what it tells. Tells whether it answered.
 pub(crate) async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) -> bool {
--- a/crates/jayquayd/src/forward/settings.rs
+++ b/crates/jayquayd/src/forward/settings.rs
@@ -63,6 +63,13 @@
     pub max_flow: Duration,
 }
 
+impl Settings {
+    /// Whether others are told to ask this instance at their start.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.contains(&self.listen.peers.ip())
+    }
+}
+
 /// Why settings are not usable.
 #[derive(Debug)]
 pub enum SettingsError {
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -68,7 +68,7 @@
         let has_grown = self.core().learn(now, change);
         if has_grown {
             self.inner.news.notify_one();
-            self.inner.ready.notify_one();
+            self.inner.ready.notify_waiters();
         }
         has_grown
     }
@@ -78,10 +78,14 @@
         self.inner.news.notified().await;
     }
 
-    /// Waits until there is enough knowledge to serve. Only one task may wait.
+    /// Waits until there is enough knowledge to serve.
     pub(crate) async fn until_ready(&self) {
-        while !self.core().knowledge().is_ready() {
-            self.inner.ready.notified().await;
+        loop {
+            let told = self.inner.ready.notified();
+            if self.core().knowledge().is_ready() {
+                return;
+            }
+            told.await;
         }
     }
 
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -5,6 +5,7 @@
 
 use adapter::Store;
 use adapter::store::Error;
+use adapter::store::Listing;
 use rand::RngExt;
 use tokio::sync::watch;
 use units::Revision;
@@ -28,6 +29,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause between calls that fail.
 const LAST_PAUSE: Duration = Duration::from_millis(1_600);
+/// How many pages of the list every instance reads at its start. Where there are more, only the seeds go on at once: of a
+/// fleet that starts together, all but a few would be refused for reading more than the store gives.
+const PAGES_AT_ONCE: u32 = 4;
+/// How long the others wait to be told, before they read on themselves.
+const OTHERS_PATIENCE: Duration = Duration::from_secs(2);
 /// How often an instance that does not watch looks whether it should.
 const IDLE: Duration = Duration::from_millis(200);
 
@@ -50,12 +56,15 @@
 /// Keeps the document and the upstreams up to date, wherever the settings say the store is.
 pub(crate) async fn run(mut settings: watch::Receiver<Settings>, shared: Shared) {
     loop {
-        let address = settings.borrow_and_update().store;
+        let (address, is_seed) = {
+            let settings = settings.borrow_and_update();
+            (settings.store, settings.is_seed())
+        };
         let store = Store::new(address);
         let has_moved = settings.wait_for(|new| new.store != address);
         tokio::select! {
             _ = documents(&store, &shared) => {}
-            _ = upstreams(&store, &shared) => {}
+            _ = upstreams(&store, &shared, is_seed) => {}
             moved = has_moved => if moved.is_err() {
                 return;
             },
@@ -137,7 +146,7 @@
     }
 }
 
-async fn upstreams(store: &Store, shared: &Shared) -> Infallible {
+async fn upstreams(store: &Store, shared: &Shared, is_seed: bool) -> Infallible {
     let mut cursor = held(shared);
     let mut backoff = Backoff::new();
     loop {
@@ -147,7 +156,7 @@
             continue;
         };
         let result = match cursor {
-            None => list(store, shared).await,
+            None => list(store, shared, is_seed).await,
             Some(since) => watch(store, shared, since, duty.wait()).await,
         };
         let (at, has_changed) = match result {
@@ -180,8 +189,31 @@
     (at > Revision(0)).then_some(at)
 }
 
-async fn list(store: &Store, shared: &Shared) -> Result<(Revision, bool), Error> {
-    let list = store.list_upstreams().await?;
+/// Reads the list of upstreams, unless another instance tells it meanwhile.
+async fn list(store: &Store, shared: &Shared, is_seed: bool) -> Result<(Revision, bool), Error> {
+    let is_needed = || !shared.core().knowledge().is_ready();
+    let was_needed = is_needed();
+    let mut listing = Listing::default();
+    let mut backoff = Backoff::new();
+    let mut pages = 0;
+    let list = loop {
+        match store.next_page(&mut listing).await {
+            Ok(Some(list)) => break list,
+            Ok(None) => pages += 1,
+            // The pages that were read stay: in a fleet that starts at once, most calls are refused.
+            Err(error) if pages > 0 => {
+                log::warn!("store: page {pages} of the upstreams: {error}");
+                tokio::time::sleep(backoff.next()).await;
+            }
+            Err(error) => return Err(error),
+        }
+        if was_needed && pages == PAGES_AT_ONCE && !is_seed {
+            wait_for_others(shared).await;
+        }
+        if was_needed && !is_needed() {
+            return Ok((shared.core().knowledge().upstreams_at(), false));
+        }
+    };
     let count = list.upstreams.len();
     let now = shared.now();
     let has_changed = shared.learn(|knowledge| knowledge.take_list(list.at, list.upstreams, now));
@@ -189,6 +221,12 @@
     Ok((list.at, has_changed))
 }
 
+/// Leaves it to others for a moment to read a long list.
+async fn wait_for_others(shared: &Shared) {
+    // Whether they told in time or not, the caller looks what is known.
+    let _in_time = tokio::time::timeout(OTHERS_PATIENCE, shared.until_ready()).await;
+}
+
 async fn watch(store: &Store, shared: &Shared, since: Revision, wait: Duration) -> Result<(Revision, bool), Error> {
     let watched = store.watch_upstreams(since, wait).await?;
     if watched.changes.is_empty() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,7 +29,7 @@
 use crate::plan::Refusal;
 use crate::plan::Way;
 use crate::proxy::Proxy;
-use crate::upstreams::DRAIN;
+use crate::upstreams::LEAVES_AFTER;
 use crate::upstreams::Upstreams;
 use crate::violation::Book;
 use crate::violation::Violation;
@@ -353,8 +353,9 @@
                 .add(Violation::Unserved("an instance is not ready".to_owned()));
         }
         self.write_document();
+        self.upstreams.leave(0, &self.store).await?;
         let calm = Instant::now();
-        while calm.elapsed() < DRAIN {
+        while calm.elapsed() < LEAVES_AFTER {
             self.tend().await?;
             tokio::time::sleep(STEP).await;
         }
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -20,9 +20,9 @@
 use crate::violation::Violation;
 
 /// How long a leaving upstream still accepts flows without a fault being found, counted from its entry's change.
-pub(crate) const DRAIN: Duration = Duration::from_secs(3);
+const DRAIN: Duration = Duration::from_secs(3);
 /// How long a leaving upstream goes on.
-const LEAVES_AFTER: Duration = Duration::from_secs(5);
+pub(crate) const LEAVES_AFTER: Duration = Duration::from_secs(5);
 
 /// One place for an upstream, which one after another holds.
 #[derive(Debug)]
@@ -39,6 +39,8 @@
     id: UpstreamId,
     upstream: Upstream,
     since: Instant,
+    /// Whether a flow that came too late was noted.
+    is_noted: bool,
 }
 
 /// Which upstreams live, as clients may ask.
@@ -150,6 +152,7 @@
             id: old.id,
             upstream: old.upstream,
             since: Instant::now(),
+            is_noted: false,
         });
         Ok(())
     }
@@ -157,9 +160,10 @@
     /// Ends those whose time is up. `calm_since` is when the last disturbance of instances and store ended: a flow that
     /// was opened at a leaving upstream later than the bound, in calm, is a broken promise.
     pub(crate) fn tend(&mut self, store: &Store, calm_since: Instant, book: &Book) {
-        for leaving in &self.leaving {
+        for leaving in &mut self.leaving {
             let bound = (leaving.since + DRAIN).max(calm_since + DRAIN);
-            if leaving.upstream.last_opened().is_some_and(|at| at > bound) {
+            let is_late = leaving.upstream.last_opened().is_some_and(|at| at > bound);
+            if is_late && !std::mem::replace(&mut leaving.is_noted, true) {
                 book.add(Violation::Drained(format!("upstream {}", leaving.id)));
             }
         }
