Write structured logs to standard output, and never wait for their reader

The flow mode's lines say what was decided, for which flow (its four addresses and ports, which client, router and upstream share), from which document and upstreams; the store's loss and return are one line each. They go through a bounded queue; what does not fit is counted. The test with a reader that reads nothing would hang with a direct write.

--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -86,8 +86,8 @@
 impl fmt::Display for ResetCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::NoRoute => "no route",
-            Self::NoUpstream => "no upstream",
+            Self::NoRoute => "no-route",
+            Self::NoUpstream => "no-upstream",
             Self::Stalled => "stalled",
             Self::Dead => "dead",
         })
@@ -123,9 +123,9 @@
 impl fmt::Display for DropCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::UnknownEcho => "unknown echo",
-            Self::NoEcho => "no echo",
-            Self::NotReady => "not ready",
+            Self::UnknownEcho => "unknown-echo",
+            Self::NoEcho => "no-echo",
+            Self::NotReady => "not-ready",
             Self::Reset => "reset",
         })
     }
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flow::Decision;
+use units::Revision;
 use units::Time;
 
 /// How many lines about single flows are written in one span. A line costs a few microseconds of processor time, so
@@ -22,20 +23,20 @@
 impl DecisionLog {
     /// Writes decisions. What changes the picture of an upstream is always written, what touches one flow only while
     /// there is room.
-    pub(crate) fn tell(&mut self, decisions: &[Decision], now: Time) {
+    pub(crate) fn tell(&mut self, decisions: &[Decision], basis: Basis, now: Time) {
         for decision in decisions {
             if is_about_one_flow(decision) && !self.has_room(now) {
                 self.left_out += 1;
                 continue;
             }
-            write(decision);
+            write(decision, basis);
         }
     }
 
     fn has_room(&mut self, now: Time) -> bool {
         if now.since(self.since) >= SPAN {
             if self.left_out > 0 {
-                log::warn!("flows: {} lines left out", self.left_out);
+                log::warn!("flows: left out lines={}", self.left_out);
             }
             *self = Self {
                 since: now,
@@ -51,38 +52,49 @@
     !matches!(decision, Decision::Died { .. } | Decision::Revived(_))
 }
 
-fn write(decision: &Decision) {
+/// What a decision was based on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Basis {
+    /// The revision of the document in force.
+    pub(crate) document: Revision,
+    /// The store's revision that the upstreams stood at.
+    pub(crate) upstreams_at: Revision,
+}
+
+fn write(decision: &Decision, basis: Basis) {
+    let Basis { document, upstreams_at } = basis;
     match decision {
         Decision::Placed {
             flow,
             upstream,
-            earlier: None,
-            tier,
-            cost,
-        } => log::info!("flows: {flow} placed at {upstream}, {tier}, cost {cost:.2}"),
-        Decision::Placed {
-            flow,
-            upstream,
-            earlier: Some(earlier),
+            earlier,
             tier,
             cost,
-        } => log::info!("flows: {flow} placed at {upstream}, {tier}, cost {cost:.2}, as {earlier} did not answer"),
-        Decision::Reset {
-            flow,
-            upstream: Some(upstream),
-            cause,
-        } => log::info!("flows: {flow} reset: {cause}, upstream {upstream}"),
-        Decision::Reset {
-            flow,
-            upstream: None,
-            cause,
-        } => log::info!("flows: {flow} reset: {cause}"),
-        Decision::Dropped { flow, echo, cause } => log::info!("flows: {flow} packet dropped: {cause}, echo {echo}"),
+        } => {
+            let earlier = earlier
+                .map(|earlier| format!(" unanswered={earlier}"))
+                .unwrap_or_default();
+            log::info!(
+                "flows: placed flow={flow} upstream={upstream} tier={tier} cost={cost:.2}{earlier} document={document} \
+                 upstreams_at={upstreams_at}"
+            );
+        }
+        Decision::Reset { flow, upstream, cause } => {
+            let upstream = upstream
+                .map(|upstream| format!(" upstream={upstream}"))
+                .unwrap_or_default();
+            log::info!(
+                "flows: reset flow={flow} cause={cause}{upstream} document={document} upstreams_at={upstreams_at}"
+            );
+        }
+        Decision::Dropped { flow, echo, cause } => {
+            log::info!("flows: dropped flow={flow} cause={cause} echo={echo} upstreams_at={upstreams_at}");
+        }
         Decision::Died {
             upstream,
             stalled,
             flows,
-        } => log::warn!("flows: upstream {upstream} taken for dead: {stalled} flows wait in vain, {flows} reset"),
-        Decision::Revived(upstream) => log::warn!("flows: upstream {upstream} answers again"),
+        } => log::warn!("flows: taken for dead upstream={upstream} waiting={stalled} flows={flows}"),
+        Decision::Revived(upstream) => log::warn!("flows: answers again upstream={upstream}"),
     }
 }
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -274,9 +274,14 @@
                         is_far: self.is_far(&from),
                     });
                 }
-                Output::Up(member) => log::info!("peers: {} ({}) is up", member.name, member.incarnation),
-                Output::Leaving(member) => log::info!("peers: {} is leaving", member.name),
-                Output::Down(member) => log::info!("peers: {} is down", member.name),
+                Output::Up(member) => log::info!(
+                    "peers: up instance={} incarnation={} zone={}",
+                    member.name,
+                    member.incarnation,
+                    member.zone
+                ),
+                Output::Leaving(member) => log::info!("peers: leaving instance={}", member.name),
+                Output::Down(member) => log::info!("peers: down instance={}", member.name),
                 Output::Succeeded(_) | Output::UpstreamLeaving(_) => {}
             }
         }
--- a/crates/jayquayd/src/forward/packets.rs
+++ b/crates/jayquayd/src/forward/packets.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 
 use adapter::packet;
+use flow::Knowledge;
 use flow::Reset;
 use flow::Verdict;
 use tokio::net::UdpSocket;
 
+use super::decisions::Basis;
 use super::decisions::DecisionLog;
 use super::shared::Shared;
 
@@ -49,12 +51,13 @@
     };
     let now = shared.now();
     shared.note_packet(now);
-    let (verdict, resets, decisions) = {
+    let (verdict, resets, decisions, basis) = {
         let mut core = shared.core();
         let verdict = core.packet(&head, now);
-        (verdict, core.take_resets(), core.take_decisions())
+        let basis = basis(core.knowledge());
+        (verdict, core.take_resets(), core.take_decisions(), basis)
     };
-    log.tell(&decisions, now);
+    log.tell(&decisions, basis, now);
     for reset in &resets {
         send_reset(socket, client_port, reset);
     }
@@ -73,6 +76,17 @@
     true
 }
 
+/// What is in force.
+fn basis(knowledge: &Knowledge) -> Basis {
+    Basis {
+        document: knowledge
+            .document()
+            .map(|(_, document)| document.revision)
+            .unwrap_or_default(),
+        upstreams_at: knowledge.upstreams_at(),
+    }
+}
+
 /// Ends a flow towards its client.
 fn send_reset(socket: &UdpSocket, client_port: u16, reset: &Reset) {
     let bytes = packet::encode_reset(reset);
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -33,7 +33,7 @@
             return false;
         }
         Err(error) => {
-            log::info!("peers: {from}: {}", transport::describe(&error));
+            log::info!("peers: no answer from={from} error=\"{}\"", transport::describe(&error));
             return false;
         }
     };
@@ -42,11 +42,18 @@
     };
     let Some(change) = relay::decode(&body.bytes) else {
         metrics::counter!("jayquay_changes_malformed_total").increment(1);
-        log::warn!("peers: {from} sent a change that can't be read");
+        log::warn!("peers: unreadable change from={from}");
         return false;
     };
     let now = shared.now();
-    shared.learn(|knowledge| knowledge.take(change, now));
+    if shared.learn(|knowledge| knowledge.take(change, now)) {
+        let held = held(shared);
+        let Since {
+            document_at,
+            upstreams_at,
+        } = held;
+        log::info!("peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at}");
+    }
     true
 }
 
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -87,7 +87,7 @@
     tokio::spawn(peers.run());
     tokio::spawn(packets::run(Arc::new(packets), listen.packets.port(), shared.clone()));
     tokio::spawn(tick(shared.clone()));
-    log::info!("daemon: {} started in zone {}", settings.name, settings.zone);
+    log::info!("daemon: started instance={} zone={}", settings.name, settings.zone);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::time::Duration;
+use std::time::Instant;
 
 use adapter::Store;
 use adapter::store::Error;
@@ -37,6 +38,46 @@
 /// How often an instance that does not watch looks whether it should.
 const IDLE: Duration = Duration::from_millis(200);
 
+/// Tells when the store is lost and regained for one kind of object, and paces calls that fail.
+#[derive(Debug)]
+struct Link {
+    what: &'static str,
+    lost: Option<Instant>,
+    backoff: Backoff,
+}
+
+impl Link {
+    fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            lost: None,
+            backoff: Backoff::new(),
+        }
+    }
+
+    /// A call was answered.
+    fn answered(&mut self) {
+        if let Some(lost) = self.lost.take() {
+            log::info!(
+                "store: regained what={} after_ms={}",
+                self.what,
+                lost.elapsed().as_millis()
+            );
+        }
+        self.backoff = Backoff::new();
+    }
+
+    /// A call failed. Waits until the next one may be made.
+    async fn failed(&mut self, error: &Error) {
+        if self.lost.is_none() {
+            self.lost = Some(Instant::now());
+            log::warn!("store: lost what={} error=\"{error}\"", self.what);
+        }
+        log::debug!("store: failed what={} error=\"{error}\"", self.what);
+        tokio::time::sleep(self.backoff.next()).await;
+    }
+}
+
 /// Pauses that grow while calls fail, with a random part so that instances don't call together.
 #[derive(Debug)]
 struct Backoff(Duration);
@@ -69,7 +110,7 @@
                 return;
             },
         }
-        log::info!("store: moved from {address}");
+        log::info!("store: moved from={address}");
     }
 }
 
@@ -115,7 +156,7 @@
 
 async fn documents(store: &Store, shared: &Shared) -> Infallible {
     let mut cursor = None;
-    let mut backoff = Backoff::new();
+    let mut link = Link::new("document");
     loop {
         let Some(duty) = Duty::of(shared) else {
             cursor = None;
@@ -129,18 +170,19 @@
         let documents = match result {
             Ok(documents) => documents,
             Err(error) => {
-                failed("document", &error, &mut cursor, &mut backoff).await;
+                cursor = cursor.filter(|_| !matches!(error, Error::HistoryGone));
+                link.failed(&error).await;
                 continue;
             }
         };
-        backoff = Backoff::new();
+        link.answered();
         cursor = Some(documents.at);
         let Some((at, document)) = documents.newest else {
             continue;
         };
         let revision = document.revision;
         if shared.learn(|knowledge| knowledge.take_document(at, document)) {
-            log::info!("store: document {revision} at {at}");
+            log::info!("store: document in force revision={revision} at={at}");
         }
         tokio::time::sleep(duty.gather()).await;
     }
@@ -148,7 +190,7 @@
 
 async fn upstreams(store: &Store, shared: &Shared, is_seed: bool) -> Infallible {
     let mut cursor = held(shared);
-    let mut backoff = Backoff::new();
+    let mut link = Link::new("upstreams");
     loop {
         let Some(duty) = Duty::of(shared) else {
             tokio::time::sleep(IDLE).await;
@@ -162,11 +204,12 @@
         let (at, has_changed) = match result {
             Ok(told) => told,
             Err(error) => {
-                failed("upstreams", &error, &mut cursor, &mut backoff).await;
+                cursor = cursor.filter(|_| !matches!(error, Error::HistoryGone));
+                link.failed(&error).await;
                 continue;
             }
         };
-        backoff = Backoff::new();
+        link.answered();
         cursor = Some(at);
         if has_changed {
             tokio::time::sleep(duty.gather()).await;
@@ -174,15 +217,6 @@
     }
 }
 
-/// Tells of a call that failed, and waits a little.
-async fn failed(what: &str, error: &Error, cursor: &mut Option<Revision>, backoff: &mut Backoff) {
-    log::warn!("store: {what}: {error}");
-    if matches!(error, Error::HistoryGone) {
-        *cursor = None;
-    }
-    tokio::time::sleep(backoff.next()).await;
-}
-
 /// The revision from which a new watcher can go on without reading the whole list: it has it from another instance.
 fn held(shared: &Shared) -> Option<Revision> {
     let at = shared.core().knowledge().upstreams_at();
@@ -194,17 +228,17 @@
     let is_needed = || !shared.core().knowledge().is_ready();
     let was_needed = is_needed();
     let mut listing = Listing::default();
-    let mut backoff = Backoff::new();
+    let mut link = Link::new("list of upstreams");
     let mut pages = 0;
     let list = loop {
         match store.next_page(&mut listing).await {
             Ok(Some(list)) => break list,
-            Ok(None) => pages += 1,
-            // The pages that were read stay: in a fleet that starts at once, most calls are refused.
-            Err(error) if pages > 0 => {
-                log::warn!("store: page {pages} of the upstreams: {error}");
-                tokio::time::sleep(backoff.next()).await;
+            Ok(None) => {
+                link.answered();
+                pages += 1;
             }
+            // The pages that were read stay: in a fleet that starts at once, most calls are refused.
+            Err(error) if pages > 0 => link.failed(&error).await,
             Err(error) => return Err(error),
         }
         if was_needed && pages == PAGES_AT_ONCE && !is_seed {
@@ -217,7 +251,7 @@
     let count = list.upstreams.len();
     let now = shared.now();
     let has_changed = shared.learn(|knowledge| knowledge.take_list(list.at, list.upstreams, now));
-    log::info!("store: {count} upstreams at {}", list.at);
+    log::info!("store: upstreams listed count={count} at={}", list.at);
     Ok((list.at, has_changed))
 }
 
--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -16,11 +16,13 @@
 use bpaf::ParseFailure;
 use config::Settings;
 use env_logger::Env;
+use env_logger::Target;
 use jayquayd::Addresses;
 use jayquayd::End;
 use jayquayd::Handle;
 use jayquayd::StartError;
 use jayquayd::forward;
+use jayquayd::forward::logging::Queue;
 use jayquayd::metric;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -110,10 +112,14 @@
         Ok(options) => options,
         Err(failure) => return explain(failure),
     };
-    init_log();
     if options.flows {
-        return forward(&options);
+        let queue = Queue::start(io::stdout());
+        init_log(Target::Pipe(Box::new(queue.clone())));
+        let code = forward(&options);
+        queue.finish();
+        return code;
     }
+    init_log(Target::Stderr);
     let settings = match read_settings(&options.settings) {
         Ok(settings) => settings,
         Err(text) => {
@@ -154,9 +160,14 @@
 }
 
 /// Each line begins with the name of its part, so that the module's path is left out.
-fn init_log() {
+fn init_log(target: Target) {
     let env = Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(env).format_target(false).init();
+    let mut builder = env_logger::Builder::from_env(env);
+    builder
+        .format_target(false)
+        .format_timestamp_millis()
+        .target(target)
+        .init();
 }
 
 fn read_settings(path: &PathBuf) -> Result<Settings, String> {
--- /dev/null
+++ b/crates/jayquayd/tests/logging.rs
@@ -0,0 +1,77 @@
+//! The log of the flow mode never holds the process up.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+
+use jayquayd::forward::logging::Queue;
+
+/// How many lines are written while nobody reads.
+const LINES: usize = 10_000;
+
+/// A reader that reads nothing until it is let.
+#[derive(Clone, Default)]
+struct Reader {
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+#[derive(Default)]
+struct State {
+    is_reading: bool,
+    read: Vec<u8>,
+}
+
+impl Reader {
+    fn begin(&self) {
+        self.state.0.lock().unwrap().is_reading = true;
+        self.state.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.state.0.lock().unwrap().read.clone()).unwrap()
+    }
+}
+
+impl Write for Reader {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let (state, begun) = &*self.state;
+        let mut state = begun
+            .wait_while(state.lock().unwrap(), |state| !state.is_reading)
+            .unwrap();
+        state.read.extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_nobody_reads_are_left_out_and_counted() {
+    let reader = Reader::default();
+    let mut queue = Queue::start(reader.clone());
+    for number in 0..LINES {
+        // This would never return if it waited for the reader.
+        queue.write_all(format!("line {number}\n").as_bytes()).unwrap();
+    }
+    reader.begin();
+    while !reader.text().contains("left out lines=") {
+        queue.write_all(b"another\n").unwrap();
+        queue.finish();
+    }
+    let text = reader.text();
+    let written = text.lines().filter(|line| line.starts_with("line ")).count();
+    let left_out = text
+        .lines()
+        .find_map(|line| line.strip_prefix("log: left out lines="))
+        .unwrap();
+    let left_out: usize = left_out.parse().unwrap();
+    assert!(written > 0 && written + left_out >= LINES, "{written} and {left_out}");
+    assert!(
+        text.starts_with("line 0\nline 1\n"),
+        "the first ones are kept, in order"
+    );
+}
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -165,8 +165,8 @@
     Command::new(binary)
         .args(["--flows", "--settings"])
         .arg(settings)
-        .stderr(log)
-        .stdout(Stdio::null())
+        .stderr(log.try_clone()?)
+        .stdout(log)
         .kill_on_drop(true)
         .spawn()
 }
