Announce a planned stop to others, and look at each upstream once in placement

A stopping instance is no watcher any more from the moment it is told to stop; others took its place only once they found it gone. Members that died are remembered for six hours, as in the request path, so that two parts of a fleet that were cut for longer than two minutes meet again. No test of its own for the announcement: the membership's tests hold it.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -34,6 +34,7 @@
 use crate::place::Candidate;
 use crate::place::Peers;
 use crate::place::Tier;
+use crate::place::View;
 use crate::route::Routes;
 use crate::upstream::UpstreamId;
 use crate::verdict::Verdict;
@@ -233,25 +234,29 @@
     }
 
     fn best(&mut self, service: &str, except: Option<UpstreamId>, now: Time) -> Option<Candidate> {
-        let health = &self.health;
-        let rng = &mut self.rng;
         let zone = &self.options.zone;
         let unused = Health::default();
-        let tier = |id, listed: &Listed| tier(listed, health.get(&id), now);
-        let view = |id, listed: &Listed| place::View::new(listed, health.get(&id).unwrap_or(&unused), now);
         let mut peers = Peers::default();
-        for (id, listed, _) in place::candidates(&self.directory, service, None, tier) {
-            peers.add(view(id, listed), listed.upstream.zone == *zone);
+        let mut seen = Vec::new();
+        for (id, listed) in self.directory.of_service(service) {
+            let health = self.health.get(&id);
+            let Some(tier) = tier(listed, health, now) else {
+                continue;
+            };
+            let view = View::new(listed, health.unwrap_or(&unused), now);
+            peers.add(view, listed.upstream.zone == *zone);
+            seen.push((id, listed, tier, view));
         }
         peers.base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
         if let Some(base) = peers.base {
             self.bases.insert(service.to_owned(), base);
         }
-        let candidates = place::candidates(&self.directory, service, except, tier);
-        let costed = candidates.map(|(id, listed, tier)| Candidate {
+        let rng = &mut self.rng;
+        let others = seen.into_iter().filter(|(id, ..)| Some(*id) != except);
+        let costed = others.map(|(id, listed, tier, view)| Candidate {
             id,
             tier,
-            cost: place::cost(listed, view(id, listed), &peers, zone, now, rng),
+            cost: place::cost(listed, view, &peers, zone, now, rng),
         });
         place::best(costed)
     }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -23,7 +23,7 @@
 
 /// Upstreams by echo and by service.
 #[derive(Debug, Default, Clone)]
-pub struct Directory {
+pub(crate) struct Directory {
     listed: HashMap<UpstreamId, Listed>,
     /// `None` where two ids have one echo: a packet with it can't be forwarded.
     by_echo: HashMap<Echo, Option<UpstreamId>>,
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -27,7 +27,6 @@
 pub use crate::core::Options;
 pub use crate::core::Stats;
 pub use crate::decision::Decision;
-pub use crate::directory::Directory;
 pub use crate::documents::Step;
 pub use crate::documents::Update;
 pub use crate::flows::FlowKey;
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -7,7 +7,6 @@
 use units::Time;
 use units::ZoneName;
 
-use crate::directory::Directory;
 use crate::directory::Listed;
 use crate::health::Health;
 use crate::upstream::UpstreamId;
@@ -188,15 +187,3 @@
 pub(crate) fn best(candidates: impl Iterator<Item = Candidate>) -> Option<Candidate> {
     candidates.min_by(|a, b| a.tier.cmp(&b.tier).then(a.cost.total_cmp(&b.cost)))
 }
-
-/// The candidates of a service, but for `except`.
-pub(crate) fn candidates<'a>(
-    directory: &'a Directory,
-    service: &str,
-    except: Option<UpstreamId>,
-    tier: impl Fn(UpstreamId, &Listed) -> Option<Tier> + 'a,
-) -> impl Iterator<Item = (UpstreamId, &'a Listed, Tier)> {
-    let all = directory.of_service(service);
-    let others = all.filter(move |(id, _)| Some(*id) != except);
-    others.filter_map(move |(id, listed)| Some((id, listed, tier(id, listed)?)))
-}
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -58,7 +58,6 @@
         probe_timeout: Duration::from_millis(300),
         suspect_for: Duration::from_secs(1),
         dead_probe_every: Duration::from_secs(3),
-        dead_keep: Duration::from_mins(2),
         ..Timing::default()
     }
 }
@@ -169,6 +168,10 @@
     fn tick(&self) {
         let mut out = Vec::new();
         let now = self.shared.now();
+        if self.shared.is_stopping() {
+            // Told once: others watch the store in its place before it is gone.
+            self.shared.members().leave(now, &mut out);
+        }
         self.shared.members().tick(now, &mut out);
         self.carry_out(out);
     }
