Split the flow path by opening and later packets, and index upstreams by zone

Change: opening.rs and carrying.rs hold what they say; routes are indexed when a new document is written; the directory lists upstreams by zone; a placement asks once instead of twice; the end of a flow is counted in one place. What clients wait for is kept for those who ask.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,5 +1,7 @@
 //! One instance's flow path: packets and news in, verdicts out.
 
+mod carrying;
+mod opening;
 mod silence;
 
 use std::collections::BTreeMap;
@@ -13,15 +15,9 @@
 
 use crate::decision::Decision;
 use crate::directory::Directory;
-use crate::directory::Listed;
-use crate::flows::COPY_SPACE;
-use crate::flows::Flow;
 use crate::flows::FlowKey;
 use crate::flows::Flows;
-use crate::flows::Sign;
-use crate::flows::Stage;
 use crate::health::Health;
-use crate::health::Progress;
 use crate::knowledge::Knowledge;
 use crate::loss::Loss;
 use crate::packet::DropCause;
@@ -29,22 +25,12 @@
 use crate::packet::Packet;
 use crate::packet::Reset;
 use crate::packet::ResetCause;
-use crate::place;
 use crate::place::Base;
-use crate::place::Candidate;
-use crate::place::Peers;
-use crate::place::Tier;
-use crate::place::View;
 use crate::route::Routes;
 use crate::upstream::UpstreamId;
 use crate::verdict::Verdict;
-use crate::verdict::reset_open;
-use crate::verdict::reset_opening;
-use crate::verdict::unknown_echo;
+use crate::wait::Wait;
 
-/// How long an upstream that is no longer listed may still get flows if its service has no other: its entry may have
-/// lapsed with the platform's store, and entries that did are back within about two seconds.
-const LAPSED_GRACE: Duration = Duration::from_secs(2);
 /// What an instance is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -84,6 +70,7 @@
     flows: Flows,
     resets: Vec<Reset>,
     decisions: Vec<Decision>,
+    waits: Vec<Wait>,
     stats: Stats,
 }
 
@@ -102,6 +89,7 @@
             flows: Flows::default(),
             resets: Vec::new(),
             decisions: Vec::new(),
+            waits: Vec::new(),
             stats: Stats::default(),
         }
     }
@@ -126,8 +114,10 @@
         if !change(&mut self.knowledge) {
             return false;
         }
-        if let Some((_, document)) = self.knowledge.document() {
-            self.routes = Routes::new(document);
+        if let Some(&(at, ref document)) = self.knowledge.document()
+            && self.routes.written_at() != at
+        {
+            self.routes = Routes::new(at, document);
         }
         self.directory = Directory::new(&self.knowledge, &self.directory, now);
         let directory = &self.directory;
@@ -170,157 +160,6 @@
         }
     }
 
-    /// Places a new flow, or a copy of its opening packet at another upstream than before.
-    fn open(&mut self, packet: &Packet, now: Time) -> Verdict {
-        if !self.knowledge.is_ready() {
-            return Verdict::Drop(DropCause::NotReady);
-        }
-        let Some(route) = self.routes.at(packet.route) else {
-            return Verdict::Reset(reset_opening(packet, ResetCause::NoRoute));
-        };
-        let Some(service) = route.service_for(packet.client) else {
-            return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
-        };
-        let service = service.to_owned();
-        let key = FlowKey::from(packet);
-        if let Some(id) = self.held_up(&key, now) {
-            return self.forward(id);
-        }
-        let earlier = self.forget_opening(&key, now);
-        let Some(candidate) = self.place(&service, earlier, now) else {
-            return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
-        };
-        let id = candidate.id;
-        self.stats.placed += 1;
-        self.decisions.push(Decision::Placed {
-            flow: key,
-            upstream: id,
-            earlier,
-            tier: candidate.tier,
-            cost: candidate.cost,
-        });
-        let flow = Flow::new(id, Stage::Opening, packet, now);
-        self.health.entry(id).or_default().note_placed(now);
-        self.loss.note_attempt(now);
-        self.flows.insert(key, flow);
-        self.forward(id)
-    }
-
-    /// The upstream of an opening packet whose copy came just before: both were held up, and the second tells nothing.
-    fn held_up(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
-        let flow = self.flows.get_mut(key)?;
-        let is_held_up = flow.stage == Stage::Opening && now.since(flow.first_seen) < COPY_SPACE;
-        is_held_up.then_some(flow.upstream)
-    }
-
-    /// Takes back the choice that an earlier copy of an opening packet led to. It was not answered, which counts
-    /// against its upstream.
-    fn forget_opening(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
-        let mut flow = self.flows.remove(key)?;
-        let health = self.health.get_mut(&flow.upstream)?;
-        health.flows = health.flows.saturating_sub(1);
-        if flow.stage == Stage::Opening {
-            let is_lost = health.note_copy(&mut flow, now);
-            self.loss.note_losses(is_lost.into(), now);
-            self.judge(flow.upstream, now);
-        }
-        Some(flow.upstream)
-    }
-
-    /// The best upstream for a new flow, another than `earlier` if there is one.
-    fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
-        self.best(service, earlier, now)
-            .or_else(|| self.best(service, None, now))
-    }
-
-    fn best(&mut self, service: &str, except: Option<UpstreamId>, now: Time) -> Option<Candidate> {
-        let zone = &self.options.zone;
-        let unused = Health::default();
-        let mut peers = Peers::default();
-        let mut seen = Vec::new();
-        for (id, listed) in self.directory.of_service(service) {
-            let health = self.health.get(&id);
-            let Some(tier) = tier(listed, health, now) else {
-                continue;
-            };
-            let view = View::new(listed, health.unwrap_or(&unused), now);
-            peers.add(view, listed.upstream.zone == *zone);
-            seen.push((id, listed, tier, view));
-        }
-        peers.base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
-        if let Some(base) = peers.base {
-            self.bases.insert(service.to_owned(), base);
-        }
-        let rng = &mut self.rng;
-        let others = seen.into_iter().filter(|(id, ..)| Some(*id) != except);
-        let costed = others.map(|(id, listed, tier, view)| Candidate {
-            id,
-            tier,
-            cost: place::cost(listed, view, &peers, zone, now, rng),
-        });
-        place::best(costed)
-    }
-
-    /// Forwards a packet of a flow to the upstream that its echo names.
-    fn carry(&mut self, packet: &Packet, now: Time) -> Verdict {
-        let Some(id) = self.directory.by_echo(packet.echo) else {
-            return Verdict::Drop(unknown_echo(packet));
-        };
-        let key = FlowKey::from(packet);
-        if packet.flags.has(Flags::RST) || packet.flags.has(Flags::FIN) {
-            self.close(&key);
-            return self.forward(id);
-        }
-        // A packet that shows a sign of life ends the belief that its upstream is dead, so this comes first.
-        let sign = self.see(&key, id, packet, now);
-        if packet.len > 0 && self.is_dead(id, now) {
-            self.close(&key);
-            return Verdict::Reset(reset_open(packet, ResetCause::Dead));
-        }
-        if sign.is_copy && self.is_stalled(&key, now) {
-            self.close(&key);
-            return Verdict::Reset(reset_open(packet, ResetCause::Stalled));
-        }
-        self.forward(id)
-    }
-
-    /// Notes what a packet tells of its flow and of its upstream.
-    fn see(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Sign {
-        if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
-            self.close(key);
-            self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
-            self.health.entry(id).or_default().flows += 1;
-        }
-        let Some(flow) = self.flows.get_mut(key) else {
-            return Sign::default();
-        };
-        let sign = flow.see(packet, now);
-        let health = self.health.entry(id).or_default();
-        let progress = if sign.is_progress {
-            health.note_progress(now)
-        } else {
-            Progress::default()
-        };
-        self.loss.note_losses(progress.losses, now);
-        if let Some(waited) = sign.waited {
-            health.note_response(waited, now);
-        }
-        if sign.is_request {
-            health.note_request(now);
-            self.loss.note_attempt(now);
-        }
-        if sign.is_copy {
-            let is_lost = health.note_copy(flow, now);
-            self.loss.note_losses(is_lost.into(), now);
-            self.judge(id, now);
-        }
-        if progress.is_revived {
-            self.decisions.push(Decision::Revived(id));
-            self.revive_zone(id);
-        }
-        sign
-    }
-
     /// Resets that packets and reports led to since the last call, beside the packets' own verdicts.
     pub fn take_resets(&mut self) -> Vec<Reset> {
         std::mem::take(&mut self.resets)
@@ -331,13 +170,18 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Waits that have ended since the last call.
+    pub fn take_waits(&mut self) -> Vec<Wait> {
+        std::mem::take(&mut self.waits)
+    }
+
     /// Forgets a flow that has ended.
     fn close(&mut self, key: &FlowKey) {
         let Some(flow) = self.flows.remove(key) else {
             return;
         };
         if let Some(health) = self.health.get_mut(&flow.upstream) {
-            health.flows = health.flows.saturating_sub(1);
+            health.note_ended();
         }
     }
 
@@ -360,27 +204,10 @@
         let idle = document.idle_timeout.min(self.options.max_flow);
         for flow in self.flows.take_idle(idle, now) {
             if let Some(health) = self.health.get_mut(&flow.upstream) {
-                health.flows = health.flows.saturating_sub(1);
+                health.note_ended();
             }
         }
         let then = now.before(self.options.max_flow * 2);
         self.learn(now, |knowledge| knowledge.forget(then));
     }
 }
-
-/// How good a choice an upstream is at best, `None` if it gets no new flows.
-fn tier(listed: &Listed, health: Option<&Health>, now: Time) -> Option<Tier> {
-    if listed.upstream.leaving {
-        return None;
-    }
-    if let Some(since) = listed.gone_since {
-        return (now.since(since) < LAPSED_GRACE).then_some(Tier::Lapsed);
-    }
-    let Some(health) = health else {
-        return Some(Tier::Ready);
-    };
-    if health.is_avoided(now) {
-        return Some(Tier::Suspect);
-    }
-    Some(Tier::Ready)
-}
--- /dev/null
+++ b/crates/flow/src/core/carrying.rs
@@ -0,0 +1,101 @@
+//! Later packets of a flow: where they go, and what they tell of its upstream.
+
+use units::Time;
+
+use super::Core;
+use crate::decision::Decision;
+use crate::flows::Flow;
+use crate::flows::FlowKey;
+use crate::flows::Sign;
+use crate::flows::Stage;
+use crate::health::Progress;
+use crate::packet::Flags;
+use crate::packet::Packet;
+use crate::packet::ResetCause;
+use crate::upstream::UpstreamId;
+use crate::verdict::Verdict;
+use crate::verdict::reset_open;
+use crate::verdict::unknown_echo;
+use crate::wait::Wait;
+use crate::wait::WaitKind;
+
+impl Core {
+    /// Forwards a packet of a flow to the upstream that its echo names.
+    pub(super) fn carry(&mut self, packet: &Packet, now: Time) -> Verdict {
+        let Some(id) = self.directory.by_echo(packet.echo) else {
+            return Verdict::Drop(unknown_echo(packet));
+        };
+        let key = FlowKey::from(packet);
+        if packet.flags.has(Flags::RST) || packet.flags.has(Flags::FIN) {
+            self.close(&key);
+            return self.forward(id);
+        }
+        // A packet that shows a sign of life ends the belief that its upstream is dead, so this comes first.
+        let sign = self.see(&key, id, packet, now);
+        if packet.len > 0 && self.is_dead(id, now) {
+            self.close(&key);
+            return Verdict::Reset(reset_open(packet, ResetCause::Dead));
+        }
+        if sign.is_copy && self.is_stalled(&key, now) {
+            self.close(&key);
+            return Verdict::Reset(reset_open(packet, ResetCause::Stalled));
+        }
+        self.forward(id)
+    }
+
+    /// Notes what a packet tells of its flow and of its upstream.
+    fn see(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Sign {
+        if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
+            self.close(key);
+            self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
+            self.health.entry(id).or_default().flows += 1;
+        }
+        let Some(flow) = self.flows.get_mut(key) else {
+            return Sign::default();
+        };
+        let sign = flow.see(packet, now);
+        let health = self.health.entry(id).or_default();
+        let progress = if sign.is_progress {
+            health.note_progress(now)
+        } else {
+            Progress::default()
+        };
+        self.loss.note_losses(progress.losses, now);
+        if let Some(waited) = sign.waited {
+            health.note_response(waited, now);
+        }
+        if sign.is_request {
+            health.note_request(now);
+            self.loss.note_attempt(now);
+        }
+        if sign.is_copy {
+            let is_lost = health.note_copy(flow, now);
+            self.loss.note_losses(is_lost.into(), now);
+            self.judge(id, now);
+        }
+        if progress.is_revived {
+            self.decisions.push(Decision::Revived(id));
+            self.revive_zone(id);
+        }
+        self.note_waits(id, sign);
+        sign
+    }
+
+    /// Keeps the waits that a packet has ended, for the figures that operators see.
+    fn note_waits(&mut self, id: UpstreamId, sign: Sign) {
+        let Some(listed) = self.directory.get(id) else {
+            return;
+        };
+        let is_at_home = listed.upstream.zone == self.options.zone;
+        let waits = [
+            (WaitKind::Handshake, sign.opened_after),
+            (WaitKind::Response, sign.waited),
+        ];
+        for (kind, time) in waits {
+            let Some(time) = time else {
+                continue;
+            };
+            self.waits.push(Wait { kind, is_at_home, time });
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/core/opening.rs
@@ -0,0 +1,137 @@
+//! New flows: which upstream an opening packet goes to, and what its copies tell.
+
+use std::time::Duration;
+
+use units::Time;
+
+use super::Core;
+use crate::decision::Decision;
+use crate::directory::Listed;
+use crate::flows::COPY_SPACE;
+use crate::flows::Flow;
+use crate::flows::FlowKey;
+use crate::flows::Stage;
+use crate::health::Health;
+use crate::packet::DropCause;
+use crate::packet::Packet;
+use crate::packet::ResetCause;
+use crate::place;
+use crate::place::Base;
+use crate::place::Candidate;
+use crate::place::Peers;
+use crate::place::Tier;
+use crate::place::View;
+use crate::upstream::UpstreamId;
+use crate::verdict::Verdict;
+use crate::verdict::reset_opening;
+
+/// How long an upstream that is no longer listed may still get flows if its service has no other: its entry may have
+/// lapsed with the platform's store, and entries that did are back within about two seconds.
+const LAPSED_GRACE: Duration = Duration::from_secs(2);
+
+impl Core {
+    /// Places a new flow, or a copy of its opening packet at another upstream than before.
+    pub(super) fn open(&mut self, packet: &Packet, now: Time) -> Verdict {
+        if !self.knowledge.is_ready() {
+            return Verdict::Drop(DropCause::NotReady);
+        }
+        let Some(route) = self.routes.to(packet.route) else {
+            return Verdict::Reset(reset_opening(packet, ResetCause::NoRoute));
+        };
+        let Some(service) = route.service_for(packet.client) else {
+            return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
+        };
+        let service = service.to_owned();
+        let key = FlowKey::from(packet);
+        if let Some(id) = self.held_up(&key, now) {
+            return self.forward(id);
+        }
+        let earlier = self.forget_opening(&key, now);
+        let Some(candidate) = self.place(&service, earlier, now) else {
+            return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
+        };
+        let id = candidate.id;
+        self.stats.placed += 1;
+        self.decisions.push(Decision::Placed {
+            flow: key,
+            upstream: id,
+            earlier,
+            tier: candidate.tier,
+            cost: candidate.cost,
+        });
+        let flow = Flow::new(id, Stage::Opening, packet, now);
+        self.health.entry(id).or_default().note_placed(now);
+        self.loss.note_attempt(now);
+        self.flows.insert(key, flow);
+        self.forward(id)
+    }
+
+    /// The upstream of an opening packet whose copy came just before: both were held up, and the second tells nothing.
+    fn held_up(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
+        let flow = self.flows.get_mut(key)?;
+        let is_held_up = flow.stage == Stage::Opening && now.since(flow.first_seen) < COPY_SPACE;
+        is_held_up.then_some(flow.upstream)
+    }
+
+    /// Takes back the choice that an earlier copy of an opening packet led to. It was not answered, which counts
+    /// against its upstream.
+    fn forget_opening(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
+        let mut flow = self.flows.remove(key)?;
+        let health = self.health.get_mut(&flow.upstream)?;
+        health.note_ended();
+        if flow.stage == Stage::Opening {
+            let is_lost = health.note_copy(&mut flow, now);
+            self.loss.note_losses(is_lost.into(), now);
+            self.judge(flow.upstream, now);
+        }
+        Some(flow.upstream)
+    }
+
+    /// The best upstream for a new flow, another than `earlier` if there is one.
+    fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
+        let zone = &self.options.zone;
+        let unused = Health::default();
+        let mut peers = Peers::default();
+        let mut seen = Vec::new();
+        for (id, listed) in self.directory.of_service(service) {
+            let health = self.health.get(&id);
+            let Some(tier) = tier(listed, health, now) else {
+                continue;
+            };
+            let view = View::new(listed, health.unwrap_or(&unused), now);
+            peers.add(view, listed.upstream.zone == *zone);
+            seen.push((id, listed, tier, view));
+        }
+        peers.base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
+        if let Some(base) = peers.base {
+            self.bases.insert(service.to_owned(), base);
+        }
+        if seen.len() > 1 {
+            seen.retain(|(id, ..)| Some(*id) != earlier);
+        }
+        let rng = &mut self.rng;
+        let costed = seen.into_iter().map(|(id, listed, tier, view)| Candidate {
+            id,
+            tier,
+            cost: place::cost(listed, view, &peers, zone, now, rng),
+        });
+        place::best(costed)
+    }
+}
+
+/// How good a choice an upstream is at best, `None` if it gets no new flows.
+fn tier(listed: &Listed, health: Option<&Health>, now: Time) -> Option<Tier> {
+    if listed.upstream.leaving {
+        return None;
+    }
+    if let Some(since) = listed.gone_since {
+        return (now.since(since) < LAPSED_GRACE).then_some(Tier::Lapsed);
+    }
+    let Some(health) = health else {
+        return Some(Tier::Ready);
+    };
+    if health.is_avoided(now) {
+        return Some(Tier::Suspect);
+    }
+    Some(Tier::Ready)
+}
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -106,7 +106,7 @@
         if at_home.last_progress <= there.since || at_home.silent * 2 > at_home.seen {
             return;
         }
-        for id in self.upstreams_in(&zone) {
+        for id in self.directory.in_zone(&zone).to_vec() {
             let health = self.health.entry(id).or_default();
             health.avoid(now);
             if health.stalled() > 0 && !health.is_dead(now) {
@@ -125,25 +125,18 @@
         if zone == self.options.zone {
             return;
         }
-        for id in self.upstreams_in(&zone) {
-            if let Some(health) = self.health.get_mut(&id) {
+        for id in self.directory.in_zone(&zone) {
+            if let Some(health) = self.health.get_mut(id) {
                 health.revive();
             }
         }
     }
 
-    fn upstreams_in(&self, zone: &ZoneName) -> Vec<UpstreamId> {
-        let there = self.directory.all().filter(|(_, listed)| listed.upstream.zone == *zone);
-        let mut ids: Vec<_> = there.map(|(id, _)| id).collect();
-        ids.sort_unstable();
-        ids
-    }
-
     /// How a zone's upstreams look from here.
     fn outlook(&self, zone: &ZoneName) -> Outlook {
         let mut outlook = Outlook::default();
-        for id in self.upstreams_in(zone) {
-            let Some(health) = self.health.get(&id) else {
+        for id in self.directory.in_zone(zone) {
+            let Some(health) = self.health.get(id) else {
                 continue;
             };
             outlook.add(health);
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -1,9 +1,10 @@
-//! Upstreams by echo and by service, rebuilt whenever what is known of them changes.
+//! Upstreams by echo, by service and by availability zone, rebuilt whenever what is known of them changes.
 
 use std::collections::HashMap;
 use std::collections::hash_map;
 
 use units::Time;
+use units::ZoneName;
 
 use crate::knowledge::Knowledge;
 use crate::packet::Echo;
@@ -21,13 +22,14 @@
     pub(crate) cold_until: Time,
 }
 
-/// Upstreams by echo and by service.
+/// Upstreams by echo, by service and by availability zone.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Directory {
     listed: HashMap<UpstreamId, Listed>,
     /// `None` where two ids have one echo: a packet with it can't be forwarded.
     by_echo: HashMap<Echo, Option<UpstreamId>>,
     by_service: HashMap<String, Vec<UpstreamId>>,
+    by_zone: HashMap<ZoneName, Vec<UpstreamId>>,
 }
 
 impl Directory {
@@ -53,6 +55,8 @@
             };
             let service = listed.upstream.service.clone();
             directory.by_service.entry(service).or_default().push(id);
+            let zone = listed.upstream.zone.clone();
+            directory.by_zone.entry(zone).or_default().push(id);
             directory.listed.insert(id, listed);
         }
         directory
@@ -75,9 +79,9 @@
         listed.filter(|(id, listed)| self.by_echo(listed.echo) == Some(*id))
     }
 
-    /// All upstreams, those remembered after they went among them.
-    pub(crate) fn all(&self) -> impl Iterator<Item = (UpstreamId, &Listed)> {
-        self.listed.iter().map(|(id, listed)| (*id, listed))
+    /// The upstreams of an availability zone in the order of their ids, gone ones among them.
+    pub(crate) fn in_zone(&self, zone: &ZoneName) -> &[UpstreamId] {
+        self.by_zone.get(zone).map(Vec::as_slice).unwrap_or_default()
     }
 
     /// Whether an upstream is remembered.
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -87,6 +87,8 @@
 pub(crate) struct Sign {
     /// The upstream has answered something.
     pub(crate) is_progress: bool,
+    /// How long the handshake took that this packet ends.
+    pub(crate) opened_after: Option<Duration>,
     /// How long it took to answer, if that can be told. An answer that shows only in the client's next request says
     /// more about the client's pause.
     pub(crate) waited: Option<Duration>,
@@ -119,7 +121,10 @@
     pub(crate) fn see(&mut self, packet: &Packet, now: Time) -> Sign {
         self.last_seen = now;
         let stage = std::mem::replace(&mut self.stage, Stage::Open);
-        let mut sign = Sign::default();
+        let mut sign = Sign {
+            opened_after: (stage == Stage::Opening).then(|| now.since(self.first_seen)),
+            ..Sign::default()
+        };
         if stage == Stage::Opening || is_ahead(packet.ack, self.client_ack) {
             self.client_ack = packet.ack;
             let pending = self.pending.take();
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -301,6 +301,11 @@
         }
     }
 
+    /// A flow of its ended or was forgotten.
+    pub(crate) fn note_ended(&mut self) {
+        self.flows = self.flows.saturating_sub(1);
+    }
+
     /// About how many requests it got within the last [`ACTIVITY_SPAN`].
     pub(crate) fn activity(&self, now: Time) -> f64 {
         self.activity.value(ACTIVITY_SPAN, now)
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -22,6 +22,7 @@
 mod route;
 mod upstream;
 mod verdict;
+mod wait;
 
 pub use crate::core::Core;
 pub use crate::core::Options;
@@ -50,3 +51,5 @@
 pub use crate::upstream::Upstream;
 pub use crate::upstream::UpstreamId;
 pub use crate::verdict::Verdict;
+pub use crate::wait::Wait;
+pub use crate::wait::WaitKind;
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -83,14 +83,21 @@
     Dead,
 }
 
-impl fmt::Display for ResetCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl ResetCause {
+    /// Its name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::NoRoute => "no-route",
             Self::NoUpstream => "no-upstream",
             Self::Stalled => "stalled",
             Self::Dead => "dead",
-        })
+        }
+    }
+}
+
+impl fmt::Display for ResetCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
@@ -120,13 +127,20 @@
     Reset,
 }
 
-impl fmt::Display for DropCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl DropCause {
+    /// Its name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::UnknownEcho => "unknown-echo",
             Self::NoEcho => "no-echo",
             Self::NotReady => "not-ready",
             Self::Reset => "reset",
-        })
+        }
+    }
+}
+
+impl fmt::Display for DropCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -91,18 +91,27 @@
 /// Routes by the address that clients dial.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Routes {
+    /// The store's revision at which their document was written.
+    at: Revision,
     by_address: HashMap<SocketAddrV4, Route>,
 }
 
 impl Routes {
-    pub(crate) fn new(document: &Document) -> Self {
+    /// Indexes a document that was written at this revision of the store's.
+    pub(crate) fn new(at: Revision, document: &Document) -> Self {
         let routes = document.routes.values().map(|route| (route.address, route.clone()));
         Self {
+            at,
             by_address: routes.collect(),
         }
     }
 
-    pub(crate) fn at(&self, address: SocketAddrV4) -> Option<&Route> {
+    /// The store's revision at which their document was written.
+    pub(crate) fn written_at(&self) -> Revision {
+        self.at
+    }
+
+    pub(crate) fn to(&self, address: SocketAddrV4) -> Option<&Route> {
         self.by_address.get(&address)
     }
 }
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -2,7 +2,8 @@
 //!
 //! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` and `upstreams` (one a line: `ID SERVICE ZONE
 //! [leaving] [slots=N] [cold=MS]`, or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
-//! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own.
+//! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own. `waits`
+//! shows what clients have waited for.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -94,11 +95,22 @@
                 let times = millis(&argument(0));
                 (0..times).map(|_| self.packets(&words)).collect()
             }
+            "waits" => self.waits(),
             "stats" => format!("{:?}\n", self.core.stats()),
             other => panic!("no such command: {other}"),
         }
     }
 
+    /// What clients have waited for since the last time.
+    fn waits(&mut self) -> String {
+        let mut out = String::new();
+        for wait in self.core.take_waits() {
+            let place = if wait.is_at_home { "here" } else { "elsewhere" };
+            writeln!(out, "{:?} {place}: {} ms", wait.kind, wait.time.as_millis()).unwrap();
+        }
+        out
+    }
+
     fn document(&mut self, lines: &[&str]) -> String {
         let revision = Revision(millis(lines[0]));
         let routes = lines[1..].iter().map(|line| {
