Serve histograms of handshakes, answers and store reads in flow mode, and tell a history that is gone from a lost store

A 410 was logged as 'store: lost'. Change: forward/metric.rs and the adapter's metric.rs hold the names, which docs/METRICS.md must match; histograms by the upstream's zone (own, other), of wake-ups and of store reads; gauges of what is in force, members and who watches. A history that is gone has a log line of its own. Errors of the store tell a refusal from silence. The packets' socket has a type.

--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -4,9 +4,11 @@
 //! with other instances, and the HTTP endpoints. Every part but the packets' may be late or fail without harm to a flow.
 
 pub mod logging;
+pub mod metric;
 pub mod settings;
 
 mod decisions;
+mod figures;
 mod gossip;
 mod http;
 mod packets;
--- /dev/null
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -0,0 +1,110 @@
+//! What the flow mode tells of itself: figures that are kept elsewhere are brought to the metrics when somebody reads them.
+
+use flow::Knowledge;
+use flow::Wait;
+use flow::WaitKind;
+use metrics::Histogram;
+use wire::MemberState;
+
+use super::metric;
+use super::shared::Shared;
+use super::store::Duty;
+
+/// The states of a member, and their labels.
+const MEMBER_STATES: [(MemberState, &str); 4] = [
+    (MemberState::Alive, "alive"),
+    (MemberState::Suspect, "suspect"),
+    (MemberState::Leaving, "leaving"),
+    (MemberState::Dead, "dead"),
+];
+
+/// Brings all figures up to date.
+pub(crate) fn report(shared: &Shared) {
+    report_flows(shared);
+    report_knowledge(shared.core().knowledge());
+    report_members(shared);
+}
+
+fn report_flows(shared: &Shared) {
+    let core = shared.core();
+    let stats = core.stats();
+    metric::placed().absolute(stats.placed);
+    metric::forwarded().absolute(stats.forwarded);
+    metric::remembered().set(core.flow_count() as f64);
+    for (cause, count) in &stats.resets {
+        metric::resets(cause.as_str()).absolute(*count);
+    }
+    for (cause, count) in &stats.drops {
+        metric::drops(cause.as_str()).absolute(*count);
+    }
+}
+
+fn report_knowledge(knowledge: &Knowledge) {
+    let revision = knowledge.document().map(|(_, document)| document.revision);
+    metric::document().set(revision.unwrap_or_default().0 as f64);
+    metric::upstreams_at().set(knowledge.upstreams_at().0 as f64);
+    let mut listed = 0_u32;
+    let mut leaving = 0_u32;
+    let mut gone = 0_u32;
+    for (_, entry) in knowledge.upstreams() {
+        if entry.gone {
+            gone += 1;
+        } else if entry.upstream.leaving {
+            leaving += 1;
+        } else {
+            listed += 1;
+        }
+    }
+    metric::upstreams("listed").set(listed);
+    metric::upstreams("leaving").set(leaving);
+    metric::upstreams("gone").set(gone);
+}
+
+fn report_members(shared: &Shared) {
+    let watches = Duty::of(shared).is_some();
+    metric::watches().set(f64::from(u8::from(watches)));
+    let members = shared.members();
+    for (state, label) in MEMBER_STATES {
+        let count = members.members().filter(|member| member.state == state).count();
+        metric::members(label).set(count as f64);
+    }
+}
+
+/// Histograms of what clients wait for. Their handles are looked up once, as most packets end a wait.
+#[derive(Debug)]
+pub(crate) struct Waits {
+    handshakes: Places,
+    responses: Places,
+}
+
+/// Histograms by the upstream's availability zone.
+#[derive(Debug)]
+struct Places {
+    own: Histogram,
+    other: Histogram,
+}
+
+impl Waits {
+    pub(crate) fn new() -> Self {
+        Self {
+            handshakes: Places {
+                own: metric::handshake_seconds("own"),
+                other: metric::handshake_seconds("other"),
+            },
+            responses: Places {
+                own: metric::response_seconds("own"),
+                other: metric::response_seconds("other"),
+            },
+        }
+    }
+
+    /// Records a wait that has ended.
+    pub(crate) fn record(&self, wait: Wait) {
+        let places = match wait.kind {
+            WaitKind::Handshake => &self.handshakes,
+            WaitKind::Response => &self.responses,
+        };
+        let histogram = if wait.is_at_home { &places.own } else { &places.other };
+        histogram.record(wait.time);
+    }
+}
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -29,6 +29,7 @@
 use super::pull;
 use super::settings::Settings;
 use super::shared::Shared;
+use crate::metric;
 
 /// How often membership is given the time.
 const TICK: Duration = Duration::from_millis(100);
@@ -196,7 +197,7 @@
     fn receive(&self, bytes: &[u8], from: SocketAddr) {
         let message: Result<Message, _> = de::from_reader_with_recursion_limit(bytes, MAX_DEPTH);
         let Ok(message) = message else {
-            metrics::counter!("jayquay_frames_unread_total").increment(1);
+            metric::frames_unread().increment(1);
             log::debug!("peers: a message from {from} can't be read");
             return;
         };
@@ -302,7 +303,8 @@
         };
         let mut bytes = Vec::with_capacity(256);
         ciborium::into_writer(&message, &mut bytes).expect("a vector takes every write, and a frame has a CBOR form");
-        metrics::counter!("jayquay_frame_bytes_sent_total").increment(bytes.len() as u64);
+        metric::frames_sent().increment(1);
+        metric::frame_bytes_sent().increment(bytes.len() as u64);
         if let Err(error) = self.socket.try_send_to(&bytes, to) {
             log::debug!("peers: not sent to {to}: {error}");
         }
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -12,6 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
+use super::figures;
 use super::relay;
 use super::relay::Since;
 use super::shared::Shared;
@@ -66,21 +67,6 @@
 }
 
 async fn metrics(State(context): State<Context>) -> String {
-    report(&context.shared);
+    figures::report(&context.shared);
     context.metrics.render()
 }
-
-/// Brings the counters up to date. They are kept by the flow path, which would otherwise pay for each packet.
-fn report(shared: &Shared) {
-    let core = shared.core();
-    let stats = core.stats();
-    metrics::counter!("jayquay_flows_placed_total").absolute(stats.placed);
-    metrics::counter!("jayquay_flow_packets_forwarded_total").absolute(stats.forwarded);
-    metrics::gauge!("jayquay_flows_remembered").set(core.flow_count() as f64);
-    for (cause, count) in &stats.resets {
-        metrics::counter!("jayquay_flow_resets_total", "cause" => cause.to_string()).absolute(*count);
-    }
-    for (cause, count) in &stats.drops {
-        metrics::counter!("jayquay_flow_drops_total", "cause" => cause.to_string()).absolute(*count);
-    }
-}
--- /dev/null
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -0,0 +1,51 @@
+//! The names of the flow mode's metrics, with their units. Labels are words of fixed sets, as in the rest of the daemon.
+//!
+//! Counters of packets are kept by the flow path, which would otherwise pay for each packet; they are brought here whenever
+//! somebody reads the metrics.
+
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::Unit;
+
+use crate::metric::table;
+
+table! {
+    /// Flows placed at an upstream.
+    counter placed() "jayquay_flows_placed_total" Count "Flows placed at an upstream, copies of opening packets included.";
+    /// Packets forwarded.
+    counter forwarded() "jayquay_flow_packets_forwarded_total" Count "Packets of flows forwarded.";
+    /// Packets that can't be read.
+    counter malformed() "jayquay_flow_packets_malformed_total" Count "Packets of flows that could not be read.";
+    /// Packets that the system did not take.
+    counter unsent() "jayquay_flow_packets_unsent_total" Count "Packets of flows that the system's socket did not take.";
+    /// Flows reset.
+    counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, stalled or dead.";
+    /// Packets dropped.
+    counter drops(cause) "jayquay_flow_drops_total" Count "Packets dropped: not-ready, no-echo, unknown-echo or reset.";
+    /// Flows remembered here.
+    gauge remembered() "jayquay_flows_remembered" Count "Flows remembered here.";
+    /// How long handshakes took.
+    histogram handshake_seconds(zone) "jayquay_flow_handshake_seconds" Seconds
+        "From a flow's opening packet to the client's next one, by the upstream's zone: own or other.";
+    /// How long answers took.
+    histogram response_seconds(zone) "jayquay_flow_response_seconds" Seconds
+        "From a request's first packet to the client's word that an answer comes, by the upstream's zone: own or other.";
+    /// How long a wake-up with packets took.
+    histogram burst_seconds() "jayquay_flow_burst_seconds" Seconds
+        "How long it took to carry the packets that had come by one wake-up.";
+    /// The document in force.
+    gauge document() "jayquay_flow_document_revision" Count "The operators' revision of the document in force, 0 without one.";
+    /// Up to where changes of upstreams are known.
+    gauge upstreams_at() "jayquay_flow_upstreams_revision" Count
+        "The store's revision up to which changes of upstreams are known.";
+    /// Upstreams listed.
+    gauge upstreams(state) "jayquay_flow_upstreams" Count "Upstreams known: listed, leaving or gone.";
+    /// Instances known.
+    gauge members(state) "jayquay_flow_members" Count "Instances known, this one included: alive, suspect, leaving or dead.";
+    /// Whether this instance watches the store.
+    gauge watches() "jayquay_flow_watches" Count "1 while this instance watches the store for its zone, else 0.";
+    /// Changes from other instances that can't be read.
+    counter changes_malformed() "jayquay_changes_malformed_total" Count
+        "Changes from other instances that could not be read.";
+}
--- a/crates/jayquayd/src/forward/packets.rs
+++ b/crates/jayquayd/src/forward/packets.rs
@@ -3,77 +3,125 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use adapter::packet;
 use flow::Knowledge;
+use flow::Packet;
 use flow::Reset;
 use flow::Verdict;
 use tokio::net::UdpSocket;
 
 use super::decisions::Basis;
 use super::decisions::DecisionLog;
+use super::figures::Waits;
+use super::metric;
 use super::shared::Shared;
 
 /// Carries packets until the process ends.
 pub(crate) async fn run(socket: Arc<UdpSocket>, client_port: u16, shared: Shared) -> io::Result<()> {
     let mut buffer = [0; packet::MAX_DATAGRAM_LEN];
-    let mut log = DecisionLog::default();
+    let mut carrier = Carrier {
+        socket: &socket,
+        client_port,
+        shared: &shared,
+        log: DecisionLog::default(),
+        waits: Waits::new(),
+    };
+    let bursts = metric::burst_seconds();
     // Until the document and the upstreams are known, packets wait in the socket's buffer. They would only be dropped
     // here, and be sent again 200 milliseconds later.
     shared.until_ready().await;
     loop {
         socket.readable().await?;
-        while carry_one(&socket, client_port, &shared, &mut buffer, &mut log) {}
+        let began = Instant::now();
+        while carrier.carry_one(&mut buffer) {}
+        bursts.record(began.elapsed());
     }
 }
 
-/// Carries one packet. Tells whether there was one.
-fn carry_one(
-    socket: &UdpSocket,
+/// Carries out what the flow path decides.
+struct Carrier<'a> {
+    socket: &'a UdpSocket,
+    /// The port at which clients take packets.
     client_port: u16,
-    shared: &Shared,
-    buffer: &mut [u8; packet::MAX_DATAGRAM_LEN],
-    log: &mut DecisionLog,
-) -> bool {
-    let len = match socket.try_recv(&mut buffer[packet::ADDRESSEE_LEN..]) {
-        Ok(len) => len,
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-        Err(error) => {
-            // An upstream's machine may have told that nothing listens there. The packet it was about is lost.
-            log::debug!("packets: {error}");
+    shared: &'a Shared,
+    log: DecisionLog,
+    waits: Waits,
+}
+
+impl Carrier<'_> {
+    /// Carries one packet. Tells whether there was one.
+    fn carry_one(&mut self, buffer: &mut [u8; packet::MAX_DATAGRAM_LEN]) -> bool {
+        let len = match self.socket.try_recv(&mut buffer[packet::ADDRESSEE_LEN..]) {
+            Ok(len) => len,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+            Err(error) => {
+                // An upstream's machine may have told that nothing listens there. The packet it was about is lost.
+                log::debug!("packets: {error}");
+                return true;
+            }
+        };
+        let end = packet::ADDRESSEE_LEN + len;
+        let Ok(head) = packet::decode(&buffer[packet::ADDRESSEE_LEN..end]) else {
+            metric::malformed().increment(1);
             return true;
+        };
+        match self.decide(&head) {
+            Verdict::Forward {
+                upstream,
+                address,
+                echo,
+            } => {
+                packet::address_to(buffer, upstream, echo);
+                self.send(&buffer[..end], address.into());
+            }
+            Verdict::Reset(reset) => self.send_reset(&reset),
+            Verdict::Drop(_) => {}
         }
-    };
-    let end = packet::ADDRESSEE_LEN + len;
-    let Ok(head) = packet::decode(&buffer[packet::ADDRESSEE_LEN..end]) else {
-        metrics::counter!("jayquay_flow_packets_malformed_total").increment(1);
-        return true;
-    };
-    let now = shared.now();
-    shared.note_packet(now);
-    let (verdict, resets, decisions, basis) = {
-        let mut core = shared.core();
-        let verdict = core.packet(&head, now);
-        let basis = basis(core.knowledge());
-        (verdict, core.take_resets(), core.take_decisions(), basis)
-    };
-    log.tell(&decisions, basis, now);
-    for reset in &resets {
-        send_reset(socket, client_port, reset);
+        true
+    }
+
+    /// Asks the flow path what becomes of a packet, and passes on what else came of it.
+    fn decide(&mut self, head: &Packet) -> Verdict {
+        let now = self.shared.now();
+        self.shared.note_packet(now);
+        let (verdict, resets, decisions, waits, basis) = {
+            let mut core = self.shared.core();
+            let verdict = core.packet(head, now);
+            let basis = basis(core.knowledge());
+            (
+                verdict,
+                core.take_resets(),
+                core.take_decisions(),
+                core.take_waits(),
+                basis,
+            )
+        };
+        self.log.tell(&decisions, basis, now);
+        for wait in waits {
+            self.waits.record(wait);
+        }
+        for reset in &resets {
+            self.send_reset(reset);
+        }
+        verdict
+    }
+
+    /// Ends a flow towards its client.
+    fn send_reset(&self, reset: &Reset) {
+        let bytes = packet::encode_reset(reset);
+        let client = SocketAddr::new((*reset.client.ip()).into(), self.client_port);
+        self.send(&bytes, client);
     }
-    match verdict {
-        Verdict::Forward {
-            upstream,
-            address,
-            echo,
-        } => {
-            packet::address_to(buffer, upstream, echo);
-            send(socket, &buffer[..end], address.into());
+
+    /// Sends a datagram. One that the system does not take is lost like any other, and sent again by its end.
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        if let Err(error) = self.socket.try_send_to(bytes, to) {
+            metric::unsent().increment(1);
+            log::debug!("packets: not sent to {to}: {error}");
         }
-        Verdict::Reset(reset) => send_reset(socket, client_port, &reset),
-        Verdict::Drop(_) => {}
     }
-    true
 }
 
 /// What is in force.
@@ -86,21 +134,3 @@
         upstreams_at: knowledge.upstreams_at(),
     }
 }
-
-/// Ends a flow towards its client.
-fn send_reset(socket: &UdpSocket, client_port: u16, reset: &Reset) {
-    let bytes = packet::encode_reset(reset);
-    send(
-        socket,
-        &bytes,
-        SocketAddr::new((*reset.client.ip()).into(), client_port),
-    );
-}
-
-/// Sends a datagram. One that the system does not take is lost like any other, and sent again by its end.
-fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
-    if let Err(error) = socket.try_send_to(bytes, to) {
-        metrics::counter!("jayquay_flow_packets_unsent_total").increment(1);
-        log::debug!("packets: not sent to {to}: {error}");
-    }
-}
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -8,6 +8,7 @@
 use reqwest::Method;
 use reqwest::StatusCode;
 
+use super::metric;
 use super::relay;
 use super::relay::Since;
 use super::shared::Shared;
@@ -16,8 +17,8 @@
 /// of a second on a link of 10 Mbit/s.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Asks one instance, and takes in what it tells. Tells whether it answered.
-pub(crate) async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) -> bool {
+/// Asks one instance, and takes in what it tells.
+pub(crate) async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) {
     let since = held(shared);
     let path = format!(
         "{}?document_at={}&upstreams_at={}",
@@ -30,20 +31,21 @@
         Ok(response) if response.status() == StatusCode::OK => response,
         Ok(response) => {
             log::debug!("peers: {from} answers {}", response.status());
-            return false;
+            return;
         }
         Err(error) => {
             log::info!("peers: no answer from={from} error=\"{}\"", transport::describe(&error));
-            return false;
+            return;
         }
     };
     let Ok(body) = transport::body(response, relay::MAX_CHANGE_LEN).await else {
-        return false;
+        log::debug!("peers: an answer broke off from={from}");
+        return;
     };
     let Some(change) = relay::decode(&body.bytes) else {
-        metrics::counter!("jayquay_changes_malformed_total").increment(1);
+        metric::changes_malformed().increment(1);
         log::warn!("peers: unreadable change from={from}");
-        return false;
+        return;
     };
     let now = shared.now();
     if shared.learn(|knowledge| knowledge.take(change, now)) {
@@ -54,7 +56,6 @@
         } = held;
         log::info!("peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at}");
     }
-    true
 }
 
 fn held(shared: &Shared) -> Since {
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -57,6 +57,11 @@
 
     /// A call was answered.
     fn answered(&mut self) {
+        self.note_answer();
+        self.backoff = Backoff::new();
+    }
+
+    fn note_answer(&mut self) {
         if let Some(lost) = self.lost.take() {
             log::info!(
                 "store: regained what={} after_ms={}",
@@ -64,17 +69,29 @@
                 lost.elapsed().as_millis()
             );
         }
-        self.backoff = Backoff::new();
     }
 
-    /// A call failed. Waits until the next one may be made.
+    /// A call brought nothing. Waits until the next one may be made.
     async fn failed(&mut self, error: &Error) {
+        match error {
+            Error::HistoryGone => self.note_gone(),
+            Error::Unreachable(_) | Error::Refused(_) | Error::Malformed(_) | Error::TooLong => self.note_lost(error),
+        }
+        tokio::time::sleep(self.backoff.next()).await;
+    }
+
+    /// The store answers, but no longer knows what has changed since the revision that was asked from.
+    fn note_gone(&mut self) {
+        self.note_answer();
+        log::info!("store: history gone what={}", self.what);
+    }
+
+    fn note_lost(&mut self, error: &Error) {
         if self.lost.is_none() {
             self.lost = Some(Instant::now());
             log::warn!("store: lost what={} error=\"{error}\"", self.what);
         }
         log::debug!("store: failed what={} error=\"{error}\"", self.what);
-        tokio::time::sleep(self.backoff.next()).await;
     }
 }
 
@@ -116,7 +133,7 @@
 
 /// This instance's part in watching the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Duty {
+pub(crate) enum Duty {
     /// It is its zone's first watcher, or it holds too little to serve.
     First,
     /// It is its zone's second watcher.
@@ -125,7 +142,7 @@
 
 impl Duty {
     /// `None` while others watch for this instance.
-    fn of(shared: &Shared) -> Option<Self> {
+    pub(crate) fn of(shared: &Shared) -> Option<Self> {
         if !shared.core().knowledge().is_ready() {
             return Some(Self::First);
         }
--- a/crates/jayquayd/src/main.rs
+++ b/crates/jayquayd/src/main.rs
@@ -234,6 +234,8 @@
 fn install_recorder() -> Result<PrometheusHandle, RunError> {
     let handle = PrometheusBuilder::new().set_buckets(SECONDS)?.install_recorder()?;
     metric::describe();
+    forward::metric::describe();
+    adapter::metric::describe();
     let kept = handle.clone();
     tokio::spawn(async move {
         let mut upkeep = tokio::time::interval(UPKEEP_TIME);
--- a/crates/jayquayd/src/metric.rs
+++ b/crates/jayquayd/src/metric.rs
@@ -7,13 +7,14 @@
 use metrics::Histogram;
 use metrics::Unit;
 
-macro_rules! metrics {
+/// Makes a function for each metric, `describe` over all of them, and `NAMES`.
+macro_rules! table {
     ($($(#[$doc:meta])* $kind:ident $function:ident($($label:ident)?) $name:literal $unit:ident $help:literal;)*) => {
-        $(metrics!(@$kind $(#[$doc])* $function($($label)?) $name);)*
+        $(table!(@$kind $(#[$doc])* $function($($label)?) $name);)*
 
         /// Describes every metric to the recorder that is installed.
         pub fn describe() {
-            $(metrics!(@describe $kind $name $unit $help);)*
+            $(table!(@describe $kind $name $unit $help);)*
         }
 
         /// The names of all metrics, without suffixes that an exporter adds.
@@ -49,6 +50,12 @@
             metrics::histogram!($name)
         }
     };
+    (@histogram $(#[$doc:meta])* $function:ident($label:ident) $name:literal) => {
+        $(#[$doc])*
+        pub fn $function($label: &'static str) -> Histogram {
+            metrics::histogram!($name, stringify!($label) => $label)
+        }
+    };
     (@describe counter $name:literal $unit:ident $help:literal) => {
         metrics::describe_counter!($name, Unit::$unit, $help);
     };
@@ -60,7 +67,9 @@
     };
 }
 
-metrics! {
+pub(crate) use table;
+
+table! {
     /// Datagrams that came from callers.
     counter datagrams_received() "jayquay_datagrams_received_total" Count "Datagrams that came from callers.";
     /// Datagrams that were dropped unread.
--- /dev/null
+++ b/crates/jayquayd/tests/flows/explain.rs
@@ -0,0 +1,87 @@
+//! What an instance in flow mode tells those who have to explain it: its metrics and its log.
+
+use std::net::SocketAddrV4;
+
+use adapter_standin::Fault;
+use adapter_standin::Seen;
+use flow::UpstreamId;
+
+use crate::world::ROUTE;
+use crate::world::World;
+use crate::world::answer;
+use crate::world::until;
+use crate::world::until_open;
+
+/// The value of one line of metrics.
+fn value(metrics: &str, line: &str) -> Option<f64> {
+    let of_line = |text: &str| text.strip_prefix(line)?.strip_prefix(' ')?.parse().ok();
+    metrics.lines().find_map(of_line)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_waits_by_zone_what_is_in_force_and_who_watches() {
+    let world = World::new().await;
+    let other = SocketAddrV4::new(*ROUTE.ip(), 444);
+    world.store.put_document(7, &[(ROUTE, "search"), (other, "photos")]);
+    let _near = world.upstream(0x81, "near", "search").await;
+    let far = world.upstream(0x82, "far", "photos").await;
+    world
+        .store
+        .put_upstream(UpstreamId(0x82), "photos", far.address(), "zone-b", "ready");
+    let entry = world.start_ready(1).await;
+    let mut client = world.client(1).await;
+    for route in [ROUTE, other, other] {
+        until_open(&mut client, route, entry.packets(), &Seen::Opened).await;
+    }
+    assert_eq!(client.ask(b"a", entry.packets()).await.unwrap(), answer("far: a"));
+    let waited = "jayquay_flow_response_seconds_count{zone=\"other\"}";
+    let mut metrics = String::new();
+    for _ in 0..crate::world::TRIES {
+        metrics = world.metrics(1).await;
+        if value(&metrics, waited).is_some() {
+            break;
+        }
+        tokio::time::sleep(crate::world::PAUSE).await;
+    }
+    for (line, expected) in [
+        (waited, 1.0),
+        ("jayquay_flow_handshake_seconds_count{zone=\"own\"}", 1.0),
+        ("jayquay_flow_handshake_seconds_count{zone=\"other\"}", 2.0),
+        ("jayquay_flow_document_revision", 7.0),
+        ("jayquay_flow_upstreams{state=\"listed\"}", 2.0),
+        ("jayquay_flow_members{state=\"alive\"}", 1.0),
+        ("jayquay_flow_watches", 1.0),
+        ("jayquay_flows_remembered", 3.0),
+    ] {
+        assert_eq!(value(&metrics, line), Some(expected), "{line} in {metrics}");
+    }
+    for line in [
+        "jayquay_flow_burst_seconds_count",
+        "jayquay_store_read_seconds_count",
+        "jayquay_store_calls_total{result=\"ok\"}",
+    ] {
+        assert!(
+            value(&metrics, line).is_some_and(|count| count >= 1.0),
+            "{line} in {metrics}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_history_that_is_gone_is_not_logged_as_a_lost_store() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _upstream = world.upstream(0x91, "one", "search").await;
+    let entry = world.start_ready(1).await;
+    let mut client = world.client(1).await;
+    until_open(&mut client, ROUTE, entry.packets(), &Seen::Opened).await;
+    // Both watches wait at a revision. The next one that is asked finds its history gone.
+    world.store.put_document(2, &[]);
+    world.store.compact();
+    until("the log tells of it", || world.log(1).contains("store: history gone")).await;
+    until_open(&mut client, ROUTE, entry.packets(), &Seen::Reset).await;
+    let log = world.log(1);
+    assert!(!log.contains("store: lost"), "{log}");
+    world.store.set_fault(Fault::Busy);
+    until("the log tells of the loss", || world.log(1).contains("store: lost")).await;
+}
--- /dev/null
+++ b/crates/jayquayd/tests/flows/world.rs
@@ -0,0 +1,201 @@
+//! A system of real processes on a part of the loopback network: instances, the store, upstreams and clients.
+
+use std::fs;
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter_standin::Client;
+use adapter_standin::Seen;
+use adapter_standin::Store;
+use adapter_standin::Upstream;
+use flow::UpstreamId;
+
+/// How often something is looked for, and how often at most. Tests fail by this only if it never comes.
+pub(crate) const PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const TRIES: u32 = 400;
+
+/// The route that clients dial.
+pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Gives each test a part of the loopback network of its own, so that all its processes can use the same ports.
+static NEXT_NET: AtomicU8 = AtomicU8::new(1);
+
+/// A system on a part of the loopback network.
+pub(crate) struct World {
+    net: u8,
+    /// Where packets are taken, on every host.
+    pub(crate) packets: u16,
+    ready: u16,
+    peers: u16,
+    pub(crate) store: Store,
+}
+
+/// An instance. Dropping it kills it.
+pub(crate) struct Instance {
+    pub(crate) child: Child,
+    ip: Ipv4Addr,
+    world: (u16, u16),
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl Instance {
+    pub(crate) fn packets(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.world.0))
+    }
+
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let url = SocketAddr::from((self.ip, self.world.1));
+        let Ok(mut stream) = std::net::TcpStream::connect_timeout(&url, PAUSE) else {
+            return false;
+        };
+        let mut answer = [0; 12];
+        let request = format!("GET {} HTTP/1.1\r\nHost: a\r\n\r\n", adapter::ready::PATH);
+        let asked = std::io::Write::write_all(&mut stream, request.as_bytes());
+        asked.is_ok() && std::io::Read::read_exact(&mut stream, &mut answer).is_ok() && answer.ends_with(b"200")
+    }
+}
+
+/// A port that is free on this part of the network.
+fn free_port(net: u8) -> u16 {
+    let socket = UdpSocket::bind((Ipv4Addr::new(127, net, 0, 1), 0)).unwrap();
+    socket.local_addr().unwrap().port()
+}
+
+impl World {
+    pub(crate) async fn new() -> Self {
+        let net = 64 + NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        Self {
+            net,
+            packets: free_port(net),
+            ready: free_port(net),
+            peers: free_port(net),
+            store: Store::start().await.unwrap(),
+        }
+    }
+
+    pub(crate) fn ip(&self, group: u8, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, group, number)
+    }
+
+    /// The settings of an instance that is told to ask the first one.
+    pub(crate) fn settings(&self, number: u8, store: &Store) -> String {
+        let ip = self.ip(1, number);
+        format!(
+            "name: entry-{number}\nzone: zone-a\nlisten: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n\
+             store: \"{}\"\nseeds: [\"{}:1\"]\ngrace_s: 6\nmax_flow_s: 60\nunknown: true\n",
+            self.packets,
+            self.ready,
+            self.peers,
+            store.address(),
+            self.ip(1, 1),
+        )
+    }
+
+    pub(crate) fn path(&self, number: u8) -> PathBuf {
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("flows-{}-{number}.yaml", self.net))
+    }
+
+    fn log_path(&self, number: u8) -> PathBuf {
+        self.path(number).with_extension("log")
+    }
+
+    /// What an instance has logged since its start.
+    pub(crate) fn log(&self, number: u8) -> String {
+        fs::read_to_string(self.log_path(number)).unwrap()
+    }
+
+    /// An instance's metrics, as text.
+    pub(crate) async fn metrics(&self, number: u8) -> String {
+        let url = format!("http://{}:{}/metrics", self.ip(1, number), self.peers);
+        let answer = reqwest::get(url).await.unwrap();
+        assert!(answer.status().is_success());
+        answer.text().await.unwrap()
+    }
+
+    pub(crate) fn start(&self, number: u8) -> Instance {
+        let ip = self.ip(1, number);
+        let path = self.path(number);
+        fs::write(&path, self.settings(number, &self.store)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_jayquayd"))
+            .args(["--flows", "--settings"])
+            .arg(&path)
+            .stdout(File::create(self.log_path(number)).unwrap())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let world = (self.packets, self.ready);
+        Instance { child, ip, world }
+    }
+
+    pub(crate) async fn start_ready(&self, number: u8) -> Instance {
+        let instance = self.start(number);
+        until("the instance is ready", || instance.is_ready()).await;
+        instance
+    }
+
+    pub(crate) async fn client(&self, number: u8) -> Client {
+        let own = SocketAddrV4::new(self.ip(2, number), 40_000);
+        Client::new(own, self.packets).await.unwrap()
+    }
+
+    /// Starts an upstream and lists it.
+    pub(crate) async fn upstream(&self, id: u64, name: &str, service: &str) -> Upstream {
+        let address = SocketAddrV4::new(self.ip(3, 1), 0);
+        self.upstream_at(id, name, service, address).await
+    }
+
+    pub(crate) async fn upstream_at(&self, id: u64, name: &str, service: &str, address: SocketAddrV4) -> Upstream {
+        let id = UpstreamId(id);
+        let upstream = Upstream::start(id, name, address, self.packets).await.unwrap();
+        self.store
+            .put_upstream(id, service, upstream.address(), "zone-a", "ready");
+        upstream
+    }
+}
+
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..TRIES {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never: {what}");
+}
+
+/// Opens flows until one ends as expected. What was written to the store takes a moment to be known.
+pub(crate) async fn until_open(client: &mut Client, route: SocketAddrV4, through: SocketAddr, expected: &Seen) {
+    for _ in 0..TRIES {
+        if client.open(route, through).await.unwrap() == *expected {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never: {expected:?}");
+}
+
+pub(crate) fn answer(text: &str) -> Seen {
+    Seen::Answer(text.as_bytes().to_vec())
+}
--- a/crates/jayquayd/tests/metrics.rs
+++ b/crates/jayquayd/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use jayquayd::forward;
 use jayquayd::metric;
 use metrics_exporter_prometheus::PrometheusBuilder;
 
@@ -12,7 +13,8 @@
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
     let documented: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
     let unique: BTreeSet<&str> = documented.iter().copied().collect();
-    let known: BTreeSet<&str> = metric::NAMES.iter().copied().collect();
+    let parts = [metric::NAMES, forward::metric::NAMES, &adapter::metric::NAMES];
+    let known: BTreeSet<&str> = parts.into_iter().flatten().copied().collect();
     assert_eq!(unique, known);
     assert_eq!(documented.len(), unique.len());
 }
