Soak the ways between instances, and let one instance a zone watch the store where three zones can tell each other

Ways between instances. Cause: the soak cut only the way to the store. Change: each instance has a proxy (UDP and TCP) whose address it gives to the others by the new setting listen.advertised; the ways are cut one way, between zones, slowed, made to lose every second datagram, reset. They are drawn by themselves, so a seed's other faults stay as they were (--no-cuts).

Ruled out: dropping it everywhere, since a zone that is alone, or one of two, would learn late when its watcher fails. Change: from three zones on one watches a zone; the others' watchers tell it. Test: tests/flows/watchers.rs failed first ('never [1, 1, 1] but [2, 2, 2]').

--- a/crates/jayquay/src/soak.rs
+++ b/crates/jayquay/src/soak.rs
@@ -14,8 +14,8 @@
 /// What the help text tells before the options.
 pub const HEADER: &str = "\
 Starts entry instances in flow mode as processes, a store, upstreams and clients, all on loopback, and brings about \
-faults drawn from the seed: signals to the processes, a failing way to the store, upstreams that crash or leave, \
-documents in series. Exit code 0 tells that no promise was broken. Settings and logs of the processes are kept.";
+faults drawn from the seed: signals to the processes, failing ways to the store and between instances, upstreams that \
+crash or leave, documents in series. Exit code 0 tells that no promise was broken. Settings and logs of the processes are kept.";
 
 /// What the help text tells after the options.
 pub const EXAMPLES: &str = "Example: jayquay soak --seed 7 --seeds 50 --seconds 10";
@@ -47,6 +47,8 @@
     /// Clients of each of two services
     #[bpaf(argument("COUNT"), fallback(12), display_fallback, guard(|count| *count <= 100, "at most 100"))]
     clients: usize,
+    /// Leave the ways between instances alone, as the seeds up to 500 were first run
+    no_cuts: bool,
     /// The daemon; without this, the one beside this program
     #[bpaf(argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -84,6 +86,7 @@
             seed,
             length: Duration::from_secs(args.seconds),
             instances: args.instances.max(1),
+            cuts: !args.no_cuts,
             clients: args.clients,
             binary: binary.clone(),
             folder: args.logs.join(format!("seed-{seed}")),
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -97,7 +97,7 @@
     socket: Arc<UdpSocket>,
     shared: Shared,
     settings: watch::Receiver<Settings>,
-    /// The port at which every instance listens for others.
+    /// The port at which every instance is reached by others.
     port: u16,
     pulls: mpsc::Sender<Newer>,
 }
@@ -221,7 +221,7 @@
     }
 
     /// Takes in another instance's reports, and tells it what is known better here.
-    fn hear(&self, from: &InstanceName, reports: &[Report], address: SocketAddr) {
+    fn hear(&self, from: &InstanceName, reports: &[Report], source: SocketAddr) {
         let hash = blake3::hash(from.as_str().as_bytes());
         let id = hash.as_bytes().first_chunk().copied().unwrap_or_default();
         let now = self.shared.now();
@@ -229,9 +229,12 @@
             .shared
             .core()
             .hear(ReporterId(u64::from_be_bytes(id)), reports, now);
-        if !answers.is_empty() {
-            self.send(address, Body::Reports(answers));
+        if answers.is_empty() {
+            return;
         }
+        // Where the datagram came from may be a port mapping or a proxy, which takes nothing back.
+        let advertised = self.shared.members().member(from).map(|member| member.address);
+        self.send(advertised.unwrap_or(source), Body::Reports(answers));
     }
 
     /// Tells some of the zone's instances which upstreams flows wait for in vain, and as many elsewhere: whoever has
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -75,7 +75,7 @@
         bind_udp(listen.peers).await?,
         shared.clone(),
         current.clone(),
-        listen.peers.port(),
+        listen.advertised.port(),
     );
     tokio::spawn(store::run(current.clone(), shared.clone()));
     tokio::spawn(http::serve_ready(ready, shared.clone()));
@@ -111,7 +111,7 @@
         name: settings.name.clone(),
         incarnation: clock.incarnation(),
         zone: settings.zone.clone(),
-        address: settings.listen.peers,
+        address: settings.listen.advertised,
         state: MemberState::Alive,
         refutation: 0,
     };
--- a/crates/jayquayd/src/forward/settings.rs
+++ b/crates/jayquayd/src/forward/settings.rs
@@ -31,6 +31,8 @@
     packets: SocketAddr,
     ready: SocketAddr,
     peers: SocketAddr,
+    /// Where others reach `peers`, if that is another address.
+    advertised: Option<SocketAddr>,
 }
 
 /// Where an instance listens.
@@ -42,6 +44,8 @@
     pub ready: SocketAddr,
     /// For other instances, over UDP and HTTP, and for metrics.
     pub peers: SocketAddr,
+    /// Where others reach that one. It differs from it behind a port mapping or a proxy.
+    pub advertised: SocketAddr,
 }
 
 /// The checked settings of a process in flow mode.
@@ -66,7 +70,7 @@
 impl Settings {
     /// Whether others are told to ask this instance at their start.
     pub fn is_seed(&self) -> bool {
-        self.seeds.contains(&self.listen.peers.ip())
+        self.seeds.contains(&self.listen.advertised.ip())
     }
 }
 
@@ -107,6 +111,7 @@
                 packets: raw.listen.packets,
                 ready: raw.listen.ready,
                 peers: raw.listen.peers,
+                advertised: raw.listen.advertised.unwrap_or(raw.listen.peers),
             },
             store: raw.store,
             seeds: raw.seeds.iter().map(SocketAddr::ip).collect(),
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -19,6 +19,9 @@
 /// out within a second or two, and the others hear of the news from it.
 const SHORTEST_WAIT: Duration = Duration::from_secs(4);
 const LONGEST_WAIT: Duration = Duration::from_secs(8);
+/// From how many availability zones on each has one watcher. What it misses while it fails, the others' watchers tell its
+/// zone a fifth of a second later; a second one there took a quarter of all calls to the store.
+const ENOUGH_ZONES: usize = 3;
 /// How long changes are gathered before the next call asks for more, so that a series of them costs few calls.
 const GATHER: Duration = Duration::from_millis(700);
 /// How long a zone's second watcher gathers changes. It is there for the moment in which the first one fails, and what
@@ -150,8 +153,8 @@
         let own = &members.me().name;
         match members.watchers().position(|member| member.name == *own) {
             Some(0) => Some(Self::First),
-            Some(_) => Some(Self::Second),
-            None => None,
+            Some(_) if members.zone_count() < ENOUGH_ZONES => Some(Self::Second),
+            Some(_) | None => None,
         }
     }
 
--- /dev/null
+++ b/crates/jayquayd/tests/flows/watchers.rs
@@ -0,0 +1,47 @@
+//! Which instances watch the store.
+
+use crate::world::Instance;
+use crate::world::PAUSE;
+use crate::world::ROUTE;
+use crate::world::TRIES;
+use crate::world::World;
+use crate::world::until;
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// Waits until so many instances of each zone watch the store, where a zone has the numbers `3 * n + zone + 1`.
+async fn until_watched(world: &World, living: &[u8], expected: &[usize]) {
+    let mut seen = Vec::new();
+    for _ in 0..TRIES {
+        seen = vec![0; expected.len()];
+        for number in living {
+            let metrics = world.metrics(*number).await;
+            let watches = metrics.lines().any(|line| line == "jayquay_flow_watches 1");
+            seen[usize::from((number - 1) % 3)] += usize::from(watches);
+        }
+        if seen == expected {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never {expected:?} but {seen:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_instance_a_zone_watches_while_others_zones_can_tell_and_two_otherwise() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let start = |number: u8| world.start_in(ZONES[usize::from((number - 1) % 3)], number);
+    let mut instances: Vec<Instance> = (1..=9).map(start).collect();
+    for instance in &instances {
+        until("all are ready", || instance.is_ready()).await;
+    }
+    until_watched(&world, &[1, 2, 3, 4, 5, 6, 7, 8, 9], &[1, 1, 1]).await;
+    // The second and the third zone go: nobody else could tell the first what its watcher misses.
+    let mut number = 0;
+    instances.retain(|_| {
+        number += 1;
+        number % 3 == 1
+    });
+    until_watched(&world, &[1, 4, 7], &[2, 0, 0]).await;
+}
--- a/crates/jayquayd/tests/flows/world.rs
+++ b/crates/jayquayd/tests/flows/world.rs
@@ -99,11 +99,15 @@
         Ipv4Addr::new(127, self.net, group, number)
     }
 
-    /// The settings of an instance that is told to ask the first one.
+    /// The settings of an instance of the first zone that is told to ask the first instance.
     pub(crate) fn settings(&self, number: u8, store: &Store) -> String {
+        self.settings_in("zone-a", number, store)
+    }
+
+    fn settings_in(&self, zone: &str, number: u8, store: &Store) -> String {
         let ip = self.ip(1, number);
         format!(
-            "name: entry-{number}\nzone: zone-a\nlisten: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n\
+            "name: entry-{number}\nzone: {zone}\nlisten: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n\
              store: \"{}\"\nseeds: [\"{}:1\"]\ngrace_s: 6\nmax_flow_s: 60\nunknown: true\n",
             self.packets,
             self.ready,
@@ -135,9 +139,13 @@
     }
 
     pub(crate) fn start(&self, number: u8) -> Instance {
+        self.start_in("zone-a", number)
+    }
+
+    pub(crate) fn start_in(&self, zone: &str, number: u8) -> Instance {
         let ip = self.ip(1, number);
         let path = self.path(number);
-        fs::write(&path, self.settings(number, &self.store)).unwrap();
+        fs::write(&path, self.settings_in(zone, number, &self.store)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_jayquayd"))
             .args(["--flows", "--settings"])
             .arg(&path)
--- a/crates/jayquayd/tests/soak.rs
+++ b/crates/jayquayd/tests/soak.rs
@@ -11,20 +11,37 @@
     seconds: u64,
     instances: usize,
     clients: usize,
+    cuts: bool,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 6] = [
     Case {
         seed: 1,
         seconds: 6,
         instances: 2,
         clients: 6,
+        cuts: false,
     },
     Case {
         seed: 2,
         seconds: 6,
         instances: 2,
         clients: 6,
+        cuts: false,
+    },
+    Case {
+        seed: 3,
+        seconds: 6,
+        instances: 2,
+        clients: 6,
+        cuts: true,
+    },
+    Case {
+        seed: 4,
+        seconds: 6,
+        instances: 3,
+        clients: 6,
+        cuts: true,
     },
     // All instances are killed twice while the store refuses: opening packets that had waited together in the sockets of
     // two instances were taken for upstreams that do not answer, and open flows were reset.
@@ -33,6 +50,7 @@
         seconds: 8,
         instances: 3,
         clients: 12,
+        cuts: false,
     },
     // The same at an instance that was paused for three seconds right after all had been killed.
     Case {
@@ -40,6 +58,7 @@
         seconds: 8,
         instances: 3,
         clients: 12,
+        cuts: false,
     },
 ];
 
@@ -50,6 +69,7 @@
         length: Duration::from_secs(case.seconds),
         instances: case.instances,
         clients: case.clients,
+        cuts: case.cuts,
         binary: PathBuf::from(env!("CARGO_BIN_EXE_jayquayd")),
         folder,
     }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::iter;
 
 use units::Incarnation;
@@ -87,6 +88,12 @@
         ranked.into_iter().take(WATCHERS).map(|(_, member)| member)
     }
 
+    /// In how many availability zones there are members that are not dead.
+    pub fn zone_count(&self) -> usize {
+        let zones: BTreeSet<&ZoneName> = self.members().map(|member| &member.zone).collect();
+        zones.len()
+    }
+
     /// Whether this instance watches the platform.
     pub fn is_watcher(&self) -> bool {
         self.watchers().any(|member| member.name == self.me.name)
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -25,7 +25,7 @@
 /// How long an instance may take to say whether it is ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The ports at which every instance listens, each at its own address.
+/// The ports at which every instance listens, each at its own addresses.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Ports {
     pub(crate) packets: u16,
@@ -33,6 +33,15 @@
     pub(crate) peers: u16,
 }
 
+/// Where an instance is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    /// Where it listens.
+    pub(crate) ip: Ipv4Addr,
+    /// Where others reach it: its proxy, or itself.
+    pub(crate) advertised: Ipv4Addr,
+}
+
 /// What the soak did to an instance, so that its end can be judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Told {
@@ -45,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct Instance {
     name: String,
-    ip: Ipv4Addr,
+    place: Place,
     ports: Ports,
     binary: PathBuf,
     settings: PathBuf,
@@ -64,25 +73,26 @@
         binary: &Path,
         folder: &Path,
         (name, zone): (&str, &str),
-        (ip, ports): (Ipv4Addr, Ports),
+        (place, ports): (Place, Ports),
         (store, seed): (SocketAddr, Ipv4Addr),
     ) -> io::Result<Self> {
         let settings = folder.join(format!("{name}.yaml"));
         let log = folder.join(format!("{name}.log"));
+        let Place { ip, advertised } = place;
         let text = format!(
             "name: {name}\nzone: {zone}\nstore: \"{store}\"\nseeds: [\"{seed}:1\"]\ngrace_s: {}\nmax_flow_s: 60\n\
-             listen: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{}\"}}\n",
+             listen: {{packets: \"{ip}:{}\", ready: \"{ip}:{}\", peers: \"{ip}:{peers}\", advertised: \"{advertised}:{peers}\"}}\n",
             GRACE.as_secs(),
             ports.packets,
             ports.ready,
-            ports.peers
+            peers = ports.peers,
         );
         fs::write(&settings, text)?;
         File::create(&log)?;
         let child = spawn(binary, &settings, &log)?;
         Ok(Self {
             name: name.to_owned(),
-            ip,
+            place,
             ports,
             binary: binary.to_owned(),
             settings,
@@ -99,11 +109,11 @@
     }
 
     pub(crate) fn packets(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, self.ports.packets))
+        SocketAddr::from((self.place.ip, self.ports.packets))
     }
 
     pub(crate) fn ready(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, self.ports.ready))
+        SocketAddr::from((self.place.ip, self.ports.ready))
     }
 
     /// Sends a signal to the process, which was started here and has not been reaped.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -21,6 +21,8 @@
     KillAll,
     /// The way between an instance and the store fails for a while.
     Way(usize, Way, Duration),
+    /// Ways between instances fail for a while.
+    Cut(Cut, Duration),
     /// The store itself fails for a while.
     Store(Refusal, Duration),
     /// The store forgets its history.
@@ -49,6 +51,23 @@
     Reset,
 }
 
+/// How ways between instances fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Nothing from others reaches an instance, while what it sends arrives.
+    Inbound(usize),
+    /// Nothing of an instance reaches others, while what they send arrives.
+    Outbound(usize),
+    /// Nothing passes between availability zones.
+    Zones,
+    /// What is sent to an instance arrives late.
+    Slow(usize),
+    /// Every second datagram to an instance is lost.
+    Lossy(usize),
+    /// Connections to an instance are reset.
+    Reset(usize),
+}
+
 /// How the store refuses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -82,6 +101,21 @@
         }
         Self { faults }
     }
+
+    /// Adds failing ways between instances, one about every other second. They are drawn by themselves, so that the other
+    /// faults of a seed stay what they are.
+    #[must_use]
+    pub fn with_cuts(mut self, seed: u64, length: Duration, instances: usize) -> Self {
+        let mut rng = StdRng::seed_from_u64(!seed);
+        let mut at = Duration::from_millis(700);
+        while at < length {
+            let span = rng.random_range(Duration::from_millis(200)..LONGEST);
+            self.faults.push((at, Fault::Cut(cut(&mut rng, instances), span)));
+            at += Duration::from_millis(rng.random_range(500..3_000));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+        self
+    }
 }
 
 fn fault(rng: &mut StdRng, instances: usize, upstreams: usize) -> Fault {
@@ -112,6 +146,18 @@
     }
 }
 
+fn cut(rng: &mut StdRng, instances: usize) -> Cut {
+    let instance = rng.random_range(0..instances);
+    match rng.random_range(0..7) {
+        0 => Cut::Inbound(instance),
+        1 => Cut::Outbound(instance),
+        2 | 3 => Cut::Zones,
+        4 => Cut::Slow(instance),
+        5 => Cut::Lossy(instance),
+        _ => Cut::Reset(instance),
+    }
+}
+
 fn refusal(rng: &mut StdRng) -> Refusal {
     match rng.random_range(0..3) {
         0 => Refusal::Busy,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy on the way between an instance and the store.
+//! A loopback proxy for connections: on the way to the store, or to another instance.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 use crate::plan::Way;
 
 /// How late what is sent arrives on a slow way.
-const DELAY: Duration = Duration::from_millis(300);
+pub(crate) const DELAY: Duration = Duration::from_millis(300);
 
 /// A proxy. Dropping it ends all its connections.
 #[derive(Debug)]
@@ -26,8 +26,9 @@
 }
 
 impl Proxy {
-    pub(crate) async fn start(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    /// Listens at an address, and passes on what comes to `to`.
+    pub(crate) async fn start(at: SocketAddr, to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
         let address = listener.local_addr()?;
         let (way, current) = watch::channel(Way::Open);
         let task = tokio::spawn(accept(listener, to, current));
