Have the system probe connections that wait for an answer, each second

Cause: a watch whose connection goes silent for good was missed only when its wait was over, up to 9 s later. Ruled out: shorter waits, as each call is paid for; the watcher's number, which changes little here. Change: keep-alive probes after 1 s, each second, two of them; sent data unacknowledged for 3 s ends a connection too. Test: crates/platform/tests/keepalive.rs reads the system's timer; before, it was due in 15 s.

--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -15,6 +15,15 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a connection may be idle before the system asks the other end whether it is there, and the pause between two
+/// such questions. A connection that has gone silent for good shows by them after three to four seconds, where an answer
+/// that the service holds back would be missed only when its time is up. Each costs about 100 bytes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// How many of them go unanswered before a connection is given up.
+const KEEPALIVE_TRIES: u32 = 2;
+/// How long sent data may stay unacknowledged before a connection is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
 /// Makes HTTP calls. Clones share connections.
 #[derive(Debug, Clone)]
 pub struct Transport {
@@ -34,6 +43,10 @@
             .referer(false)
             .http1_only()
             .connect_timeout(CONNECT_TIMEOUT.min(timeout))
+            .tcp_keepalive(KEEPALIVE)
+            .tcp_keepalive_interval(KEEPALIVE)
+            .tcp_keepalive_retries(KEEPALIVE_TRIES)
+            .tcp_user_timeout(UNACKNOWLEDGED)
             .build()
             .expect("a client without TLS, proxies and resolvers needs nothing from the system");
         Self { http, timeout }
--- /dev/null
+++ b/crates/platform/tests/keepalive.rs
@@ -0,0 +1,47 @@
+//! Connections on which an answer is awaited are looked after by the system, so that one that has gone silent is found out.
+
+use std::fs;
+use std::time::Duration;
+
+use platform::transport::Transport;
+use reqwest::Method;
+use tokio::net::TcpListener;
+
+/// How long the service would hold its answer back.
+const WAIT: Duration = Duration::from_secs(30);
+/// The word for a running keep-alive timer in the system's table of connections.
+const KEEPALIVE_TIMER: &str = "02";
+
+/// The timer of the connection to a local port, with the hundredths of a second until it is due.
+fn timer_to(port: u16) -> Option<(String, u64)> {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote = format!("0100007F:{port:04X}");
+    let line = table
+        .lines()
+        .find(|line| line.split_whitespace().nth(2) == Some(&remote))?;
+    let (timer, due) = line.split_whitespace().nth(5)?.split_once(':')?;
+    Some((timer.to_owned(), u64::from_str_radix(due, 16).unwrap()))
+}
+
+#[tokio::test]
+async fn a_connection_that_waits_for_an_answer_is_probed_within_a_second() {
+    let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = service.local_addr().unwrap();
+    let transport = Transport::new(WAIT);
+    let call = tokio::spawn(transport.request(Method::GET, address, "/", WAIT).send());
+    let (held, _) = service.accept().await.unwrap();
+    held.readable().await.unwrap();
+    // The request must be acknowledged first: until then another timer runs.
+    let mut seen = None;
+    for _ in 0..100 {
+        seen = timer_to(address.port());
+        if seen.as_ref().is_some_and(|(timer, _)| timer == KEEPALIVE_TIMER) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let (timer, due) = seen.expect("the connection is listed");
+    assert_eq!(timer, KEEPALIVE_TIMER);
+    assert!(due <= 100, "due in {due} hundredths of a second");
+    call.abort();
+}
