Ask other instances on a new connection each time

Ruled out: a shorter time limit, as thousands of upstreams take a third of a second on a small link. Change: connections to other instances are not kept. A question costs a round trip more. Test: crates/platform/tests/silence.rs, which failed first on a transport that keeps them ('TimedOut').

--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -347,7 +347,7 @@
 
 /// Asks others for their knowledge, one after the other, and only while they still know more.
 async fn ask(mut wanted: mpsc::Receiver<Newer>, again: mpsc::Sender<Newer>, shared: Shared) {
-    let transport = Transport::new(pull::TIMEOUT);
+    let transport = Transport::without_reuse(pull::TIMEOUT);
     let mut put_off = None;
     while let Some(newer) = wanted.recv().await {
         // Several instances tell of the same news, and the first one asked has it.
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use reqwest::Client;
+use reqwest::ClientBuilder;
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use reqwest::Response;
@@ -32,11 +33,22 @@
 }
 
 impl Transport {
-    /// Calls that may take `timeout` each, on top of the time that the service is asked to wait.
-    ///
-    /// A connection that is silent for good shows only by this limit, and is not used again after it.
+    /// Calls that may take `timeout` each, on top of the time that the service is asked to wait. Connections are kept for
+    /// further calls.
     pub fn new(timeout: Duration) -> Self {
-        let http = Client::builder()
+        Self::build(timeout, Client::builder())
+    }
+
+    /// The same with a new connection for each call.
+    ///
+    /// Between calls that are seconds apart a kept connection may have gone silent for good. A call on it brings nothing
+    /// until `timeout` is over, where a new connection costs a round trip.
+    pub fn without_reuse(timeout: Duration) -> Self {
+        Self::build(timeout, Client::builder().pool_max_idle_per_host(0))
+    }
+
+    fn build(timeout: Duration, builder: ClientBuilder) -> Self {
+        let http = builder
             .no_proxy()
             .redirect(Policy::none())
             .retry(retry::never())
--- a/crates/platform/tests/keepalive.rs
+++ b/crates/platform/tests/silence.rs
@@ -1,10 +1,13 @@
-//! Connections on which an answer is awaited are looked after by the system, so that one that has gone silent is found out.
+//! Connections that may have gone silent for good: one on which an answer is awaited is looked after by the system, and one
+//! that is seldom used is not used again.
 
 use std::fs;
 use std::time::Duration;
 
 use platform::transport::Transport;
 use reqwest::Method;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 /// How long the service would hold its answer back.
@@ -45,3 +48,33 @@
     assert!(due <= 100, "due in {due} hundredths of a second");
     call.abort();
 }
+
+/// Answers one call on each connection, and then takes whatever comes without a word.
+async fn answer_once(service: TcpListener) {
+    loop {
+        let (mut stream, _) = service.accept().await.unwrap();
+        tokio::spawn(async move {
+            let mut buffer = [0; 1_024];
+            stream.read(&mut buffer).await.unwrap();
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                .await
+                .unwrap();
+            // Until the caller has closed the connection.
+            while stream.read(&mut buffer).await.is_ok_and(|len| len > 0) {}
+        });
+    }
+}
+
+#[tokio::test]
+async fn without_reuse_a_connection_that_has_gone_silent_costs_nothing() {
+    let service = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = service.local_addr().unwrap();
+    let serving = tokio::spawn(answer_once(service));
+    let transport = Transport::without_reuse(WAIT);
+    for _ in 0..3 {
+        let call = transport.request(Method::GET, address, "/", Duration::ZERO).send();
+        assert!(call.await.unwrap().status().is_success());
+    }
+    serving.abort();
+}
