Have the two watches due by turns, and ask soon and anew after a failure

Ruled out: keep-alive probes, which such a connection answers; shorter waits, as each call is paid for. Change: the waits of 6 s on average are laid so that one of the two watches is due every 3 s (4.5 s at most while changes shift them); when one is lost, or its history is gone, the other is asked anew at once; the first wait after a failure is 1.5 s. Which part an instance has moved to a file of its own. Tests: crates/jayquayd/tests/rhythm.rs, on times alone.

--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -5,6 +5,7 @@
 
 pub mod logging;
 pub mod metric;
+pub mod rhythm;
 pub mod settings;
 
 mod decisions;
@@ -15,6 +16,7 @@
 mod pull;
 mod relay;
 mod reload;
+mod role;
 mod run;
 mod shared;
 mod stop;
--- a/crates/jayquayd/src/forward/figures.rs
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -7,8 +7,8 @@
 use wire::MemberState;
 
 use super::metric;
+use super::role::Role;
 use super::shared::Shared;
-use super::store::Duty;
 
 /// The states of a member, and their labels.
 const MEMBER_STATES: [(MemberState, &str); 4] = [
@@ -61,7 +61,7 @@
 }
 
 fn report_members(shared: &Shared) {
-    let watches = Duty::of(shared).is_some();
+    let watches = Role::of(shared).is_some();
     metric::watches().set(f64::from(u8::from(watches)));
     let members = shared.members();
     for (state, label) in MEMBER_STATES {
--- /dev/null
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -0,0 +1,123 @@
+//! When an instance's two watches are due to be answered, so that one that no longer hears anything is found out soon.
+//!
+//! A connection may be up for the system and yet bring nothing more. That shows only when an answer is overdue. Both
+//! watches go to the same store by the same way, so each one's answer vouches for the other: they are due by turns, and
+//! when one is overdue, the other is asked anew as well.
+
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use tokio::sync::Notify;
+
+pub use super::role::Role;
+
+/// How long each watch waits for a change on average. Each call costs the same however long it waits; with both watches by
+/// turns, one of them is due every three seconds.
+const PERIOD: Duration = Duration::from_secs(6);
+/// How long a zone's second watcher waits for a change.
+const SECOND_WAIT: Duration = Duration::from_secs(20);
+/// The shortest wait. It comes while the watches find their turns, and first after a failure: a store that has just come back
+/// may take watches and tell them nothing until it has put itself in order, and changes are in force three seconds after
+/// they were written.
+const SHORTEST: Duration = Duration::from_millis(1_500);
+
+/// What is watched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The document.
+    Document,
+    /// The upstreams.
+    Upstreams,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Document => "document",
+            Self::Upstreams => "upstreams",
+        })
+    }
+}
+
+impl Kind {
+    fn other(self) -> Self {
+        match self {
+            Self::Document => Self::Upstreams,
+            Self::Upstreams => Self::Document,
+        }
+    }
+
+    fn index(self) -> usize {
+        match self {
+            Self::Document => 0,
+            Self::Upstreams => 1,
+        }
+    }
+}
+
+/// When both watches are due.
+#[derive(Debug, Default)]
+pub struct Rhythm {
+    due: Mutex<[Option<Instant>; 2]>,
+    doubts: [Notify; 2],
+    has_failed: [AtomicBool; 2],
+}
+
+impl Rhythm {
+    fn due(&self) -> MutexGuard<'_, [Option<Instant>; 2]> {
+        self.due.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long the next watch of this kind waits. It begins now.
+    pub fn wait(&self, kind: Kind, role: Role, now: Instant) -> Duration {
+        let wait = if self.has_failed[kind.index()].swap(false, Ordering::Relaxed) {
+            SHORTEST
+        } else {
+            match role {
+                Role::First => self.by_turns(kind, now),
+                Role::Second => SECOND_WAIT,
+            }
+        };
+        self.due()[kind.index()] = Some(now + wait);
+        wait
+    }
+
+    /// Instances of different zones should be due at different times, so the first turn is drawn.
+    fn by_turns(&self, kind: Kind, now: Instant) -> Duration {
+        let other = self.due()[kind.other().index()].filter(|other| *other > now);
+        match other {
+            Some(other) => by_turns(other.duration_since(now)),
+            None => rand::rng().random_range(PERIOD / 2..PERIOD + PERIOD / 2),
+        }
+    }
+
+    /// A watch of this kind has failed.
+    pub fn note_failure(&self, kind: Kind) {
+        self.has_failed[kind.index()].store(true, Ordering::Relaxed);
+    }
+
+    /// A watch of this kind was not answered, or its history is gone: whether the other one hears anything is in doubt.
+    pub fn doubt_other(&self, kind: Kind) {
+        self.doubts[kind.other().index()].notify_waiters();
+    }
+
+    /// Waits until a watch of this kind is in doubt.
+    pub async fn doubted(&self, kind: Kind) {
+        self.doubts[kind.index()].notified().await;
+    }
+}
+
+/// How long a watch waits so that it is due half a period before or after the other one, which is due in `other`.
+fn by_turns(other: Duration) -> Duration {
+    match other.checked_sub(PERIOD / 2) {
+        Some(before) if before >= SHORTEST => before,
+        Some(_) | None => other + PERIOD / 2,
+    }
+}
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -11,24 +11,12 @@
 use tokio::sync::watch;
 use units::Revision;
 
+use super::rhythm::Kind;
+use super::rhythm::Rhythm;
+use super::role::Role;
 use super::settings::Settings;
 use super::shared::Shared;
 
-/// The shortest and the longest time that a watch waits for a change. Each call costs the same however long it waits. A
-/// connection that has gone silent for good shows only after the wait; as the watchers' waits differ, one of them finds
-/// out within a second or two, and the others hear of the news from it.
-const SHORTEST_WAIT: Duration = Duration::from_secs(4);
-const LONGEST_WAIT: Duration = Duration::from_secs(8);
-/// From how many availability zones on each has one watcher. What it misses while it fails, the others' watchers tell its
-/// zone a fifth of a second later; a second one there took a quarter of all calls to the store.
-const ENOUGH_ZONES: usize = 3;
-/// How long changes are gathered before the next call asks for more, so that a series of them costs few calls.
-const GATHER: Duration = Duration::from_millis(700);
-/// How long a zone's second watcher gathers changes. It is there for the moment in which the first one fails, and what
-/// it learns late is still in force within the bounds for a change, the shortest of which are three seconds.
-const GATHER_SECOND: Duration = Duration::from_millis(1_500);
-/// How long a zone's second watcher waits for a change.
-const SECOND_WAIT: Duration = Duration::from_secs(20);
 /// The first pause after a call that failed. It doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause between calls that fail.
@@ -44,15 +32,15 @@
 /// Tells when the store is lost and regained for one kind of object, and paces calls that fail.
 #[derive(Debug)]
 struct Link {
-    what: &'static str,
+    kind: Kind,
     lost: Option<Instant>,
     backoff: Backoff,
 }
 
 impl Link {
-    fn new(what: &'static str) -> Self {
+    fn new(kind: Kind) -> Self {
         Self {
-            what,
+            kind,
             lost: None,
             backoff: Backoff::new(),
         }
@@ -68,17 +56,28 @@
         if let Some(lost) = self.lost.take() {
             log::info!(
                 "store: regained what={} after_ms={}",
-                self.what,
+                self.kind,
                 lost.elapsed().as_millis()
             );
         }
     }
 
     /// A call brought nothing. Waits until the next one may be made.
-    async fn failed(&mut self, error: &Error) {
+    async fn failed(&mut self, error: &Error, rhythm: &Rhythm) {
+        rhythm.note_failure(self.kind);
         match error {
-            Error::HistoryGone => self.note_gone(),
-            Error::Unreachable(_) | Error::Refused(_) | Error::Malformed(_) | Error::TooLong => self.note_lost(error),
+            Error::HistoryGone => {
+                rhythm.doubt_other(self.kind);
+                self.note_gone();
+            }
+            Error::Unreachable(_) => {
+                // Later failures tell nothing new.
+                if self.lost.is_none() {
+                    rhythm.doubt_other(self.kind);
+                }
+                self.note_lost(error);
+            }
+            Error::Refused(_) | Error::Malformed(_) | Error::TooLong => self.note_lost(error),
         }
         tokio::time::sleep(self.backoff.next()).await;
     }
@@ -86,15 +85,15 @@
     /// The store answers, but no longer knows what has changed since the revision that was asked from.
     fn note_gone(&mut self) {
         self.note_answer();
-        log::info!("store: history gone what={}", self.what);
+        log::info!("store: history gone what={}", self.kind);
     }
 
     fn note_lost(&mut self, error: &Error) {
         if self.lost.is_none() {
             self.lost = Some(Instant::now());
-            log::warn!("store: lost what={} error=\"{error}\"", self.what);
+            log::warn!("store: lost what={} error=\"{error}\"", self.kind);
         }
-        log::debug!("store: failed what={} error=\"{error}\"", self.what);
+        log::debug!("store: failed what={} error=\"{error}\"", self.kind);
     }
 }
 
@@ -122,10 +121,11 @@
             (settings.store, settings.is_seed())
         };
         let store = Store::new(address);
+        let rhythm = Rhythm::default();
         let has_moved = settings.wait_for(|new| new.store != address);
         tokio::select! {
-            _ = documents(&store, &shared) => {}
-            _ = upstreams(&store, &shared, is_seed) => {}
+            _ = documents(&store, &shared, &rhythm) => {}
+            _ = upstreams(&store, &shared, &rhythm, is_seed) => {}
             moved = has_moved => if moved.is_err() {
                 return;
             },
@@ -134,64 +134,30 @@
     }
 }
 
-/// This instance's part in watching the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Duty {
-    /// It is its zone's first watcher, or it holds too little to serve.
-    First,
-    /// It is its zone's second watcher.
-    Second,
-}
-
-impl Duty {
-    /// `None` while others watch for this instance.
-    pub(crate) fn of(shared: &Shared) -> Option<Self> {
-        if !shared.core().knowledge().is_ready() {
-            return Some(Self::First);
-        }
-        let members = shared.members();
-        let own = &members.me().name;
-        match members.watchers().position(|member| member.name == *own) {
-            Some(0) => Some(Self::First),
-            Some(_) if members.zone_count() < ENOUGH_ZONES => Some(Self::Second),
-            Some(_) | None => None,
-        }
-    }
-
-    /// How long the next watch waits.
-    fn wait(self) -> Duration {
-        match self {
-            Self::First => rand::rng().random_range(SHORTEST_WAIT..LONGEST_WAIT),
-            Self::Second => SECOND_WAIT,
-        }
-    }
-
-    fn gather(self) -> Duration {
-        match self {
-            Self::First => GATHER,
-            Self::Second => GATHER_SECOND,
-        }
-    }
-}
-
-async fn documents(store: &Store, shared: &Shared) -> Infallible {
+async fn documents(store: &Store, shared: &Shared, rhythm: &Rhythm) -> Infallible {
     let mut cursor = None;
-    let mut link = Link::new("document");
+    let mut link = Link::new(Kind::Document);
     loop {
-        let Some(duty) = Duty::of(shared) else {
+        let Some(role) = Role::of(shared) else {
             cursor = None;
             tokio::time::sleep(IDLE).await;
             continue;
         };
         let result = match cursor {
             None => store.read_document().await,
-            Some(since) => store.watch_document(since, duty.wait()).await,
+            Some(since) => {
+                let wait = rhythm.wait(Kind::Document, role, Instant::now());
+                tokio::select! {
+                    result = store.watch_document(since, wait) => result,
+                    () = rhythm.doubted(Kind::Document) => continue,
+                }
+            }
         };
         let documents = match result {
             Ok(documents) => documents,
             Err(error) => {
                 cursor = cursor.filter(|_| !matches!(error, Error::HistoryGone));
-                link.failed(&error).await;
+                link.failed(&error, rhythm).await;
                 continue;
             }
         };
@@ -204,35 +170,41 @@
         if shared.learn(|knowledge| knowledge.take_document(at, document)) {
             log::info!("store: document in force revision={revision} at={at}");
         }
-        tokio::time::sleep(duty.gather()).await;
+        tokio::time::sleep(role.gather()).await;
     }
 }
 
-async fn upstreams(store: &Store, shared: &Shared, is_seed: bool) -> Infallible {
+async fn upstreams(store: &Store, shared: &Shared, rhythm: &Rhythm, is_seed: bool) -> Infallible {
     let mut cursor = held(shared);
-    let mut link = Link::new("upstreams");
+    let mut link = Link::new(Kind::Upstreams);
     loop {
-        let Some(duty) = Duty::of(shared) else {
+        let Some(role) = Role::of(shared) else {
             tokio::time::sleep(IDLE).await;
             cursor = held(shared);
             continue;
         };
         let result = match cursor {
-            None => list(store, shared, is_seed).await,
-            Some(since) => watch(store, shared, since, duty.wait()).await,
+            None => list(store, shared, rhythm, is_seed).await,
+            Some(since) => {
+                let wait = rhythm.wait(Kind::Upstreams, role, Instant::now());
+                tokio::select! {
+                    result = watch(store, shared, since, wait) => result,
+                    () = rhythm.doubted(Kind::Upstreams) => continue,
+                }
+            }
         };
         let (at, has_changed) = match result {
             Ok(told) => told,
             Err(error) => {
                 cursor = cursor.filter(|_| !matches!(error, Error::HistoryGone));
-                link.failed(&error).await;
+                link.failed(&error, rhythm).await;
                 continue;
             }
         };
         link.answered();
         cursor = Some(at);
         if has_changed {
-            tokio::time::sleep(duty.gather()).await;
+            tokio::time::sleep(role.gather()).await;
         }
     }
 }
@@ -244,11 +216,11 @@
 }
 
 /// Reads the list of upstreams, unless another instance tells it meanwhile.
-async fn list(store: &Store, shared: &Shared, is_seed: bool) -> Result<(Revision, bool), Error> {
+async fn list(store: &Store, shared: &Shared, rhythm: &Rhythm, is_seed: bool) -> Result<(Revision, bool), Error> {
     let is_needed = || !shared.core().knowledge().is_ready();
     let was_needed = is_needed();
     let mut listing = Listing::default();
-    let mut link = Link::new("list of upstreams");
+    let mut link = Link::new(Kind::Upstreams);
     let mut pages = 0;
     let list = loop {
         match store.next_page(&mut listing).await {
@@ -258,7 +230,7 @@
                 pages += 1;
             }
             // The pages that were read stay: in a fleet that starts at once, most calls are refused.
-            Err(error) if pages > 0 => link.failed(&error).await,
+            Err(error) if pages > 0 => link.failed(&error, rhythm).await,
             Err(error) => return Err(error),
         }
         if was_needed && pages == PAGES_AT_ONCE && !is_seed {
--- /dev/null
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -0,0 +1,86 @@
+//! When the two watches of an instance are due: by turns, so that one that hears nothing is found out soon.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jayquayd::forward::rhythm::Kind;
+use jayquayd::forward::rhythm::Rhythm;
+use jayquayd::forward::rhythm::Role;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Watches that are answered when they are due, or earlier with a change. Gives the times of all answers.
+fn answers(rhythm: &Rhythm, seed: u64, change_share: f64) -> Vec<Duration> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let begin = Instant::now();
+    let mut due = [Kind::Document, Kind::Upstreams].map(|kind| (kind, Duration::ZERO));
+    let mut answers = Vec::new();
+    for _ in 0..2_000 {
+        due.sort_by_key(|(_, at)| *at);
+        let (kind, at) = due[0];
+        answers.push(at);
+        let mut wait = rhythm.wait(kind, Role::First, begin + at);
+        if rng.random_bool(change_share) {
+            wait = wait.mul_f64(rng.random());
+        }
+        due[0] = (kind, at + wait);
+    }
+    answers
+}
+
+fn longest_gap(answers: &[Duration]) -> Duration {
+    let gaps = answers.windows(2).map(|pair| pair[1] - pair[0]);
+    gaps.max().unwrap()
+}
+
+#[test]
+fn without_changes_one_watch_is_due_every_three_seconds() {
+    let answers = answers(&Rhythm::default(), 1, 0.0);
+    // The first turns are drawn.
+    let settled = &answers[4..];
+    assert_eq!(longest_gap(settled), Duration::from_secs(3));
+    let span = *settled.last().unwrap() - settled[0];
+    assert_eq!(span, Duration::from_secs(3) * u32::try_from(settled.len() - 1).unwrap());
+}
+
+#[test]
+fn with_changes_at_any_moment_one_is_due_within_four_and_a_half_seconds() {
+    for seed in 0..20 {
+        let answers = answers(&Rhythm::default(), seed, 0.3);
+        let gap = longest_gap(&answers[4..]);
+        assert!(gap <= Duration::from_millis(4_500), "seed {seed}: {gap:?}");
+    }
+}
+
+#[test]
+fn after_a_failure_the_next_wait_is_short_and_only_that_one() {
+    let rhythm = Rhythm::default();
+    let now = Instant::now();
+    rhythm.note_failure(Kind::Document);
+    for role in [Role::First, Role::Second] {
+        let other = rhythm.wait(Kind::Upstreams, role, now);
+        assert!(other > Duration::from_millis(1_500), "{role:?}: {other:?}");
+    }
+    let short = rhythm.wait(Kind::Document, Role::Second, now);
+    assert_eq!(short, Duration::from_millis(1_500));
+    let usual = rhythm.wait(Kind::Document, Role::Second, now);
+    assert_eq!(usual, Duration::from_secs(20));
+}
+
+#[tokio::test]
+async fn doubt_ends_the_other_watch_and_not_its_own() {
+    let rhythm = Rhythm::default();
+    let waits = async {
+        tokio::select! {
+            () = rhythm.doubted(Kind::Document) => Kind::Document,
+            () = rhythm.doubted(Kind::Upstreams) => Kind::Upstreams,
+        }
+    };
+    let doubts = async {
+        tokio::task::yield_now().await;
+        rhythm.doubt_other(Kind::Document);
+    };
+    let (ended, ()) = tokio::join!(waits, doubts);
+    assert_eq!(ended, Kind::Upstreams);
+}
