--- a/crates/platform/tests/silence.rs
+++ b/crates/platform/tests/silence.rs
@@ -55,7 +55,7 @@
         let (mut stream, _) = service.accept().await.unwrap();
         tokio::spawn(async move {
             let mut buffer = [0; 1_024];
-            stream.read(&mut buffer).await.unwrap();
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
             stream
                 .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
                 .await
