--- a/crates/jayquayd/tests/rhythm.rs
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -30,7 +30,7 @@
 }
 
 fn longest_gap(answers: &[Duration]) -> Duration {
-    let gaps = answers.windows(2).map(|pair| pair[1] - pair[0]);
+    let gaps = answers.windows(2).map(|pair| pair[1].saturating_sub(pair[0]));
     gaps.max().unwrap()
 }
 
@@ -40,7 +40,7 @@
     // The first turns are drawn.
     let settled = &answers[4..];
     assert_eq!(longest_gap(settled), Duration::from_secs(3));
-    let span = *settled.last().unwrap() - settled[0];
+    let span = settled.last().unwrap().saturating_sub(settled[0]);
     assert_eq!(span, Duration::from_secs(3) * u32::try_from(settled.len() - 1).unwrap());
 }
 
