Show operators of the flow mode what is in force where, what differs, and what happened

Cause: status, config and timeline ask the product's own platform; on the users' one nothing told which revision each instance holds, and an on-call engineer merged logs by hand. Change: jayquay flows status, show, diff and timeline. They read the store through the adapter, and instances at /status and /document of their peers' address. There is no command to write: the document there is its operators' alone, which the help and docs/OPERATIONS.md say. Test: crates/jayquay/tests/flows.rs over real processes. Its first form failed once (an instance that is still alone is in order, so the wait for exit code 0 did not wait for both); it waits for both now.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 mod core;
 mod decay;
 mod decision;
+mod difference;
 mod directory;
 mod documents;
 mod flows;
@@ -28,6 +29,7 @@
 pub use crate::core::Options;
 pub use crate::core::Stats;
 pub use crate::decision::Decision;
+pub use crate::difference::Difference;
 pub use crate::documents::Step;
 pub use crate::documents::Update;
 pub use crate::flows::FlowKey;
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -51,6 +52,21 @@
     }
 }
 
+impl fmt::Display for Route {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} to", self.address)?;
+        for share in &self.shares {
+            write!(f, " {}:{}", share.service, share.weight)?;
+        }
+        let repeats = if self.idempotent {
+            "idempotent"
+        } else {
+            "not idempotent"
+        };
+        write!(f, ", {repeats}, aim {} ms", self.aim.as_millis())
+    }
+}
+
 /// A number that is spread evenly over flows.
 fn spread(client: SocketAddrV4, route: SocketAddrV4) -> u64 {
     let mut bytes = [0; 12];
@@ -88,6 +104,15 @@
 #[serde(transparent)]
 pub struct Digest(pub [u8; 16]);
 
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Routes by the address that clients dial.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Routes {
--- a/crates/jayquay/src/command.rs
+++ b/crates/jayquay/src/command.rs
@@ -14,6 +14,7 @@
 use crate::exit;
 use crate::exit::Report;
 use crate::experiment;
+use crate::flows;
 use crate::load;
 use crate::output;
 use crate::soak;
@@ -46,6 +47,9 @@
     /// Show what happened, over all instances.
     #[bpaf(command("timeline"), header(timeline::HEADER), footer(timeline::EXAMPLES))]
     Timeline(#[bpaf(external(timeline::args))] timeline::Args),
+    /// Look after the flow mode: what is in force where, and what happened.
+    #[bpaf(command("flows"), header(flows::HEADER))]
+    Flows(#[bpaf(external(flows::command))] flows::Command),
     /// Compare the decisions under load with other rules, in virtual time.
     #[bpaf(command("experiment"), header(experiment::HEADER), footer(experiment::EXAMPLES))]
     Experiment(#[bpaf(external(experiment::args))] experiment::Args),
@@ -85,6 +89,7 @@
         Command::Status(args) => exit::finish(status::run(args).await),
         Command::Timeline(args) => exit::finish(timeline::run(args).await),
         Command::Experiment(args) => exit::finish(experiment::run(args).await),
+        Command::Flows(command) => exit::finish(flows::run(command).await),
         Command::Soak(args) => exit::finish(soak::run(args).await),
         Command::StandIn(command) => exit::finish(stand_in::run(command).await),
     }
--- a/crates/jayquay/src/main.rs
+++ b/crates/jayquay/src/main.rs
@@ -8,6 +8,7 @@
 mod document;
 mod exit;
 mod experiment;
+mod flows;
 mod instance;
 mod load;
 mod output;
--- a/crates/jayquay/src/output.rs
+++ b/crates/jayquay/src/output.rs
@@ -22,6 +22,13 @@
     let _unread = io::stderr().write_all(line.as_bytes());
 }
 
+/// Writes an item as JSON on one line.
+pub fn json_line<T: Serialize>(item: &T) -> String {
+    let mut text = serde_json::to_string(item).expect("results hold only what has a JSON form");
+    text.push('\n');
+    text
+}
+
 /// Writes an item as JSON for scripts, ending with a line feed.
 pub fn json<T: Serialize>(item: &T) -> String {
     let mut text = serde_json::to_string_pretty(item).expect("results hold only what has a JSON form");
--- a/crates/jayquay/src/timeline.rs
+++ b/crates/jayquay/src/timeline.rs
@@ -27,7 +27,8 @@
 use crate::instance;
 use crate::instance::Asker;
 use crate::output;
-use crate::timeline::moment::Moment;
+
+pub use self::moment::Moment;
 
 /// What the help text tells before the options.
 pub const HEADER: &str = "Events stand in the order of hybrid logical clocks: an effect never stands before its cause. \
--- a/crates/jayquay/tests/fleet/mod.rs
+++ b/crates/jayquay/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
-mod process;
+pub mod process;
 
 use std::fmt::Write;
 use std::fs;
--- a/crates/jayquay/tests/fleet/process.rs
+++ b/crates/jayquay/tests/fleet/process.rs
@@ -107,7 +107,7 @@
 }
 
 /// The daemon's binary beside that of `jayquay`. Cargo builds it, as it knows whether it is fresh.
-fn daemon() -> &'static Path {
+pub fn daemon() -> &'static Path {
     static DAEMON: OnceLock<PathBuf> = OnceLock::new();
     DAEMON.get_or_init(|| {
         let jayquay = Path::new(env!("CARGO_BIN_EXE_jayquay"));
--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -7,6 +7,7 @@
 pub mod metric;
 pub mod rhythm;
 pub mod settings;
+pub mod status;
 
 mod decisions;
 mod figures;
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 
 use adapter::ready;
+use axum::Json;
 use axum::Router;
 use axum::extract::Query;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
+use flow::Document;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
@@ -16,6 +18,8 @@
 use super::relay;
 use super::relay::Since;
 use super::shared::Shared;
+use super::status;
+use super::status::Status;
 
 /// The path of the metrics, as text.
 pub(crate) const METRICS: &str = "/metrics";
@@ -38,6 +42,8 @@
     let router = Router::new()
         .route(relay::PATH, get(changes))
         .route(METRICS, get(metrics))
+        .route(status::PATH, get(own_status))
+        .route(status::DOCUMENT_PATH, get(document))
         .with_state(context);
     axum::serve(listener, router).await
 }
@@ -66,6 +72,15 @@
     relay::encode(&change)
 }
 
+async fn own_status(State(context): State<Context>) -> Json<Status> {
+    Json(Status::of(&context.shared))
+}
+
+async fn document(State(context): State<Context>) -> Result<Json<Document>, StatusCode> {
+    let held = status::document(&context.shared);
+    held.map(Json).ok_or(StatusCode::NOT_FOUND)
+}
+
 async fn metrics(State(context): State<Context>) -> String {
     figures::report(&context.shared);
     context.metrics.render()
