--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -102,11 +102,10 @@
             peers.add(view, listed.upstream.zone == *zone);
             seen.push((id, listed, tier, view));
         }
-        let base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
-        if let Some(base) = base {
+        peers.base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
+        if let Some(base) = peers.base {
             self.bases.insert(service.to_owned(), base);
         }
-        peers.settle(base);
         if seen.len() > 1 {
             seen.retain(|(id, ..)| Some(*id) != earlier);
         }
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -103,7 +103,7 @@
 }
 
 /// What the upstreams of a service have in common.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Peers {
     /// The sum of loads in one's own availability zone.
     load_at_home: f64,
@@ -111,17 +111,16 @@
     /// The sum of response times seen there, in seconds.
     response_at_home: f64,
     answering: u32,
-    /// The response times seen anywhere, in seconds.
-    responses: Vec<f64>,
-    /// The one in their middle, once all are added.
-    usual: Option<f64>,
+    /// The shortest response time seen anywhere, in seconds.
+    fastest: Option<f64>,
     /// How long those at home take when they are not overloaded.
-    base: Option<Base>,
+    pub(crate) base: Option<Base>,
 }
 
 impl Peers {
     pub(crate) fn add(&mut self, view: View, is_at_home: bool) {
-        self.responses.extend(view.response);
+        let fastest = [self.fastest, view.response].into_iter().flatten();
+        self.fastest = fastest.min_by(f64::total_cmp);
         if !is_at_home {
             return;
         }
@@ -133,13 +132,6 @@
         }
     }
 
-    /// Takes the base for a moment, and finds the usual response time. All upstreams are added by now.
-    pub(crate) fn settle(&mut self, base: Option<Base>) {
-        self.base = base;
-        self.responses.sort_unstable_by(f64::total_cmp);
-        self.usual = self.responses.get(self.responses.len().saturating_sub(1) / 2).copied();
-    }
-
     fn mean_load(&self) -> f64 {
         self.load_at_home / f64::from(self.at_home.max(1))
     }
@@ -150,15 +142,12 @@
         is_known.then(|| self.response_at_home / f64::from(self.answering))
     }
 
-    /// How much more slowly than usual an upstream answers, at least 1.
-    ///
-    /// An upstream that turns requests away, or fails them, answers sooner than one that works. Were the others measured
-    /// by the fastest, it would draw all new flows.
+    /// How much slower than the fastest an upstream answers, at least 1.
     fn slowness(&self, view: View) -> f64 {
-        let (Some(usual), Some(response)) = (self.usual, view.response) else {
+        let (Some(fastest), Some(response)) = (self.fastest, view.response) else {
             return 1.0;
         };
-        (response / usual.max(LEAST_RESPONSE)).max(1.0)
+        (response / fastest.max(LEAST_RESPONSE)).max(1.0)
     }
 
     /// How much slower those at home answer than when they are not overloaded, at least 1.
