Take file circles out of the daemon, the soak and the flow mode's commands, and keep the soak's seed 1014

Cause: admin and daemon needed each other for a type; intake, sessions and its parts for what sessions tell the engine, for their context and for the note of their end. Change: addresses.rs, change.rs, sessions/context.rs; the note of an end stands with the link; the soak's options and the reading of a holder have files of their own. Behaviour is unchanged. summary and its keeper still need each other.

--- a/crates/jayquay/src/flows.rs
+++ b/crates/jayquay/src/flows.rs
@@ -6,6 +6,7 @@
 mod diff;
 mod error;
 mod holder;
+mod read;
 mod show;
 mod status;
 mod timeline;
--- a/crates/jayquay/src/flows/diff.rs
+++ b/crates/jayquay/src/flows/diff.rs
@@ -7,6 +7,7 @@
 use crate::exit::Report;
 use crate::flows::error::Error;
 use crate::flows::holder::Holder;
+use crate::flows::read;
 use crate::output;
 
 pub const EXAMPLE: &str = "Example:
@@ -28,8 +29,8 @@
 
 /// Compares two documents.
 pub async fn run(args: Args) -> Result<Report, Error> {
-    let old = args.old.document().await?;
-    let new = args.new.document().await?;
+    let old = read::document(args.old).await?;
+    let new = read::document(args.new).await?;
     let differences = old.differences(&new);
     if args.json {
         return Ok(Report::done(output::json(&differences)));
--- a/crates/jayquay/src/flows/holder.rs
+++ b/crates/jayquay/src/flows/holder.rs
@@ -5,13 +5,6 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use adapter::Store;
-use flow::Document;
-use jayquayd::forward::status;
-
-use crate::flows::error::Error;
-use crate::instance::Asker;
-
 /// Who holds a document, as an operator names it: `store:ADDRESS` or `instance:ADDRESS`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holder {
@@ -63,21 +56,3 @@
         }
     }
 }
-
-impl Holder {
-    /// The document that it holds.
-    pub async fn document(self) -> Result<Document, Error> {
-        match self {
-            Self::Store(address) => {
-                let read = Store::new(address).read_document().await?;
-                let (_, document) = read.newest.ok_or(Error::NoDocument(self))?;
-                Ok(document)
-            }
-            Self::Instance(address) => {
-                let page = Asker::new().page(address, status::DOCUMENT_PATH).await;
-                let page = page.map_err(|silent| Error::Instance(self, silent.to_string()))?;
-                serde_json::from_str(&page).map_err(|error| Error::Instance(self, error.to_string()))
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/jayquay/src/flows/read.rs
@@ -0,0 +1,25 @@
+//! Reads what a holder holds.
+
+use adapter::Store;
+use flow::Document;
+use jayquayd::forward::status;
+
+use crate::flows::error::Error;
+use crate::flows::holder::Holder;
+use crate::instance::Asker;
+
+/// The document that a holder has.
+pub async fn document(holder: Holder) -> Result<Document, Error> {
+    match holder {
+        Holder::Store(address) => {
+            let read = Store::new(address).read_document().await?;
+            let (_, document) = read.newest.ok_or(Error::NoDocument(holder))?;
+            Ok(document)
+        }
+        Holder::Instance(address) => {
+            let page = Asker::new().page(address, status::DOCUMENT_PATH).await;
+            let page = page.map_err(|silent| Error::Instance(holder, silent.to_string()))?;
+            serde_json::from_str(&page).map_err(|error| Error::Instance(holder, error.to_string()))
+        }
+    }
+}
--- a/crates/jayquay/src/flows/show.rs
+++ b/crates/jayquay/src/flows/show.rs
@@ -8,6 +8,7 @@
 use crate::exit::Report;
 use crate::flows::error::Error;
 use crate::flows::holder::Holder;
+use crate::flows::read;
 use crate::output;
 
 pub const EXAMPLES: &str = "Examples:
@@ -27,7 +28,7 @@
 
 /// Shows a document.
 pub async fn run(args: Args) -> Result<Report, Error> {
-    let document = args.holder.document().await?;
+    let document = read::document(args.holder).await?;
     Ok(Report::done(if args.json {
         output::json(&document)
     } else {
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -5,7 +5,6 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-use adapter::Store;
 use bpaf::Bpaf;
 use flow::Document;
 use jayquayd::forward::status;
@@ -17,6 +16,8 @@
 use crate::address::Addresses;
 use crate::exit::Report;
 use crate::flows::error::Error;
+use crate::flows::holder::Holder;
+use crate::flows::read;
 use crate::instance;
 use crate::instance::Asker;
 use crate::output;
@@ -103,10 +104,7 @@
 
 /// Asks the store and the instances.
 pub async fn run(args: Args) -> Result<Report, Error> {
-    let read = Store::new(args.store).read_document().await?;
-    let (_, document) = read
-        .newest
-        .ok_or(Error::NoDocument(super::holder::Holder::Store(args.store)))?;
+    let document = read::document(Holder::Store(args.store)).await?;
     let stored = Stored::from(&document);
     let given = args.instances.into_iter().flat_map(|addresses| addresses.0);
     let instances = ask_all(given.collect()).await;
--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -28,8 +28,8 @@
 use units::Time;
 
 use crate::accept;
+use crate::addresses::Addresses;
 use crate::clock::Clock;
-use crate::daemon::Addresses;
 use crate::intake::Intake;
 use crate::throttle::Throttle;
 use crate::timeline::Seq;
--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -11,8 +11,6 @@
 use node::Node;
 use node::Setup;
 use platform::Client;
-use serde::Deserialize;
-use serde::Serialize;
 use token::Keyring;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -20,6 +18,7 @@
 use tokio::task::JoinSet;
 use units::Incarnation;
 
+use crate::addresses::Addresses;
 use crate::admin;
 use crate::bucket::Rate;
 use crate::callers;
@@ -44,17 +43,6 @@
 /// How many sources of datagrams are told apart.
 const SOURCES: usize = 65_536;
 
-/// Where a process listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Addresses {
-    /// For datagrams of callers, over UDP.
-    pub callers: SocketAddr,
-    /// For sessions of other instances, over TCP.
-    pub instances: SocketAddr,
-    /// For operators and probes, over HTTP.
-    pub admin: SocketAddr,
-}
-
 /// Why a process could not start.
 #[derive(Debug)]
 pub enum StartError {
--- a/crates/jayquayd/src/engine.rs
+++ b/crates/jayquayd/src/engine.rs
@@ -12,6 +12,7 @@
 use units::InstanceName;
 
 use crate::callers::Replier;
+use crate::change::Change;
 use crate::clock::Clock;
 use crate::feed::Wish;
 use crate::gauges;
@@ -20,7 +21,6 @@
 use crate::intake::Input;
 use crate::intake::Queues;
 use crate::metric;
-use crate::sessions::Change;
 use crate::sessions::Sessions;
 use crate::timeline::Hybrid;
 use crate::timeline::Ring;
--- a/crates/jayquayd/src/intake.rs
+++ b/crates/jayquayd/src/intake.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use wire::Frame;
 
-use crate::sessions::Change;
+use crate::change::Change;
 use crate::timeline::Page;
 use crate::timeline::Seq;
 use crate::timeline::Stamp;
--- a/crates/jayquayd/src/lib.rs
+++ b/crates/jayquayd/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod bucket;
 pub mod callers;
+pub mod change;
 pub mod clock;
 pub mod daemon;
 pub mod engine;
@@ -17,11 +18,12 @@
 pub mod upstreams;
 
 mod accept;
+mod addresses;
 mod gauges;
 mod poll;
 mod throttle;
 
-pub use daemon::Addresses;
+pub use addresses::Addresses;
 pub use daemon::Handle;
 pub use daemon::StartError;
 pub use daemon::start;
--- a/crates/jayquayd/src/sessions.rs
+++ b/crates/jayquayd/src/sessions.rs
@@ -7,6 +7,7 @@
 pub mod handshake;
 
 mod connection;
+mod context;
 mod link;
 mod listener;
 mod outward;
@@ -26,19 +27,17 @@
 use units::InstanceName;
 use wire::Frame;
 
-use self::handshake::Identity;
-use self::handshake::Keys;
 use self::handshake::Side;
-use self::link::End;
-use self::link::Outgoing;
 use self::outward::Outward;
 use self::pair::Link;
 use self::pair::Pair;
-use crate::intake::Intake;
+use crate::change::Change;
+use crate::change::LinkId;
 use crate::metric;
 use crate::throttle::Throttle;
 use crate::timeline::Stamp;
 
+pub use self::context::Context;
 pub use self::listener::MAX_HANDSHAKES;
 pub use self::listener::listen;
 
@@ -51,59 +50,6 @@
 /// How many instances are remembered as unreachable.
 const MAX_FAILURES: usize = 1_024;
 
-/// Names a session within this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct LinkId(u64);
-
-impl LinkId {
-    fn next() -> Self {
-        Self(rand::random())
-    }
-}
-
-/// A session began or ended.
-#[derive(Debug)]
-pub enum Change {
-    /// Another instance connected and proved itself.
-    Arrived {
-        /// Names the session.
-        id: LinkId,
-        /// The other instance.
-        peer: Peer,
-        /// What is put here is sent.
-        queue: mpsc::Sender<(Stamp, Frame)>,
-        /// Frames are taken once this has been told; otherwise the session ends.
-        admit: oneshot::Sender<()>,
-    },
-    /// The instance that was connected to proved itself.
-    Authenticated {
-        /// Names the session.
-        id: LinkId,
-        /// The other instance.
-        peer: Peer,
-    },
-    /// A session ended or could not be made.
-    Ended {
-        /// Names the session.
-        id: LinkId,
-        /// The other instance.
-        name: InstanceName,
-        /// Whether frames may have been lost with it.
-        lost: bool,
-    },
-}
-
-/// Who this instance is, and how it proves that.
-#[derive(Debug, Clone)]
-pub struct Context {
-    /// Who this instance is.
-    pub own: Identity,
-    /// How it proves that.
-    pub keys: Keys,
-    /// Where frames and changes go.
-    pub intake: Intake,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Failure {
     doublings: u32,
@@ -288,12 +234,3 @@
         self.failures.insert(name.clone(), failure);
     }
 }
-
-/// Counts the end of a session, and tells whether frames may have been lost with it.
-fn note_end(peer: &Peer, end: End, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
-    metric::sessions_ended(end.as_str()).increment(1);
-    log::debug!("sessions: session with {} ended: {}", peer.name, end.as_str());
-    queue.close();
-    let is_empty = queue.try_recv().is_err();
-    !(end.is_quiet() && is_empty)
-}
--- /dev/null
+++ b/crates/jayquayd/src/sessions/context.rs
@@ -0,0 +1,16 @@
+//! What every session of this instance needs.
+
+use super::handshake::Identity;
+use super::handshake::Keys;
+use crate::intake::Intake;
+
+/// Who this instance is, and how it proves that.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// Who this instance is.
+    pub own: Identity,
+    /// How it proves that.
+    pub keys: Keys,
+    /// Where frames and changes go.
+    pub intake: Intake,
+}
--- a/crates/jayquayd/src/sessions/link.rs
+++ b/crates/jayquayd/src/sessions/link.rs
@@ -291,3 +291,12 @@
     let frame = wire::decode_frame(frame).ok()?;
     Some((Stamp(u64::from_be_bytes(*stamp)), frame))
 }
+
+/// Counts the end of a session, and tells whether frames may have been lost with it.
+pub(super) fn note_end(peer: &Peer, end: End, queue: &mut mpsc::Receiver<Outgoing>) -> bool {
+    metric::sessions_ended(end.as_str()).increment(1);
+    log::debug!("sessions: session with {} ended: {}", peer.name, end.as_str());
+    queue.close();
+    let is_empty = queue.try_recv().is_err();
+    !(end.is_quiet() && is_empty)
+}
--- a/crates/jayquayd/src/sessions/listener.rs
+++ b/crates/jayquayd/src/sessions/listener.rs
@@ -8,15 +8,14 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
-use super::Change;
-use super::Context;
-use super::LinkId;
 use super::connection;
 use super::connection::Connection;
+use super::context::Context;
 use super::handshake::Side;
 use super::link;
-use super::note_end;
 use crate::accept;
+use crate::change::Change;
+use crate::change::LinkId;
 use crate::intake::Input;
 use crate::metric;
 use crate::throttle::Throttle;
@@ -71,7 +70,7 @@
     let end = link::run(connection.ws, Side::Acceptor, &peer, &mut queue, &context.intake).await;
     let ended = Change::Ended {
         id,
-        lost: note_end(&peer, end, &mut queue),
+        lost: link::note_end(&peer, end, &mut queue),
         name: peer.name,
     };
     let _closed = context.intake.put(Input::Session(ended)).await;
--- a/crates/jayquayd/src/sessions/outward.rs
+++ b/crates/jayquayd/src/sessions/outward.rs
@@ -7,16 +7,15 @@
 use tokio::time::Instant;
 use units::InstanceName;
 
-use super::Change;
-use super::Context;
-use super::LinkId;
 use super::connection;
 use super::connection::Connection;
+use super::context::Context;
 use super::handshake;
 use super::handshake::Side;
 use super::link;
 use super::link::Outgoing;
-use super::note_end;
+use crate::change::Change;
+use crate::change::LinkId;
 use crate::intake::Input;
 use crate::metric;
 use crate::throttle::Throttle;
@@ -82,6 +81,6 @@
             return true;
         }
         let end = link::run(connection.ws, Side::Initiator, &peer, queue, &context.intake).await;
-        note_end(&peer, end, queue)
+        link::note_end(&peer, end, queue)
     }
 }
--- a/crates/jayquayd/src/sessions/pair.rs
+++ b/crates/jayquayd/src/sessions/pair.rs
@@ -3,9 +3,9 @@
 use tokio::sync::mpsc;
 use units::Incarnation;
 
-use super::LinkId;
 use super::handshake::Side;
 use super::link::Outgoing;
+use crate::change::LinkId;
 
 /// A session as the table knows it.
 #[derive(Debug)]
--- a/crates/jayquayd/tests/soak.rs
+++ b/crates/jayquayd/tests/soak.rs
@@ -14,7 +14,7 @@
     cuts: bool,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         seed: 1,
         seconds: 6,
@@ -60,6 +60,15 @@
         clients: 12,
         cuts: false,
     },
+    // Watches on connections that were up and brought nothing waited for up to 8 s, at all watchers at once: a leaving
+    // upstream got a flow after the bound.
+    Case {
+        seed: 1_014,
+        seconds: 8,
+        instances: 3,
+        clients: 12,
+        cuts: true,
+    },
 ];
 
 fn options(case: &Case) -> Options {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod instance;
 mod mesh;
+mod options;
 mod plan;
 mod proxy;
 mod recovery;
@@ -18,10 +19,10 @@
 mod violation;
 mod world;
 
+pub use options::Options;
 pub use plan::Cut;
 pub use plan::Fault;
 pub use plan::Plan;
-pub use run::Options;
 pub use run::Outcome;
 pub use run::run;
 pub use violation::Violation;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::net::UdpSocket;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use crate::clients::Context;
 use crate::clients::Tally;
 use crate::instance::Ports;
+use crate::options::Options;
 use crate::plan::Plan;
 use crate::recovery;
 use crate::violation::Violation;
@@ -24,25 +24,6 @@
 use crate::world::World;
 use crate::world::route;
 
-/// How a soak is run.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// Draws the faults and the clients' pauses.
-    pub seed: u64,
-    /// For how long faults begin.
-    pub length: Duration,
-    /// Instances in each of two zones.
-    pub instances: usize,
-    /// Whether the ways between instances fail as well.
-    pub cuts: bool,
-    /// Clients of each of two services.
-    pub clients: usize,
-    /// The daemon's program.
-    pub binary: PathBuf,
-    /// Where settings and logs of the processes go.
-    pub folder: PathBuf,
-}
-
 /// How a soak went.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outcome {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -17,13 +17,13 @@
 use crate::instance::Place;
 use crate::instance::Ports;
 use crate::mesh::Mesh;
+use crate::options::Options;
 use crate::plan::Cut;
 use crate::plan::Fault;
 use crate::plan::Plan;
 use crate::plan::Refusal;
 use crate::plan::Way;
 use crate::proxy::Proxy;
-use crate::run::Options;
 use crate::upstreams::Upstreams;
 use crate::violation::Book;
 
