Leave room for handshakes of other hosts when one takes many

Cause: 64 connections that say nothing kept all other instances out for two seconds at a time, whoever made them. Test: strangers_of_one_source_leave_room_for_instances_of_others, which failed first ('Connection reset by peer').

--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -18,6 +18,7 @@
 use jayquayd::timeline::Stamp;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio_tungstenite::tungstenite::Message;
@@ -257,3 +258,26 @@
     assert_eq!(one.next().await, "two (2) sent 10 at 10");
     assert!(two.queues.control.recv().await.is_some());
 }
+
+#[tokio::test]
+async fn strangers_of_one_source_leave_room_for_instances_of_others() {
+    let one = Instance::start("one", 1, "a", 8).await;
+    let mut strangers = Vec::new();
+    for _ in 0..MAX_HANDSHAKES {
+        strangers.push(TcpStream::connect(one.address).await.unwrap());
+    }
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.2:0".parse().unwrap()).unwrap();
+    let tcp = socket.connect(one.address).await.unwrap();
+    let url = format!("ws://{}/", one.address);
+    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    let own = Identity {
+        name: "two".parse().unwrap(),
+        incarnation: Incarnation(2),
+        zone: "zone-a".parse().unwrap(),
+        address: "127.0.0.2:1".parse().unwrap(),
+    };
+    let keys = Keys::new(&"a".repeat(32).parse().unwrap(), &[]);
+    let other = handshake::initiate(&mut ws, &own, &keys).await.unwrap();
+    assert_eq!(other.name, one.name);
+}
