--- a/crates/jayquayd/src/summary/keeper.rs
+++ b/crates/jayquayd/src/summary/keeper.rs
@@ -8,10 +8,10 @@
 use units::Revision;
 use units::Time;
 
+use super::content::Summary;
 use crate::clock::Clock;
 use crate::intake::Intake;
 use crate::metric;
-use crate::summary::Summary;
 
 /// The shortest time from one write to the next: with ten zones, at most one write a second.
 pub const WRITE_EVERY: Duration = Duration::from_secs(10);
