Have an instance with a wrong secret say that it is a stranger, not that it is ready

Cause: such an instance was given the document by the platform, met nobody, and said ready; a fabric would have led packets to it. Change: when the others have ended three of its handshakes within its first 10 s and none has succeeded, /ready says stranger and 503. Later failures count nothing, so that one bad newcomer takes no instance that serves out of use. Test: an_instance_with_a_wrong_secret_is_not_ready_and_takes_nobody_else_out_of_use; before, the state had no such word.

--- a/crates/jayquayd/src/admin.rs
+++ b/crates/jayquayd/src/admin.rs
@@ -31,6 +31,7 @@
 use crate::addresses::Addresses;
 use crate::clock::Clock;
 use crate::intake::Intake;
+use crate::sessions::Meetings;
 use crate::throttle::Throttle;
 use crate::timeline::Seq;
 
@@ -52,6 +53,8 @@
     pub addresses: Addresses,
     /// Renders the metrics, if a recorder is installed.
     pub metrics: Option<PrometheusHandle>,
+    /// Whether other instances accept this one.
+    pub meetings: Arc<Meetings>,
 }
 
 /// Why an instance should get no packets, or that it should.
@@ -68,14 +71,17 @@
     NoDocument,
     /// It is on a planned stop.
     Draining,
+    /// The other instances take it for a stranger: its secrets are not theirs.
+    Stranger,
 }
 
 impl Readiness {
-    /// What a status says of readiness.
-    pub fn of(status: &Status) -> Self {
+    /// What a status and the handshakes with other instances say of readiness.
+    pub fn of(status: &Status, is_stranger: bool) -> Self {
         match status.stage {
             Stage::Draining | Stage::Stopped => Self::Draining,
             Stage::Starting if status.revision.is_none() => Self::NoDocument,
+            Stage::Starting | Stage::Serving if is_stranger => Self::Stranger,
             Stage::Starting => Self::Starting,
             Stage::Serving if !status.platform => Self::CutOff,
             Stage::Serving => Self::Ready,
@@ -90,6 +96,7 @@
             Self::Starting => "starting",
             Self::NoDocument => "no-document",
             Self::Draining => "draining",
+            Self::Stranger => "stranger",
         }
     }
 
@@ -180,7 +187,7 @@
     let Some(status) = ask(&context).await else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
-    let state = Readiness::of(&status);
+    let state = Readiness::of(&status, context.meetings.is_stranger());
     let ready = state.is_ready();
     let code = if ready {
         StatusCode::OK
@@ -196,7 +203,7 @@
     };
     let uptime = context.clock.uptime();
     let report = Report {
-        state: Readiness::of(&status),
+        state: Readiness::of(&status, context.meetings.is_stranger()),
         addresses: context.addresses,
         now: context.clock.now(),
         uptime_ms: u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
--- a/crates/jayquayd/src/daemon.rs
+++ b/crates/jayquayd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use config::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -148,10 +149,12 @@
     };
     let (intake, queues) = Intake::new();
     let mut tasks = JoinSet::new();
-    let engine = assemble(settings, &own, clock, sockets.callers, &intake, queues, &mut tasks)?;
     let context = session_context(settings, own, &intake);
+    let engine = assemble(settings, &context, clock, sockets.callers, queues, &mut tasks)?;
+    let meetings = Arc::clone(&context.meetings);
     tasks.spawn(sessions::listen(sockets.instances, context));
     let context = admin::Context {
+        meetings,
         intake: intake.clone(),
         clock,
         addresses,
@@ -177,22 +180,21 @@
 
 fn assemble(
     settings: &Settings,
-    own: &Identity,
+    context: &sessions::Context,
     clock: Clock,
     socket: UdpSocket,
-    intake: &Intake,
     queues: Queues,
     tasks: &mut JoinSet<()>,
 ) -> Result<Engine, StartError> {
+    let sessions::Context { own, intake, .. } = context;
     let (receiver, replier) = callers::split(socket, clock, caller_limits(settings));
     tasks.spawn(receiver.run(intake.clone()));
     let (wish, wished) = watch::channel(Wish::default());
     feed(settings, own, clock, intake, &wished, tasks);
     let upstreams = Upstreams::new(own.name.clone(), own.incarnation, intake.clone()).map_err(StartError::Client)?;
-    let context = session_context(settings, own.clone(), intake);
     let parts = Parts {
         replier,
-        sessions: Sessions::new(context, settings.limits.sessions as usize),
+        sessions: Sessions::new(context.clone(), settings.limits.sessions as usize),
         upstreams,
         wish,
         ring: Ring::new(own.name.clone(), own.incarnation, TIMELINE_LEN),
@@ -264,6 +266,7 @@
         own,
         keys: Keys::new(&settings.secrets.current, &settings.secrets.previous),
         intake: intake.clone(),
+        meetings: Arc::default(),
     }
 }
 
--- a/crates/jayquayd/src/sessions.rs
+++ b/crates/jayquayd/src/sessions.rs
@@ -10,6 +10,7 @@
 mod context;
 mod link;
 mod listener;
+mod meetings;
 mod outward;
 mod pair;
 
@@ -40,6 +41,7 @@
 pub use self::context::Context;
 pub use self::listener::MAX_HANDSHAKES;
 pub use self::listener::listen;
+pub use self::meetings::Meetings;
 
 /// The longest pause between two attempts to connect to one instance.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
--- a/crates/jayquayd/src/sessions/context.rs
+++ b/crates/jayquayd/src/sessions/context.rs
@@ -1,7 +1,10 @@
 //! What every session of this instance needs.
 
+use std::sync::Arc;
+
 use super::handshake::Identity;
 use super::handshake::Keys;
+use super::meetings::Meetings;
 use crate::intake::Intake;
 
 /// Who this instance is, and how it proves that.
@@ -13,4 +16,6 @@
     pub keys: Keys,
     /// Where frames and changes go.
     pub intake: Intake,
+    /// Whether others accept this instance.
+    pub meetings: Arc<Meetings>,
 }
--- a/crates/jayquayd/src/sessions/listener.rs
+++ b/crates/jayquayd/src/sessions/listener.rs
@@ -95,7 +95,10 @@
             let result = connection::accept(tcp, &context.own, &context.keys).await;
             drop(place);
             match result {
-                Ok(connection) => converse(connection, &context).await,
+                Ok(connection) => {
+                    context.meetings.note_met();
+                    converse(connection, &context).await;
+                }
                 Err(error) => {
                     metric::sessions_failed(error.as_str()).increment(1);
                     if let Some(held_back) = throttle.pass() {
--- a/crates/jayquayd/src/sessions/outward.rs
+++ b/crates/jayquayd/src/sessions/outward.rs
@@ -37,9 +37,15 @@
         let result = connection::connect(self.address, &context.own, &context.keys).await;
         let result = result.and_then(|connection| self.check_name(connection));
         let lost = match result {
-            Ok(connection) => self.converse(connection, &context, &mut queue).await,
+            Ok(connection) => {
+                context.meetings.note_met();
+                self.converse(connection, &context, &mut queue).await
+            }
             Err(error) => {
                 metric::sessions_failed(error.as_str()).increment(1);
+                if error == handshake::Error::Closed {
+                    context.meetings.note_ended();
+                }
                 self.note(error);
                 true
             }
--- a/crates/jayquayd/tests/admin.rs
+++ b/crates/jayquayd/tests/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' endpoints under connections that ask for nothing.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jayquayd::Addresses;
@@ -32,6 +33,7 @@
             admin: address,
         },
         metrics: None,
+        meetings: Arc::default(),
     };
     tokio::spawn(admin::serve(listener, context));
     (address, queues)
--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -1,6 +1,7 @@
 //! Sessions over loopback between tables that stand for two instances.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::SinkExt;
@@ -53,6 +54,7 @@
             own,
             keys: Keys::new(&secret.repeat(32).parse().unwrap(), &[]),
             intake,
+            meetings: Arc::default(),
         };
         let mut listening = JoinSet::new();
         listening.spawn(sessions::listen(listener, context.clone()));
--- a/crates/jayquayd/tests/whole/main.rs
+++ b/crates/jayquayd/tests/whole/main.rs
@@ -51,6 +51,23 @@
     assert!(one.status().await.is_none());
 }
 
+#[tokio::test]
+async fn an_instance_with_a_wrong_secret_is_not_ready_and_takes_nobody_else_out_of_use() {
+    let mut fleet = Fleet::new().await;
+    fleet.put_document(1);
+    for name in ["one", "two"] {
+        fleet.join(name, "a").await;
+    }
+    let stranger = fleet.start("three", "b").await;
+    until(async || state(&stranger).await == "stranger").await;
+    for handle in &fleet.instances {
+        assert_eq!(state(handle).await, "ready");
+    }
+    // With the secret that the others hold as well, it meets them.
+    let renewed = fleet.start("four", "ba").await;
+    until(async || state(&renewed).await == "ready").await;
+}
+
 #[tokio::test]
 async fn replacing_every_instance_breaks_no_flow() {
     let mut fleet = Fleet::new().await;
