--- /dev/null
+++ b/crates/jayquayd/examples/flow_fleet.rs
@@ -0,0 +1,200 @@
+//! What instances in flow mode cost one another: `cargo run --release -p jayquayd --example flow_fleet -- target/release/jayquayd`.
+//!
+//! Each instance is a process of its own on loopback, in one of four availability zones, with a stand-in for the store. Bytes and
+//! calls are what the instances' metrics count, processor time and memory the system's. First nothing changes; then one
+//! upstream does, each second.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use adapter_standin::Store;
+use flow::UpstreamId;
+use reqwest::Client;
+
+/// How many instances each fleet has.
+const FLEETS: [usize; 4] = [8, 32, 128, 300];
+const ZONES: usize = 4;
+const UPSTREAMS: u64 = 150;
+/// How long a fleet gets to meet.
+const SETTLE: Duration = Duration::from_secs(15);
+/// How long it is measured, at rest and with changes.
+const SPAN: Duration = Duration::from_secs(12);
+const CHANGE: Duration = Duration::from_secs(1);
+/// The system's clock ticks in a second, as in `/proc/ID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+const PAGE_KB: u64 = 4;
+
+/// An instance. Dropping it kills it.
+struct Instance {
+    child: Child,
+    peers: SocketAddr,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+/// What is read of one instance.
+#[derive(Debug, Default, Clone, Copy)]
+struct Reading {
+    cpu: f64,
+    sent: f64,
+    calls: f64,
+    memory_kb: u64,
+}
+
+#[tokio::main]
+async fn main() {
+    let binary = std::env::args()
+        .nth(1)
+        .map(PathBuf::from)
+        .expect("the daemon's program");
+    println!("instances  state    cpu % (median, most)  sent B/s (median, most)  store calls/s in all  memory KB");
+    for count in FLEETS {
+        measure(count, &binary).await;
+    }
+}
+
+async fn measure(count: usize, binary: &Path) {
+    let store = Store::start().await.expect("loopback has a free port");
+    for id in 1..=UPSTREAMS {
+        put(&store, id);
+    }
+    let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+    store.put_document(1, &[(route, "search")]);
+    let folder = std::env::temp_dir().join(format!("flow-fleet-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("the folder for temporary files is writable");
+    let first = SocketAddr::from((ip(0), 0));
+    let socket = UdpSocket::bind(first).expect("loopback has a free port");
+    let port = socket.local_addr().expect("it is bound").port();
+    drop(socket);
+    let instances: Vec<Instance> = (0..count)
+        .map(|number| start(number, port, &store, binary, &folder))
+        .collect();
+    tokio::time::sleep(SETTLE).await;
+    report(count, "at rest", &instances, async { tokio::time::sleep(SPAN).await }).await;
+    let changes = async {
+        for id in 1..=SPAN.as_secs() {
+            put(&store, id);
+            tokio::time::sleep(CHANGE).await;
+        }
+    };
+    report(count, "changes", &instances, changes).await;
+    drop(instances);
+    fs::remove_dir_all(&folder).expect("the folder is this process's own");
+}
+
+fn put(store: &Store, id: u64) {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+    let zone = format!("zone-{}", id % ZONES as u64);
+    store.put_upstream(UpstreamId(id), "search", address, &zone, "ready");
+}
+
+/// The address of an instance: each has one of its own.
+fn ip(number: usize) -> Ipv4Addr {
+    let high = u8::try_from(number / 200).expect("a few hundred");
+    let low = u8::try_from(number % 200).expect("below 200");
+    Ipv4Addr::new(127, 99, high, low + 1)
+}
+
+fn start(number: usize, port: u16, store: &Store, binary: &Path, folder: &Path) -> Instance {
+    let ip = ip(number);
+    let settings = folder.join(format!("entry-{number}.yaml"));
+    let text = format!(
+        "name: entry-{number}\nzone: zone-{}\nstore: \"{}\"\nseeds: [\"{}:1\"]\ngrace_s: 6\nmax_flow_s: 60\n\
+         listen: {{packets: \"{ip}:0\", ready: \"{ip}:0\", peers: \"{ip}:{port}\"}}\n",
+        number % ZONES,
+        store.address(),
+        self::ip(0),
+    );
+    fs::write(&settings, text).expect("the folder is writable");
+    let child = Command::new(binary)
+        .args(["--flows", "--settings"])
+        .arg(&settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the daemon runs");
+    let peers = SocketAddr::from((ip, port));
+    Instance { child, peers }
+}
+
+/// Measures all instances over a span, and prints what each of them cost.
+async fn report(count: usize, state: &str, instances: &[Instance], span: impl Future<Output = ()>) {
+    let before = read(instances).await;
+    span.await;
+    let after = read(instances).await;
+    let seconds = SPAN.as_secs_f64();
+    let each = |of: fn(&Reading) -> f64| {
+        let rates = before.iter().zip(&after).map(|(a, b)| (of(b) - of(a)) / seconds);
+        let mut rates: Vec<f64> = rates.collect();
+        rates.sort_unstable_by(f64::total_cmp);
+        rates
+    };
+    let (cpu, sent, calls) = (each(|r| r.cpu), each(|r| r.sent), each(|r| r.calls));
+    let mut memory: Vec<u64> = after.iter().map(|reading| reading.memory_kb).collect();
+    memory.sort_unstable();
+    println!(
+        "{count:>9}  {state}  {:>8.3} {:>8.3}  {:>12.0} {:>8.0}  {:>20.2}  {:>9}",
+        cpu[count / 2] * 100.0,
+        cpu[count - 1] * 100.0,
+        sent[count / 2],
+        sent[count - 1],
+        calls.iter().sum::<f64>(),
+        memory[count / 2]
+    );
+}
+
+async fn read(instances: &[Instance]) -> Vec<Reading> {
+    let client = Client::builder()
+        .no_proxy()
+        .build()
+        .expect("it needs nothing from the system");
+    let mut readings = Vec::new();
+    for instance in instances {
+        let url = format!("http://{}/metrics", instance.peers);
+        let answer = client.get(url).send().await.expect("the instance answers");
+        let text = answer.text().await.expect("the answer is text");
+        let id = instance.child.id();
+        readings.push(Reading {
+            cpu: cpu_seconds(id),
+            sent: sum(&text, "jayquay_frame_bytes_sent_total"),
+            calls: sum(&text, "jayquay_store_calls_total"),
+            memory_kb: resident_kb(id),
+        });
+    }
+    readings
+}
+
+/// The sum over all labels of a counter.
+fn sum(text: &str, name: &str) -> f64 {
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+fn cpu_seconds(id: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).expect("the process lives");
+    // The name in parentheses may hold spaces; the fields after it do not.
+    let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ');
+    let ticks = fields.skip(11).take(2).filter_map(|field| field.parse::<f64>().ok());
+    ticks.sum::<f64>() / TICKS_PER_SECOND
+}
+
+fn resident_kb(id: u32) -> u64 {
+    let statm = fs::read_to_string(format!("/proc/{id}/statm")).expect("the process lives");
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_KB
+}
--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -6,6 +6,7 @@
 pub mod logging;
 pub mod metric;
 pub mod rhythm;
+pub mod role;
 pub mod settings;
 pub mod status;
 
@@ -17,7 +18,6 @@
 mod pull;
 mod relay;
 mod reload;
-mod role;
 mod run;
 mod shared;
 mod stop;
--- a/crates/jayquayd/src/forward/rhythm.rs
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
-pub use super::role::Role;
+use super::role::Role;
 
 /// How long each watch waits for a change on average. Each call costs the same however long it waits; with both watches by
 /// turns, one of them is due every three seconds.
--- a/crates/jayquayd/tests/rhythm.rs
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -5,7 +5,7 @@
 
 use jayquayd::forward::rhythm::Kind;
 use jayquayd::forward::rhythm::Rhythm;
-use jayquayd::forward::rhythm::Role;
+use jayquayd::forward::role::Role;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
