Give a second watcher that becomes the first its turns at once

Cause: its other watch may still wait for 20 s, and half a period before that was 17 s off; found by reading. Test: a_second_watcher_that_becomes_the_first_finds_its_turns_at_once, which failed first ('after 0 s: 17s').

--- a/crates/jayquayd/src/forward/rhythm.rs
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -114,8 +114,13 @@
     }
 }
 
-/// How long a watch waits so that it is due half a period before or after the other one, which is due in `other`.
+/// How long a watch waits so that it is due half a period before or after a turn of the other one, which is due in `other`.
 fn by_turns(other: Duration) -> Duration {
+    // The other one may still wait for as long as a second watcher does.
+    let mut other = other;
+    while other >= PERIOD + PERIOD / 2 {
+        other -= PERIOD;
+    }
     match other.checked_sub(PERIOD / 2) {
         Some(before) if before >= SHORTEST => before,
         Some(_) | None => other + PERIOD / 2,
--- a/crates/jayquayd/tests/rhythm.rs
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -84,3 +84,14 @@
     let (ended, ()) = tokio::join!(waits, doubts);
     assert_eq!(ended, Kind::Upstreams);
 }
+
+#[test]
+fn a_second_watcher_that_becomes_the_first_finds_its_turns_at_once() {
+    let rhythm = Rhythm::default();
+    let now = Instant::now();
+    rhythm.wait(Kind::Upstreams, Role::Second, now);
+    for seconds in 0..20 {
+        let wait = rhythm.wait(Kind::Document, Role::First, now + Duration::from_secs(seconds));
+        assert!(wait < Duration::from_secs(9), "after {seconds} s: {wait:?}");
+    }
+}
