--- a/crates/flow/benches/packet.rs
+++ b/crates/flow/benches/packet.rs
@@ -1,93 +1,22 @@
 //! What a packet costs in the flow core, and how much is remembered of a flow.
 
-use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
-use std::net::SocketAddrV4;
-use std::time::Duration;
+mod support;
 
 use divan::Bencher;
 use divan::black_box;
 use flow::Core;
-use flow::Document;
-use flow::Echo;
 use flow::Flags;
-use flow::Options;
 use flow::Packet;
-use flow::Route;
-use flow::Share;
-use flow::Upstream;
-use flow::UpstreamId;
 use flow::Verdict;
-use units::Revision;
-use units::Slots;
-use units::Time;
-use units::Weight;
+
+use crate::support::START;
+use crate::support::core;
+use crate::support::packet;
 
 fn main() {
     divan::main();
 }
 
-const START: Time = Time(1_000_000_000);
-
-fn route() -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
-}
-
-/// An instance that knows so many upstreams of one service, in ten zones.
-fn core(upstreams: u64) -> Core {
-    let mut core = Core::new(Options {
-        zone: "z0".parse().unwrap(),
-        max_flow: Duration::from_mins(1),
-        seed: 1,
-    });
-    let list = (1..=upstreams).map(|id| {
-        let upstream = Upstream {
-            service: "quotes".to_owned(),
-            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
-            zone: format!("z{}", id % 10).parse().unwrap(),
-            slots: Slots(2),
-            leaving: false,
-            cold_for: Duration::ZERO,
-        };
-        (UpstreamId(id), Revision(1), upstream)
-    });
-    let list = list.collect();
-    let share = Share {
-        service: "quotes".to_owned(),
-        weight: Weight(1),
-    };
-    let route = Route {
-        address: route(),
-        shares: vec![share],
-        idempotent: true,
-        aim: Duration::from_millis(100),
-    };
-    let document = Document {
-        revision: Revision(1),
-        routes: BTreeMap::from([("r".to_owned(), route)]),
-        idle_timeout: Duration::from_secs(15),
-    };
-    core.learn(START, |knowledge| {
-        knowledge.take_list(Revision(2), list, START) | knowledge.take_document(Revision(1), document)
-    });
-    core
-}
-
-fn packet(client: u32) -> Packet {
-    Packet {
-        client: SocketAddrV4::new(
-            Ipv4Addr::from(0x6440_0000 + client / 60_000),
-            (client % 60_000) as u16 + 1_024,
-        ),
-        route: route(),
-        flags: Flags::SYN,
-        echo: Echo::NONE,
-        seq: 1,
-        ack: 0,
-        len: 0,
-    }
-}
-
 /// Opens a flow and gives the packet that follows.
 fn open(core: &mut Core, client: u32) -> Packet {
     let opening = packet(client);
--- a/crates/jayquay/src/instance.rs
+++ b/crates/jayquay/src/instance.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use platform::transport;
 use reqwest::Client;
 use tokio::task::JoinSet;
 
@@ -50,14 +51,7 @@
 }
 
 fn silent(error: &reqwest::Error) -> Silent {
-    if error.is_timeout() {
-        return Silent("no answer in time".to_owned());
-    }
-    let mut cause: &dyn std::error::Error = error;
-    while let Some(inner) = cause.source() {
-        cause = inner;
-    }
-    Silent(cause.to_string())
+    Silent(transport::describe(error))
 }
 
 /// Does the same for every address, for some of them at a time, and gives the results in their order.
--- a/crates/jayquayd/src/forward/figures.rs
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -4,19 +4,11 @@
 use flow::Wait;
 use flow::WaitKind;
 use metrics::Histogram;
-use wire::MemberState;
 
 use super::metric;
 use super::role::Role;
 use super::shared::Shared;
-
-/// The states of a member, and their labels.
-const MEMBER_STATES: [(MemberState, &str); 4] = [
-    (MemberState::Alive, "alive"),
-    (MemberState::Suspect, "suspect"),
-    (MemberState::Leaving, "leaving"),
-    (MemberState::Dead, "dead"),
-];
+use crate::metric::MEMBER_STATES;
 
 /// Brings all figures up to date.
 pub(crate) fn report(shared: &Shared) {
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -49,11 +49,10 @@
     };
     let now = shared.now();
     if shared.learn(|knowledge| knowledge.take(change, now)) {
-        let held = held(shared);
         let Since {
             document_at,
             upstreams_at,
-        } = held;
+        } = held(shared);
         log::info!("peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at}");
     }
 }
--- a/crates/jayquayd/src/gauges.rs
+++ b/crates/jayquayd/src/gauges.rs
@@ -6,10 +6,10 @@
 use node::Status;
 use node::UpstreamLine;
 use units::Time;
-use wire::MemberState;
 use wire::Reason;
 
 use crate::metric;
+use crate::metric::MEMBER_STATES;
 use crate::throttle::Throttle;
 
 /// How often the node is asked.
@@ -18,14 +18,6 @@
 /// The states of an upstream as a home sees it.
 const UPSTREAM_STATES: [&str; 6] = ["active", "warming", "ejected", "probing", "draining", "removed"];
 
-/// The states of a member, and their labels.
-const MEMBER_STATES: [(MemberState, &str); 4] = [
-    (MemberState::Alive, "alive"),
-    (MemberState::Suspect, "suspect"),
-    (MemberState::Leaving, "leaving"),
-    (MemberState::Dead, "dead"),
-];
-
 /// Says in the log, at a limited rate, that packets came which no instance can use.
 #[derive(Debug, Default)]
 pub(crate) struct Watch {
--- a/crates/jayquayd/src/metric.rs
+++ b/crates/jayquayd/src/metric.rs
@@ -6,6 +6,15 @@
 use metrics::Gauge;
 use metrics::Histogram;
 use metrics::Unit;
+use wire::MemberState;
+
+/// The states of a member, and the labels that stand for them.
+pub(crate) const MEMBER_STATES: [(MemberState, &str); 4] = [
+    (MemberState::Alive, "alive"),
+    (MemberState::Suspect, "suspect"),
+    (MemberState::Leaving, "leaving"),
+    (MemberState::Dead, "dead"),
+];
 
 /// Makes a function for each metric, `describe` over all of them, and `NAMES`.
 macro_rules! table {
--- a/crates/jayquayd/tests/sessions.rs
+++ b/crates/jayquayd/tests/sessions.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use units::Incarnation;
 use units::InstanceName;
@@ -31,6 +32,13 @@
 /// Longer than any step of a test takes, unless it hangs.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Speaks WebSocket on a connection to an instance, as a stranger would.
+async fn websocket(tcp: TcpStream, address: SocketAddr) -> WebSocketStream<TcpStream> {
+    let url = format!("ws://{address}/");
+    let (ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    ws
+}
+
 struct Instance {
     name: InstanceName,
     address: SocketAddr,
@@ -197,8 +205,7 @@
 async fn a_frozen_instance_is_given_up() {
     let mut one = Instance::start("one", 1, "a", 8).await;
     let tcp = TcpStream::connect(one.address).await.unwrap();
-    let url = format!("ws://{}/", one.address);
-    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    let mut ws = websocket(tcp, one.address).await;
     let own = Identity {
         name: "two".parse().unwrap(),
         incarnation: Incarnation(2),
@@ -226,8 +233,7 @@
 async fn a_stranger_is_hung_up_on_before_anything_is_read() {
     let mut one = Instance::start("one", 1, "a", 8).await;
     let tcp = TcpStream::connect(one.address).await.unwrap();
-    let url = format!("ws://{}/", one.address);
-    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    let mut ws = websocket(tcp, one.address).await;
     // More than a handshake may hold, less than a frame may.
     let frame = Message::binary(vec![0; 1_000_000]);
     // The other side may hang up before everything is written.
@@ -271,8 +277,7 @@
     let socket = TcpSocket::new_v4().unwrap();
     socket.bind("127.0.0.2:0".parse().unwrap()).unwrap();
     let tcp = socket.connect(one.address).await.unwrap();
-    let url = format!("ws://{}/", one.address);
-    let (mut ws, _) = tokio_tungstenite::client_async(url, tcp).await.unwrap();
+    let mut ws = websocket(tcp, one.address).await;
     let own = Identity {
         name: "two".parse().unwrap(),
         incarnation: Incarnation(2),
