Read the store's entries one by one, and tell two starts under one id apart

Cause, by reading: answers of the store were parsed as a whole, so one object whose bytes are no UTF-8 or break the JSON around it took all others with it, and a fleet that started then never got its list; an entry that became unreadable kept its old value in force; and nothing told a second start under one id from the first, so that it stayed dead, slow or warm as the first had been. Ruled out: an echo that stands for the start; it would be unknown wherever the new start has not been heard of. A reset of the earlier start's flows by an instance; one of them may have been opened at the new start before that was known here. Change: items are read one by one, and sound ones are looked for where the whole is broken; an entry that can't be read is a sighting of its own, which ends new flows and leaves open ones; entries with figures that make no sense are unreadable too; a document that can't be read shows in log, metrics and status. An entry tells when its upstream started; what was learnt of an earlier start goes with it, and an earlier start never replaces a later one.

--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -43,6 +43,7 @@
             slots: Slots(2),
             leaving: false,
             cold_for: Duration::ZERO,
+            started: None,
         };
         (UpstreamId(id), Revision(1), upstream)
     });
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -119,12 +119,26 @@
         {
             self.routes = Routes::new(at, document);
         }
-        self.directory = Directory::new(&self.knowledge, &self.directory, now);
+        let earlier = std::mem::take(&mut self.directory);
+        self.directory = Directory::new(&self.knowledge, &earlier, now);
+        for id in self.directory.restarted_since(&earlier) {
+            self.forget_start(id);
+        }
         let directory = &self.directory;
         self.health.retain(|id, _| directory.contains(*id));
         true
     }
 
+    /// Forgets what was learnt of an upstream's earlier start, which says nothing of the one that now has its id.
+    ///
+    /// Its flows are over, but no reset is sent for them here: some may have been opened at the new start before this was
+    /// known. The upstream itself resets those that it does not hold.
+    fn forget_start(&mut self, id: UpstreamId) {
+        let flows = self.flows.take_of(id).len();
+        self.health.remove(&id);
+        self.decisions.push(Decision::Restarted { upstream: id, flows });
+    }
+
     /// Decides what becomes of a packet from a client.
     pub fn packet(&mut self, packet: &Packet, now: Time) -> Verdict {
         let verdict = if packet.flags.has(Flags::SYN) {
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -52,4 +52,11 @@
     },
     /// An upstream that was taken for dead answers again.
     Revived(UpstreamId),
+    /// An upstream has started again under its id; what was known of its earlier start is forgotten.
+    Restarted {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// How many flows of the earlier start were remembered here.
+        flows: usize,
+    },
 }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -46,7 +46,9 @@
                     free.insert(Some(id));
                 }
             }
-            let known_cold = earlier.listed.get(&id).map(|held| held.cold_until);
+            let held = earlier.listed.get(&id);
+            let held = held.filter(|held| !entry.upstream.is_other_start(&held.upstream));
+            let known_cold = held.map(|held| held.cold_until);
             let listed = Listed {
                 upstream: entry.upstream.clone(),
                 echo,
@@ -84,6 +86,17 @@
         self.by_zone.get(zone).map(Vec::as_slice).unwrap_or_default()
     }
 
+    /// The upstreams that have started again since `earlier`, in the order of their ids.
+    pub(crate) fn restarted_since(&self, earlier: &Self) -> Vec<UpstreamId> {
+        let restarted = self.listed.iter().filter(|(id, listed)| {
+            let held = earlier.get(**id);
+            held.is_some_and(|held| listed.upstream.is_other_start(&held.upstream))
+        });
+        let mut ids: Vec<UpstreamId> = restarted.map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
     /// Whether an upstream is remembered.
     pub(crate) fn contains(&self, id: UpstreamId) -> bool {
         self.listed.contains_key(&id)
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -11,6 +11,7 @@
 use crate::documents::Documents;
 use crate::documents::Update;
 use crate::route::Document;
+use crate::upstream::Sighting;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
@@ -25,6 +26,13 @@
     pub gone: bool,
 }
 
+impl Entry {
+    /// Whether `other` is listed by an earlier start: a late write of a process that has ended.
+    fn is_later_start(&self, other: &Self) -> bool {
+        !other.gone && other.upstream.is_earlier_start(&self.upstream)
+    }
+}
+
 /// What one holder knows that another does not.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -132,19 +140,40 @@
     }
 
     /// Takes in the whole list of upstreams as it stood at a revision. Tells whether anything has changed.
-    pub fn take_list(&mut self, at: Revision, list: Vec<(UpstreamId, Revision, Upstream)>, now: Time) -> bool {
-        let entries = list.into_iter().map(|(id, revision, upstream)| {
-            let gone = false;
-            (
-                id,
-                Entry {
-                    revision,
-                    upstream,
-                    gone,
-                },
-            )
+    pub fn take_list<S>(&mut self, at: Revision, list: Vec<(UpstreamId, Revision, S)>, now: Time) -> bool
+    where
+        S: Into<Sighting>,
+    {
+        let entries = list.into_iter().filter_map(|(id, revision, sighting)| {
+            let entry = self.entry(id, revision, sighting.into())?;
+            Some((id, entry))
         });
-        self.replace(at, entries.collect(), now)
+        let entries = entries.collect();
+        self.replace(at, entries, now)
+    }
+
+    /// What is to be remembered of an upstream that was seen so; `None` if nothing was known of it and nothing is told.
+    ///
+    /// An entry that can't be read names no upstream for new flows. Its open flows go on to where they were, as an upstream
+    /// that leaves keeps its own.
+    fn entry(&self, id: UpstreamId, revision: Revision, sighting: Sighting) -> Option<Entry> {
+        let held = || self.upstream(id).cloned();
+        let (upstream, gone) = match sighting {
+            Sighting::Listed(upstream) => (upstream, false),
+            Sighting::Unreadable => (
+                Upstream {
+                    leaving: true,
+                    ..held()?
+                },
+                false,
+            ),
+            Sighting::Gone => (held()?, true),
+        };
+        Some(Entry {
+            revision,
+            upstream,
+            gone,
+        })
     }
 
     /// Takes in all upstreams as they stood at a revision. Those that are not told as listed have gone by then, whenever
@@ -173,34 +202,31 @@
 
     /// Takes in what a watch told: changes in their order, without an upstream where it is no longer listed.
     ///
-    /// Of several changes of one upstream the last counts. A change that takes an entry away counts as of `at`, which
-    /// may lie after the revision at which the entry came back. An upstream that went keeps what was known of it. One
-    /// that was never known here can't be remembered, so holders from before get all upstreams.
-    pub fn take_watched(
-        &mut self,
-        at: Revision,
-        changes: Vec<(UpstreamId, Revision, Option<Upstream>)>,
-        now: Time,
-    ) -> bool {
-        let changes = changes
-            .into_iter()
-            .map(|(id, revision, upstream)| (id, (revision, upstream)));
-        let last: BTreeMap<_, _> = changes.collect();
+    /// Of several changes of one upstream the last counts, unless it tells of an earlier start. A change that takes an
+    /// entry away counts as of `at`, which may lie after the revision at which the entry came back. An upstream that went
+    /// keeps what was known of it. One that was never known here can't be remembered, so holders from before get all
+    /// upstreams.
+    pub fn take_watched<S>(&mut self, at: Revision, changes: Vec<(UpstreamId, Revision, S)>, now: Time) -> bool
+    where
+        S: Into<Sighting>,
+    {
+        let mut last: BTreeMap<UpstreamId, (Revision, Sighting)> = BTreeMap::new();
+        for (id, revision, sighting) in changes {
+            let sighting = sighting.into();
+            if let (Some((_, Sighting::Listed(held))), Sighting::Listed(new)) = (last.get(&id), &sighting)
+                && new.is_earlier_start(held)
+            {
+                continue;
+            }
+            last.insert(id, (revision, sighting));
+        }
         let mut entries = Vec::new();
-        for (id, (revision, upstream)) in last {
-            let gone = upstream.is_none();
-            let Some(upstream) = upstream.or_else(|| self.upstream(id).cloned()) else {
+        for (id, (revision, sighting)) in last {
+            let Some(entry) = self.entry(id, revision, sighting) else {
                 self.complete_since = self.complete_since.max(at);
                 continue;
             };
-            entries.push((
-                id,
-                Entry {
-                    revision,
-                    upstream,
-                    gone,
-                },
-            ));
+            entries.push((id, entry));
         }
         self.apply(at, entries, now)
     }
@@ -214,7 +240,7 @@
         let mut has_changed = false;
         for (id, entry) in changes {
             let held = self.upstreams.get(&id);
-            if held.is_some_and(|held| held.revision >= entry.revision) {
+            if held.is_some_and(|held| held.revision >= entry.revision || held.is_later_start(&entry)) {
                 continue;
             }
             has_changed = true;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -50,6 +50,8 @@
 pub use crate::route::Route;
 pub use crate::route::Share;
 pub use crate::upstream::ParseUpstreamIdError;
+pub use crate::upstream::Sighting;
+pub use crate::upstream::Start;
 pub use crate::upstream::Upstream;
 pub use crate::upstream::UpstreamId;
 pub use crate::verdict::Verdict;
--- a/crates/flow/src/upstream.rs
+++ b/crates/flow/src/upstream.rs
@@ -13,11 +13,23 @@
 
 use crate::packet::Echo;
 
-/// One start of an upstream. A later start at the same address has another id.
+/// Names an upstream. A later start at the same address has another id as a rule; one that starts again under its old id
+/// tells by its [`Start`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct UpstreamId(pub u64);
 
+/// When an upstream started, by its own clock, in milliseconds since the Unix epoch. It tells two starts under one id apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Start(pub u64);
+
+impl fmt::Display for Start {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// A text is not an upstream's id.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseUpstreamIdError(ParseIntError);
@@ -73,14 +85,54 @@
     pub leaving: bool,
     /// How much longer it was slow after its start, when this entry was written.
     pub cold_for: Duration,
+    /// When it started, if its entry tells.
+    pub started: Option<Start>,
+}
+
+impl Upstream {
+    /// Whether this is another start than `other`. An entry that doesn't tell is taken for the same one.
+    pub(crate) fn is_other_start(&self, other: &Self) -> bool {
+        let starts = self.started.zip(other.started);
+        starts.is_some_and(|(started, other)| started != other)
+    }
+
+    /// Whether this is an earlier start than `other`.
+    pub(crate) fn is_earlier_start(&self, other: &Self) -> bool {
+        let starts = self.started.zip(other.started);
+        starts.is_some_and(|(started, other)| started < other)
+    }
+}
+
+/// What the platform's directory says of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sighting {
+    /// It is listed.
+    Listed(Upstream),
+    /// There is an entry that can't be read: it names no upstream to use, and tells nothing of the one that it named
+    /// before.
+    Unreadable,
+    /// It is no longer listed.
+    Gone,
+}
+
+impl From<Upstream> for Sighting {
+    fn from(upstream: Upstream) -> Self {
+        Self::Listed(upstream)
+    }
+}
+
+impl From<Option<Upstream>> for Sighting {
+    fn from(upstream: Option<Upstream>) -> Self {
+        upstream.map_or(Self::Gone, Self::Listed)
+    }
 }
 
-/// An upstream as instances tell it: service, address, zone, slots, whether it leaves, and for how many milliseconds it
-/// was cold.
-type Told = (String, SocketAddrV4, ZoneName, Slots, bool, u64);
+/// An upstream as instances tell it: service, address, zone, slots, whether it leaves, for how many milliseconds it
+/// was cold, and when it started.
+type Told = (String, SocketAddrV4, ZoneName, Slots, bool, u64, Option<Start>);
 
 impl From<Told> for Upstream {
-    fn from((service, address, zone, slots, leaving, cold_ms): Told) -> Self {
+    fn from((service, address, zone, slots, leaving, cold_ms, started): Told) -> Self {
         Self {
             service,
             address,
@@ -88,6 +140,7 @@
             slots,
             leaving,
             cold_for: Duration::from_millis(cold_ms),
+            started,
         }
     }
 }
@@ -102,6 +155,7 @@
             upstream.slots,
             upstream.leaving,
             cold_ms,
+            upstream.started,
         )
     }
 }
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -8,6 +8,7 @@
 use flow::Document;
 use flow::Knowledge;
 use flow::Route;
+use flow::Start;
 use flow::Upstream;
 use flow::UpstreamId;
 use proptest::collection::vec;
@@ -29,6 +30,8 @@
 enum Step {
     /// An upstream writes its entry.
     Put(u64, bool),
+    /// An upstream starts again under its id, and writes its entry.
+    Restart(u64),
     /// An entry is removed.
     Remove(u64),
     /// Operators write the next document.
@@ -49,6 +52,7 @@
     let holder = 0..HOLDERS;
     prop_oneof![
         (0..UPSTREAMS, any::<bool>()).prop_map(|(id, leaving)| Step::Put(id, leaving)),
+        (0..UPSTREAMS).prop_map(Step::Restart),
         (0..UPSTREAMS).prop_map(Step::Remove),
         any::<bool>().prop_map(|_| Step::Document),
         holder.clone().prop_map(Step::List),
@@ -67,6 +71,7 @@
         slots: Slots(2),
         leaving,
         cold_for: Duration::ZERO,
+        started: None,
     }
 }
 
@@ -74,6 +79,8 @@
 #[derive(Default)]
 struct Platform {
     revision: u64,
+    /// How often each upstream has started again.
+    starts: BTreeMap<u64, u64>,
     document: Option<(Revision, Document)>,
     entries: BTreeMap<UpstreamId, (Revision, Upstream)>,
     history: Vec<(Revision, UpstreamId, Option<Upstream>)>,
@@ -83,7 +90,10 @@
     fn put(&mut self, id: u64, leaving: bool) {
         self.revision += 1;
         let revision = Revision(self.revision);
-        let upstream = upstream(leaving, u16::try_from(self.revision).unwrap());
+        let upstream = Upstream {
+            started: self.starts.get(&id).copied().map(Start),
+            ..upstream(leaving, u16::try_from(self.revision).unwrap())
+        };
         self.entries.insert(UpstreamId(id), (revision, upstream.clone()));
         self.history.push((revision, UpstreamId(id), Some(upstream)));
     }
@@ -152,6 +162,10 @@
             .collect();
         match step {
             Step::Put(id, leaving) => platform.put(id, leaving),
+            Step::Restart(id) => {
+                *platform.starts.entry(id).or_default() += 1;
+                platform.put(id, false);
+            }
             Step::Remove(id) => platform.remove(id),
             Step::Document => platform.write_document(),
             Step::List(holder) => {
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -1,7 +1,8 @@
 //! Scenarios in a small language: what one instance is told, what packets come, and what becomes of them.
 //!
 //! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` and `upstreams` (one a line: `ID SERVICE ZONE
-//! [leaving] [slots=N] [cold=MS]`, or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
+//! [leaving] [slots=N] [cold=MS] [started=MS]`, `ID unreadable`
+//! or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
 //! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own. `waits`
 //! shows what clients have waited for.
 
@@ -23,6 +24,8 @@
 use flow::ReporterId;
 use flow::Route;
 use flow::Share;
+use flow::Sighting;
+use flow::Start;
 use flow::Upstream;
 use flow::UpstreamId;
 use flow::Verdict;
@@ -155,7 +158,11 @@
             let id: UpstreamId = words[0].parse().unwrap();
             let revision = Revision(self.revision);
             if words[1] == "gone" {
-                changes.push((id, revision, None));
+                changes.push((id, revision, Sighting::Gone));
+                continue;
+            }
+            if words[1] == "unreadable" {
+                changes.push((id, revision, Sighting::Unreadable));
                 continue;
             }
             let value = |name: &str| words.iter().find_map(|word| word.strip_prefix(name));
@@ -168,15 +175,18 @@
                 slots: Slots(value("slots=").map_or(2, |slots| slots.parse().unwrap())),
                 leaving: words.contains(&"leaving"),
                 cold_for: Duration::from_millis(value("cold=").map_or(0, millis)),
+                started: value("started=").map(|started| Start(millis(started))),
             };
             self.upstreams.insert(id, upstream.clone());
-            changes.push((id, revision, Some(upstream)));
+            changes.push((id, revision, Sighting::Listed(upstream)));
         }
         let at = Revision(self.revision);
         let now = self.now;
         self.core
             .learn(now, |knowledge| knowledge.take_watched(at, changes, now));
-        String::new()
+        let mut out = String::new();
+        self.show(&mut out);
+        out
     }
 
     /// Lines of `WHAT CLIENT [PORT]`, or `+MS`.
@@ -304,6 +314,9 @@
                     writeln!(out, "  {:x} is taken for dead, {stalled} wait", upstream.0).unwrap();
                 }
                 Decision::Revived(upstream) => writeln!(out, "  {:x} answers again", upstream.0).unwrap(),
+                Decision::Restarted { upstream, flows } => {
+                    writeln!(out, "  {:x} has started again, {flows} flows are over", upstream.0).unwrap();
+                }
                 Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => {}
             }
         }
--- a/crates/jayquay/src/flows/read.rs
+++ b/crates/jayquay/src/flows/read.rs
@@ -13,8 +13,11 @@
     match holder {
         Holder::Store(address) => {
             let read = Store::new(address).read_document().await?;
-            let (_, document) = read.newest.ok_or(Error::NoDocument(holder))?;
-            Ok(document)
+            match read.newest {
+                Some((_, document)) => Ok(document),
+                None if read.is_unreadable => Err(Error::UnreadableDocument(holder)),
+                None => Err(Error::NoDocument(holder)),
+            }
         }
         Holder::Instance(address) => {
             let page = Asker::new().page(address, status::DOCUMENT_PATH).await;
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -59,6 +59,8 @@
     Silent(String, String),
     /// An instance holds another document than the store.
     Document(String, Option<Revision>, Revision),
+    /// An instance has found the store's document unreadable, and an earlier one is in force.
+    Unreadable(String, Revision),
     /// An instance is not ready and not stopping.
     NotReady(String),
     /// An instance does not know another one that answers.
@@ -71,6 +73,12 @@
             Self::Silent(name, why) => write!(f, "{name}: no answer: {why}"),
             Self::Document(name, Some(held), stored) => write!(f, "{name} holds revision {held}, the store {stored}"),
             Self::Document(name, None, stored) => write!(f, "{name} holds no document, the store {stored}"),
+            Self::Unreadable(name, at) => {
+                write!(
+                    f,
+                    "{name} can't read the store's document of {at}, an earlier one is in force"
+                )
+            }
             Self::NotReady(name) => write!(f, "{name} is not ready"),
             Self::Unknown(name, other) => write!(f, "{name} does not know {other}"),
         }
@@ -179,6 +187,9 @@
         if status.document_digest.as_ref() != Some(&stored.digest) {
             findings.push(Finding::Document(name.clone(), status.document, stored.revision));
         }
+        if let Some(at) = status.unreadable_document {
+            findings.push(Finding::Unreadable(name.clone(), at));
+        }
         if !status.is_ready && !status.is_stopping {
             findings.push(Finding::NotReady(name.clone()));
         }
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -49,7 +49,10 @@
 }
 
 fn is_about_one_flow(decision: &Decision) -> bool {
-    !matches!(decision, Decision::Died { .. } | Decision::Revived(_))
+    !matches!(
+        decision,
+        Decision::Died { .. } | Decision::Revived(_) | Decision::Restarted { .. }
+    )
 }
 
 /// What a decision was based on.
@@ -96,5 +99,8 @@
             flows,
         } => log::warn!("flows: taken for dead upstream={upstream} waiting={stalled} flows={flows}"),
         Decision::Revived(upstream) => log::warn!("flows: answers again upstream={upstream}"),
+        Decision::Restarted { upstream, flows } => {
+            log::info!("flows: started again upstream={upstream} flows={flows} upstreams_at={upstreams_at}");
+        }
     }
 }
--- a/crates/jayquayd/src/forward/figures.rs
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -14,6 +14,8 @@
 pub(crate) fn report(shared: &Shared) {
     report_flows(shared);
     report_knowledge(shared.core().knowledge());
+    let is_unreadable = shared.unreadable_document().is_some();
+    metric::document_unreadable().set(f64::from(u8::from(is_unreadable)));
     report_members(shared);
 }
 
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -36,6 +36,9 @@
         "How long it took to carry the packets that had come by one wake-up.";
     /// The document in force.
     gauge document() "jayquay_flow_document_revision" Count "The operators' revision of the document in force, 0 without one.";
+    /// Whether the store's document can't be read.
+    gauge document_unreadable() "jayquay_flow_document_unreadable" Count
+        "1 while the store holds a document that can't be read and an earlier one stays in force, else 0.";
     /// Up to where changes of upstreams are known.
     gauge upstreams_at() "jayquay_flow_upstreams_revision" Count
         "The store's revision up to which changes of upstreams are known.";
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -12,6 +12,7 @@
 use flow::Knowledge;
 use membership::Membership;
 use tokio::sync::Notify;
+use units::Revision;
 use units::Time;
 
 use crate::clock::Clock;
@@ -32,6 +33,8 @@
     /// There is enough knowledge to serve.
     ready: Notify,
     is_stopping: AtomicBool,
+    /// The revision of a document in the store that can't be read, or zero.
+    unreadable_document: AtomicU64,
     last_packet: AtomicU64,
 }
 
@@ -45,6 +48,7 @@
                 news: Notify::new(),
                 ready: Notify::new(),
                 is_stopping: AtomicBool::new(false),
+                unreadable_document: AtomicU64::new(0),
                 last_packet: AtomicU64::new(0),
             }),
         }
@@ -102,6 +106,20 @@
         self.inner.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// The store's revision at which this instance last saw a document that can't be read, so that an earlier one stays in
+    /// force.
+    pub(crate) fn unreadable_document(&self) -> Option<Revision> {
+        let at = self.inner.unreadable_document.load(Ordering::Relaxed);
+        (at > 0).then_some(Revision(at))
+    }
+
+    /// Notes the revision of a document that can't be read, or that the last one that was seen can be. Tells whether that is
+    /// news.
+    pub(crate) fn note_document(&self, unreadable_at: Option<Revision>) -> bool {
+        let at = unreadable_at.unwrap_or_default().0;
+        self.inner.unreadable_document.swap(at, Ordering::Relaxed) != at
+    }
+
     pub(crate) fn note_packet(&self, now: Time) {
         self.inner.last_packet.store(now.0, Ordering::Relaxed);
     }
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -38,6 +38,9 @@
     pub document: Option<Revision>,
     /// A digest of it, in hexadecimal.
     pub document_digest: Option<String>,
+    /// The store's revision at which it has seen a document that can't be read, so that the one above stays in force.
+    #[serde(default)]
+    pub unreadable_document: Option<Revision>,
     /// The store's revision up to which it knows changes of upstreams.
     pub upstreams_at: Revision,
     /// How many upstreams each service has that may get flows.
@@ -73,6 +76,7 @@
             watches,
             document: document.map(|document| document.revision),
             document_digest: document.map(|document| document.digest().to_string()),
+            unreadable_document: shared.unreadable_document(),
             upstreams_at: knowledge.upstreams_at(),
             upstreams,
             flows: core.flow_count(),
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use adapter::Store;
+use adapter::store::Documents;
 use adapter::store::Error;
 use adapter::store::Listing;
 use rand::RngExt;
@@ -77,7 +78,7 @@
                 }
                 self.note_lost(error);
             }
-            Error::Refused(_) | Error::Malformed(_) | Error::TooLong => self.note_lost(error),
+            Error::Refused(_) | Error::Malformed(_) | Error::TooLong | Error::Endless => self.note_lost(error),
         }
         tokio::time::sleep(self.backoff.next()).await;
     }
@@ -163,14 +164,34 @@
         };
         link.answered();
         cursor = Some(documents.at);
-        let Some((at, document)) = documents.newest else {
-            continue;
-        };
-        let revision = document.revision;
-        if shared.learn(|knowledge| knowledge.take_document(at, document)) {
-            log::info!("store: document in force revision={revision} at={at}");
+        if take_document(shared, documents) {
+            tokio::time::sleep(role.gather()).await;
         }
-        tokio::time::sleep(role.gather()).await;
+    }
+}
+
+/// Takes in what a read or a watch of the document brought. Tells whether there was one.
+fn take_document(shared: &Shared, documents: Documents) -> bool {
+    let is_unreadable = documents.is_unreadable;
+    if is_unreadable || documents.newest.is_some() {
+        note_document(shared, is_unreadable.then_some(documents.at));
+    }
+    let Some((at, document)) = documents.newest else {
+        return is_unreadable;
+    };
+    let revision = document.revision;
+    if shared.learn(|knowledge| knowledge.take_document(at, document)) {
+        log::info!("store: document in force revision={revision} at={at}");
+    }
+    true
+}
+
+/// Lets operators know of a document that can't be read.
+fn note_document(shared: &Shared, unreadable_at: Option<Revision>) {
+    let is_news = shared.note_document(unreadable_at);
+    if let Some(at) = unreadable_at.filter(|_| is_news) {
+        let held = shared.core().knowledge().document_at();
+        log::warn!("store: document unreadable at={at}, the one at={held} stays in force");
     }
 }
 
@@ -241,10 +262,11 @@
         }
     };
     let count = list.upstreams.len();
+    let at = list.at;
     let now = shared.now();
-    let has_changed = shared.learn(|knowledge| knowledge.take_list(list.at, list.upstreams, now));
-    log::info!("store: upstreams listed count={count} at={}", list.at);
-    Ok((list.at, has_changed))
+    let has_changed = shared.learn(|knowledge| knowledge.take_list(at, list.sightings(), now));
+    log::info!("store: upstreams listed count={count} at={at}");
+    Ok((at, has_changed))
 }
 
 /// Leaves it to others for a moment to read a long list.
--- a/crates/jayquayd/tests/flows/main.rs
+++ b/crates/jayquayd/tests/flows/main.rs
@@ -240,3 +240,58 @@
         assert!(errors.contains(expected), "{errors}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_cannot_be_read_keep_nobody_from_starting_and_name_no_upstream() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let was_good = world.upstream(0xa11, "was good", "search").await;
+    let _good = world.upstream(0xa12, "good", "search").await;
+    let bytes = b"{\"meta\":{\"name\":\"i-0000000a11\",\"rev\":9},\"spec\":{\"service\":\"\xff".to_vec();
+    let running = world.start_ready(1).await;
+    world.store.put_bytes("servers", "i-0000000a11", bytes);
+    world.store.put_bytes("servers", "i-0000000a13", b"nonsense".to_vec());
+    let newcomer = world.start_ready(2).await;
+    until("it is told once", || world.log(2).contains("store: unreadable entry")).await;
+    let mut client = world.client(1).await;
+    for _ in 0..10 {
+        assert_eq!(client.open(ROUTE, newcomer.packets()).await.unwrap(), Seen::Opened);
+        assert_eq!(client.ask(b"a", newcomer.packets()).await.unwrap(), answer("good: a"));
+    }
+    until("the other one knows", || world.log(1).contains("name=\"i-0000000a11\"")).await;
+    let before = was_good.opened();
+    for _ in 0..10 {
+        assert_eq!(client.open(ROUTE, running.packets()).await.unwrap(), Seen::Opened);
+    }
+    assert_eq!(was_good.opened(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_starts_again_under_its_id_gets_flows_and_ends_those_of_before() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let id = UpstreamId(0xb11);
+    let first = world.upstream(0xb11, "first", "search").await;
+    let address = first.address();
+    world.store.put_started(id, "search", address, "zone-a", 1_000);
+    let entry = world.start_ready(1).await;
+    let mut old = world.client(1).await;
+    assert_eq!(old.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+    first.crash().await;
+    let second = Upstream::start(id, "second", address, world.packets).await.unwrap();
+    world.store.put_started(id, "search", address, "zone-a", 2_000);
+    assert_eq!(old.ask(b"a", entry.packets()).await.unwrap(), Seen::Reset);
+    let mut new = world.client(2).await;
+    assert_eq!(new.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+    assert_eq!(new.ask(b"b", entry.packets()).await.unwrap(), answer("second: b"));
+    assert_eq!(second.strays(), 0);
+    for _ in 0..TRIES {
+        // What was decided is logged with the next packet.
+        assert_eq!(new.open(ROUTE, entry.packets()).await.unwrap(), Seen::Opened);
+        if world.log(1).contains("flows: started again upstream=0000000b11") {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("the new start is never told of");
+}
