Tell newcomers whom there is to know at once, and more news by each probe

Cause: an instance that starts asks its seeds by a frame that tells no view, so nobody answered it; it waited to be probed. Ruled out: to send everything to each newcomer, which from some hundred instances on fills the links of the seeds. Change: seeds are asked with a view; a newcomer is told of up to 63 members; up to 20 pieces of news ride on a probe while many wait.

--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -23,7 +23,6 @@
 use units::Revision;
 use wire::Digest;
 use wire::Frame;
-use wire::Gossip;
 use wire::Member;
 
 use super::pull;
@@ -147,14 +146,7 @@
     }
 
     fn ask_seeds(&self) {
-        let frame = {
-            let members = self.shared.members();
-            Frame::News(Gossip {
-                members: vec![members.me().clone()],
-                document: members.document(),
-                ..Gossip::default()
-            })
-        };
+        let frame = Frame::News(self.shared.members().introduction());
         let own = self.shared.members().me().address;
         let seeds = self.settings.borrow().seeds.clone();
         for ip in seeds {
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -16,8 +16,11 @@
 use crate::table::Known;
 use crate::table::member_hash;
 
-/// How many pieces of news ride on one probe.
+/// How many pieces of news ride on one probe, and how many while many wait, as when a whole fleet starts: a member has about 60
+/// bytes, so that a datagram fits a packet of 1,500 bytes as a rule. Of 65 instances that start at once most knew few others for
+/// five seconds with the smaller number alone, and each that knows few takes every part upon itself.
 const NEWS_PER_PROBE: usize = 6;
+const MANY_NEWS_PER_PROBE: usize = 20;
 /// With more pieces of news than this waiting, all that is known is exchanged instead.
 const SWAMPED: usize = 24;
 /// How many entries go into one frame when everything known is sent.
@@ -55,14 +58,15 @@
             gossip.members.push(to.clone());
         }
         let times = 3 * (self.table.present_len() + 2).ilog2().max(1);
-        for topic in self.news.take(NEWS_PER_PROBE, times) {
+        let count = (self.news.len() / 2).clamp(NEWS_PER_PROBE, MANY_NEWS_PER_PROBE);
+        for topic in self.news.take(count, times) {
             self.add_topic(&topic, &mut gossip);
         }
         gossip
     }
 
-    /// Gossip that tells who this instance is, and no news.
-    pub(crate) fn introduction(&self) -> Gossip {
+    /// Gossip that tells who this instance is, and no news. Whoever does not know it answers with whom it knows.
+    pub fn introduction(&self) -> Gossip {
         Gossip {
             view: self.view(),
             members: vec![self.me.clone()],
@@ -173,19 +177,31 @@
         }
         let member = known.member.clone();
         self.next_sync = self.now + self.timing.sync_every;
+        if newcomer {
+            return self.welcome(&member, out);
+        }
         self.send_all(&member, out);
     }
 
+    /// Tells a newcomer of members, as many as fit one frame: in a large fleet that starts at once, all of them to each would
+    /// fill the links of those that are asked first. It hears of the others by their news.
+    fn welcome(&mut self, to: &Member, out: &mut Vec<Output>) {
+        let known = self.table.iter().map(|known| known.member.clone());
+        let mut members = known.sample(&mut self.rng, ENTRIES_PER_FRAME - 1);
+        members.push(self.me.clone());
+        send_members(to, &members, out);
+        self.send_lasting(to, out);
+    }
+
     fn send_all(&self, to: &Member, out: &mut Vec<Output>) {
         let known = self.table.iter().map(|known: &Known| &known.member);
         let members: Vec<Member> = known.chain([&self.me]).cloned().collect();
-        for part in members.chunks(ENTRIES_PER_FRAME) {
-            let gossip = Gossip {
-                members: part.to_vec(),
-                ..Gossip::default()
-            };
-            out.push(send(to, Frame::News(gossip)));
-        }
+        send_members(to, &members, out);
+        self.send_lasting(to, out);
+    }
+
+    /// Sends what members have left behind for others.
+    fn send_lasting(&self, to: &Member, out: &mut Vec<Output>) {
         let successors: Vec<wire::Successor> = self.successors.iter().collect();
         for part in successors.chunks(ENTRIES_PER_FRAME) {
             let gossip = Gossip {
@@ -211,6 +227,16 @@
     }
 }
 
+fn send_members(to: &Member, members: &[Member], out: &mut Vec<Output>) {
+    for part in members.chunks(ENTRIES_PER_FRAME) {
+        let gossip = Gossip {
+            members: part.to_vec(),
+            ..Gossip::default()
+        };
+        out.push(send(to, Frame::News(gossip)));
+    }
+}
+
 fn add_member(member: &Member, gossip: &mut Gossip) {
     if !gossip.members.contains(member) {
         gossip.members.push(member.clone());
