Have one instance of the fleet, drawn anew each second, ask whether the store knows more

Cause: from three zones on there is one watcher a zone. Ruled out: shorter waits and a second watcher, which fail alike once all are cut; all instances stepping forward, whose calls grow with the fleet; stale reads, which may be as old as the bound. Change: each second the first of a rendezvous order asks by a new connection what has changed, one short call; without an answer in 0.4 s it hands the question on to four, they to sixteen. Whoever got no answer hands on without a call for 1.2 s. Watches wait for 20 s in place of 6, as what short waits found out is now found by the checks, and one that others overtake is asked anew. Tests: crates/jayquayd/tests/check.rs in virtual time, with the readers as victims again and again.

--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -3,6 +3,7 @@
 //! The decisions are those of [`flow::Core`]. Around it stand the packets' socket, the store's watches, the exchange
 //! with other instances, and the HTTP endpoints. Every part but the packets' may be late or fail without harm to a flow.
 
+pub mod check;
 pub mod logging;
 pub mod metric;
 pub mod rhythm;
--- /dev/null
+++ b/crates/jayquayd/src/forward/check.rs
@@ -0,0 +1,339 @@
+//! Each second one instance of the whole fleet, drawn anew, asks the store whether it knows more than the fleet does.
+//!
+//! Watchers hear of changes at once, but all of them may be cut from the store, or turned away by it, without anybody
+//! noticing: a watch that brings nothing looks like a store without changes. Whoever is drawn and gets no answer hands the
+//! question on to four others, and these to four more each, so that a few instances that still reach the store are found
+//! within two seconds, whichever they are. What they find travels as all news do. With the whole store away this ends after
+//! 21 questions, whatever the size of the fleet.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use adapter::Store;
+use adapter::store::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use units::Revision;
+use units::Time;
+
+use super::metric;
+use super::settings::Settings;
+use super::shared::Shared;
+use super::store;
+
+/// How long a round lasts. A change that all watchers have missed is in force this much and [`PATIENCE`] for each step later,
+/// 1.8 s at worst; bounds for changes are 3 s and more. Each round costs one call to the store in the whole fleet.
+pub const ROUND: Duration = Duration::from_secs(1);
+/// How long an answer may take before the question is handed on: the store answers in milliseconds, at times a hundred times as
+/// slowly.
+pub const PATIENCE: Duration = Duration::from_millis(400);
+/// How many others a question is handed on to.
+const BRANCHES: usize = 4;
+/// How many instances a round reaches at most: the one that is drawn, four, and sixteen.
+pub const REACH: usize = 1 + BRANCHES + BRANCHES * BRANCHES;
+/// For how long an instance that got no answer hands further questions on at once, without a call: a fleet that is cut from the
+/// store calls it in vain every other second and not each. No longer, as others may be cut by then, and this one not.
+pub const LOST: Duration = Duration::from_millis(1_200);
+/// How long after news the part of the knowledge that lags is asked. The store keeps its history for twenty seconds or so, and
+/// what was missed is found within the first of these rounds.
+const FRESH: Duration = Duration::from_secs(10);
+/// How many questions of other instances may wait.
+const QUEUE: usize = 16;
+
+/// A question that an instance hands on to another: ask the store in this round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The round, counted from the Unix epoch.
+    pub round: u64,
+    /// The asked instance's place in the round's order.
+    pub rank: usize,
+}
+
+impl Question {
+    /// The first question of a round.
+    pub fn first(round: u64) -> Self {
+        Self { round, rank: 0 }
+    }
+
+    /// The places that this one is handed on to.
+    pub fn next(self) -> Range<usize> {
+        let begin = self.rank * BRANCHES + 1;
+        begin.min(REACH)..(begin + BRANCHES).min(REACH)
+    }
+}
+
+/// What an instance does with a question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// It asks the store.
+    Call,
+    /// It hands the question on at once, as it has lost the store.
+    HandOn,
+    /// Nothing, as it has had one in this round.
+    Nothing,
+}
+
+/// What an instance remembers from one question to the next.
+#[derive(Debug, Default)]
+pub struct Checker {
+    round: u64,
+    lost_until: Time,
+}
+
+impl Checker {
+    /// What to do with a question. Clocks may differ, so rounds may come in any order; none is taken twice in a row.
+    pub fn take(&mut self, question: Question, now: Time) -> Step {
+        if question.round == self.round {
+            return Step::Nothing;
+        }
+        self.round = question.round;
+        if question.rank > 0 && now < self.lost_until {
+            return Step::HandOn;
+        }
+        Step::Call
+    }
+
+    /// The store gave no answer in time, or none that helps.
+    pub fn lose(&mut self, now: Time) {
+        self.lost_until = now + LOST;
+    }
+
+    /// The store has answered.
+    pub fn regain(&mut self) {
+        self.lost_until = Time::default();
+    }
+}
+
+/// A question on its way to another instance.
+#[derive(Debug)]
+pub(crate) struct Handed {
+    pub(crate) to: SocketAddr,
+    pub(crate) question: Question,
+}
+
+/// The two ends between this task and the one that speaks to other instances.
+#[derive(Debug)]
+pub(crate) struct Ends {
+    /// Questions from others.
+    pub(crate) asked: mpsc::Receiver<Question>,
+    /// Questions for others.
+    pub(crate) handed: mpsc::Sender<Handed>,
+}
+
+/// The same for the other task.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    pub(crate) asked: mpsc::Sender<Question>,
+    pub(crate) handed: mpsc::Receiver<Handed>,
+}
+
+/// Ways for questions in both directions.
+pub(crate) fn ways() -> (Ends, Gate) {
+    let (ask, asked) = mpsc::channel(QUEUE);
+    let (hand, handed) = mpsc::channel(QUEUE);
+    let ends = Ends { asked, handed: hand };
+    (ends, Gate { asked: ask, handed })
+}
+
+/// Takes this instance's part in all rounds until the process ends.
+pub(crate) async fn run(settings: watch::Receiver<Settings>, shared: Shared, mut ends: Ends) {
+    let address = settings.borrow().store;
+    let mut checks = Checks {
+        store: Store::without_reuse(address),
+        settings,
+        shared,
+        checker: Checker::default(),
+        handed: ends.handed,
+    };
+    loop {
+        let round = checks.round();
+        tokio::select! {
+            () = tokio::time::sleep(checks.until_after(round)) => {
+                if let Some(question) = checks.drawn() {
+                    checks.take(question).await;
+                }
+            }
+            Some(question) = ends.asked.recv() => checks.take(question).await,
+        }
+    }
+}
+
+struct Checks {
+    settings: watch::Receiver<Settings>,
+    shared: Shared,
+    /// The store by new connections: one that is kept may have gone silent.
+    store: Store,
+    checker: Checker,
+    handed: mpsc::Sender<Handed>,
+}
+
+impl Checks {
+    fn round(&self) -> u64 {
+        self.shared.now().0 / ROUND.as_micros() as u64
+    }
+
+    /// How long it is until a round is over.
+    fn until_after(&self, round: u64) -> Duration {
+        let end = Time((round + 1) * ROUND.as_micros() as u64);
+        self.shared.now().until(end)
+    }
+
+    /// The first question of the round that has begun, if this instance is drawn for it. While it holds too little to serve, it
+    /// reads the store anyway.
+    fn drawn(&self) -> Option<Question> {
+        if !self.shared.core().knowledge().is_ready() || self.shared.is_stopping() {
+            return None;
+        }
+        let round = self.round();
+        let members = self.shared.members();
+        let first = members.drawn(round).first().map(|member| &member.name);
+        (first == Some(&members.me().name)).then(|| Question::first(round))
+    }
+
+    async fn take(&mut self, question: Question) {
+        match self.checker.take(question, self.shared.now()) {
+            Step::Nothing => {}
+            Step::HandOn => {
+                metric::checks("handed-on").increment(1);
+                self.hand_on(question);
+            }
+            Step::Call => self.call(question).await,
+        }
+    }
+
+    async fn call(&mut self, question: Question) {
+        self.follow_settings();
+        let call = compare(&self.store, &self.shared);
+        tokio::pin!(call);
+        let in_time = tokio::time::timeout(PATIENCE, &mut call).await;
+        let is_late = in_time.is_err();
+        let result = match in_time {
+            Ok(result) => result,
+            Err(_late) => {
+                self.checker.lose(self.shared.now());
+                self.hand_on(question);
+                // An answer that comes late still tells.
+                call.await
+            }
+        };
+        match result {
+            Ok(finding) => {
+                self.checker.regain();
+                metric::checks(finding.as_str()).increment(1);
+                if finding == Finding::Behind {
+                    log::info!("store: check found news round={}", question.round);
+                }
+            }
+            Err(error) => {
+                metric::checks("failed").increment(1);
+                log::info!(
+                    "store: check failed round={} rank={} error=\"{error}\"",
+                    question.round,
+                    question.rank
+                );
+                if !is_late {
+                    self.checker.lose(self.shared.now());
+                    self.hand_on(question);
+                }
+            }
+        }
+    }
+
+    fn follow_settings(&mut self) {
+        let address = self.settings.borrow().store;
+        if self.store.address() != address {
+            self.store = Store::without_reuse(address);
+        }
+    }
+
+    /// Hands a question on to the next in the round's order.
+    fn hand_on(&self, question: Question) {
+        let members = self.shared.members();
+        let drawn = members.drawn(question.round);
+        for rank in question.next() {
+            let Some(member) = drawn.get(rank) else {
+                return;
+            };
+            let question = Question { rank, ..question };
+            // A queue that is full holds questions of the same kind.
+            let _full = self.handed.try_send(Handed {
+                to: member.address,
+                question,
+            });
+        }
+    }
+}
+
+/// What a check has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finding {
+    /// The store knows no more than this instance.
+    Even,
+    /// It knew more, which was read.
+    Behind,
+}
+
+impl Finding {
+    /// Its name in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Even => "even",
+            Self::Behind => "behind",
+        }
+    }
+}
+
+/// Reads what the store knows beyond this instance.
+///
+/// One revision counts all changes, and each part of the knowledge is complete up to a revision of its own. Where news came
+/// lately, the part that lags is asked for its changes since: those between both revisions may have been missed, as its watches
+/// may be cut and the other's not. Later on the history back to there may be gone, so the part that is ahead is asked. The
+/// answer's revision tells whether the other part has to be asked as well. As a rule one short call tells that nothing is new.
+async fn compare(store: &Store, shared: &Shared) -> Result<Finding, Error> {
+    let (document_at, upstreams_at) = held(shared);
+    let known = document_at.max(upstreams_at);
+    let is_fresh = shared.now().since(shared.grown_at()) < FRESH;
+    let is_document_behind = document_at < upstreams_at;
+    let is_document_first = is_document_behind == is_fresh;
+    if is_document_first {
+        let at = documents_since(store, shared, document_at).await?;
+        if at > known {
+            upstreams_since(store, shared, upstreams_at).await?;
+        }
+    } else {
+        let at = upstreams_since(store, shared, upstreams_at).await?;
+        if at > known {
+            documents_since(store, shared, document_at).await?;
+        }
+    }
+    let is_even = held(shared) == (document_at, upstreams_at);
+    Ok(if is_even { Finding::Even } else { Finding::Behind })
+}
+
+fn held(shared: &Shared) -> (Revision, Revision) {
+    let core = shared.core();
+    let knowledge = core.knowledge();
+    (knowledge.document_at(), knowledge.upstreams_at())
+}
+
+/// Takes in what has changed of the document, and gives the store's revision.
+async fn documents_since(store: &Store, shared: &Shared, since: Revision) -> Result<Revision, Error> {
+    let documents = match store.watch_document(since, Duration::ZERO).await {
+        Err(Error::HistoryGone) => store.read_document().await?,
+        result => result?,
+    };
+    let at = documents.at;
+    store::take_document(shared, documents);
+    Ok(at)
+}
+
+/// Takes in what has changed of the upstreams, and gives the store's revision.
+async fn upstreams_since(store: &Store, shared: &Shared, since: Revision) -> Result<Revision, Error> {
+    match store::watch(store, shared, since, Duration::ZERO).await {
+        Err(Error::HistoryGone) => store::read_list(store, shared).await,
+        result => result.map(|(at, _)| at),
+    }
+}
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -25,6 +25,8 @@
 use wire::Frame;
 use wire::Member;
 
+use super::check::Gate;
+use super::check::Question;
 use super::pull;
 use super::settings::Settings;
 use super::shared::Shared;
@@ -77,6 +79,8 @@
     Member(Box<Frame>),
     /// Upstreams that flows wait for in vain, or an answer to that.
     Reports(Vec<Report>),
+    /// Ask the store whether it knows more.
+    Check(Question),
 }
 
 /// An instance that knows something newer, or something else.
@@ -99,11 +103,19 @@
     /// The port at which every instance is reached by others.
     port: u16,
     pulls: mpsc::Sender<Newer>,
+    /// Questions to the store that instances hand on to one another.
+    checks: Gate,
 }
 
 impl Peers {
     /// Starts the task that asks others for their knowledge, and takes the seeds' addresses from their hosts.
-    pub(crate) fn new(socket: UdpSocket, shared: Shared, settings: watch::Receiver<Settings>, port: u16) -> Self {
+    pub(crate) fn new(
+        socket: UdpSocket,
+        shared: Shared,
+        settings: watch::Receiver<Settings>,
+        port: u16,
+        checks: Gate,
+    ) -> Self {
         let (pulls, wanted) = mpsc::channel(PULLS);
         tokio::spawn(ask(wanted, pulls.clone(), shared.clone()));
         Self {
@@ -112,11 +124,12 @@
             settings,
             port,
             pulls,
+            checks,
         }
     }
 
     /// Runs until the process ends.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         let mut buffer = vec![0; MAX_LEN];
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -137,6 +150,7 @@
                     }
                 }
                 () = self.shared.grown() => self.tell(),
+                Some(handed) = self.checks.handed.recv() => self.send(handed.to, Body::Check(handed.question)),
             }
         }
     }
@@ -202,6 +216,11 @@
                     self.hear(&message.from, &reports, from);
                     return;
                 }
+                Body::Check(question) => {
+                    // A queue that is full holds questions of the same kind.
+                    let _full = self.checks.asked.try_send(question);
+                    return;
+                }
             };
             let mut members = self.shared.members();
             members.handle(now, &message.from, message.incarnation, &frame, &mut out);
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -48,6 +48,9 @@
     gauge members(state) "jayquay_flow_members" Count "Instances known, this one included: alive, suspect, leaving or dead.";
     /// Whether this instance watches the store.
     gauge watches() "jayquay_flow_watches" Count "1 while this instance watches the store for its zone, else 0.";
+    /// Checks whether the store knows more.
+    counter checks(result) "jayquay_store_checks_total" Count
+        "Checks whether the store knows more than the fleet: even, behind, failed or handed-on.";
     /// Changes from other instances that can't be read.
     counter changes_malformed() "jayquay_changes_malformed_total" Count
         "Changes from other instances that could not be read.";
--- a/crates/jayquayd/src/forward/rhythm.rs
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection may be up for the system and yet bring nothing more. That shows only when an answer is overdue. Both
 //! watches go to the same store by the same way, so each one's answer vouches for the other: they are due by turns, and
-//! when one is overdue, the other is asked anew as well.
+//! when one is overdue, the other is asked anew as well. A watch that hears of nothing, though others have learnt of a change,
+//! is asked anew at once.
 
 use std::fmt;
 use std::sync::Mutex;
@@ -15,12 +16,16 @@
 
 use rand::RngExt;
 use tokio::sync::Notify;
+use units::Revision;
 
 use super::role::Role;
 
-/// How long each watch waits for a change on average. Each call costs the same however long it waits; with both watches by
-/// turns, one of them is due every three seconds.
-const PERIOD: Duration = Duration::from_secs(6);
+/// How long each watch waits for a change on average. Each call costs the same however long it waits, and the store takes
+/// waits of up to 30 s, which is half as long again. That all watchers hear nothing is found out by the checks of each second.
+const PERIOD: Duration = Duration::from_secs(20);
+/// How long a watch may tell nothing of what others have learnt: changes are gathered for a second and a half at most, and its
+/// answer is on its way.
+const OVERTAKEN: Duration = Duration::from_secs(2);
 /// How long a zone's second watcher waits for a change.
 const SECOND_WAIT: Duration = Duration::from_secs(20);
 /// The shortest wait. It comes while the watches find their turns, and first after a failure: a store that has just come back
@@ -108,6 +113,22 @@
         self.doubts[kind.other().index()].notify_waiters();
     }
 
+    /// Waits until others have told of changes for so long that a watch since this revision should have told of them as well.
+    /// `held_at` gives what is held now.
+    pub async fn overtaken(&self, since: Revision, held_at: impl Fn() -> Revision) {
+        let mut overtaken_at = None;
+        loop {
+            tokio::time::sleep(OVERTAKEN / 4).await;
+            if held_at() <= since {
+                continue;
+            }
+            let now = tokio::time::Instant::now();
+            if now - *overtaken_at.get_or_insert(now) >= OVERTAKEN / 2 {
+                return;
+            }
+        }
+    }
+
     /// Waits until a watch of this kind is in doubt.
     pub async fn doubted(&self, kind: Kind) {
         self.doubts[kind.index()].notified().await;
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -18,6 +18,7 @@
 use wire::Member;
 use wire::MemberState;
 
+use super::check;
 use super::gossip;
 use super::gossip::Peers;
 use super::http;
@@ -71,13 +72,16 @@
     let packets = bind_udp(listen.packets).await?;
     let ready = http::bind(listen.ready).map_err(|error| RunError::Listen(listen.ready, error))?;
     let peers_http = http::bind(listen.peers).map_err(|error| RunError::Listen(listen.peers, error))?;
+    let (ends, gate) = check::ways();
     let peers = Peers::new(
         bind_udp(listen.peers).await?,
         shared.clone(),
         current.clone(),
         listen.advertised.port(),
+        gate,
     );
     tokio::spawn(store::run(current.clone(), shared.clone()));
+    tokio::spawn(check::run(current.clone(), shared.clone(), ends));
     tokio::spawn(http::serve_ready(ready, shared.clone()));
     let context = Context {
         shared: shared.clone(),
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -36,6 +36,7 @@
     /// The revision of a document in the store that can't be read, or zero.
     unreadable_document: AtomicU64,
     last_packet: AtomicU64,
+    grown_at: AtomicU64,
 }
 
 impl Shared {
@@ -50,6 +51,7 @@
                 is_stopping: AtomicBool::new(false),
                 unreadable_document: AtomicU64::new(0),
                 last_packet: AtomicU64::new(0),
+                grown_at: AtomicU64::new(0),
             }),
         }
     }
@@ -71,12 +73,18 @@
         let now = self.now();
         let has_grown = self.core().learn(now, change);
         if has_grown {
+            self.inner.grown_at.store(now.0, Ordering::Relaxed);
             self.inner.news.notify_one();
             self.inner.ready.notify_waiters();
         }
         has_grown
     }
 
+    /// When knowledge has grown last.
+    pub(crate) fn grown_at(&self) -> Time {
+        Time(self.inner.grown_at.load(Ordering::Relaxed))
+    }
+
     /// Waits until knowledge has grown.
     pub(crate) async fn grown(&self) {
         self.inner.news.notified().await;
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -7,6 +7,7 @@
 use adapter::Store;
 use adapter::store::Documents;
 use adapter::store::Error;
+use adapter::store::List;
 use adapter::store::Listing;
 use rand::RngExt;
 use tokio::sync::watch;
@@ -151,6 +152,10 @@
                 tokio::select! {
                     result = store.watch_document(since, wait) => result,
                     () = rhythm.doubted(Kind::Document) => continue,
+                    () = rhythm.overtaken(since, || shared.core().knowledge().document_at()) => {
+                        overtaken(Kind::Document, since);
+                        continue;
+                    }
                 }
             }
         };
@@ -171,7 +176,7 @@
 }
 
 /// Takes in what a read or a watch of the document brought. Tells whether there was one.
-fn take_document(shared: &Shared, documents: Documents) -> bool {
+pub(super) fn take_document(shared: &Shared, documents: Documents) -> bool {
     let is_unreadable = documents.is_unreadable;
     if is_unreadable || documents.newest.is_some() {
         note_document(shared, is_unreadable.then_some(documents.at));
@@ -211,6 +216,11 @@
                 tokio::select! {
                     result = watch(store, shared, since, wait) => result,
                     () = rhythm.doubted(Kind::Upstreams) => continue,
+                    () = rhythm.overtaken(since, || shared.core().knowledge().upstreams_at()) => {
+                        overtaken(Kind::Upstreams, since);
+                        cursor = held(shared);
+                        continue;
+                    }
                 }
             }
         };
@@ -230,6 +240,11 @@
     }
 }
 
+/// A watch tells nothing of what others have learnt, so it is asked anew.
+fn overtaken(kind: Kind, since: Revision) {
+    log::info!("store: watch overtaken what={kind} since={since}");
+}
+
 /// The revision from which a new watcher can go on without reading the whole list: it has it from another instance.
 fn held(shared: &Shared) -> Option<Revision> {
     let at = shared.core().knowledge().upstreams_at();
@@ -261,12 +276,25 @@
             return Ok((shared.core().knowledge().upstreams_at(), false));
         }
     };
+    Ok((list.at, take_list(shared, list)))
+}
+
+/// Takes in a whole list. Tells whether anything has changed.
+fn take_list(shared: &Shared, list: List) -> bool {
     let count = list.upstreams.len();
     let at = list.at;
     let now = shared.now();
     let has_changed = shared.learn(|knowledge| knowledge.take_list(at, list.sightings(), now));
     log::info!("store: upstreams listed count={count} at={at}");
-    Ok((at, has_changed))
+    has_changed
+}
+
+/// Reads the whole list of upstreams, and gives the store's revision.
+pub(super) async fn read_list(store: &Store, shared: &Shared) -> Result<Revision, Error> {
+    let list = store.list_upstreams().await?;
+    let at = list.at;
+    take_list(shared, list);
+    Ok(at)
 }
 
 /// Leaves it to others for a moment to read a long list.
@@ -275,7 +303,12 @@
     let _in_time = tokio::time::timeout(OTHERS_PATIENCE, shared.until_ready()).await;
 }
 
-async fn watch(store: &Store, shared: &Shared, since: Revision, wait: Duration) -> Result<(Revision, bool), Error> {
+pub(super) async fn watch(
+    store: &Store,
+    shared: &Shared,
+    since: Revision,
+    wait: Duration,
+) -> Result<(Revision, bool), Error> {
     let watched = store.watch_upstreams(since, wait).await?;
     if watched.changes.is_empty() {
         return Ok((watched.at, false));
--- /dev/null
+++ b/crates/jayquayd/tests/check.rs
@@ -0,0 +1,199 @@
+//! Whoever is cut from the store, instances that still reach it are asked in time; and nobody asks without end.
+//!
+//! Rounds of checks in virtual time: in each one the question goes through the fleet as the instances themselves hand it on.
+//! Those that the store does not serve are chosen against us: they are the ones that were asked last, again and again.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use jayquayd::forward::check::Checker;
+use jayquayd::forward::check::PATIENCE;
+use jayquayd::forward::check::Question;
+use jayquayd::forward::check::REACH;
+use jayquayd::forward::check::ROUND;
+use jayquayd::forward::check::Step;
+use membership::Membership;
+use membership::Timing;
+use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
+use units::Incarnation;
+use units::Time;
+use wire::Frame;
+use wire::Gossip;
+use wire::Member;
+use wire::MemberState;
+
+/// When the first round begins.
+const BEGIN: Time = Time(1_000_000_000_000);
+
+fn member(number: usize) -> Member {
+    Member {
+        name: format!("entry-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        zone: format!("zone-{}", number % 3).parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: MemberState::Alive,
+        refutation: 0,
+    }
+}
+
+/// How a fleet's checks go on.
+struct Fleet {
+    members: Membership,
+    checkers: Vec<Checker>,
+}
+
+/// What a round came to.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// When the store was asked by one that it serves, counted from the round's begin.
+    heard_after: Option<Duration>,
+    /// Who called the store, in their order.
+    callers: Vec<usize>,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let mut members = Membership::new(member(0), Timing::default(), 1, BEGIN);
+        let gossip = Gossip {
+            members: (1..size).map(member).collect(),
+            ..Gossip::default()
+        };
+        let teller = member(1);
+        let mut out = Vec::new();
+        members.handle(BEGIN, &teller.name, teller.incarnation, &Frame::News(gossip), &mut out);
+        assert_eq!(members.members().count(), size);
+        let checkers = (0..size).map(|_| Checker::default()).collect();
+        Self { members, checkers }
+    }
+
+    /// The instances in the order of a round.
+    fn drawn(&self, round: u64) -> Vec<usize> {
+        let number = |member: &Member| member.name.as_str().trim_start_matches("entry-").parse().unwrap();
+        self.members.drawn(round).into_iter().map(number).collect()
+    }
+
+    /// Plays a round in which the store serves all but some.
+    fn play(&mut self, round: u64, is_cut: impl Fn(usize) -> bool) -> Outcome {
+        let drawn = self.drawn(round);
+        let mut outcome = Outcome::default();
+        let mut questions = VecDeque::from([(Duration::ZERO, Question::first(round))]);
+        while let Some((after, question)) = questions.pop_front() {
+            let Some(&asked) = drawn.get(question.rank) else {
+                continue;
+            };
+            let now = Time(round * 1_000_000) + after;
+            let mut handed_on = None;
+            match self.checkers[asked].take(question, now) {
+                Step::Nothing => {}
+                Step::HandOn => handed_on = Some(after),
+                Step::Call => {
+                    outcome.callers.push(asked);
+                    if is_cut(asked) {
+                        self.checkers[asked].lose(now + PATIENCE);
+                        handed_on = Some(after + PATIENCE);
+                    } else {
+                        let heard_after = outcome.heard_after.unwrap_or(after);
+                        outcome.heard_after = Some(heard_after.min(after));
+                    }
+                }
+            }
+            if let Some(after) = handed_on {
+                questions.extend(question.next().map(|rank| (after, Question { rank, ..question })));
+            }
+        }
+        outcome
+    }
+}
+
+fn first_round() -> u64 {
+    BEGIN.0 / u64::try_from(ROUND.as_micros()).unwrap()
+}
+
+/// In fleets that one round reaches whole, one instance that is left is enough, however those that are cut were chosen: a change
+/// is heard of within a round and two waits.
+#[test]
+fn one_instance_that_is_left_hears_of_a_change_in_time() {
+    for size in 2..=REACH {
+        for left in 0..size {
+            let mut fleet = Fleet::new(size);
+            for round in first_round()..first_round() + 20 {
+                let outcome = fleet.play(round, |instance| instance != left);
+                let heard_after = outcome.heard_after;
+                assert!(
+                    heard_after.is_some_and(|after| ROUND + after <= Duration::from_millis(1_800)),
+                    "{left} of {size} in round {round}: {outcome:?}"
+                );
+            }
+        }
+    }
+}
+
+/// A store that serves nobody is asked by no more than a round's reach, whatever the fleet's size, and by one instance every
+/// other second at most, but for those that are drawn.
+#[test]
+fn a_store_that_serves_nobody_is_asked_by_few() {
+    for size in [1, 8, 65, 300, 2_400] {
+        let mut fleet = Fleet::new(size);
+        let mut calls = 0;
+        let rounds = 60;
+        for round in first_round()..first_round() + rounds {
+            let outcome = fleet.play(round, |_| true);
+            assert!(outcome.callers.len() <= REACH, "{size}: {outcome:?}");
+            calls += outcome.callers.len();
+        }
+        let most = 60 * REACH.min(size / 2 + 1);
+        assert!(calls <= most, "{size}: {calls} calls");
+    }
+}
+
+/// A store that serves all is asked once a round.
+#[test]
+fn a_store_that_serves_all_is_asked_once_a_round() {
+    for size in [1, 8, 300] {
+        let mut fleet = Fleet::new(size);
+        for round in first_round()..first_round() + 20 {
+            assert_eq!(fleet.play(round, |_| false).callers.len(), 1);
+        }
+    }
+}
+
+/// The same instance is not drawn again and again.
+#[test]
+fn each_instance_is_drawn_about_as_often() {
+    let fleet = Fleet::new(8);
+    let mut times = [0; 8];
+    for round in 0..800 {
+        times[fleet.drawn(round)[0]] += 1;
+    }
+    assert!(times.iter().all(|times| (70..=130).contains(times)), "{times:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Readers are cut again and again: each second those that asked last, up to a share of the fleet, the earliest ones coming
+    /// back as later ones are cut.
+    #[test]
+    fn readers_that_are_cut_one_after_the_other_leave_others_that_hear(size in 4_usize..300, share in 0.1_f64..0.75) {
+        let mut fleet = Fleet::new(size);
+        let most = ((size as f64 * share) as usize).min(size - 1);
+        let mut cut: VecDeque<usize> = VecDeque::new();
+        let mut deaf_rounds = 0;
+        for round in first_round()..first_round() + 40 {
+            let victims: BTreeSet<usize> = cut.iter().copied().collect();
+            let outcome = fleet.play(round, |instance| victims.contains(&instance));
+            deaf_rounds = if outcome.heard_after.is_some() { 0 } else { deaf_rounds + 1 };
+            assert!(deaf_rounds < 2, "{size}, {most} cut, round {round}: {outcome:?}");
+            for caller in outcome.callers {
+                cut.retain(|held| *held != caller);
+                cut.push_back(caller);
+            }
+            while cut.len() > most {
+                cut.pop_front();
+            }
+        }
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -83,9 +83,13 @@
     pub fn watchers(&self) -> impl Iterator<Item = &Member> {
         let subject = hash(self.me.zone.as_str().as_bytes());
         let zone = self.candidates().filter(|(_, member)| member.zone == self.me.zone);
-        let mut ranked: Vec<(u64, &Member)> = zone.map(|(key, member)| (score(subject, key), member)).collect();
-        ranked.sort_by(|a, b| (b.0, &b.1.name).cmp(&(a.0, &a.1.name)));
-        ranked.into_iter().take(WATCHERS).map(|(_, member)| member)
+        ranked(subject, zone).into_iter().take(WATCHERS)
+    }
+
+    /// All members that may get work, in an order that differs from one round to the next. Instances with the same view agree
+    /// on it.
+    pub fn drawn(&self, round: u64) -> Vec<&Member> {
+        ranked(hash(&round.to_le_bytes()), self.candidates())
     }
 
     /// In how many availability zones there are members that are not dead.
@@ -169,6 +173,13 @@
     }
 }
 
+/// Members by how well they suit a subject, best first.
+fn ranked<'a>(subject: u64, members: impl Iterator<Item = (u64, &'a Member)>) -> Vec<&'a Member> {
+    let mut ranked: Vec<(u64, &Member)> = members.map(|(key, member)| (score(subject, key), member)).collect();
+    ranked.sort_by(|a, b| (b.0, &b.1.name).cmp(&(a.0, &a.1.name)));
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
 fn can_succeed(known: &Known) -> bool {
     known.member.state == MemberState::Alive && !known.listed_leaving
 }
--- /dev/null
+++ b/crates/membership/tests/newcomers.rs
@@ -0,0 +1,92 @@
+//! What a fleet that starts at once costs whoever is asked first, and how soon newcomers know of others.
+
+use std::net::SocketAddr;
+
+use membership::Membership;
+use membership::Output;
+use membership::Timing;
+use units::Incarnation;
+use units::Time;
+use wire::Frame;
+use wire::Member;
+use wire::MemberState;
+
+const NOW: Time = Time(1_000_000);
+
+fn member(number: u16) -> Member {
+    Member {
+        name: format!("entry-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        zone: "zone-a".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, 1], number)),
+        state: MemberState::Alive,
+        refutation: 0,
+    }
+}
+
+fn membership(number: u16) -> Membership {
+    Membership::new(member(number), Timing::default(), u64::from(number), NOW)
+}
+
+/// What the seed answers a newcomer that introduces itself: the members of each frame.
+fn answer(seed: &mut Membership, newcomer: u16) -> Vec<Vec<Member>> {
+    let me = member(newcomer);
+    let frame = Frame::News(membership(newcomer).introduction());
+    let mut out = Vec::new();
+    seed.handle(NOW, &me.name, me.incarnation, &frame, &mut out);
+    let frames = out.into_iter().filter_map(|output| match output {
+        Output::Send {
+            to,
+            frame: Frame::News(gossip),
+            ..
+        } if to == me.name => Some(gossip.members),
+        _ => None,
+    });
+    frames.collect()
+}
+
+/// A newcomer is told at once whom there is to know, also at the first word that it says.
+#[test]
+fn a_newcomer_is_told_of_others_at_once() {
+    let mut seed = membership(1);
+    for newcomer in 2..60 {
+        let told = answer(&mut seed, newcomer).concat();
+        for known in 1..newcomer {
+            assert!(told.contains(&member(known)), "{newcomer} is not told of {known}");
+        }
+    }
+}
+
+/// In a fleet of thousands that starts at once, each newcomer costs the seed one frame of 64 members, about 4 kB. All members to
+/// each would be 350 MB for 2,400.
+#[test]
+fn a_newcomer_costs_one_frame_however_large_the_fleet_is() {
+    let mut seed = membership(1);
+    for newcomer in 2..1_000 {
+        let told = answer(&mut seed, newcomer);
+        assert_eq!(told.len(), 1, "{newcomer}");
+        assert!(told[0].len() <= 64);
+        assert!(told[0].contains(&member(1)));
+    }
+}
+
+/// Of many news, as when a fleet starts, more ride on each answer to a probe, and never more than fit a packet.
+#[test]
+fn many_news_travel_with_each_probe_but_fit_a_packet() {
+    let mut seed = membership(1);
+    for newcomer in 2..100 {
+        answer(&mut seed, newcomer);
+    }
+    let prober = member(2);
+    let probe = Frame::Probe(1, membership(2).introduction());
+    let mut out = Vec::new();
+    seed.handle(NOW, &prober.name, prober.incarnation, &probe, &mut out);
+    let told = out.into_iter().find_map(|output| match output {
+        Output::Send {
+            frame: Frame::ProbeAck(_, gossip),
+            ..
+        } => Some(gossip.members.len()),
+        _ => None,
+    });
+    assert!(told.is_some_and(|told| (15..=22).contains(&told)), "{told:?}");
+}
