--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -176,12 +176,12 @@
             self.resets
                 .retain(|reset| (reset.client, reset.route) != (flow.client, flow.route));
         }
-        self.note(packet, verdict);
+        self.note(packet, verdict, now);
         verdict
     }
 
     /// Counts a verdict, and notes it unless it only follows from an earlier one.
-    fn note(&mut self, packet: &Packet, verdict: Verdict) {
+    fn note(&mut self, packet: &Packet, verdict: Verdict, now: Time) {
         let flow = FlowKey::from(packet);
         match verdict {
             Verdict::Forward { .. } => self.stats.forwarded += 1,
@@ -189,7 +189,15 @@
                 *self.stats.resets.entry(reset.cause).or_default() += 1;
                 let upstream = self.directory.by_echo(packet.echo);
                 let cause = reset.cause;
-                self.decisions.push(Decision::Reset { flow, upstream, cause });
+                let loss = self.loss.percent(now);
+                let health = upstream.and_then(|id| self.health.get(&id));
+                let grounds = health.map(|health| health.grounds(loss, now));
+                self.decisions.push(Decision::Reset {
+                    flow,
+                    upstream,
+                    cause,
+                    grounds,
+                });
             }
             Verdict::Drop(cause) => {
                 *self.stats.drops.entry(cause).or_default() += 1;
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -78,7 +78,7 @@
         let health = self.health.entry(id).or_default();
         let was_dead = health.is_given_up();
         if health.dies(others_answer, loss, now) {
-            self.give_up(id, was_dead);
+            self.give_up(id, was_dead, now);
         }
         self.judge_zone(id, loss, now);
     }
@@ -112,7 +112,7 @@
             if health.stalled() > 0 && !health.is_dead(now) {
                 let was_dead = health.is_given_up();
                 health.find_dead(now);
-                self.give_up(id, was_dead);
+                self.give_up(id, was_dead, now);
             }
         }
     }
@@ -202,7 +202,8 @@
 
     /// Ends all flows of an upstream that is taken for dead, also those that are silent: a client whose flow is reset
     /// before its next request opens another one in time, and loses nothing.
-    fn give_up(&mut self, id: UpstreamId, was_dead: bool) {
+    fn give_up(&mut self, id: UpstreamId, was_dead: bool, now: Time) {
+        let loss = self.loss.percent(now);
         let flows = self.flows.take_of(id);
         let Some(health) = self.health.get_mut(&id) else {
             return;
@@ -211,7 +212,7 @@
         if !was_dead || !flows.is_empty() {
             self.decisions.push(Decision::Died {
                 upstream: id,
-                stalled: health.stalled(),
+                grounds: health.grounds(loss, now),
                 flows: flows.len(),
             });
         }
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -7,6 +7,7 @@
 use units::Time;
 
 use crate::decay::Decayed;
+use crate::decision::Grounds;
 use crate::ejection::Ejection;
 use crate::flows::Flow;
 use crate::loss;
@@ -217,6 +218,17 @@
         true
     }
 
+    /// What speaks for its being silent, where this much is lost.
+    pub(crate) fn grounds(&self, loss: Percent, now: Time) -> Grounds {
+        Grounds {
+            waiting: self.stalled,
+            elsewhere: self.stalled_elsewhere(now),
+            reporters: self.reports(now).count(),
+            loss_percent: self.loss(loss, now),
+            silent_for: now.since(self.last_progress),
+        }
+    }
+
     /// How many flows but one wait for it in vain, here and elsewhere.
     pub(crate) fn other_flows(&self, now: Time) -> u32 {
         self.stalled.saturating_sub(1) + self.stalled_elsewhere(now)
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::core::Options;
 pub use crate::core::Stats;
 pub use crate::decision::Decision;
+pub use crate::decision::Grounds;
 pub use crate::difference::Difference;
 pub use crate::documents::Step;
 pub use crate::documents::Update;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -366,8 +366,9 @@
         }
         for decision in self.core.take_decisions() {
             match decision {
-                Decision::Died { upstream, stalled, .. } => {
-                    writeln!(out, "  {:x} is taken for dead, {stalled} wait", upstream.0).unwrap();
+                Decision::Died { upstream, grounds, .. } => {
+                    let waiting = grounds.waiting;
+                    writeln!(out, "  {:x} is taken for dead, {waiting} wait", upstream.0).unwrap();
                 }
                 Decision::Revived(upstream) => writeln!(out, "  {:x} answers again", upstream.0).unwrap(),
                 Decision::Ejected {
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -1,8 +1,10 @@
 //! One log line for each decision, up to a number of lines a second.
 
+use std::fmt;
 use std::time::Duration;
 
 use flow::Decision;
+use flow::Grounds;
 use units::Revision;
 use units::Time;
 
@@ -69,6 +71,24 @@
     pub(crate) upstreams_at: Revision,
 }
 
+/// What speaks for a reset, as it stands in the log.
+struct Words(Grounds);
+
+impl fmt::Display for Words {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Grounds {
+            waiting,
+            elsewhere,
+            reporters,
+            loss_percent,
+            silent_for,
+        } = self.0;
+        let silent_ms = silent_for.as_millis();
+        write!(f, " waiting={waiting} elsewhere={elsewhere} reporters={reporters}")?;
+        write!(f, " loss_percent={loss_percent} silent_ms={silent_ms}")
+    }
+}
+
 fn write(decision: &Decision, basis: Basis) {
     let Basis { document, upstreams_at } = basis;
     match decision {
@@ -87,12 +107,18 @@
                  upstreams_at={upstreams_at}"
             );
         }
-        Decision::Reset { flow, upstream, cause } => {
+        Decision::Reset {
+            flow,
+            upstream,
+            cause,
+            grounds,
+        } => {
             let upstream = upstream
                 .map(|upstream| format!(" upstream={upstream}"))
                 .unwrap_or_default();
+            let grounds = grounds.map(|grounds| Words(grounds).to_string()).unwrap_or_default();
             log::info!(
-                "flows: reset flow={flow} cause={cause}{upstream} document={document} upstreams_at={upstreams_at}"
+                "flows: reset flow={flow} cause={cause}{upstream}{grounds} document={document} upstreams_at={upstreams_at}"
             );
         }
         Decision::Dropped { flow, echo, cause } => {
@@ -100,9 +126,12 @@
         }
         Decision::Died {
             upstream,
-            stalled,
+            grounds,
             flows,
-        } => log::warn!("flows: taken for dead upstream={upstream} waiting={stalled} flows={flows}"),
+        } => log::warn!(
+            "flows: taken for dead upstream={upstream}{} flows={flows}",
+            Words(*grounds)
+        ),
         Decision::Revived(upstream) => log::warn!("flows: answers again upstream={upstream}"),
         Decision::Ejected {
             upstream,
--- /dev/null
+++ b/deploy/ablation.py
@@ -0,0 +1,131 @@
+"""What each mechanism of the flow mode is worth: each is switched off by itself in a copy of the sources, and days are played.
+
+    python3 deploy/ablation.py --bench PROGRAM --sites FILE... [--seeds 0,11,12] [--only NAME,...] [--workers 2]
+
+Seed 0 stands for a day's own. A day is played without its processor time, so that it mostly repeats. Prints one row a mechanism:
+the mean worth of the days with trouble of each site, less that of the sources as they are. Nothing of this is in the product.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import queue
+import re
+import shutil
+import subprocess
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DAYS = ["trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3"]
+
+FLOW = "crates/flow/src/"
+DAEMON = "crates/jayquayd/src/forward/"
+
+# Each mechanism: its name, and what is replaced by what, in which file.
+MECHANISMS = [
+    ("own zone dearer elsewhere", [(FLOW + "place.rs", "const OTHER_ZONE_FACTOR: f64 = 4.0;", "const OTHER_ZONE_FACTOR: f64 = 1.0;")]),
+    ("spill by pressure", [(FLOW + "place.rs", "const PRESSURE_POWER: i32 = 6;", "const PRESSURE_POWER: i32 = 0;")]),
+    ("response times", [(FLOW + "place.rs", "cost *= peers.slowness(view).powi(2);", "")]),
+    ("response times squared", [(FLOW + "place.rs", "cost *= peers.slowness(view).powi(2);", "cost *= peers.slowness(view);")]),
+    ("cold factor", [(FLOW + "place.rs", "const COLD_FACTOR: f64 = 1.5;", "const COLD_FACTOR: f64 = 1.0;")]),
+    ("flows beside requests", [(FLOW + "place.rs", "const FLOW_WEIGHT: f64 = 0.5;", "const FLOW_WEIGHT: f64 = 0.0;")]),
+    ("jitter", [(FLOW + "place.rs", "const JITTER: f64 = 0.1;", "const JITTER: f64 = 0.0;")]),
+    ("other upstream for a copy", [(FLOW + "core/opening.rs", "if seen.len() > 1 {", "if seen.len() > 100_000 {")]),
+    ("suspects avoided", [(FLOW + "health.rs", "self.stalled > 0 && now < self.retry_at", "false && now < self.retry_at")]),
+    ("dead upstream's flows reset", [(FLOW + "core/silence.rs", "if flow.stage == Stage::Opening {\n                continue;", "if true || flow.stage == Stage::Opening {\n                continue;")]),
+    ("single stalled flow", [(FLOW + "core/silence.rs", "const STALLED_COPIES: u32 = 2;", "const STALLED_COPIES: u32 = 200;")]),
+    ("a zone's silence together", [(FLOW + "core/silence.rs", "const SILENT_IN_ZONE: u32 = 2;", "const SILENT_IN_ZONE: u32 = 2_000;")]),
+    ("reports of silence", [(DAEMON + "gossip.rs", "let reports = self.shared.core().take_reports(now);", "let mut reports = self.shared.core().take_reports(now);\n        reports.clear();")]),
+    ("reckoning with loss", [(FLOW + "loss.rs", "(share.min(MOST_LOSS) * 100.0).round() as Percent", "(share.min(0.0) * 100.0).round() as Percent")]),
+    ("grace for lapsed entries", [(FLOW + "core/opening.rs", "const LAPSED_GRACE: Duration = Duration::from_secs(2);", "const LAPSED_GRACE: Duration = Duration::ZERO;")]),
+    ("gathering of changes", [(DAEMON + "role.rs", "const GATHER: Duration = Duration::from_secs(1);", "const GATHER: Duration = Duration::from_millis(1);")]),
+    ("one watcher a zone", [(DAEMON + "role.rs", "const ENOUGH_ZONES: usize = 3;", "const ENOUGH_ZONES: usize = 300;")]),
+    ("the system's probes of connections", [("crates/platform/src/transport.rs", "            .tcp_keepalive(KEEPALIVE)\n            .tcp_keepalive_interval(KEEPALIVE)\n            .tcp_keepalive_retries(KEEPALIVE_TRIES)\n", "")]),
+    ("checks each second", [(DAEMON + "check.rs", "(first == Some(&members.me().name)).then(|| Question::first(round))", "(first == Some(&members.me().name) && round == 0).then(|| Question::first(round))")]),
+    ("ejection of failing upstreams", [(FLOW + "outcome.rs", "const ENOUGH: f64 = 13.8;", "const ENOUGH: f64 = 1e300;")]),
+    ("refused openings as silence", [(FLOW + "core/failing.rs", "            health.note_copy(flow, now);\n", "            let _off = (&health, &flow);\n")]),
+    ("least credited response time", [(FLOW + "usual.rs", "self.response.unwrap_or_default() / 2.0", "0.0")]),
+]
+
+
+def apply(folder, changes):
+    for file, old, new in changes:
+        path = folder / file
+        text = path.read_text()
+        assert text.count(old) == 1, f"{file}: {old!r} is there {text.count(old)} times"
+        path.write_text(text.replace(old, new))
+
+
+def play(bench, folder, site, day, seed):
+    command = [bench, "run", site, day, "--no-cpu", "--why", "ablation"]
+    if seed != "0":
+        command += ["--seed", seed]
+    done = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+    found = re.search(rf"^{day}\s+\S+\s+\S+\s+([0-9.]+)", done.stdout, re.M)
+    return float(found[1]), "BROKEN" in done.stdout
+
+
+def measure(options, folder, changes):
+    """Mean worth and number of broken days of each site."""
+    originals = {file: (folder / file).read_text() for file, _, _ in changes}
+    apply(folder, changes)
+    built = subprocess.run([options.bench, "build"], cwd=folder, capture_output=True, text=True, check=False)
+    assert "built in" in built.stdout, built.stdout + built.stderr
+    rows = {}
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        for site in options.sites:
+            games = [pool.submit(play, options.bench, folder, site, day, seed) for day in DAYS for seed in options.seeds.split(",")]
+            results = [game.result() for game in games]
+            rows[site] = (sum(worth for worth, _ in results) / len(results), sum(broken for _, broken in results))
+    for file, text in originals.items():
+        (folder / file).write_text(text)
+    return rows
+
+
+def keep_journal(folder):
+    """Brings home what the bench has written down of the plays, as it was written."""
+    for path in (folder / "journal").rglob("*"):
+        home = ROOT / path.relative_to(folder)
+        if path.is_file() and not home.exists():
+            home.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(path, home)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--sites", nargs="+", required=True)
+    parser.add_argument("--seeds", default="0,11,12")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--workers", type=int, default=2)
+    parser.add_argument("--jobs", type=int, default=2)
+    options = parser.parse_args()
+    wanted = options.only.split(",") if options.only else [name for name, _ in MECHANISMS]
+    chosen = [("all on", [])] + [entry for entry in MECHANISMS if entry[0] in wanted]
+    folders = queue.Queue()
+    with tempfile.TemporaryDirectory() as top:
+        for number in range(options.workers):
+            folder = pathlib.Path(top) / f"copy-{number}"
+            shutil.copytree(ROOT, folder, ignore=shutil.ignore_patterns("debug", "tmp"))
+            folders.put(folder)
+
+        def one(entry):
+            folder = folders.get()
+            try:
+                return entry[0], measure(options, folder, entry[1])
+            finally:
+                keep_journal(folder)
+                folders.put(folder)
+
+        base = None
+        with concurrent.futures.ThreadPoolExecutor(options.workers) as pool:
+            for name, rows in pool.map(one, chosen):
+                base = base or rows
+                cells = [f"{pathlib.Path(site).stem} {worth - base[site][0]:+.4f}" + (f" ({broken} broken)" if broken else "") for site, (worth, broken) in rows.items()]
+                if rows is base:
+                    cells = [f"{pathlib.Path(site).stem} {worth:.4f}" for site, (worth, _) in rows.items()]
+                print(f"{name:36} " + "  ".join(cells), flush=True)
+
+
+if __name__ == "__main__":
+    main()
