--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -1,29 +1,13 @@
 //! What was decided, for those who have to explain it later.
 
-use std::time::Duration;
-
 use crate::flows::FlowKey;
+use crate::grounds::Grounds;
 use crate::packet::DropCause;
 use crate::packet::Echo;
 use crate::packet::ResetCause;
 use crate::place::Tier;
 use crate::upstream::UpstreamId;
 
-/// What speaks for an upstream being silent, for whoever asks later why a flow was reset.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Grounds {
-    /// How many flows wait for it in vain here.
-    pub waiting: u32,
-    /// How many wait at other instances, as far as their reports count.
-    pub elsewhere: u32,
-    /// How many other instances have reported.
-    pub reporters: usize,
-    /// The loss that was reckoned with, in percent.
-    pub loss_percent: u8,
-    /// How long ago it last answered something here.
-    pub silent_for: Duration,
-}
-
 /// A decision that touches a flow, or a change of what is believed of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Decision {
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -7,9 +7,9 @@
 use units::Time;
 
 use crate::decay::Decayed;
-use crate::decision::Grounds;
 use crate::ejection::Ejection;
 use crate::flows::Flow;
+use crate::grounds::Grounds;
 use crate::loss;
 use crate::loss::Percent;
 use crate::outcome::Record;
