Take any number from other instances in questions and words of upstreams

Cause, found on a last reading: a rank was multiplied and a word's number counted up as they came from another instance; a wrong one would end a process that checks overflow. Change: both stay within their bounds.

--- a/crates/flow/src/checks.rs
+++ b/crates/flow/src/checks.rs
@@ -10,11 +10,13 @@
 /// How long after an opening packet nothing must have followed until its client counts as refused. A copy would have come after
 /// 200 milliseconds, as long as the way there and back is shorter than the rest.
 const REFUSED_AFTER: Duration = Duration::from_millis(300);
+
 /// A try whose end is to be judged.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Check {
     /// When it is to be judged.
     pub(crate) due: Time,
+    /// Its flow.
     pub(crate) key: FlowKey,
     /// When the flow was opened, or when the request came.
     pub(crate) began: Time,
--- a/crates/flow/src/ejection.rs
+++ b/crates/flow/src/ejection.rs
@@ -79,7 +79,7 @@
     }
 
     fn pause_again(&mut self, now: Time) {
-        self.round += 1;
+        self.round = self.round.saturating_add(1);
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LAST_PAUSE);
         let until = now + self.pause;
         self.phase = Phase::Out { until };
@@ -157,7 +157,7 @@
             return Turn::OutAgain;
         }
         if good + 1 >= TRIALS {
-            self.round += 1;
+            self.round = self.round.saturating_add(1);
             self.readmit(now);
             return Turn::Back;
         }
--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -60,8 +60,9 @@
 
     /// The places that this one is handed on to.
     pub fn next(self) -> Range<usize> {
-        let begin = self.rank * BRANCHES + 1;
-        begin.min(REACH)..(begin + BRANCHES).min(REACH)
+        // A rank comes from another instance and may be any number.
+        let begin = self.rank.saturating_mul(BRANCHES).saturating_add(1).min(REACH);
+        begin..(begin + BRANCHES).min(REACH)
     }
 }
 
--- a/crates/jayquayd/tests/check.rs
+++ b/crates/jayquayd/tests/check.rs
@@ -160,6 +160,15 @@
     }
 }
 
+/// What another instance says may be any number.
+#[test]
+fn a_question_of_any_rank_is_handed_on_to_few() {
+    for rank in [0, 1, 5, REACH, usize::MAX / 4, usize::MAX] {
+        let next = Question { round: u64::MAX, rank }.next();
+        assert!(next.len() <= 4 && next.end <= REACH, "{rank}: {next:?}");
+    }
+}
+
 /// The same instance is not drawn again and again.
 #[test]
 fn each_instance_is_drawn_about_as_often() {
