Take a revision that grows without a change for news

A check listed the upstreams at a higher revision without a change; that was told to nobody, the instance took itself for ahead by the sum of both revisions, and asked nobody for the document that all others had. Change: learning tells of a revision that grows, changed content or not. Test: a_revision_that_grows_without_a_change_is_news.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -131,9 +131,11 @@
         self.flows.len()
     }
 
-    /// Changes what is known and indexes it anew if the change says that something is new.
+    /// Changes what is known, and indexes it anew if the change says that something is new. So does a revision that grows
+    /// without a change: others must hear of it, or this instance takes itself for ahead of them and asks them no more.
     pub fn learn(&mut self, now: Time, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
-        if !change(&mut self.knowledge) {
+        let before = self.knowledge.parts();
+        if !change(&mut self.knowledge) && self.knowledge.parts() == before {
             return false;
         }
         if let Some(&(at, ref document)) = self.knowledge.document()
--- a/crates/flow/tests/failing.rs
+++ b/crates/flow/tests/failing.rs
@@ -283,3 +283,18 @@
         }
     }
 }
+
+/// A list that only raises the revision is news: an instance that kept it to itself took itself for ahead of the others, whose
+/// document was newer, and asked them no more.
+#[test]
+fn a_revision_that_grows_without_a_change_is_news() {
+    let mut core = World::new(&QUIET).core;
+    let known: Vec<_> = core.knowledge().upstreams().collect();
+    let list: Vec<_> = known
+        .into_iter()
+        .map(|(id, entry)| (id, entry.revision, entry.upstream.clone()))
+        .collect();
+    let again = list.clone();
+    assert!(core.learn(BEGIN, |knowledge| knowledge.take_list(Revision(9), list, BEGIN)));
+    assert!(!core.learn(BEGIN, |knowledge| knowledge.take_list(Revision(9), again, BEGIN)));
+}
