--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -1,5 +1,7 @@
 //! Membership over UDP: one datagram, one frame. What is lost is sent again by the protocol above.
 
+mod upstreams;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,13 +9,11 @@
 use ciborium::de;
 use flow::FailureReport;
 use flow::Report;
-use flow::ReporterId;
 use flow::Standing;
 use flow::UpstreamId;
 use membership::Membership;
 use membership::Output;
 use membership::Timing;
-use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -31,7 +31,6 @@
 use super::pull::Newer;
 use super::settings::Settings;
 use super::shared::Shared;
-use super::silence;
 use crate::metric;
 
 /// How often membership is given the time.
@@ -40,12 +39,6 @@
 const SEED_PAUSE: Duration = Duration::from_millis(300);
 /// How many instances that hold newer knowledge may wait to be asked.
 const PULLS: usize = 64;
-/// How many instances of the own zone, and of other zones, get a standing from whoever decided it.
-const NEAR_LISTENERS: usize = 8;
-const FAR_LISTENERS: usize = 4;
-/// How many others hear of a standing from each that has heard of it first. With six all but one in four hundred hear of it, and
-/// the next word comes within seconds.
-const PASSED_ON: usize = 6;
 /// How far the incarnation is raised when others know a later one, as after the wall clock was set back.
 const INCARNATION_STEP: u64 = 10_000 << 10;
 /// The longest datagram that is read.
@@ -92,6 +85,12 @@
     Check(Question),
 }
 
+/// Whose message it is, and where its datagram came from.
+struct Sender {
+    name: InstanceName,
+    source: SocketAddr,
+}
+
 /// Membership over one socket.
 pub(crate) struct Peers {
     socket: Arc<UdpSocket>,
@@ -207,45 +206,30 @@
             log::debug!("peers: a message from {from} can't be read");
             return;
         };
+        let sender = Sender {
+            name: message.from,
+            source: from,
+        };
+        match message.body {
+            Body::Member(frame) => self.handle(&sender.name, message.incarnation, &frame),
+            Body::Reports(reports) => self.hear_reports(&sender, &reports),
+            Body::Failures(reports) => failures::hear(&self.shared, &reports),
+            Body::Questions(upstreams) => self.answer(&sender, &upstreams),
+            Body::Views(views) => self.hear_views(&sender, &views),
+            Body::Standings(standings) => self.hear_standings(&sender, &standings),
+            Body::Check(question) => {
+                // A queue that is full holds questions of the same kind.
+                let _full = self.checks.asked.try_send(question);
+            }
+        }
+    }
+
+    /// Takes in a frame of the membership.
+    fn handle(&self, from: &InstanceName, incarnation: Incarnation, frame: &Frame) {
         let mut out = Vec::new();
-        let now = self.shared.now();
         {
-            let frame = match message.body {
-                Body::Member(frame) => frame,
-                Body::Reports(reports) => {
-                    self.hear(&message.from, &reports, from);
-                    return;
-                }
-                Body::Failures(reports) => {
-                    failures::hear(&self.shared, &reports);
-                    return;
-                }
-                Body::Questions(upstreams) => {
-                    let views = self.shared.core().views(&upstreams, now);
-                    self.reply(&message.from, from, Body::Views(views));
-                    return;
-                }
-                Body::Views(views) => {
-                    self.shared.core().hear_views(reporter(&message.from), &views, now);
-                    self.carry_on();
-                    return;
-                }
-                Body::Standings(standings) => {
-                    let answers = self.shared.core().hear_standings(&standings, now);
-                    self.carry_on();
-                    if !answers.is_empty() {
-                        self.reply(&message.from, from, Body::Reports(answers));
-                    }
-                    return;
-                }
-                Body::Check(question) => {
-                    // A queue that is full holds questions of the same kind.
-                    let _full = self.checks.asked.try_send(question);
-                    return;
-                }
-            };
             let mut members = self.shared.members();
-            members.handle(now, &message.from, message.incarnation, &frame, &mut out);
+            members.handle(self.shared.now(), from, incarnation, frame, &mut out);
             if members.is_replaced() {
                 raise_incarnation(&mut members, &self.shared);
             }
@@ -253,84 +237,6 @@
         self.carry_out(out);
     }
 
-    /// Takes in another instance's reports, and tells it what is known better here.
-    fn hear(&self, from: &InstanceName, reports: &[Report], source: SocketAddr) {
-        let now = self.shared.now();
-        let answers = self.shared.core().hear(reporter(from), reports, now);
-        if !answers.is_empty() {
-            self.reply(from, source, Body::Reports(answers));
-        }
-        self.ask();
-        self.carry_on();
-    }
-
-    /// Has what another instance told take effect at once: for flows seen here, and at others.
-    fn carry_on(&self) {
-        self.shared.note_decisions();
-        self.tell_standings();
-    }
-
-    /// Answers an instance. Where its datagram came from may be a port mapping or a proxy, which takes nothing back.
-    fn reply(&self, to: &InstanceName, source: SocketAddr, body: Body) {
-        let advertised = self.shared.members().member(to).map(|member| member.address);
-        self.send(advertised.unwrap_or(source), body);
-    }
-
-    /// Tells whoever sums up which upstreams flows wait for in vain.
-    fn report_silence(&self) {
-        for (address, reports) in silence::due(&self.shared) {
-            self.send(address, Body::Reports(reports));
-        }
-    }
-
-    /// Asks what others have seen of upstreams that enough flows wait for.
-    fn ask(&self) {
-        for (address, upstreams) in silence::questions(&self.shared) {
-            self.send(address, Body::Questions(upstreams));
-        }
-    }
-
-    /// Tells whoever sums up of tries that have ended badly.
-    fn report_failures(&self) {
-        for (address, reports) in failures::due(&self.shared) {
-            self.send(address, Body::Failures(reports));
-        }
-    }
-
-    /// Tells others of what was decided here, and passes on what was heard first.
-    fn tell_standings(&self) {
-        let (decided, heard) = {
-            let mut core = self.shared.core();
-            (core.take_standings(), core.take_heard(self.shared.now()))
-        };
-        self.send_standings(&decided, NEAR_LISTENERS, FAR_LISTENERS);
-        // Where the first ones who hear are all there are, nothing is to be passed on.
-        if self.shared.members().members().count() > NEAR_LISTENERS + 1 {
-            self.send_standings(&heard, PASSED_ON / 2, PASSED_ON / 2);
-        }
-    }
-
-    fn send_standings(&self, standings: &[Standing], near: usize, far: usize) {
-        if standings.is_empty() {
-            return;
-        }
-        for address in self.listeners(near, far) {
-            self.send(address, Body::Standings(standings.to_vec()));
-        }
-    }
-
-    /// Who gets a standing, drawn anew each time.
-    fn listeners(&self, near_count: usize, far_count: usize) -> Vec<SocketAddr> {
-        let members = self.shared.members();
-        let me = members.me();
-        let others = members.members().filter(|member| member.name != me.name);
-        let (near, far): (Vec<&Member>, Vec<&Member>) = others.partition(|member| member.zone == me.zone);
-        let mut rng = rand::rng();
-        let near = near.into_iter().sample(&mut rng, near_count);
-        let far = far.into_iter().sample(&mut rng, far_count);
-        near.iter().chain(&far).map(|member| member.address).collect()
-    }
-
     fn carry_out(&self, out: Vec<Output>) {
         for output in out {
             match output {
@@ -383,13 +289,6 @@
     }
 }
 
-/// The name of an instance that reports.
-fn reporter(name: &InstanceName) -> ReporterId {
-    let hash = blake3::hash(name.as_str().as_bytes());
-    let id = hash.as_bytes().first_chunk().copied().unwrap_or_default();
-    ReporterId(u64::from_be_bytes(id))
-}
-
 /// Begins a later life under the same name. Nothing but the membership hangs on it here, as no flow has an owner.
 fn raise_incarnation(members: &mut Membership, shared: &Shared) {
     let me = members.me();
