Take any number from other instances in words and views of silent upstreams

Cause, found on a last reading: spans and counts that come from another instance were added up, and a wrong one would end a process that checks overflow. A test with the greatest numbers failed first (add with overflow). Change: they stay within their bounds.

--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -209,7 +209,8 @@
 
     /// How many flows of other instances wait for it in vain.
     fn stalled_elsewhere(&self, now: Time) -> u32 {
-        self.reports(now).map(|heard| heard.stalled).sum()
+        let stalled = self.reports(now).map(|heard| heard.stalled);
+        stalled.fold(0, u32::saturating_add)
     }
 
     /// Since when flows have waited for it in vain.
@@ -276,7 +277,8 @@
     /// Whether flows enough wait for it, here and elsewhere, that others should be asked, unless they were told already.
     pub(crate) fn is_questionable(&self, now: Time) -> bool {
         let is_known = self.is_told_silent && self.is_dead(now);
-        let signs = self.signs() + self.reports(now).map(|heard| heard.signs).sum::<u32>();
+        let signs = self.reports(now).map(|heard| heard.signs);
+        let signs = signs.fold(self.signs(), u32::saturating_add);
         !is_known && signs >= loss::signs_beyond_chance(0.0)
     }
 
--- a/crates/flow/src/inquiry.rs
+++ b/crates/flow/src/inquiry.rs
@@ -127,7 +127,7 @@
                 continue;
             }
             silence.since = silence.since.min(view.waiting_since);
-            silence.signs += view.signs;
+            silence.signs = silence.signs.saturating_add(view.signs);
             silence.instances += 1;
             most_lost = most_lost.max(view.loss.share());
         }
--- a/crates/flow/src/standing.rs
+++ b/crates/flow/src/standing.rs
@@ -42,7 +42,7 @@
 }
 
 impl Standing {
-    /// The same, told so much later.
+    /// The same, told so much later. The times come from another instance and may be any.
     pub(crate) fn aged(self, by: Duration) -> Self {
         let word = match self.word {
             Word::Silent {
@@ -50,12 +50,12 @@
                 signs,
                 instances,
             } => Word::Silent {
-                silent_for: silent_for + by,
+                silent_for: silent_for.saturating_add(by),
                 signs,
                 instances,
             },
             Word::Alive { answered_ago } => Word::Alive {
-                answered_ago: answered_ago + by,
+                answered_ago: answered_ago.saturating_add(by),
             },
             word @ (Word::Failing | Word::Serving) => word,
         };
--- a/crates/flow/tests/silence.rs
+++ b/crates/flow/tests/silence.rs
@@ -9,9 +9,18 @@
 
 use std::time::Duration;
 
+use flow::Report;
+use flow::ReporterId;
+use flow::Sample;
+use flow::Standing;
+use flow::UpstreamId;
+use flow::Word;
+
 use crate::fleet::Outcome;
 use crate::fleet::Plan;
 use crate::fleet::play;
+use crate::support::START;
+use crate::support::core_in;
 
 /// Every how many-th upstream falls silent.
 const DARK_EACH: u64 = 7;
@@ -138,3 +147,51 @@
     let outcome = play(&plan);
     assert_eq!((outcome.false_words, outcome.false_resets), (0, 0));
 }
+
+/// What another instance says may be any number.
+#[test]
+fn any_number_from_other_instances_harms_nothing() {
+    let mut core = core_in(0, 3, 1, 1);
+    let id = UpstreamId(1);
+    let report = Report {
+        upstream: id,
+        stalled: u32::MAX,
+        signs: u32::MAX,
+        waiting_for: Duration::ZERO,
+        silent_for: Duration::MAX,
+        loss: Sample {
+            attempts: u16::MAX,
+            tenths_lost: u16::MAX,
+        },
+        is_in_doubt: false,
+    };
+    let later = START + Duration::from_secs(1);
+    for from in 0..3 {
+        core.hear(ReporterId(from), &[report], later);
+    }
+    assert_eq!(core.take_questions(later), [id]);
+    core.inquire(id, 2, later);
+    for from in 0..2 {
+        core.hear_views(ReporterId(from), &[report], later);
+    }
+    let word = Word::Silent {
+        silent_for: Duration::MAX,
+        signs: u32::MAX,
+        instances: u32::MAX,
+    };
+    let alive = Word::Alive {
+        answered_ago: Duration::MAX,
+    };
+    for (round, word) in [(u32::MAX - 1, word), (u32::MAX, alive)] {
+        core.hear_standings(
+            &[Standing {
+                upstream: id,
+                round,
+                word,
+            }],
+            later,
+        );
+    }
+    let heard = core.take_heard(later + Duration::from_secs(1));
+    assert_eq!(heard.len(), 2);
+}
