--- a/crates/model/src/search.rs
+++ b/crates/model/src/search.rs
@@ -60,6 +60,19 @@
     pub found: Option<Found>,
 }
 
+impl Report {
+    /// Where only the state that a model starts in was seen.
+    fn of_start() -> Self {
+        Self {
+            states: 1,
+            steps: 0,
+            depth: 0,
+            complete: true,
+            found: None,
+        }
+    }
+}
+
 /// How a state was reached first.
 struct Origin<A> {
     parent: usize,
@@ -71,13 +84,7 @@
 ///
 /// States are told apart by a hash of 128 bits. Of ten million states, two share one with a chance below 10^-24.
 pub fn explore<M: Model>(model: &M, max_states: usize) -> Report {
-    let mut report = Report {
-        states: 1,
-        steps: 0,
-        depth: 0,
-        complete: true,
-        found: None,
-    };
+    let mut report = Report::of_start();
     let start = model.start();
     let mut seen = HashSet::from([fingerprint(&start)]);
     let mut origins = vec![Origin {
@@ -127,13 +134,7 @@
 /// Explores a model as [`explore`] does, but depth first. It holds only the states on one way, so they may be large;
 /// the way to a violation is not the shortest. The model must bound the length of every way.
 pub fn explore_deep<M: Model>(model: &M, max_states: usize) -> Report {
-    let mut report = Report {
-        states: 1,
-        steps: 0,
-        depth: 0,
-        complete: true,
-        found: None,
-    };
+    let mut report = Report::of_start();
     let start = model.start();
     let mut seen = HashSet::from([fingerprint(&start)]);
     let mut stages: Vec<Stage<M>> = vec![stage(model, start, None)];
--- a/crates/node/examples/flow_state.rs
+++ b/crates/node/examples/flow_state.rs
@@ -4,11 +4,8 @@
 
 #![expect(unsafe_code, reason = "an allocator can't be written without")]
 
-use std::alloc::GlobalAlloc;
-use std::alloc::Layout;
-use std::alloc::System;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+mod counting;
+
 use std::time::Duration;
 
 use node::FlowKey;
@@ -20,34 +17,12 @@
 use units::Time;
 use wire::TicketId;
 
-struct Counting;
-
-static HELD: AtomicUsize = AtomicUsize::new(0);
-
-// SAFETY: Every call goes to the system's allocator unchanged.
-unsafe impl GlobalAlloc for Counting {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        HELD.fetch_add(layout.size(), Ordering::Relaxed);
-        // SAFETY: The caller's promise is passed on.
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
-        // SAFETY: The caller's promise is passed on.
-        unsafe { System.dealloc(ptr, layout) }
-    }
-}
-
-#[global_allocator]
-static ALLOCATOR: Counting = Counting;
-
 fn main() {
     println!("flows  bytes per flow after its requests have sunk below the floor");
     for flows in [10_000, 28_000, 100_000, 300_000] {
-        let before = HELD.load(Ordering::Relaxed);
+        let before = counting::held();
         let ledgers = fill(flows);
-        let held = HELD.load(Ordering::Relaxed) - before;
+        let held = counting::held() - before;
         println!("{flows:>6}  {:>5}", held / flows as usize);
         drop(ledgers);
     }
--- a/crates/node/examples/scale.rs
+++ b/crates/node/examples/scale.rs
@@ -5,13 +5,10 @@
 
 #![expect(unsafe_code, reason = "an allocator can't be written without")]
 
-use std::alloc::GlobalAlloc;
-use std::alloc::Layout;
-use std::alloc::System;
+mod counting;
+
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,28 +30,6 @@
 const ZONES: usize = 10;
 const UPSTREAMS_PER_SERVICE: usize = 5;
 
-struct Counting;
-
-static HELD: AtomicUsize = AtomicUsize::new(0);
-
-// SAFETY: Every call goes to the system's allocator unchanged.
-unsafe impl GlobalAlloc for Counting {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        HELD.fetch_add(layout.size(), Ordering::Relaxed);
-        // SAFETY: The caller's promise is passed on.
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
-        // SAFETY: The caller's promise is passed on.
-        unsafe { System.dealloc(ptr, layout) }
-    }
-}
-
-#[global_allocator]
-static ALLOCATOR: Counting = Counting;
-
 fn main() {
     println!("services  members  text     memory    load     tick      change of view");
     for (services, members) in [(10, 9), (65, 60), (260, 240), (650, 600), (2_000, 600)] {
@@ -63,7 +38,7 @@
 }
 
 fn measure(services: usize, members: usize) {
-    let before = HELD.load(Ordering::Relaxed);
+    let before = counting::held();
     let text = document(1, services);
     let len = text.len();
     let mut now = Time(1_000_000_000);
@@ -82,7 +57,7 @@
     // The first tick works all homes out.
     let change = timed(|| node.handle(now, Event::Tick, &mut out));
     out = Vec::new();
-    let memory = HELD.load(Ordering::Relaxed) - before;
+    let memory = counting::held() - before;
 
     // Shorter than a probe's timeout, so that no silent member is given up.
     let ticks = 20;
