--- a/crates/flow/src/core/inquiring.rs
+++ b/crates/flow/src/core/inquiring.rs
@@ -4,11 +4,11 @@
 
 use super::Core;
 use crate::health::Health;
-use crate::health::Report;
-use crate::health::ReporterId;
 use crate::inquiry::Finding;
 use crate::inquiry::Inquiry;
-use crate::standing::Word;
+use crate::report::Report;
+use crate::report::ReporterId;
+use crate::standing::Status;
 use crate::upstream::UpstreamId;
 
 impl Core {
@@ -75,11 +75,11 @@
             return;
         };
         self.find_silent(id, silence, now);
-        let word = Word::Silent {
+        let status = Status::Silent {
             silent_for: now.since(silence.since),
             signs: silence.signs,
             instances: silence.instances,
         };
-        self.tell_silence(id, word);
+        self.tell_silence(id, status);
     }
 }
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -15,12 +15,12 @@
 use crate::flows::Stage;
 use crate::grounds::Grounds;
 use crate::health::Health;
-use crate::health::Report;
-use crate::health::ReporterId;
 use crate::loss;
 use crate::loss::Percent;
 use crate::packet::Reset;
 use crate::packet::ResetCause;
+use crate::report::Report;
+use crate::report::ReporterId;
 use crate::upstream::UpstreamId;
 
 /// At which copy of the same data a flow may count as stalled. Copies come 200, 600 and 1,400 milliseconds after the first,
--- a/crates/flow/src/core/standings.rs
+++ b/crates/flow/src/core/standings.rs
@@ -1,7 +1,7 @@
 //! What this instance tells all others of upstreams, and what it follows of what they tell.
 //!
 //! Whoever finds out tells a few, and each that hears of it first passes it on. A count for each upstream tells which of
-//! two words is the later one.
+//! two standings is the later one.
 
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
 use crate::decision::Decision;
 use crate::grounds::Grounds;
 use crate::health::Health;
-use crate::health::Report;
 use crate::inquiry::Silence;
+use crate::report::Report;
 use crate::standing::Standing;
-use crate::standing::Word;
+use crate::standing::Status;
 use crate::upstream::UpstreamId;
 
 impl Core {
@@ -25,7 +25,7 @@
     }
 
     /// Has the others follow what was found of an upstream's silence here.
-    pub(super) fn tell_silence(&mut self, id: UpstreamId, word: Word) {
+    pub(super) fn tell_silence(&mut self, id: UpstreamId, status: Status) {
         let Some(health) = self.health.get_mut(&id) else {
             return;
         };
@@ -33,7 +33,7 @@
         self.standings.push(Standing {
             upstream: id,
             round: health.silence_round,
-            word,
+            status,
         });
     }
 
@@ -43,7 +43,7 @@
         let was_told = self.health.get_mut(&id).is_some_and(Health::take_told_silent);
         if was_told {
             let answered_ago = now.since(answered_at);
-            self.tell_silence(id, Word::Alive { answered_ago });
+            self.tell_silence(id, Status::Alive { answered_ago });
         }
         self.revive_zone(id);
     }
@@ -69,10 +69,10 @@
             if !self.directory.contains(id) {
                 continue;
             }
-            match standing.word {
-                Word::Failing => self.follow_failing(standing, true, now),
-                Word::Serving => self.follow_failing(standing, false, now),
-                Word::Silent {
+            match standing.status {
+                Status::Failing => self.follow_failing(standing, true, now),
+                Status::Serving => self.follow_failing(standing, false, now),
+                Status::Silent {
                     silent_for,
                     signs,
                     instances,
@@ -85,7 +85,7 @@
                     };
                     answers.extend(self.follow_silent(standing, silence, now));
                 }
-                Word::Alive { answered_ago } => self.follow_alive(standing, answered_ago, now),
+                Status::Alive { answered_ago } => self.follow_alive(standing, answered_ago, now),
             }
         }
         answers
--- a/crates/flow/src/ejection.rs
+++ b/crates/flow/src/ejection.rs
@@ -9,14 +9,14 @@
 
 use crate::outcome::Outcome;
 use crate::standing::Standing;
-use crate::standing::Word;
+use crate::standing::Status;
 use crate::upstream::UpstreamId;
 
 /// How long an upstream is out at first. What fails for a moment is back soon.
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// How long it is out at most until it is tried again. A trial costs one flow or two.
 const LAST_PAUSE: Duration = Duration::from_secs(4);
-/// How long those that follow leave it out without further word: twice as long as the leader's longest pause, and a little for
+/// How long those that follow leave it out without further notice: twice as long as the leader's longest pause, and a little for
 /// the trial.
 const FOLLOWED: Duration = Duration::from_secs(10);
 /// How long it must have been back until its next pause is short again.
@@ -96,15 +96,15 @@
 
     /// What others should know.
     pub(crate) fn standing(&self, upstream: UpstreamId) -> Standing {
-        let word = if self.is_ejected() {
-            Word::Failing
+        let status = if self.is_ejected() {
+            Status::Failing
         } else {
-            Word::Serving
+            Status::Serving
         };
         Standing {
             upstream,
             round: self.round,
-            word,
+            status,
         }
     }
 
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use units::Time;
 
 use crate::decay::Decayed;
@@ -13,6 +11,8 @@
 use crate::loss;
 use crate::loss::Percent;
 use crate::outcome::Record;
+use crate::report::Report;
+use crate::report::ReporterId;
 use crate::upstream::UpstreamId;
 
 /// Requests count towards an upstream's activity for about this long. A flow sends a request or so a second, so a
@@ -39,30 +39,6 @@
 /// How many other instances' reports are kept for each upstream: as many as are needed while a third of all packets is lost.
 const REPORTERS: usize = 16;
 
-/// Names an instance that reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ReporterId(pub u64);
-
-/// What an instance tells others of one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// How many flows of the reporting instance wait for it in vain.
-    pub stalled: u32,
-    /// How often these have sent something again, each counted twice at most.
-    pub signs: u32,
-    /// How long the first of them has waited.
-    pub waiting_for: Duration,
-    /// How long ago it last answered something there.
-    pub silent_for: Duration,
-    /// How many packets are lost there on ways that work otherwise.
-    pub loss: loss::Sample,
-    /// Whether so many upstreams are silent there that the reporting instance doubts its own link.
-    pub is_in_doubt: bool,
-}
-
 /// What a sign of life ends.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Progress {
--- a/crates/flow/src/inquiry.rs
+++ b/crates/flow/src/inquiry.rs
@@ -11,10 +11,10 @@
 
 use units::Time;
 
-use crate::health::Report;
-use crate::health::ReporterId;
 use crate::loss;
 use crate::loss::Sample;
+use crate::report::Report;
+use crate::report::ReporterId;
 
 /// How long answers are waited for. They take some milliseconds, and up to a tenth of a second from an instance that has used
 /// up its share of the processor.
--- a/crates/flow/src/standing.rs
+++ b/crates/flow/src/standing.rs
@@ -9,7 +9,7 @@
 
 /// What is told of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum Status {
     /// Tries at it end badly. It gets no new flows, and open ones stay.
     Failing,
     /// Tries at it end well again.
@@ -38,27 +38,27 @@
     /// Counts what was told of its failing, or of its silence; the highest counts.
     pub round: u32,
     /// What is told.
-    pub word: Word,
+    pub status: Status,
 }
 
 impl Standing {
     /// The same, told so much later. The times come from another instance and may be any.
     pub(crate) fn aged(self, by: Duration) -> Self {
-        let word = match self.word {
-            Word::Silent {
+        let status = match self.status {
+            Status::Silent {
                 silent_for,
                 signs,
                 instances,
-            } => Word::Silent {
+            } => Status::Silent {
                 silent_for: silent_for.saturating_add(by),
                 signs,
                 instances,
             },
-            Word::Alive { answered_ago } => Word::Alive {
+            Status::Alive { answered_ago } => Status::Alive {
                 answered_ago: answered_ago.saturating_add(by),
             },
-            word @ (Word::Failing | Word::Serving) => word,
+            status @ (Status::Failing | Status::Serving) => status,
         };
-        Self { word, ..self }
+        Self { status, ..self }
     }
 }
--- a/crates/flow/tests/fleet/mod.rs
+++ b/crates/flow/tests/fleet/mod.rs
@@ -15,9 +15,9 @@
 use flow::Report;
 use flow::ReporterId;
 use flow::Standing;
+use flow::Status;
 use flow::UpstreamId;
 use flow::Verdict;
-use flow::Word;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -570,7 +570,7 @@
     }
 
     fn note_word(&mut self, standing: &Standing) {
-        let Word::Silent { .. } = standing.word else {
+        let Status::Silent { .. } = standing.status else {
             return;
         };
         let upstream = standing.upstream.0;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -33,10 +33,10 @@
 use flow::Sighting;
 use flow::Standing;
 use flow::Start;
+use flow::Status;
 use flow::Upstream;
 use flow::UpstreamId;
 use flow::Verdict;
-use flow::Word;
 use units::Revision;
 use units::Slots;
 use units::Time;
@@ -61,28 +61,28 @@
 }
 
 /// How a word of an upstream is shown.
-fn place(word: Word) -> &'static str {
-    match word {
-        Word::Failing => "out",
-        Word::Serving => "in",
-        Word::Silent { .. } => "silent",
-        Word::Alive { .. } => "alive",
+fn place(status: Status) -> &'static str {
+    match status {
+        Status::Failing => "out",
+        Status::Serving => "in",
+        Status::Silent { .. } => "silent",
+        Status::Alive { .. } => "alive",
     }
 }
 
 /// A word as it stands in a scenario.
-fn word_of(text: &str) -> Word {
+fn word_of(text: &str) -> Status {
     let (place, ago) = text.split_once(':').unwrap_or((text, "0"));
     let ago = Duration::from_millis(millis(ago));
     match place {
-        "out" => Word::Failing,
-        "in" => Word::Serving,
-        "silent" => Word::Silent {
+        "out" => Status::Failing,
+        "in" => Status::Serving,
+        "silent" => Status::Silent {
             silent_for: ago,
             signs: 3,
             instances: 2,
         },
-        "alive" => Word::Alive { answered_ago: ago },
+        "alive" => Status::Alive { answered_ago: ago },
         other => panic!("no such word: {other}"),
     }
 }
@@ -279,7 +279,7 @@
 
     fn show_standings(&mut self, out: &mut String) {
         for standing in self.core.take_standings() {
-            let place = place(standing.word);
+            let place = place(standing.status);
             writeln!(
                 out,
                 "  tells: {:x} is {place}, word {}",
@@ -324,7 +324,7 @@
         let standing = Standing {
             upstream: id.parse().unwrap(),
             round: round.parse().unwrap(),
-            word: word_of(place),
+            status: word_of(place),
         };
         for answer in self.core.hear_standings(&[standing], self.now) {
             let silent = answer.silent_for.as_millis();
--- a/crates/flow/tests/silence.rs
+++ b/crates/flow/tests/silence.rs
@@ -13,8 +13,8 @@
 use flow::ReporterId;
 use flow::Sample;
 use flow::Standing;
+use flow::Status;
 use flow::UpstreamId;
-use flow::Word;
 
 use crate::fleet::Outcome;
 use crate::fleet::Plan;
@@ -174,20 +174,20 @@
     for from in 0..2 {
         core.hear_views(ReporterId(from), &[report], later);
     }
-    let word = Word::Silent {
+    let silent = Status::Silent {
         silent_for: Duration::MAX,
         signs: u32::MAX,
         instances: u32::MAX,
     };
-    let alive = Word::Alive {
+    let alive = Status::Alive {
         answered_ago: Duration::MAX,
     };
-    for (round, word) in [(u32::MAX - 1, word), (u32::MAX, alive)] {
+    for (round, status) in [(u32::MAX - 1, silent), (u32::MAX, alive)] {
         core.hear_standings(
             &[Standing {
                 upstream: id,
                 round,
-                word,
+                status,
             }],
             later,
         );
