--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -1,8 +1,8 @@
 //! Upstreams that do not answer: when one is taken for dead, when a single flow is given up, and what instances tell one
 //! another about it.
 //!
-//! A reset of an open flow whose upstream lives breaks the flow, so one instance's view is not enough: either another
-//! instance agrees, or most other upstreams answer here.
+//! A reset of an open flow whose upstream lives breaks the flow. So an instance acts on its own flows only while most other
+//! upstreams answer here; what several instances see together is decided by asking the others.
 
 use std::time::Duration;
 
--- a/crates/flow/src/loss.rs
+++ b/crates/flow/src/loss.rs
@@ -23,7 +23,7 @@
 /// hundred thousand.
 const RARITY: f64 = 12.2;
 
-/// The same where what is found is told to all instances: a word that is wrong resets the flows of all of them, and a large fleet
+/// The same where what is found is told to all instances: a wrong status resets the flows of all of them, and a large fleet
 /// draws from chance more often. One in ten million.
 const SHARED_RARITY: f64 = 16.1;
 /// The loss that is assumed there where none is seen. So many instances have tried that a smaller one would show than at a
