--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -43,6 +43,7 @@
     let mut core = Core::new(Options {
         zone: format!("z{zone}").parse().unwrap(),
         max_flow: Duration::from_mins(1),
+        awaits_evacuations: false,
         seed,
     });
     let list = (1..=upstreams).map(|id| {
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,6 +1,7 @@
 //! One instance's flow path: packets and news in, verdicts out.
 
 mod carrying;
+mod evacuating;
 mod failing;
 mod inquiring;
 mod opening;
@@ -49,6 +50,8 @@
     pub zone: ZoneName,
     /// The longest that a flow lives; upstreams that went are remembered for longer.
     pub max_flow: Duration,
+    /// Whether operators of the platform empty availability zones: no flow is placed before it is known which.
+    pub awaits_evacuations: bool,
     /// Seeds the choice between equals.
     pub seed: u64,
 }
@@ -101,10 +104,15 @@
 impl Core {
     /// A flow path that knows nothing yet.
     pub fn new(options: Options) -> Self {
+        let knowledge = if options.awaits_evacuations {
+            Knowledge::awaiting_evacuations()
+        } else {
+            Knowledge::default()
+        };
         Self {
             rng: SmallRng::seed_from_u64(options.seed),
             options,
-            knowledge: Knowledge::default(),
+            knowledge,
             routes: Routes::default(),
             directory: Directory::default(),
             health: HashMap::new(),
@@ -144,6 +152,7 @@
     /// without a change: others must hear of it, or this instance takes itself for ahead of them and asks them no more.
     pub fn learn(&mut self, now: Time, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
         let before = self.knowledge.parts();
+        let evacuated = self.knowledge.evacuations().zones.clone();
         if !change(&mut self.knowledge) && self.knowledge.parts() == before {
             return false;
         }
@@ -159,6 +168,7 @@
         for id in self.directory.restarted_since(&earlier) {
             self.forget_start(id);
         }
+        self.note_evacuations(&evacuated);
         let directory = &self.directory;
         self.health.retain(|id, _| directory.contains(*id));
         true
--- /dev/null
+++ b/crates/flow/src/core/evacuating.rs
@@ -0,0 +1,45 @@
+//! Availability zones that operators empty: what is still open there, and what is told of a change.
+//!
+//! New flows keep away from the moment at which the wish is known. Open flows run on until they end by themselves: their upstreams
+//! live, and only their two ends can tell whether a request is under way, so that a reset might cut one that runs once at most.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use units::ZoneName;
+
+use super::Core;
+use crate::decision::Decision;
+
+impl Core {
+    /// Notes which zones are to be emptied now, and which no longer, since `before`.
+    pub(super) fn note_evacuations(&mut self, before: &BTreeSet<ZoneName>) {
+        let evacuations = self.knowledge.evacuations();
+        if evacuations.zones == *before {
+            return;
+        }
+        let at = evacuations.at;
+        for zone in evacuations.zones.difference(before) {
+            let (zone, flows) = (zone.clone(), self.flows_in(zone));
+            self.decisions.push(Decision::Evacuated { zone, at, flows });
+        }
+        for zone in before.difference(&evacuations.zones) {
+            let zone = zone.clone();
+            self.decisions.push(Decision::Restored { zone, at });
+        }
+    }
+
+    /// How many flows are open at a zone's upstreams, as far as they were seen here.
+    fn flows_in(&self, zone: &ZoneName) -> u32 {
+        let ids = self.directory.in_zone(zone).iter();
+        ids.filter_map(|id| self.health.get(id))
+            .map(|health| health.flows)
+            .sum()
+    }
+
+    /// The zones to be emptied, each with the number of flows that are open there, as far as they were seen here.
+    pub fn evacuated(&self) -> BTreeMap<ZoneName, u32> {
+        let zones = self.knowledge.evacuations().zones.iter();
+        zones.map(|zone| (zone.clone(), self.flows_in(zone))).collect()
+    }
+}
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -48,7 +48,7 @@
         }
         let earlier = self.forget_opening(&key, now);
         let Some(candidate) = self.place(&service, earlier, now) else {
-            return Verdict::Reset(reset_opening(packet, ResetCause::NoUpstream));
+            return Verdict::Reset(reset_opening(packet, self.why_none(&service)));
         };
         let id = candidate.id;
         self.stats.placed += 1;
@@ -67,11 +67,24 @@
         self.forward(id)
     }
 
-    /// The upstream of an opening packet whose copy came just before: both were held up, and the second tells nothing.
+    /// The upstream of an opening packet whose copy came just before: both were held up, and the second tells nothing. An
+    /// upstream that has been told meanwhile to take no more gets neither.
     fn held_up(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
         let flow = self.flows.get_mut(key)?;
         let is_held_up = flow.stage == Stage::Opening && now.since(flow.first_seen) < COPY_SPACE;
-        is_held_up.then_some(flow.upstream)
+        let id = flow.upstream;
+        let takes_flows = self.directory.get(id).is_some_and(Listed::takes_flows);
+        (is_held_up && takes_flows).then_some(id)
+    }
+
+    /// Why a service has no upstream for a new flow.
+    fn why_none(&self, service: &str) -> ResetCause {
+        let mut listed = self.directory.of_service(service);
+        let is_evacuated = listed.any(|(_, listed)| listed.is_evacuated && listed.gone_since.is_none());
+        if is_evacuated {
+            return ResetCause::Evacuated;
+        }
+        ResetCause::NoUpstream
     }
 
     /// Takes back the choice that an earlier copy of an opening packet led to. It was not answered, which counts
@@ -122,7 +135,7 @@
 
 /// How good a choice an upstream is at best, `None` if it gets no new flows.
 fn tier(listed: &Listed, health: Option<&Health>, now: Time) -> Option<Tier> {
-    if listed.upstream.leaving {
+    if !listed.takes_flows() {
         return None;
     }
     if let Some(since) = listed.gone_since {
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -1,5 +1,8 @@
 //! What was decided, for those who have to explain it later.
 
+use units::Revision;
+use units::ZoneName;
+
 use crate::flows::FlowKey;
 use crate::grounds::Grounds;
 use crate::packet::DropCause;
@@ -9,7 +12,7 @@
 use crate::upstream::UpstreamId;
 
 /// A decision that touches a flow, or a change of what is believed of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
     /// A new flow goes to an upstream.
     Placed {
@@ -73,4 +76,20 @@
         /// How many flows of the earlier start were remembered here.
         flows: usize,
     },
+    /// Operators have asked for an availability zone to be emptied: its upstreams get no new flows, and open ones stay.
+    Evacuated {
+        /// The zone.
+        zone: ZoneName,
+        /// The platform's revision at which this was so.
+        at: Revision,
+        /// How many flows are open there, as far as they were seen here.
+        flows: u32,
+    },
+    /// They have taken that back.
+    Restored {
+        /// The zone.
+        zone: ZoneName,
+        /// The platform's revision at which this was so.
+        at: Revision,
+    },
 }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -20,6 +20,15 @@
     pub(crate) gone_since: Option<Time>,
     /// Until when it is slow after its start.
     pub(crate) cold_until: Time,
+    /// Whether operators have asked for its zone to be emptied.
+    pub(crate) is_evacuated: bool,
+}
+
+impl Listed {
+    /// Whether new flows may go to it at all, whatever is seen of it. Open ones stay where they are.
+    pub(crate) fn takes_flows(&self) -> bool {
+        !self.upstream.leaving && !self.is_evacuated
+    }
 }
 
 /// Upstreams by echo, by service and by availability zone.
@@ -54,6 +63,7 @@
                 echo,
                 gone_since: knowledge.gone_since(id).filter(|_| entry.gone),
                 cold_until: known_cold.unwrap_or(now + entry.upstream.cold_for),
+                is_evacuated: knowledge.is_evacuated(&entry.upstream.zone),
             };
             let service = listed.upstream.service.clone();
             directory.by_service.entry(service).or_default().push(id);
--- /dev/null
+++ b/crates/flow/src/evacuations.rs
@@ -0,0 +1,70 @@
+//! The availability zones that operators have asked to be emptied: nothing new is sent to their upstreams.
+//!
+//! There are few of them, so they are always read and told together, as they stood at one revision of the platform's.
+
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use units::Revision;
+use units::ZoneName;
+
+/// The zones to be emptied, as they stood at a revision of the platform's.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// The platform's revision.
+    pub at: Revision,
+    /// The zones.
+    pub zones: BTreeSet<ZoneName>,
+}
+
+/// What an instance holds of them.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Held {
+    current: Evacuations,
+    /// The latest revision at which the platform was seen to ask for just these. It may be later than what others are told, who
+    /// need not hear of it each time that nothing has changed.
+    confirmed_at: Revision,
+}
+
+impl Held {
+    pub(crate) fn current(&self) -> &Evacuations {
+        &self.current
+    }
+
+    /// Takes in what was read from the platform. A zone whose wish can't be read stays as it is. Tells whether others must hear
+    /// of it.
+    pub(crate) fn read(&mut self, mut read: Evacuations, unreadable: &BTreeSet<ZoneName>) -> bool {
+        if read.at <= self.confirmed_at {
+            return false;
+        }
+        read.zones.extend(self.current.zones.intersection(unreadable).cloned());
+        self.confirmed_at = read.at;
+        let is_first = self.current.at == Revision(0);
+        if !is_first && read.zones == self.current.zones {
+            return false;
+        }
+        self.current = read;
+        true
+    }
+
+    /// Takes in what another holder told. Tells whether anything is new, or others must hear what is held here.
+    pub(crate) fn hear(&mut self, told: Evacuations) -> bool {
+        if told.at <= self.current.at {
+            return false;
+        }
+        if told.at <= self.confirmed_at {
+            // The teller knows of a change that was taken back since. Without a later revision it would not ask.
+            self.current.at = self.confirmed_at;
+            return true;
+        }
+        self.confirmed_at = told.at;
+        self.current = told;
+        true
+    }
+
+    /// What a holder of those at a revision lacks.
+    pub(crate) fn since(&self, at: Revision) -> Option<Evacuations> {
+        (self.current.at > at).then(|| self.current.clone())
+    }
+}
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -1,4 +1,5 @@
-//! What instances know of the platform and tell one another: the document and the upstreams, each with a revision.
+//! What instances know of the platform and tell one another: the document, the upstreams, and the zones to be emptied, each with a
+//! revision.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -7,9 +8,12 @@
 use serde::Serialize;
 use units::Revision;
 use units::Time;
+use units::ZoneName;
 
 use crate::documents::Documents;
 use crate::documents::Update;
+use crate::evacuations;
+use crate::evacuations::Evacuations;
 use crate::route::Document;
 use crate::upstream::Sighting;
 use crate::upstream::Upstream;
@@ -33,6 +37,18 @@
     }
 }
 
+/// The platform's revisions that a holder's knowledge stands at, zero for what it knows nothing of.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions {
+    /// That of the document.
+    pub document_at: Revision,
+    /// The one up to which all changes of upstreams are held.
+    pub upstreams_at: Revision,
+    /// The one at which the zones to be emptied stood.
+    #[serde(default)]
+    pub evacuations_at: Revision,
+}
+
 /// What one holder knows that another does not.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -44,11 +60,17 @@
     pub is_whole: bool,
     /// The upstreams that have changed, or all.
     pub upstreams: Vec<(UpstreamId, Entry)>,
+    /// The zones to be emptied, if there is something newer.
+    #[serde(default)]
+    pub evacuations: Option<Evacuations>,
 }
 
-/// The document and the upstreams that an instance holds. Nothing here ever steps down to an older revision.
+/// What an instance holds. Nothing here ever steps down to an older revision.
 #[derive(Debug, Default, Clone)]
 pub struct Knowledge {
+    /// Whether nothing may be placed before it is known which zones are to be emptied.
+    awaits_evacuations: bool,
+    evacuations: evacuations::Held,
     documents: Documents,
     upstreams_at: Revision,
     /// The revision from which on all changes are remembered, those that took an upstream away among them.
@@ -59,6 +81,14 @@
 }
 
 impl Knowledge {
+    /// Knowledge of a platform whose operators empty availability zones: it is not ready before that is known as well.
+    pub fn awaiting_evacuations() -> Self {
+        Self {
+            awaits_evacuations: true,
+            ..Self::default()
+        }
+    }
+
     /// The document, and the platform's revision at which it was written.
     pub fn document(&self) -> Option<&(Revision, Document)> {
         self.documents.current()
@@ -84,8 +114,24 @@
         self.upstreams.get(&id).map(|entry| &entry.upstream)
     }
 
-    /// Whether flows can be placed: there are a document and a list of upstreams.
+    /// The zones that operators have asked to be emptied, as they stood at a revision.
+    pub fn evacuations(&self) -> &Evacuations {
+        self.evacuations.current()
+    }
+
+    /// Whether operators have asked for a zone to be emptied.
+    pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.evacuations().zones.contains(zone)
+    }
+
+    /// Whether flows can be placed: there are a document and a list of upstreams, and it is known which zones are to be emptied.
     pub fn is_ready(&self) -> bool {
+        let knows_zones = !self.awaits_evacuations || self.evacuations().at > Revision(0);
+        self.has_routes_and_upstreams() && knows_zones
+    }
+
+    /// Whether there are a document and a list of upstreams.
+    pub fn has_routes_and_upstreams(&self) -> bool {
         self.document().is_some() && self.upstreams_at > Revision(0)
     }
 
@@ -94,22 +140,35 @@
     /// Each part only grows, so whoever has the lower sum lacks something; equal sums with different parts are told
     /// apart by [`Knowledge::parts`].
     pub fn level(&self) -> Revision {
-        Revision(self.document_at().0.saturating_add(self.upstreams_at.0))
+        let parts = self.parts().into_iter();
+        Revision(parts.map(|at| at.0).fold(0, u64::saturating_add))
+    }
+
+    /// The revisions of all parts.
+    pub fn parts(&self) -> [Revision; 3] {
+        [self.document_at(), self.upstreams_at, self.evacuations().at]
     }
 
-    /// The revisions of both parts, in a form that can be compared for equality.
-    pub fn parts(&self) -> [u8; 16] {
-        let mut parts = [0; 16];
-        parts[..8].copy_from_slice(&self.document_at().0.to_be_bytes());
-        parts[8..].copy_from_slice(&self.upstreams_at.0.to_be_bytes());
-        parts
+    /// The revisions of all parts, by name.
+    pub fn revisions(&self) -> Revisions {
+        let [document_at, upstreams_at, evacuations_at] = self.parts();
+        Revisions {
+            document_at,
+            upstreams_at,
+            evacuations_at,
+        }
     }
 
     /// What a holder at these revisions lacks.
     ///
     /// A list that was read from the platform does not tell what went before. A holder from before then gets all
     /// upstreams, so that it finds out by what is missing.
-    pub fn since(&self, document_at: Revision, upstreams_at: Revision) -> Change {
+    pub fn since(&self, held: Revisions) -> Change {
+        let Revisions {
+            document_at,
+            upstreams_at,
+            evacuations_at,
+        } = held;
         let is_newer = self.upstreams_at > upstreams_at;
         let is_whole = is_newer && upstreams_at < self.complete_since;
         let told = self.upstreams.iter();
@@ -119,19 +178,29 @@
             upstreams_at: self.upstreams_at,
             is_whole,
             upstreams: told.map(|(id, entry)| (*id, entry.clone())).collect(),
+            evacuations: self.evacuations.since(evacuations_at),
         }
     }
 
     /// Takes in what another holder knows. Tells whether anything is new.
     pub fn take(&mut self, change: Change, now: Time) -> bool {
         let has_document = self.documents.update(change.document);
+        let has_zones = change
+            .evacuations
+            .is_some_and(|evacuations| self.evacuations.hear(evacuations));
         let is_ahead = change.upstreams_at > self.upstreams_at;
         if change.is_whole {
             self.replace(change.upstreams_at, change.upstreams, now);
         } else {
             self.apply(change.upstreams_at, change.upstreams, now);
         }
-        is_ahead || has_document
+        is_ahead || has_document || has_zones
+    }
+
+    /// Takes in which zones the platform's operators ask to be emptied. Of those whose wish can't be read, the ones that are
+    /// being emptied go on being so. Tells whether anything has changed.
+    pub fn take_evacuations(&mut self, read: Evacuations, unreadable: &BTreeSet<ZoneName>) -> bool {
+        self.evacuations.read(read, unreadable)
     }
 
     /// Takes in a document. Tells whether it is newer than the one held.
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -77,6 +77,8 @@
     NoRoute,
     /// No upstream of the service can take a flow.
     NoUpstream,
+    /// The same, and operators have asked for zones with upstreams of the service to be emptied.
+    Evacuated,
     /// The flow waits in vain while its upstream answers nobody.
     Stalled,
     /// The flow's upstream is taken for dead.
@@ -89,6 +91,7 @@
         match self {
             Self::NoRoute => "no-route",
             Self::NoUpstream => "no-upstream",
+            Self::Evacuated => "evacuated",
             Self::Stalled => "stalled",
             Self::Dead => "dead",
         }
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -1,11 +1,13 @@
 //! However what is known travels, it never steps down, and all holders end with what the platform holds.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use flow::Document;
+use flow::Evacuations;
 use flow::Knowledge;
 use flow::Route;
 use flow::Start;
@@ -21,9 +23,11 @@
 use units::Revision;
 use units::Slots;
 use units::Time;
+use units::ZoneName;
 
 const HOLDERS: usize = 4;
 const UPSTREAMS: u64 = 5;
+const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
 /// One thing that happens.
 #[derive(Debug, Clone)]
@@ -36,6 +40,10 @@
     Remove(u64),
     /// Operators write the next document.
     Document,
+    /// Operators ask for a zone to be emptied, or take that back.
+    Evacuate(usize, bool),
+    /// A holder reads which zones are to be emptied.
+    Zones(usize),
     /// A holder reads the whole list.
     List(usize),
     /// A holder's watch answers. It has seen the changes up to its last answer.
@@ -55,6 +63,8 @@
         (0..UPSTREAMS).prop_map(Step::Restart),
         (0..UPSTREAMS).prop_map(Step::Remove),
         any::<bool>().prop_map(|_| Step::Document),
+        (0..ZONES.len(), any::<bool>()).prop_map(|(zone, asked)| Step::Evacuate(zone, asked)),
+        holder.clone().prop_map(Step::Zones),
         holder.clone().prop_map(Step::List),
         holder.clone().prop_map(Step::Watch),
         holder.clone().prop_map(Step::Read),
@@ -82,6 +92,7 @@
     /// How often each upstream has started again.
     starts: BTreeMap<u64, u64>,
     document: Option<(Revision, Document)>,
+    evacuated: BTreeSet<ZoneName>,
     entries: BTreeMap<UpstreamId, (Revision, Upstream)>,
     history: Vec<(Revision, UpstreamId, Option<Upstream>)>,
 }
@@ -130,6 +141,23 @@
         self.document = Some((Revision(self.revision), document));
     }
 
+    fn evacuate(&mut self, zone: usize, is_asked: bool) {
+        let zone: ZoneName = ZONES[zone].parse().unwrap();
+        let has_changed = if is_asked {
+            self.evacuated.insert(zone)
+        } else {
+            self.evacuated.remove(&zone)
+        };
+        self.revision += u64::from(has_changed);
+    }
+
+    fn evacuations(&self) -> Evacuations {
+        Evacuations {
+            at: Revision(self.revision),
+            zones: self.evacuated.clone(),
+        }
+    }
+
     fn list(&self) -> Vec<(UpstreamId, Revision, Upstream)> {
         let entries = self.entries.iter();
         entries
@@ -156,10 +184,7 @@
     let mut changes = Vec::new();
     for (index, step) in steps.into_iter().enumerate() {
         let now = Time(index as u64);
-        let before: Vec<_> = holders
-            .iter()
-            .map(|held| (held.document_at(), held.upstreams_at()))
-            .collect();
+        let before: Vec<_> = holders.iter().map(Knowledge::parts).collect();
         match step {
             Step::Put(id, leaving) => platform.put(id, leaving),
             Step::Restart(id) => {
@@ -168,6 +193,10 @@
             }
             Step::Remove(id) => platform.remove(id),
             Step::Document => platform.write_document(),
+            Step::Evacuate(zone, is_asked) => platform.evacuate(zone, is_asked),
+            Step::Zones(holder) => {
+                holders[holder].take_evacuations(platform.evacuations(), &BTreeSet::new());
+            }
             Step::List(holder) => {
                 let at = Revision(platform.revision);
                 holders[holder].take_list(at, platform.list(), now);
@@ -187,9 +216,9 @@
                 }
             }
             Step::Pull(to, from) => {
-                let (document_at, upstreams_at) = (holders[to].document_at(), holders[to].upstreams_at());
-                let change = holders[from].since(document_at, upstreams_at);
-                changes.push((upstreams_at, change.clone()));
+                let held = holders[to].revisions();
+                let change = holders[from].since(held);
+                changes.push((held.upstreams_at, change.clone()));
                 holders[to].take(change, now);
             }
             Step::Repeat(to, index) => {
@@ -202,8 +231,9 @@
                 }
             }
         }
-        for (held, (document_at, upstreams_at)) in holders.iter().zip(before) {
-            assert!(held.document_at() >= document_at && held.upstreams_at() >= upstreams_at);
+        for (held, before) in holders.iter().zip(before) {
+            let is_no_older = held.parts().iter().zip(before).all(|(now, before)| *now >= before);
+            assert!(is_no_older);
         }
     }
     settle(&platform, &mut holders);
@@ -218,13 +248,18 @@
     if let Some((at, document)) = platform.document.clone() {
         first.take_document(at, document);
     }
+    first.take_evacuations(platform.evacuations(), &BTreeSet::new());
     for other in others.iter_mut() {
-        other.take(first.since(other.document_at(), other.upstreams_at()), now);
+        ask(other, first, now);
+        // Whoever knows more of one part tells so, and is asked in turn.
+        ask(first, other, now);
+        ask(other, first, now);
         assert_eq!(other.level(), first.level());
         assert_eq!(other.parts(), first.parts());
     }
     for held in [&*first].into_iter().chain(&*others) {
         assert_eq!(held.document(), platform.document.as_ref());
+        assert_eq!(held.evacuations().zones, platform.evacuated);
         let listed = held.upstreams().filter(|(_, entry)| !entry.gone);
         let listed: Vec<_> = listed.map(|(id, entry)| (id, entry.upstream.clone())).collect();
         let expected: Vec<_> = platform
@@ -236,6 +271,13 @@
     }
 }
 
+/// A holder that knows less in any part asks another one.
+fn ask(holder: &mut Knowledge, other: &Knowledge, now: Time) {
+    if holder.parts() != other.parts() {
+        holder.take(other.since(holder.revisions()), now);
+    }
+}
+
 /// A holder that has read the list after an upstream went does not know that it was ever there. Another one, which does,
 /// must still learn from it that it went.
 #[test]
@@ -271,6 +313,40 @@
     run([before.to_vec(), after.to_vec()].concat());
 }
 
+/// A wish that was taken back and made again within a moment stands, though another holder has only heard that it was taken
+/// back: it hears of a later state than that.
+#[test]
+fn a_zone_that_is_to_be_emptied_again_stays_so() {
+    let steps = [
+        Step::Evacuate(0, true),
+        Step::Zones(0),
+        Step::Evacuate(0, false),
+        Step::Zones(1),
+        Step::Evacuate(0, true),
+        Step::Zones(0),
+    ];
+    run([steps.to_vec(), vec![Step::Pull(0, 1), Step::Pull(1, 0)]].concat());
+}
+
+#[test]
+fn a_wish_that_becomes_unreadable_stays_and_a_new_one_that_is_unreadable_is_none() {
+    let zones: Vec<ZoneName> = ZONES.iter().map(|zone| zone.parse().unwrap()).collect();
+    let read = |at, zones: &[ZoneName]| Evacuations {
+        at: Revision(at),
+        zones: zones.iter().cloned().collect(),
+    };
+    let mut knowledge = Knowledge::awaiting_evacuations();
+    assert!(knowledge.take_evacuations(read(5, &zones[..1]), &BTreeSet::new()));
+    assert!(!knowledge.take_evacuations(read(6, &[]), &zones.iter().cloned().collect()));
+    assert!(knowledge.is_evacuated(&zones[0]) && !knowledge.is_evacuated(&zones[1]));
+    assert!(
+        !knowledge.take_evacuations(read(4, &[]), &BTreeSet::new()),
+        "it is older"
+    );
+    assert!(knowledge.take_evacuations(read(7, &[]), &BTreeSet::new()));
+    assert!(!knowledge.is_evacuated(&zones[0]));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` and `upstreams` (one a line: `ID SERVICE ZONE
 //! [leaving] [slots=N] [cold=MS] [started=MS]`, `ID unreadable`
-//! or `ID gone`) tell what is known. `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
+//! or `ID gone`) tell what is known, `evacuated` the zones that operators ask to be emptied (one a line). `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
 //! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own. `short`
 //! acknowledges a short answer, `sum N` has this instance sum up failed tries as one of N, `told ID ROUND/out` is
 //! another instance's word of an upstream. `asks N` has this instance ask N others about upstreams that flows wait for, `view`
@@ -11,6 +11,7 @@
 //! shows what clients have waited for.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -21,6 +22,7 @@
 use flow::Decision;
 use flow::Document;
 use flow::Echo;
+use flow::Evacuations;
 use flow::FailureReport;
 use flow::Flags;
 use flow::Options;
@@ -113,6 +115,7 @@
         let options = Options {
             zone: "zone-a".parse().unwrap(),
             max_flow: Duration::from_mins(1),
+            awaits_evacuations: false,
             seed: 7,
         };
         Self {
@@ -135,6 +138,7 @@
             }
             "document" => self.document(&words),
             "upstreams" => self.list(&words),
+            "evacuated" => self.evacuate(&words),
             "packets" => self.packets(&words),
             "repeat" => {
                 let times = millis(&argument(0));
@@ -198,6 +202,24 @@
         }
     }
 
+    /// Operators ask for these zones to be emptied, and for no others.
+    fn evacuate(&mut self, zones: &[&str]) -> String {
+        self.revision += 1;
+        let read = Evacuations {
+            at: Revision(self.revision),
+            zones: zones.iter().map(|zone| zone.parse().unwrap()).collect(),
+        };
+        let none = BTreeSet::new();
+        self.core
+            .learn(self.now, |knowledge| knowledge.take_evacuations(read, &none));
+        let mut out = String::new();
+        self.show(&mut out);
+        for (zone, flows) in self.core.evacuated() {
+            writeln!(out, "  {zone} has {flows} open flows").unwrap();
+        }
+        out
+    }
+
     fn list(&mut self, lines: &[&str]) -> String {
         let mut changes = Vec::new();
         self.revision += 1;
@@ -458,6 +480,10 @@
                 Decision::Restarted { upstream, flows } => {
                     writeln!(out, "  {:x} has started again, {flows} flows are over", upstream.0).unwrap();
                 }
+                Decision::Evacuated { zone, flows, .. } => {
+                    writeln!(out, "  {zone} is to be emptied, {flows} flows are open there").unwrap();
+                }
+                Decision::Restored { zone, .. } => writeln!(out, "  {zone} is taken back").unwrap(),
                 Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => {}
             }
         }
--- a/crates/jayquay/src/flows/read.rs
+++ b/crates/jayquay/src/flows/read.rs
@@ -1,13 +1,22 @@
 //! Reads what a holder holds.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
 use adapter::Store;
 use flow::Document;
 use jayquayd::forward::status;
+use units::ZoneName;
 
 use crate::flows::error::Error;
 use crate::flows::holder::Holder;
 use crate::instance::Asker;
 
+/// The zones that operators ask to be emptied, as the store has it.
+pub async fn evacuations(store: SocketAddr) -> Result<BTreeSet<ZoneName>, Error> {
+    Ok(Store::new(store).list_evacuations().await?.named)
+}
+
 /// The document that a holder has.
 pub async fn document(holder: Holder) -> Result<Document, Error> {
     match holder {
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use units::InstanceName;
 use units::Revision;
+use units::ZoneName;
 
 use crate::address::Addresses;
 use crate::exit::Report;
@@ -63,6 +64,10 @@
     Document(String, Option<Revision>, Revision),
     /// An instance has found the store's document unreadable, and an earlier one is in force.
     Unreadable(String, Revision),
+    /// An instance does not know that a zone is to be emptied, and still leads new flows there.
+    NotEvacuated(String, ZoneName),
+    /// An instance takes a zone for one that is to be emptied, which the store does not.
+    NotRestored(String, ZoneName),
     /// An instance is not ready and not stopping.
     NotReady(String),
     /// An instance does not know another one that answers.
@@ -81,6 +86,8 @@
                     "{name} can't read the store's document of {at}, an earlier one is in force"
                 )
             }
+            Self::NotEvacuated(name, zone) => write!(f, "{name} does not know that {zone} is to be emptied"),
+            Self::NotRestored(name, zone) => write!(f, "{name} does not know that {zone} is taken back"),
             Self::NotReady(name) => write!(f, "{name} is not ready"),
             Self::Unknown(name, other) => write!(f, "{name} does not know {other}"),
         }
@@ -100,14 +107,17 @@
     revision: Revision,
     digest: String,
     routes: usize,
+    /// The zones that operators ask to be emptied.
+    evacuated: BTreeSet<ZoneName>,
 }
 
-impl From<&Document> for Stored {
-    fn from(document: &Document) -> Self {
+impl Stored {
+    fn new(document: &Document, evacuated: BTreeSet<ZoneName>) -> Self {
         Self {
             revision: document.revision,
             digest: document.digest().to_string(),
             routes: document.routes.len(),
+            evacuated,
         }
     }
 }
@@ -115,7 +125,7 @@
 /// Asks the store and the instances.
 pub async fn run(args: Args) -> Result<Report, Error> {
     let document = read::document(Holder::Store(args.store)).await?;
-    let stored = Stored::from(&document);
+    let stored = Stored::new(&document, read::evacuations(args.store).await?);
     let given = args.instances.into_iter().flat_map(|addresses| addresses.0);
     let instances = ask_all(given.collect()).await;
     let findings = findings(&stored, &instances);
@@ -192,6 +202,16 @@
         if let Some(at) = status.unreadable_document {
             findings.push(Finding::Unreadable(name.clone(), at));
         }
+        for zone in &stored.evacuated {
+            if !status.evacuated.contains_key(zone) {
+                findings.push(Finding::NotEvacuated(name.clone(), zone.clone()));
+            }
+        }
+        for zone in status.evacuated.keys() {
+            if !stored.evacuated.contains(zone) {
+                findings.push(Finding::NotRestored(name.clone(), zone.clone()));
+            }
+        }
         if !status.is_ready && !status.is_stopping {
             findings.push(Finding::NotReady(name.clone()));
         }
@@ -216,6 +236,7 @@
         revision,
         digest,
         routes,
+        evacuated,
     } = stored;
     let mut text = format!("store: revision {revision}, digest {digest}, {routes} routes\n");
     for asked in instances {
@@ -245,6 +266,19 @@
     for upstream in ejected {
         let _infallible = writeln!(text, "  upstream {upstream} is ejected: tries at it end badly");
     }
+    for zone in evacuated {
+        let open: Vec<u32> = instances
+            .iter()
+            .filter_map(|asked| asked.answer.as_ref().ok())
+            .filter_map(|status| status.evacuated.get(zone).copied().filter(|flows| *flows > 0))
+            .collect();
+        let flows: u32 = open.iter().sum();
+        let _infallible = writeln!(
+            text,
+            "  zone {zone} is to be emptied: {flows} flows still open, through {} instances",
+            open.len()
+        );
+    }
     for finding in findings {
         let _infallible = writeln!(text, "! {finding}");
     }
--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -12,6 +12,7 @@
 
 use adapter::Store;
 use adapter::store::Error;
+use flow::Revisions;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -21,10 +22,11 @@
 
 use super::metric;
 use super::pull;
-use super::relay::Since;
+use super::rhythm::Kind;
 use super::settings::Settings;
 use super::shared::Shared;
 use super::store;
+use super::store::evacuations;
 
 /// How long a round lasts. A change that all watchers have missed is in force this much and [`PATIENCE`] for each step later,
 /// 1.8 s at worst; bounds for changes are 3 s and more. Each round costs one call to the store in the whole fleet.
@@ -209,7 +211,8 @@
 
     async fn call(&mut self, question: Question) {
         self.follow_settings();
-        let call = compare(&self.store, &self.shared);
+        let has_evacuations = self.settings.borrow().evacuations;
+        let call = compare(&self.store, &self.shared, has_evacuations);
         tokio::pin!(call);
         let in_time = tokio::time::timeout(PATIENCE, &mut call).await;
         let is_late = in_time.is_err();
@@ -289,37 +292,64 @@
     }
 }
 
+/// What is asked of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Part {
+    kind: Kind,
+    /// The store's revision up to which this instance knows it.
+    at: Revision,
+}
+
 /// Reads what the store knows beyond this instance.
 ///
 /// One revision counts all changes, and each part of the knowledge is complete up to a revision of its own. Where news came
-/// lately, the part that lags is asked for its changes since: those between both revisions may have been missed, as its watches
-/// may be cut and the other's not. Later on the history back to there may be gone, so the part that is ahead is asked. The
-/// answer's revision tells whether the other part has to be asked as well. As a rule one short call tells that nothing is new.
-async fn compare(store: &Store, shared: &Shared) -> Result<Finding, Error> {
+/// lately, the parts that lag are asked for their changes since: those up to the part that is ahead may have been missed, as their
+/// watches may be cut and the other's not. Later on the history back to there may be gone, so the part that is ahead is asked. An
+/// answer's revision tells whether the others have to be asked as well. As a rule one or two short calls tell that nothing is new.
+async fn compare(store: &Store, shared: &Shared, has_evacuations: bool) -> Result<Finding, Error> {
     let before = pull::held(shared);
-    let Since {
-        document_at,
-        upstreams_at,
-    } = before;
-    let known = document_at.max(upstreams_at);
+    let mut parts = parts(&before, has_evacuations);
+    let known = parts.last().map(|part| part.at).unwrap_or_default();
     let is_fresh = shared.now().since(shared.grown_at()) < FRESH;
-    let is_document_behind = document_at < upstreams_at;
-    let is_document_first = is_document_behind == is_fresh;
-    if is_document_first {
-        let at = documents_since(store, shared, document_at).await?;
-        if at > known {
-            upstreams_since(store, shared, upstreams_at).await?;
-        }
-    } else {
-        let at = upstreams_since(store, shared, upstreams_at).await?;
-        if at > known {
-            documents_since(store, shared, document_at).await?;
+    let first = if is_fresh { parts.len() - 1 } else { 1 };
+    if !is_fresh {
+        parts.reverse();
+    }
+    let mut store_at = Revision(0);
+    for (index, part) in parts.into_iter().enumerate() {
+        if index >= first && store_at <= known {
+            break;
         }
+        store_at = store_at.max(since(store, shared, part).await?);
     }
     let is_even = pull::held(shared) == before;
     Ok(if is_even { Finding::Even } else { Finding::Behind })
 }
 
+/// The parts of the knowledge, the one that lags most first.
+fn parts(held: &Revisions, has_evacuations: bool) -> Vec<Part> {
+    let part = |kind, at| Part { kind, at };
+    let mut parts = vec![
+        part(Kind::Document, held.document_at),
+        part(Kind::Upstreams, held.upstreams_at),
+    ];
+    if has_evacuations {
+        parts.push(part(Kind::Evacuations, held.evacuations_at));
+    }
+    parts.sort_by_key(|part| part.at);
+    parts
+}
+
+/// Takes in what has changed of a part, and gives the store's revision.
+async fn since(store: &Store, shared: &Shared, part: Part) -> Result<Revision, Error> {
+    match part.kind {
+        Kind::Document => documents_since(store, shared, part.at).await,
+        Kind::Upstreams => upstreams_since(store, shared, part.at).await,
+        // These are few, and are always read together.
+        Kind::Evacuations => evacuations::read(store, shared).await,
+    }
+}
+
 /// Takes in what has changed of the document, and gives the store's revision.
 async fn documents_since(store: &Store, shared: &Shared, since: Revision) -> Result<Revision, Error> {
     let documents = match store.watch_document(since, Duration::ZERO).await {
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -59,6 +59,8 @@
             | Decision::Ejected { .. }
             | Decision::Followed(_)
             | Decision::Readmitted(_)
+            | Decision::Evacuated { .. }
+            | Decision::Restored { .. }
     )
 }
 
@@ -142,5 +144,9 @@
         Decision::Restarted { upstream, flows } => {
             log::info!("flows: started again upstream={upstream} flows={flows} upstreams_at={upstreams_at}");
         }
+        Decision::Evacuated { zone, at, flows } => {
+            log::warn!("zones: evacuated zone={zone} at={at} open_flows={flows}");
+        }
+        Decision::Restored { zone, at } => log::warn!("zones: restored zone={zone} at={at}"),
     }
 }
--- a/crates/jayquayd/src/forward/figures.rs
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -35,6 +35,9 @@
         metric::outcomes(outcome.as_str()).absolute(*count);
     }
     metric::ejected().set(core.ejected().len() as f64);
+    let evacuated = core.evacuated();
+    metric::evacuated().set(evacuated.len() as f64);
+    metric::evacuated_flows().set(f64::from(evacuated.values().sum::<u32>()));
 }
 
 fn report_knowledge(knowledge: &Knowledge) {
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -11,12 +11,12 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use flow::Document;
+use flow::Revisions;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
 use super::figures;
 use super::relay;
-use super::relay::Since;
 use super::shared::Shared;
 use super::status;
 use super::status::Status;
@@ -66,9 +66,9 @@
     StatusCode::SERVICE_UNAVAILABLE
 }
 
-async fn changes(State(context): State<Context>, Query(since): Query<Since>) -> Vec<u8> {
+async fn changes(State(context): State<Context>, Query(held): Query<Revisions>) -> Vec<u8> {
     let core = context.shared.core();
-    let change = core.knowledge().since(since.document_at, since.upstreams_at);
+    let change = core.knowledge().since(held);
     relay::encode(&change)
 }
 
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -20,7 +20,7 @@
     /// Packets that the system did not take.
     counter unsent() "jayquay_flow_packets_unsent_total" Count "Packets of flows that the system's socket did not take.";
     /// Flows reset.
-    counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, stalled or dead.";
+    counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, evacuated, stalled or dead.";
     /// Packets dropped.
     counter drops(cause) "jayquay_flow_drops_total" Count "Packets dropped: not-ready, no-echo, unknown-echo or reset.";
     /// How tries at upstreams ended.
@@ -29,6 +29,11 @@
     /// Upstreams that get no new flows, as tries at them end badly.
     gauge ejected() "jayquay_flow_ejected" Count
         "Upstreams that get no new flows, or single ones on trial, as tries at them end badly.";
+    /// Zones that operators have asked to be emptied.
+    gauge evacuated() "jayquay_flow_zones_evacuated" Count "Availability zones that operators have asked to be emptied.";
+    /// Flows that are still open in such zones.
+    gauge evacuated_flows() "jayquay_flow_zones_evacuated_flows" Count
+        "Flows seen here that are still open at upstreams of zones that are to be emptied.";
     /// Flows remembered here.
     gauge remembered() "jayquay_flows_remembered" Count "Flows remembered here.";
     /// How long handshakes took.
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flow::Revisions;
 use platform::transport;
 use platform::transport::Transport;
 use reqwest::Method;
@@ -14,7 +15,6 @@
 
 use super::metric;
 use super::relay;
-use super::relay::Since;
 use super::shared::Shared;
 
 /// How long another instance may take to answer. It holds all it gives in memory, but thousands of upstreams take a third
@@ -38,12 +38,14 @@
 
 /// Asks one instance, and takes in what it tells.
 async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) {
-    let since = held(shared);
+    let Revisions {
+        document_at,
+        upstreams_at,
+        evacuations_at,
+    } = held(shared);
     let path = format!(
-        "{}?document_at={}&upstreams_at={}",
-        relay::PATH,
-        since.document_at,
-        since.upstreams_at
+        "{}?document_at={document_at}&upstreams_at={upstreams_at}&evacuations_at={evacuations_at}",
+        relay::PATH
     );
     let request = transport.request(Method::GET, from, &path, Duration::ZERO);
     let response = match request.send().await {
@@ -68,21 +70,20 @@
     };
     let now = shared.now();
     if shared.learn(|knowledge| knowledge.take(change, now)) {
-        let Since {
+        let Revisions {
             document_at,
             upstreams_at,
+            evacuations_at,
         } = held(shared);
-        log::info!("peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at}");
+        log::info!(
+            "peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at} evacuations_at={evacuations_at}"
+        );
     }
 }
 
 /// The revisions that this instance holds.
-pub(super) fn held(shared: &Shared) -> Since {
-    let core = shared.core();
-    Since {
-        document_at: core.knowledge().document_at(),
-        upstreams_at: core.knowledge().upstreams_at(),
-    }
+pub(super) fn held(shared: &Shared) -> Revisions {
+    shared.core().knowledge().revisions()
 }
 
 /// Asks an instance of another zone a little later, if nobody nearer has told the same by then.
@@ -97,7 +98,8 @@
 pub(super) fn level(shared: &Shared) -> (Revision, Digest) {
     let core = shared.core();
     let knowledge = core.knowledge();
-    (knowledge.level(), Digest::of(&knowledge.parts()))
+    let parts = knowledge.parts().map(|at| at.0.to_be_bytes());
+    (knowledge.level(), Digest::of(parts.as_flattened()))
 }
 
 /// Asks others for their knowledge, one after the other, and only while they still know more.
--- a/crates/jayquayd/src/forward/relay.rs
+++ b/crates/jayquayd/src/forward/relay.rs
@@ -1,9 +1,6 @@
 //! What an instance gives to another that asks for news: the document and the upstreams that changed, in CBOR.
 
 use flow::Change;
-use serde::Deserialize;
-use serde::Serialize;
-use units::Revision;
 
 /// The path that other instances ask, with GET.
 pub(crate) const PATH: &str = "/v1/changes";
@@ -11,15 +8,6 @@
 /// The longest change that is read from another instance, in bytes.
 pub(crate) const MAX_CHANGE_LEN: usize = 8 * 1_024 * 1_024;
 
-/// What the asking instance holds already.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Since {
-    /// The store's revision of its document.
-    pub(crate) document_at: Revision,
-    /// The store's revision of its upstreams.
-    pub(crate) upstreams_at: Revision,
-}
-
 /// A change with a digest over it, so that one that was damaged on its way is not taken in.
 pub(crate) fn encode(change: &Change) -> Vec<u8> {
     let mut bytes = vec![0; blake3::OUT_LEN];
--- a/crates/jayquayd/src/forward/rhythm.rs
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -1,8 +1,8 @@
-//! When an instance's two watches are due to be answered, so that one that no longer hears anything is found out soon.
+//! When an instance's watches are due to be answered, so that one that no longer hears anything is found out soon.
 //!
-//! A connection may be up for the system and yet bring nothing more. That shows only when an answer is overdue. Both
-//! watches go to the same store by the same way, so each one's answer vouches for the other: they are due by turns, and
-//! when one is overdue, the other is asked anew as well. A watch that hears of nothing, though others have learnt of a change,
+//! A connection may be up for the system and yet bring nothing more. That shows only when an answer is overdue. All
+//! watches go to the same store by the same way, so each one's answer vouches for the others: those of the document and of the
+//! upstreams are due by turns, and when one is overdue, the others are asked anew as well. A watch that hears of nothing, though others have learnt of a change,
 //! is asked anew at once.
 
 use std::fmt;
@@ -26,7 +26,7 @@
 /// How long a watch may tell nothing of what others have learnt: changes are gathered for a second and a half at most, and its
 /// answer is on its way.
 const OVERTAKEN: Duration = Duration::from_secs(2);
-/// How long a zone's second watcher waits for a change.
+/// How long a zone's second watcher waits for a change, and whoever watches what changes a few times a year.
 const SECOND_WAIT: Duration = Duration::from_secs(20);
 /// The shortest wait. It comes while the watches find their turns, and first after a failure: a store that has just come back
 /// may take watches and tell them nothing until it has put itself in order, and changes are in force three seconds after
@@ -40,6 +40,8 @@
     Document,
     /// The upstreams.
     Upstreams,
+    /// The zones that operators ask to be emptied.
+    Evacuations,
 }
 
 impl fmt::Display for Kind {
@@ -47,15 +49,20 @@
         f.write_str(match self {
             Self::Document => "document",
             Self::Upstreams => "upstreams",
+            Self::Evacuations => "evacuations",
         })
     }
 }
 
 impl Kind {
-    fn other(self) -> Self {
+    const ALL: [Self; 3] = [Self::Document, Self::Upstreams, Self::Evacuations];
+
+    /// The one that takes turns with this one. Zones are emptied a few times a year, so their watch has no turn of its own.
+    fn partner(self) -> Option<Self> {
         match self {
-            Self::Document => Self::Upstreams,
-            Self::Upstreams => Self::Document,
+            Self::Document => Some(Self::Upstreams),
+            Self::Upstreams => Some(Self::Document),
+            Self::Evacuations => None,
         }
     }
 
@@ -63,20 +70,21 @@
         match self {
             Self::Document => 0,
             Self::Upstreams => 1,
+            Self::Evacuations => 2,
         }
     }
 }
 
-/// When both watches are due.
+/// When the watches are due.
 #[derive(Debug, Default)]
 pub struct Rhythm {
-    due: Mutex<[Option<Instant>; 2]>,
-    doubts: [Notify; 2],
-    has_failed: [AtomicBool; 2],
+    due: Mutex<[Option<Instant>; Kind::ALL.len()]>,
+    doubts: [Notify; Kind::ALL.len()],
+    has_failed: [AtomicBool; Kind::ALL.len()],
 }
 
 impl Rhythm {
-    fn due(&self) -> MutexGuard<'_, [Option<Instant>; 2]> {
+    fn due(&self) -> MutexGuard<'_, [Option<Instant>; Kind::ALL.len()]> {
         self.due.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -85,9 +93,9 @@
         let wait = if self.has_failed[kind.index()].swap(false, Ordering::Relaxed) {
             SHORTEST
         } else {
-            match role {
-                Role::First => self.by_turns(kind, now),
-                Role::Second => SECOND_WAIT,
+            match (role, kind.partner()) {
+                (Role::First, Some(partner)) => self.by_turns(partner, now),
+                (Role::First | Role::Second, _) => SECOND_WAIT,
             }
         };
         self.due()[kind.index()] = Some(now + wait);
@@ -95,8 +103,8 @@
     }
 
     /// Instances of different zones should be due at different times, so the first turn is drawn.
-    fn by_turns(&self, kind: Kind, now: Instant) -> Duration {
-        let other = self.due()[kind.other().index()].filter(|other| *other > now);
+    fn by_turns(&self, partner: Kind, now: Instant) -> Duration {
+        let other = self.due()[partner.index()].filter(|other| *other > now);
         match other {
             Some(other) => by_turns(other.duration_since(now)),
             None => rand::rng().random_range(PERIOD / 2..PERIOD + PERIOD / 2),
@@ -108,9 +116,13 @@
         self.has_failed[kind.index()].store(true, Ordering::Relaxed);
     }
 
-    /// A watch of this kind was not answered, or its history is gone: whether the other one hears anything is in doubt.
-    pub fn doubt_other(&self, kind: Kind) {
-        self.doubts[kind.other().index()].notify_waiters();
+    /// A watch of this kind was not answered, or its history is gone: whether the others hear anything is in doubt.
+    pub fn doubt_others(&self, kind: Kind) {
+        for other in Kind::ALL {
+            if other != kind {
+                self.doubts[other.index()].notify_waiters();
+            }
+        }
     }
 
     /// Waits until others have told of changes for so long that a watch since this revision should have told of them as well.
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -109,6 +109,7 @@
     let core = Core::new(Options {
         zone: settings.zone.clone(),
         max_flow: settings.max_flow,
+        awaits_evacuations: settings.evacuations,
         seed: rand::random(),
     });
     let me = Member {
--- a/crates/jayquayd/src/forward/settings.rs
+++ b/crates/jayquayd/src/forward/settings.rs
@@ -24,6 +24,13 @@
     grace_s: f64,
     /// The longest that a flow lives, in seconds.
     max_flow_s: f64,
+    #[serde(default = "evacuations")]
+    evacuations: bool,
+}
+
+/// Operators may empty availability zones unless the settings say otherwise.
+fn evacuations() -> bool {
+    true
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -65,6 +72,9 @@
     pub grace: Duration,
     /// The longest that a flow lives.
     pub max_flow: Duration,
+    /// Whether the platform's operators empty availability zones. Where they don't, the store is not asked for it, which saves a
+    /// waiting call in each zone.
+    pub evacuations: bool,
 }
 
 impl Settings {
@@ -117,6 +127,7 @@
             seeds: raw.seeds.iter().map(SocketAddr::ip).collect(),
             grace: span("grace_s", raw.grace_s)?,
             max_flow: span("max_flow_s", raw.max_flow_s)?,
+            evacuations: raw.evacuations,
         })
     }
 }
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -30,9 +30,9 @@
     members: Mutex<Membership>,
     /// Knowledge has grown, or the members have changed.
     news: Notify,
-    /// There is enough knowledge to serve.
-    ready: Notify,
-    /// Words of other instances may have led to decisions that no packet carries out.
+    /// The same, for those who wait for something in particular.
+    learnt: Notify,
+    /// What was told may have led to decisions that no packet carries out.
     decided: Notify,
     is_stopping: AtomicBool,
     /// The revision of a document in the store that can't be read, or zero.
@@ -49,7 +49,7 @@
                 core: Mutex::new(core),
                 members: Mutex::new(members),
                 news: Notify::new(),
-                ready: Notify::new(),
+                learnt: Notify::new(),
                 decided: Notify::new(),
                 is_stopping: AtomicBool::new(false),
                 unreadable_document: AtomicU64::new(0),
@@ -78,7 +78,8 @@
         if has_grown {
             self.inner.grown_at.store(now.0, Ordering::Relaxed);
             self.inner.news.notify_one();
-            self.inner.ready.notify_waiters();
+            self.inner.learnt.notify_waiters();
+            self.note_decisions();
         }
         has_grown
     }
@@ -93,7 +94,7 @@
         self.inner.news.notified().await;
     }
 
-    /// What another instance told may have led to resets and lines for the log.
+    /// What was told may have led to resets and lines for the log.
     pub(crate) fn note_decisions(&self) {
         self.inner.decided.notify_one();
     }
@@ -105,9 +106,14 @@
 
     /// Waits until there is enough knowledge to serve.
     pub(crate) async fn until_ready(&self) {
+        self.until(Knowledge::is_ready).await;
+    }
+
+    /// Waits until something holds of what is known.
+    pub(crate) async fn until(&self, holds: impl Fn(&Knowledge) -> bool) {
         loop {
-            let told = self.inner.ready.notified();
-            if self.core().knowledge().is_ready() {
+            let told = self.inner.learnt.notified();
+            if holds(self.core().knowledge()) {
                 return;
             }
             told.await;
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -49,6 +49,10 @@
     /// Upstreams that get no new flows from it, or single ones on trial, as tries at them end badly.
     #[serde(default)]
     pub ejected: Vec<UpstreamId>,
+    /// The availability zones that operators have asked to be emptied, as far as it knows, each with the flows that it has seen
+    /// and that are still open there.
+    #[serde(default)]
+    pub evacuated: BTreeMap<ZoneName, u32>,
     /// How many flows it remembers.
     pub flows: usize,
     /// The instances that it knows, itself first.
@@ -84,6 +88,7 @@
             upstreams_at: knowledge.upstreams_at(),
             upstreams,
             ejected: core.ejected(),
+            evacuated: core.evacuated(),
             flows: core.flow_count(),
             members: members.members().cloned().collect(),
         }
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -1,5 +1,8 @@
 //! The store's watches. Only the watchers of an availability zone keep them; the others learn from these.
 
+pub(super) mod evacuations;
+mod link;
+
 use std::convert::Infallible;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,7 +12,6 @@
 use adapter::store::Error;
 use adapter::store::List;
 use adapter::store::Listing;
-use rand::RngExt;
 use tokio::sync::watch;
 use units::Revision;
 
@@ -18,11 +20,8 @@
 use super::role::Role;
 use super::settings::Settings;
 use super::shared::Shared;
+use link::Link;
 
-/// The first pause after a call that failed. It doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause between calls that fail.
-const LAST_PAUSE: Duration = Duration::from_millis(1_600);
 /// How many pages of the list every instance reads at its start. Where there are more, only the seeds go on at once: of a
 /// fleet that starts together, all but a few would be refused for reading more than the store gives.
 const PAGES_AT_ONCE: u32 = 4;
@@ -31,103 +30,20 @@
 /// How often an instance that does not watch looks whether it should.
 const IDLE: Duration = Duration::from_millis(200);
 
-/// Tells when the store is lost and regained for one kind of object, and paces calls that fail.
-#[derive(Debug)]
-struct Link {
-    kind: Kind,
-    lost: Option<Instant>,
-    backoff: Backoff,
-}
-
-impl Link {
-    fn new(kind: Kind) -> Self {
-        Self {
-            kind,
-            lost: None,
-            backoff: Backoff::new(),
-        }
-    }
-
-    /// A call was answered.
-    fn answered(&mut self) {
-        self.note_answer();
-        self.backoff = Backoff::new();
-    }
-
-    fn note_answer(&mut self) {
-        if let Some(lost) = self.lost.take() {
-            log::info!(
-                "store: regained what={} after_ms={}",
-                self.kind,
-                lost.elapsed().as_millis()
-            );
-        }
-    }
-
-    /// A call brought nothing. Waits until the next one may be made.
-    async fn failed(&mut self, error: &Error, rhythm: &Rhythm) {
-        rhythm.note_failure(self.kind);
-        match error {
-            Error::HistoryGone => {
-                rhythm.doubt_other(self.kind);
-                self.note_gone();
-            }
-            Error::Unreachable(_) => {
-                // Later failures tell nothing new.
-                if self.lost.is_none() {
-                    rhythm.doubt_other(self.kind);
-                }
-                self.note_lost(error);
-            }
-            Error::Refused(_) | Error::Malformed(_) | Error::TooLong | Error::Endless => self.note_lost(error),
-        }
-        tokio::time::sleep(self.backoff.next()).await;
-    }
-
-    /// The store answers, but no longer knows what has changed since the revision that was asked from.
-    fn note_gone(&mut self) {
-        self.note_answer();
-        log::info!("store: history gone what={}", self.kind);
-    }
-
-    fn note_lost(&mut self, error: &Error) {
-        if self.lost.is_none() {
-            self.lost = Some(Instant::now());
-            log::warn!("store: lost what={} error=\"{error}\"", self.kind);
-        }
-        log::debug!("store: failed what={} error=\"{error}\"", self.kind);
-    }
-}
-
-/// Pauses that grow while calls fail, with a random part so that instances don't call together.
-#[derive(Debug)]
-struct Backoff(Duration);
-
-impl Backoff {
-    fn new() -> Self {
-        Self(FIRST_PAUSE)
-    }
-
-    fn next(&mut self) -> Duration {
-        let pause = self.0.mul_f64(rand::rng().random_range(0.5..1.0));
-        self.0 = (self.0 * 2).min(LAST_PAUSE);
-        pause
-    }
-}
-
-/// Keeps the document and the upstreams up to date, wherever the settings say the store is.
+/// Keeps what is known of the platform up to date, wherever the settings say the store is.
 pub(crate) async fn run(mut settings: watch::Receiver<Settings>, shared: Shared) {
     loop {
-        let (address, is_seed) = {
+        let (address, is_seed, has_evacuations) = {
             let settings = settings.borrow_and_update();
-            (settings.store, settings.is_seed())
+            (settings.store, settings.is_seed(), settings.evacuations)
         };
         let store = Store::new(address);
         let rhythm = Rhythm::default();
-        let has_moved = settings.wait_for(|new| new.store != address);
+        let has_moved = settings.wait_for(|new| new.store != address || new.evacuations != has_evacuations);
         tokio::select! {
             _ = documents(&store, &shared, &rhythm) => {}
             _ = upstreams(&store, &shared, &rhythm, is_seed) => {}
+            _ = evacuations::run(&store, &shared, &rhythm), if has_evacuations => {}
             moved = has_moved => if moved.is_err() {
                 return;
             },
--- /dev/null
+++ b/crates/jayquayd/src/forward/store/evacuations.rs
@@ -0,0 +1,77 @@
+//! The watch of the zones that operators ask to be emptied.
+
+use std::convert::Infallible;
+use std::time::Duration;
+use std::time::Instant;
+
+use adapter::Store;
+use adapter::store::Error;
+use adapter::store::Zones;
+use flow::Evacuations;
+use flow::Knowledge;
+use units::Revision;
+
+use super::IDLE;
+use super::link::Link;
+use super::overtaken;
+use crate::forward::rhythm::Kind;
+use crate::forward::rhythm::Rhythm;
+use crate::forward::role::Role;
+use crate::forward::shared::Shared;
+
+/// How long after its start an instance leaves the watch to others. It takes itself for its zone's watcher until it has met the
+/// fleet, and of a fleet that starts at once each instance would begin a watch, which are a tenth of a day's calls.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Keeps the zones to be emptied up to date.
+pub(super) async fn run(store: &Store, shared: &Shared, rhythm: &Rhythm) -> Infallible {
+    let held_at = || shared.core().knowledge().evacuations().at;
+    let mut cursor = None;
+    let mut link = Link::new(Kind::Evacuations);
+    // Others tell all there is to know at once as a rule, and then nothing has to be read.
+    shared.until(Knowledge::has_routes_and_upstreams).await;
+    loop {
+        let is_needed = held_at() == Revision(0);
+        let is_settled = shared.clock.uptime() >= SETTLED;
+        let role = Role::of(shared).filter(|_| is_needed || is_settled);
+        let Some(role) = role else {
+            cursor = None;
+            tokio::time::sleep(IDLE).await;
+            continue;
+        };
+        let result = match cursor {
+            None => read(store, shared).await.map(|at| (at, false)),
+            Some(since) => {
+                let wait = rhythm.wait(Kind::Evacuations, role, Instant::now());
+                tokio::select! {
+                    result = store.watch_evacuations(since, wait) => result,
+                    () = rhythm.doubted(Kind::Evacuations) => continue,
+                    () = rhythm.overtaken(since, held_at) => {
+                        overtaken(Kind::Evacuations, since);
+                        cursor = None;
+                        continue;
+                    }
+                }
+            }
+        };
+        match result {
+            Ok((at, has_changed)) => {
+                link.answered();
+                // A change tells only that there is something new: the zones are few and are read together.
+                cursor = Some(at).filter(|_| !has_changed);
+            }
+            Err(error) => {
+                cursor = cursor.filter(|_| !matches!(error, Error::HistoryGone));
+                link.failed(&error, rhythm).await;
+            }
+        }
+    }
+}
+
+/// Reads which zones are to be emptied, and gives the store's revision.
+pub(in crate::forward) async fn read(store: &Store, shared: &Shared) -> Result<Revision, Error> {
+    let Zones { at, named, unreadable } = store.list_evacuations().await?;
+    let read = Evacuations { at, zones: named };
+    shared.learn(|knowledge| knowledge.take_evacuations(read, &unreadable));
+    Ok(at)
+}
--- /dev/null
+++ b/crates/jayquayd/src/forward/store/link.rs
@@ -0,0 +1,98 @@
+//! Whether the store answers for one kind of object: the log's lines on it, and the pauses between calls that fail.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use adapter::store::Error;
+use rand::RngExt;
+
+use crate::forward::rhythm::Kind;
+use crate::forward::rhythm::Rhythm;
+
+/// The first pause after a call that failed. It doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause between calls that fail.
+const LAST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Tells when the store is lost and regained for one kind of object, and paces calls that fail.
+#[derive(Debug)]
+pub(super) struct Link {
+    kind: Kind,
+    lost: Option<Instant>,
+    backoff: Backoff,
+}
+
+impl Link {
+    pub(super) fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            lost: None,
+            backoff: Backoff::new(),
+        }
+    }
+
+    /// A call was answered.
+    pub(super) fn answered(&mut self) {
+        self.note_answer();
+        self.backoff = Backoff::new();
+    }
+
+    fn note_answer(&mut self) {
+        if let Some(lost) = self.lost.take() {
+            log::info!(
+                "store: regained what={} after_ms={}",
+                self.kind,
+                lost.elapsed().as_millis()
+            );
+        }
+    }
+
+    /// A call brought nothing. Waits until the next one may be made.
+    pub(super) async fn failed(&mut self, error: &Error, rhythm: &Rhythm) {
+        rhythm.note_failure(self.kind);
+        match error {
+            Error::HistoryGone => {
+                rhythm.doubt_others(self.kind);
+                self.note_gone();
+            }
+            Error::Unreachable(_) => {
+                // Later failures tell nothing new.
+                if self.lost.is_none() {
+                    rhythm.doubt_others(self.kind);
+                }
+                self.note_lost(error);
+            }
+            Error::Refused(_) | Error::Malformed(_) | Error::TooLong | Error::Endless => self.note_lost(error),
+        }
+        tokio::time::sleep(self.backoff.next()).await;
+    }
+
+    /// The store answers, but no longer knows what has changed since the revision that was asked from.
+    fn note_gone(&mut self) {
+        self.note_answer();
+        log::info!("store: history gone what={}", self.kind);
+    }
+
+    fn note_lost(&mut self, error: &Error) {
+        if self.lost.is_none() {
+            self.lost = Some(Instant::now());
+            log::warn!("store: lost what={} error=\"{error}\"", self.kind);
+        }
+        log::debug!("store: failed what={} error=\"{error}\"", self.kind);
+    }
+}
+
+/// Pauses that grow while calls fail, with a random part so that instances don't call together.
+#[derive(Debug)]
+struct Backoff(Duration);
+
+impl Backoff {
+    fn new() -> Self {
+        Self(FIRST_PAUSE)
+    }
+
+    fn next(&mut self) -> Duration {
+        let pause = self.0.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.0 = (self.0 * 2).min(LAST_PAUSE);
+        pause
+    }
+}
--- a/crates/jayquayd/tests/flows/main.rs
+++ b/crates/jayquayd/tests/flows/main.rs
@@ -3,6 +3,7 @@
 mod explain;
 mod watchers;
 mod world;
+mod zones;
 
 use std::fs;
 use std::net::SocketAddrV4;
--- a/crates/jayquayd/tests/flows/world.rs
+++ b/crates/jayquayd/tests/flows/world.rs
@@ -175,10 +175,19 @@
     }
 
     pub(crate) async fn upstream_at(&self, id: u64, name: &str, service: &str, address: SocketAddrV4) -> Upstream {
+        self.start_upstream(id, name, service, address, "zone-a").await
+    }
+
+    /// Starts an upstream of another availability zone and lists it.
+    pub(crate) async fn upstream_in(&self, zone: &str, id: u64, name: &str, service: &str) -> Upstream {
+        let address = SocketAddrV4::new(self.ip(3, 1), 0);
+        self.start_upstream(id, name, service, address, zone).await
+    }
+
+    async fn start_upstream(&self, id: u64, name: &str, service: &str, address: SocketAddrV4, zone: &str) -> Upstream {
         let id = UpstreamId(id);
         let upstream = Upstream::start(id, name, address, self.packets).await.unwrap();
-        self.store
-            .put_upstream(id, service, upstream.address(), "zone-a", "ready");
+        self.store.put_upstream(id, service, upstream.address(), zone, "ready");
         upstream
     }
 }
--- a/crates/jayquayd/tests/rhythm.rs
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -84,7 +84,7 @@
     };
     let doubts = async {
         tokio::task::yield_now().await;
-        rhythm.doubt_other(Kind::Document);
+        rhythm.doubt_others(Kind::Document);
     };
     let (ended, ()) = tokio::join!(waits, doubts);
     assert_eq!(ended, Kind::Upstreams);
