Let only answers to what was sent after the last waiting flow vouch for an instance's own way

Three openings that it leads to one upstream meanwhile arrive late, their copies come before the clients' answers, and while the queue drains, requests sent between the first and the last of the three are answered elsewhere: three flows wait, others answer, so the upstream was taken for dead and its open flows were reset. Change: an answer vouches only if what it answers was sent after the last of the flows that wait, as what leaves by one link leaves in order.

--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -53,8 +53,9 @@
     silent: u32,
     /// How many flows wait.
     stalled: u32,
-    /// Since when the first of them waits.
+    /// Since when the first of them waits, and the last.
     since: Time,
+    last_since: Time,
     /// When one of them last answered.
     last_progress: Time,
     /// When the last thing was sent to one of them that it has answered.
@@ -74,6 +75,7 @@
             self.since = health.stalled_since();
         }
         self.silent += 1;
+        self.last_since = self.last_since.max(health.last_stalled_since());
         self.stalled += health.stalled();
     }
 }
@@ -84,7 +86,7 @@
         let Some(health) = self.health.get(&id) else {
             return;
         };
-        let others_answer = self.others_answer(health.stalled_since());
+        let others_answer = self.others_answer(health.last_stalled_since());
         let loss = self.loss.percent(now);
         let health = self.health.entry(id).or_default();
         let was_dead = health.is_given_up();
@@ -116,7 +118,7 @@
         }
         let home = self.options.zone.clone();
         let at_home = self.outlook(&home);
-        if at_home.reached_at < there.since || at_home.silent * 2 > at_home.seen {
+        if at_home.reached_at < there.last_since || at_home.silent * 2 > at_home.seen {
             return;
         }
         for id in self.directory.in_zone(&zone).to_vec() {
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -75,8 +75,9 @@
     stalled: u32,
     /// How often they have sent something again since then.
     copies: u32,
-    /// Since when the first of them has waited.
+    /// Since when the first of them has waited, and the last.
     stalled_since: Time,
+    last_stalled_since: Time,
     /// When one of them last sent something again.
     copied_at: Time,
     /// Other instances' reports.
@@ -160,7 +161,9 @@
         if self.stalled == 0 {
             self.stall = self.stall.wrapping_add(1).max(1);
             self.stalled_since = flow.waits_since();
+            self.last_stalled_since = flow.waits_since();
         }
+        self.last_stalled_since = self.last_stalled_since.max(flow.waits_since());
         if flow.counted_in != self.stall {
             flow.counted_in = self.stall;
             self.stalled += 1;
@@ -202,6 +205,12 @@
         self.stalled_since
     }
 
+    /// Since when the last of the flows has waited for it in vain. What is sent from here leaves in its order: so an answer to
+    /// something that was sent later tells that whatever all of them sent has left as well.
+    pub(crate) fn last_stalled_since(&self) -> Time {
+        self.last_stalled_since
+    }
+
     /// Whether it is to be taken for dead from now on by what is seen here alone: more flows wait in vain than chance explains
     /// while this much is lost.
     pub(crate) fn dies(&mut self, loss: Percent, now: Time) -> bool {
