Let only what was sent at the same time vouch for an instance's own way

Ruled out: the order on the link alone (packets sent 200 ms before the verdict were answered 100 ms before it), the processor (the instance took packets all the while), loss as reckoned over two seconds (0 to 4%). Change: an upstream counts as answering only by something that was sent between the first and the last of the flows that wait, and nobody does before something that was sent later has been answered. What instances tell others who ask is doubted as before, by what was sent since the first.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -20,6 +20,7 @@
 use units::Time;
 use units::ZoneName;
 
+use crate::answered::Answered;
 use crate::checks::Checks;
 use crate::decision::Decision;
 use crate::directory::Directory;
@@ -84,6 +85,7 @@
     /// How long each service's upstreams take to answer at best.
     bases: HashMap<String, Base>,
     loss: Loss,
+    answered: Answered,
     flows: Flows,
     resets: Vec<Reset>,
     decisions: Vec<Decision>,
@@ -121,6 +123,7 @@
             health: HashMap::new(),
             bases: HashMap::new(),
             loss: Loss::default(),
+            answered: Answered::default(),
             flows: Flows::default(),
             resets: Vec::new(),
             decisions: Vec::new(),
--- a/crates/flow/src/core/carrying.rs
+++ b/crates/flow/src/core/carrying.rs
@@ -61,7 +61,7 @@
             Progress::default()
         };
         if let Some(at) = sign.reached {
-            health.note_reached(at);
+            self.answered.note(id, at, now);
         }
         self.loss.note_losses(progress.losses, now);
         if sign.is_request {
--- a/crates/flow/src/core/inquiring.rs
+++ b/crates/flow/src/core/inquiring.rs
@@ -16,7 +16,7 @@
     pub(super) fn view(&self, id: UpstreamId, now: Time) -> Report {
         let unused = Health::default();
         let health = self.health.get(&id).unwrap_or(&unused);
-        let is_in_doubt = health.stalled() > 0 && self.doubts(health.last_stalled_since());
+        let is_in_doubt = health.stalled() > 0 && self.doubts(*health.stalled_span().start());
         health.tell(id, self.loss.sample(now), is_in_doubt, now)
     }
 
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -4,6 +4,8 @@
 //! A reset of an open flow whose upstream lives breaks the flow. So an instance acts on its own flows only while most other
 //! upstreams answer here; what several instances see together is decided by asking the others.
 
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use units::Time;
@@ -31,11 +33,10 @@
 /// packets were lost three times in a row would look like one whose upstream is silent: with three in a hundred lost, that
 /// reset six flows in a hundred thousand requests.
 const MISSED_ANSWERS: f64 = 3.0;
-/// How many upstreams must have answered something sent since for each one that is silent, or else this instance doubts what it
-/// sees: its own link, or its clients', may lose packets or hold them up. While a third of them is lost, two openings of three go
-/// unanswered. While a document of thousands of routes leaves a link of 10 Mbit/s, what is forwarded waits for a quarter of a second
-/// and more, and three openings that were led to one upstream meanwhile looked like its silence.
-const ANSWERING_PER_SILENT: u32 = 3;
+/// How many upstreams must have answered something sent at the same time for each one that is silent, or else this instance doubts
+/// what it sees: its own link, or its clients', may lose packets. While a third of them is lost, two openings of three go
+/// unanswered.
+const ANSWERING_PER_SILENT: usize = 3;
 /// How many upstreams of another zone must be silent until its zone is taken for cut off. One may just have died.
 const SILENT_IN_ZONE: u32 = 2;
 /// How many reports are sent at a time.
@@ -58,15 +59,12 @@
     last_since: Time,
     /// When one of them last answered.
     last_progress: Time,
-    /// When the last thing was sent to one of them that it has answered.
-    reached_at: Time,
 }
 
 impl Outlook {
     fn add(&mut self, health: &Health) {
         self.seen += 1;
         self.last_progress = self.last_progress.max(health.last_progress);
-        self.reached_at = self.reached_at.max(health.reached_at);
         if health.stalled() == 0 {
             return;
         }
@@ -75,7 +73,7 @@
             self.since = health.stalled_since();
         }
         self.silent += 1;
-        self.last_since = self.last_since.max(health.last_stalled_since());
+        self.last_since = self.last_since.max(*health.stalled_span().end());
         self.stalled += health.stalled();
     }
 }
@@ -86,7 +84,7 @@
         let Some(health) = self.health.get(&id) else {
             return;
         };
-        let others_answer = self.others_answer(health.last_stalled_since());
+        let others_answer = self.others_answer(&health.stalled_span());
         let loss = self.loss.percent(now);
         let health = self.health.entry(id).or_default();
         let was_dead = health.is_given_up();
@@ -118,7 +116,9 @@
         }
         let home = self.options.zone.clone();
         let at_home = self.outlook(&home);
-        if at_home.reached_at < there.last_since || at_home.silent * 2 > at_home.seen {
+        let answered = self.answered.within(&(there.since..=there.last_since));
+        let is_home_in_order = answered.iter().any(|id| self.directory.in_zone(&home).contains(id));
+        if !is_home_in_order || at_home.silent * 2 > at_home.seen {
             return;
         }
         for id in self.directory.in_zone(&zone).to_vec() {
@@ -160,31 +160,25 @@
         outlook
     }
 
-    /// Whether most upstreams that this instance hears of have answered what was sent since. If many are silent at once, it may be
-    /// this instance's own link, or its clients', that loses packets or holds them up.
-    fn others_answer(&self, since: Time) -> bool {
-        let (answering, silent) = self.answering(since);
+    /// Whether most upstreams that this instance hears of have answered what was sent within a span. If many are silent at once, it
+    /// may be this instance's own link, or its clients', that loses packets.
+    fn others_answer(&self, span: &RangeInclusive<Time>) -> bool {
+        let (answering, silent) = self.answering(&self.answered.within(span));
         answering >= silent * ANSWERING_PER_SILENT
     }
 
     /// Whether so few have answered what was sent since that what is seen here should not count elsewhere either. Where instances are many,
     /// each hears of a few upstreams in half a second, and others can tell whether the rest answers.
     pub(super) fn doubts(&self, since: Time) -> bool {
-        let (answering, silent) = self.answering(since);
+        let (answering, silent) = self.answering(&self.answered.since(since));
         answering < silent
     }
 
-    /// How many upstreams have answered something that was sent to them since, and how many have flows that wait.
-    fn answering(&self, since: Time) -> (u32, u32) {
-        let mut answering = 0;
-        let mut silent = 0;
-        for health in self.health.values() {
-            if health.stalled() > 0 {
-                silent += 1;
-            } else if health.reached_at >= since {
-                answering += 1;
-            }
-        }
+    /// How many of the upstreams that have answered have no flows that wait, and how many upstreams have some.
+    fn answering(&self, answered: &BTreeSet<UpstreamId>) -> (usize, usize) {
+        let is_silent = |id: &UpstreamId| self.health.get(id).is_some_and(|health| health.stalled() > 0);
+        let answering = answered.iter().filter(|id| !is_silent(id)).count();
+        let silent = self.health.values().filter(|health| health.stalled() > 0).count();
         (answering, silent)
     }
 
@@ -286,7 +280,7 @@
         let is_beyond_chance = copies >= STALLED_COPIES && signs >= loss::flows_beyond_chance(loss);
         let missed = health.expected_answers(now.since(pending.since), now);
         let is_silent = health.last_progress <= pending.since && missed >= MISSED_ANSWERS;
-        is_beyond_chance && is_silent && self.others_answer(pending.since)
+        is_beyond_chance && is_silent && self.others_answer(&(pending.since..=pending.copied_before_at))
     }
 
     /// Whether data for an upstream is answered with a reset, as the upstream was taken for dead a moment ago: the flow
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -91,8 +91,9 @@
     pub(crate) seq: u32,
     /// How many copies came after the first.
     pub(crate) copies: u8,
-    /// When it came last.
+    /// When it came last, and when the time before.
     copied_at: Time,
+    pub(crate) copied_before_at: Time,
 }
 
 /// What a packet tells about its flow's upstream.
@@ -171,6 +172,7 @@
                 seq: packet.seq,
                 copies: 0,
                 copied_at: now,
+                copied_before_at: now,
             });
             return sign;
         }
@@ -210,6 +212,7 @@
             return false;
         }
         self.copies = self.copies.saturating_add(1);
+        self.copied_before_at = self.copied_at;
         self.copied_at = now;
         true
     }
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -1,5 +1,6 @@
 //! What passing packets tell of each upstream: how busy it is, and whether it still answers.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use units::Time;
@@ -68,9 +69,6 @@
     response_at: Time,
     /// When it last answered something.
     pub(crate) last_progress: Time,
-    /// When the last thing was sent to it from here that it has answered. Only this tells that packets get there: answers come by
-    /// way of the clients, also while this instance's own link is full and holds up what it sends.
-    pub(crate) reached_at: Time,
     /// How many different flows have waited in vain since then.
     stalled: u32,
     /// How often they have sent something again since then.
@@ -128,11 +126,6 @@
         }
     }
 
-    /// It has answered something that was sent to it from here at this time.
-    pub(crate) fn note_reached(&mut self, at: Time) {
-        self.reached_at = self.reached_at.max(at);
-    }
-
     /// The upstream took this long to answer a request, in seconds.
     pub(crate) fn note_response(&mut self, sample: f64, now: Time) {
         let held = self.response(now).unwrap_or(sample);
@@ -207,10 +200,9 @@
         self.stalled_since
     }
 
-    /// Since when the last of the flows has waited for it in vain. What is sent from here leaves in its order: so an answer to
-    /// something that was sent later tells that whatever all of them sent has left as well.
-    pub(crate) fn last_stalled_since(&self) -> Time {
-        self.last_stalled_since
+    /// From when the first to when the last of the flows that wait for it in vain began to wait.
+    pub(crate) fn stalled_span(&self) -> RangeInclusive<Time> {
+        self.stalled_since..=self.last_stalled_since
     }
 
     /// Whether it is to be taken for dead from now on by what is seen here alone: more flows wait in vain than chance explains
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,6 +8,7 @@
 //! This crate is pure: it does no I/O, reads no clock and draws on no randomness but from the seed it is given. It
 //! does not know how packets, routes and upstreams are written down.
 
+mod answered;
 mod checks;
 mod core;
 mod decay;
