--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -120,12 +120,24 @@
         return is_unreadable;
     };
     let revision = document.revision;
+    let held = held_document(shared);
     if shared.learn(|knowledge| knowledge.take_document(at, document)) {
         log::info!("store: document in force revision={revision} at={at}");
+    } else if let Some((held_revision, held_at)) = held.filter(|held| *held != (revision, at)) {
+        log::warn!(
+            "store: document passed over revision={revision} at={at}, held revision={held_revision} at={held_at}"
+        );
     }
     true
 }
 
+/// The operators' revision of the document that is held, and the store's.
+fn held_document(shared: &Shared) -> Option<(Revision, Revision)> {
+    let core = shared.core();
+    let (at, document) = core.knowledge().document()?;
+    Some((document.revision, *at))
+}
+
 /// Lets operators know of a document that can't be read.
 fn note_document(shared: &Shared, unreadable_at: Option<Revision>) {
     let is_news = shared.note_document(unreadable_at);
@@ -219,7 +231,11 @@
     let count = list.upstreams.len();
     let at = list.at;
     let now = shared.now();
+    let held_at = shared.core().knowledge().upstreams_at();
     let has_changed = shared.learn(|knowledge| knowledge.take_list(at, list.sightings(), now));
+    if at < held_at {
+        log::warn!("store: upstreams passed over at={at}, held at={held_at}");
+    }
     log::info!("store: upstreams listed count={count} at={at}");
     has_changed
 }
--- a/crates/units/src/id.rs
+++ b/crates/units/src/id.rs
@@ -64,6 +64,11 @@
     /// A configuration document's revision. It only grows.
     Revision
 }
+id! {
+    /// How often a store has come back from an older copy of itself. Each time it gives out revisions anew that it had given out
+    /// before, so they order what it tells only within one epoch.
+    Epoch
+}
 
 impl RequestSeq {
     /// The number after this one.
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -8,6 +8,7 @@
 mod rate;
 mod time;
 
+pub use id::Epoch;
 pub use id::FlowId;
 pub use id::Incarnation;
 pub use id::Nonce;
