--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -155,16 +155,16 @@
         self.flows.len()
     }
 
-    /// Changes what is known, and indexes it anew if the change says that something is new. So does a revision that grows
+    /// Changes what is known, and indexes it anew if the change says that something is new. So does a place that grows
     /// without a change: others must hear of it, or this instance takes itself for ahead of them and asks them no more.
     pub fn learn(&mut self, now: Time, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
-        let before = self.knowledge.parts();
+        let before = self.knowledge.places();
         let evacuated = self.knowledge.evacuations().zones.clone();
-        if !change(&mut self.knowledge) && self.knowledge.parts() == before {
+        if !change(&mut self.knowledge) && self.knowledge.places() == before {
             return false;
         }
         if let Some(&(at, ref document)) = self.knowledge.document()
-            && self.routes.written_at() != at
+            && !self.routes.are_of(at, document)
         {
             self.routes = Routes::new(at, document);
             let routes = &self.routes;
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -1,6 +1,6 @@
 //! What was decided, for those who have to explain it later.
 
-use units::Revision;
+use units::Position;
 use units::ZoneName;
 
 use crate::flows::FlowKey;
@@ -80,8 +80,8 @@
     Evacuated {
         /// The zone.
         zone: ZoneName,
-        /// The platform's revision at which this was so.
-        at: Revision,
+        /// The place in the store's history at which this was so.
+        at: Position,
         /// How many flows are open there, as far as they were seen here.
         flows: u32,
     },
@@ -89,7 +89,7 @@
     Restored {
         /// The zone.
         zone: ZoneName,
-        /// The platform's revision at which this was so.
-        at: Revision,
+        /// The place in the store's history at which this was so.
+        at: Position,
     },
 }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -8,7 +8,7 @@
 use units::Time;
 use units::ZoneName;
 
-use crate::knowledge::Entry;
+use crate::entries::Entry;
 use crate::knowledge::Knowledge;
 use crate::packet::Echo;
 use crate::route::ColdStart;
--- a/crates/flow/src/documents.rs
+++ b/crates/flow/src/documents.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use units::Position;
 use units::Revision;
 
 use crate::route::ColdStart;
@@ -23,10 +24,13 @@
 /// What changed from one document to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
-    /// The platform's revision of the document before.
-    from: Revision,
-    /// The platform's revision of the document after.
-    to: Revision,
+    /// The place of the document before.
+    from: Position,
+    /// The place of the document after.
+    to: Position,
+    /// The number that operators gave the document before, where the teller knows that places alone don't name a document.
+    #[serde(default)]
+    before: Option<Revision>,
     /// The number that operators gave the document after.
     revision: Revision,
     idle_timeout: Duration,
@@ -40,7 +44,7 @@
 }
 
 impl Step {
-    fn new(from: (Revision, &Document), to: (Revision, &Document)) -> Self {
+    fn new(from: (Position, &Document), to: (Position, &Document)) -> Self {
         let (from, before) = from;
         let (to, after) = to;
         let set = after
@@ -51,6 +55,7 @@
         Self {
             from,
             to,
+            before: Some(before.revision),
             revision: after.revision,
             idle_timeout: after.idle_timeout,
             cold_starts: after.cold_starts.clone(),
@@ -84,60 +89,89 @@
     Nothing,
     /// The steps from the document that the other holds.
     Steps(Vec<Step>),
-    /// The whole document, with the platform's revision at which it was written.
-    Whole(Revision, Document),
+    /// The whole document, with the place up to which none is newer.
+    Whole(Position, Document),
 }
 
 /// The document that an instance holds, and the steps that led to it.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Documents {
-    current: Option<(Revision, Document)>,
+    current: Option<(Position, Document)>,
     steps: VecDeque<Step>,
 }
 
 impl Documents {
-    pub(crate) fn current(&self) -> Option<&(Revision, Document)> {
+    pub(crate) fn current(&self) -> Option<&(Position, Document)> {
         self.current.as_ref()
     }
 
-    /// The platform's revision of the document held, zero without one.
-    pub(crate) fn at(&self) -> Revision {
+    /// The place up to which no document is newer than the one held, zero without one.
+    pub(crate) fn at(&self) -> Position {
         self.current.as_ref().map(|(at, _)| *at).unwrap_or_default()
     }
 
-    /// Takes in a document. Tells whether it is newer than the one held.
-    pub(crate) fn take(&mut self, at: Revision, document: Document) -> bool {
+    /// Takes in a document that stood at a place. Tells whether anything has changed.
+    ///
+    /// Operators number their documents, and their numbers only grow, whatever becomes of the store. So the number decides which of two
+    /// documents is newer, and the place only between two of one number. A store that has come back from an older copy shows
+    /// documents that were replaced long ago, at places that are later than all before: these are passed over, and only the
+    /// place is kept.
+    pub(crate) fn take(&mut self, at: Position, document: Document) -> bool {
+        let Some((held_at, held)) = &self.current else {
+            self.current = Some((at, document));
+            return true;
+        };
+        if (document.revision, at) <= (held.revision, *held_at) {
+            return self.confirm(at);
+        }
+        self.set(at.max(*held_at), document);
+        true
+    }
+
+    /// Notes that nothing is newer than the document held up to a place. Tells whether that is news.
+    fn confirm(&mut self, at: Position) -> bool {
+        let Some((held_at, held)) = &self.current else {
+            return false;
+        };
+        if at <= *held_at {
+            return false;
+        }
+        self.set(at, held.clone());
+        true
+    }
+
+    /// Puts a document in place of the one held, and remembers the step.
+    fn set(&mut self, at: Position, document: Document) {
         if let Some((held_at, held)) = &self.current {
-            if at <= *held_at || document.revision < held.revision {
-                return false;
-            }
             self.steps.push_back(Step::new((*held_at, held), (at, &document)));
-            if self.steps.len() > STEPS {
-                self.steps.pop_front();
-            }
+        }
+        if self.steps.len() > STEPS {
+            self.steps.pop_front();
         }
         self.current = Some((at, document));
-        true
     }
 
-    /// What a holder of the document at this revision lacks.
-    pub(crate) fn since(&self, at: Revision) -> Update {
+    /// What a holder lacks whose document has this number, if it tells, and stands at this place.
+    pub(crate) fn since(&self, revision: Option<Revision>, at: Position) -> Update {
         let Some((held_at, document)) = &self.current else {
             return Update::Nothing;
         };
-        if at >= *held_at {
+        let told = revision.unwrap_or(document.revision);
+        if told > document.revision || (told == document.revision && at >= *held_at) {
             return Update::Nothing;
         }
-        match self.steps.iter().position(|step| step.from == at) {
+        let is_next = |step: &Step| step.from == at && (revision.is_none() || step.before == revision);
+        match self.steps.iter().position(is_next) {
             Some(first) => Update::Steps(self.steps.iter().skip(first).cloned().collect()),
             None => Update::Whole(*held_at, document.clone()),
         }
     }
 
-    /// Takes in what another holder told. Tells whether there is a newer document now.
-    pub(crate) fn update(&mut self, update: Update) -> bool {
+    /// Takes in what another holder told, whose document stands at a place. Tells whether anything has changed.
+    pub(crate) fn update(&mut self, update: Update, at: Position) -> bool {
         match update {
-            Update::Nothing => false,
+            // The teller has no newer document, up to where it stands.
+            Update::Nothing => self.confirm(at),
             Update::Whole(at, document) => self.take(at, document),
             Update::Steps(steps) => {
                 let mut has_changed = false;
@@ -153,7 +187,7 @@
         let Some((at, held)) = &self.current else {
             return false;
         };
-        if step.from != *at {
+        if step.from != *at || step.before.is_some_and(|before| before != held.revision) {
             return false;
         }
         match step.apply(held) {
--- a/crates/flow/src/evacuations.rs
+++ b/crates/flow/src/evacuations.rs
@@ -1,19 +1,19 @@
 //! The availability zones that operators have asked to be emptied: nothing new is sent to their upstreams.
 //!
-//! There are few of them, so they are always read and told together, as they stood at one revision of the platform's.
+//! There are few of them, so they are always read and told together, as they stood at one place in the store's history.
 
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
-use units::Revision;
+use units::Position;
 use units::ZoneName;
 
-/// The zones to be emptied, as they stood at a revision of the platform's.
+/// The zones to be emptied, as they stood at a place in the store's history.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
-    /// The platform's revision.
-    pub at: Revision,
+    /// The place.
+    pub at: Position,
     /// The zones.
     pub zones: BTreeSet<ZoneName>,
 }
@@ -22,9 +22,9 @@
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Held {
     current: Evacuations,
-    /// The latest revision at which the platform was seen to ask for just these. It may be later than what others are told, who
+    /// The latest place at which the platform was seen to ask for just these. It may be later than what others are told, who
     /// need not hear of it each time that nothing has changed.
-    confirmed_at: Revision,
+    confirmed_at: Position,
 }
 
 impl Held {
@@ -40,8 +40,9 @@
         }
         read.zones.extend(self.current.zones.intersection(unreadable).cloned());
         self.confirmed_at = read.at;
-        let is_first = self.current.at == Revision(0);
-        if !is_first && read.zones == self.current.zones {
+        let is_first = self.current.at.is_none();
+        let is_later_epoch = read.at.epoch > self.current.at.epoch;
+        if !is_first && !is_later_epoch && read.zones == self.current.zones {
             return false;
         }
         self.current = read;
@@ -54,7 +55,7 @@
             return false;
         }
         if told.at <= self.confirmed_at {
-            // The teller knows of a change that was taken back since. Without a later revision it would not ask.
+            // The teller knows of a change that was taken back since. Without a later place it would not ask.
             self.current.at = self.confirmed_at;
             return true;
         }
@@ -63,8 +64,8 @@
         true
     }
 
-    /// What a holder of those at a revision lacks.
-    pub(crate) fn since(&self, at: Revision) -> Option<Evacuations> {
+    /// What a holder of those at a place lacks.
+    pub(crate) fn since(&self, at: Position) -> Option<Evacuations> {
         (self.current.at > at).then(|| self.current.clone())
     }
 }
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use units::Position;
 use units::Rate;
 use units::Revision;
 use units::Weight;
@@ -139,24 +140,24 @@
 /// Routes by the address that clients dial.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Routes {
-    /// The store's revision at which their document was written.
-    at: Revision,
+    /// The number of their document, and the place at which it stood.
+    of: (Revision, Position),
     by_address: HashMap<SocketAddrV4, Route>,
 }
 
 impl Routes {
-    /// Indexes a document that was written at this revision of the store's.
-    pub(crate) fn new(at: Revision, document: &Document) -> Self {
+    /// Indexes a document that stood at a place in the store's history.
+    pub(crate) fn new(at: Position, document: &Document) -> Self {
         let routes = document.routes.values().map(|route| (route.address, route.clone()));
         Self {
-            at,
+            of: (document.revision, at),
             by_address: routes.collect(),
         }
     }
 
-    /// The store's revision at which their document was written.
-    pub(crate) fn written_at(&self) -> Revision {
-        self.at
+    /// Whether they are those of a document that stood at a place.
+    pub(crate) fn are_of(&self, at: Position, document: &Document) -> bool {
+        self.of == (document.revision, at)
     }
 
     pub(crate) fn to(&self, address: SocketAddrV4) -> Option<&Route> {
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -20,6 +20,8 @@
 use proptest::proptest;
 use proptest::test_runner::Config as ProptestConfig;
 use proptest::test_runner::RngSeed;
+use units::Epoch;
+use units::Position;
 use units::Revision;
 use units::Slots;
 use units::Time;
@@ -54,6 +56,12 @@
     Pull(usize, usize),
     /// The answer to an earlier question comes once more, late.
     Repeat(usize, usize),
+    /// A holder gets what the platform held some changes ago, late.
+    Late(usize, usize),
+    /// The platform comes back as it was some changes ago.
+    Return(usize),
+    /// Its writers write again what was lost by that.
+    WriteAgain,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -69,7 +77,10 @@
         holder.clone().prop_map(Step::Watch),
         holder.clone().prop_map(Step::Read),
         (holder.clone(), 0..HOLDERS).prop_map(|(to, from)| Step::Pull(to, from)),
-        (holder, any::<usize>()).prop_map(|(to, index)| Step::Repeat(to, index)),
+        (holder.clone(), any::<usize>()).prop_map(|(to, index)| Step::Repeat(to, index)),
+        (holder, 0..8_usize).prop_map(|(to, age)| Step::Late(to, age)),
+        (0..8_usize).prop_map(Step::Return),
+        any::<bool>().prop_map(|_| Step::WriteAgain),
     ]
 }
 
@@ -86,75 +97,53 @@
 }
 
 /// What the platform holds, with all changes.
-#[derive(Default)]
-struct Platform {
+#[derive(Debug, Default, Clone)]
+struct State {
+    epoch: u64,
     revision: u64,
-    /// How often each upstream has started again.
-    starts: BTreeMap<u64, u64>,
     document: Option<(Revision, Document)>,
     evacuated: BTreeSet<ZoneName>,
     entries: BTreeMap<UpstreamId, (Revision, Upstream)>,
     history: Vec<(Revision, UpstreamId, Option<Upstream>)>,
 }
 
-impl Platform {
-    fn put(&mut self, id: u64, leaving: bool) {
+impl State {
+    fn at(&self) -> Position {
+        Position::new(Epoch(self.epoch), Revision(self.revision))
+    }
+
+    fn put(&mut self, id: UpstreamId, upstream: Upstream) {
         self.revision += 1;
         let revision = Revision(self.revision);
-        let upstream = Upstream {
-            started: self.starts.get(&id).copied().map(Start),
-            ..upstream(leaving, u16::try_from(self.revision).unwrap())
-        };
-        self.entries.insert(UpstreamId(id), (revision, upstream.clone()));
-        self.history.push((revision, UpstreamId(id), Some(upstream)));
+        self.entries.insert(id, (revision, upstream.clone()));
+        self.history.push((revision, id, Some(upstream)));
     }
 
-    fn remove(&mut self, id: u64) {
-        if self.entries.remove(&UpstreamId(id)).is_none() {
+    fn remove(&mut self, id: UpstreamId) {
+        if self.entries.remove(&id).is_none() {
             return;
         }
         self.revision += 1;
-        self.history.push((Revision(self.revision), UpstreamId(id), None));
+        self.history.push((Revision(self.revision), id, None));
     }
 
-    fn write_document(&mut self) {
-        self.revision += 1;
-        let mut routes = self
-            .document
-            .take()
-            .map(|(_, document)| document.routes)
-            .unwrap_or_default();
-        let port = u16::try_from(self.revision).unwrap();
-        routes.remove(&format!("r-{}", port % 3));
-        let route = Route {
-            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
-            shares: Vec::new(),
-            idempotent: true,
-            aim: Duration::ZERO,
-        };
-        routes.insert(format!("r-{}", port % 7), route);
-        let document = Document {
-            revision: Revision(self.revision * 10),
-            routes,
-            idle_timeout: Duration::from_secs(1),
-            cold_starts: BTreeMap::new(),
-        };
-        self.document = Some((Revision(self.revision), document));
+    fn document(&self) -> Option<(Position, Document)> {
+        let (revision, document) = self.document.clone()?;
+        Some((Position::new(Epoch(self.epoch), revision), document))
     }
 
-    fn evacuate(&mut self, zone: usize, is_asked: bool) {
-        let zone: ZoneName = ZONES[zone].parse().unwrap();
+    fn evacuate(&mut self, zone: &ZoneName, is_asked: bool) {
         let has_changed = if is_asked {
-            self.evacuated.insert(zone)
+            self.evacuated.insert(zone.clone())
         } else {
-            self.evacuated.remove(&zone)
+            self.evacuated.remove(zone)
         };
         self.revision += u64::from(has_changed);
     }
 
     fn evacuations(&self) -> Evacuations {
         Evacuations {
-            at: Revision(self.revision),
+            at: self.at(),
             zones: self.evacuated.clone(),
         }
     }
@@ -175,50 +164,146 @@
     }
 }
 
+/// The platform: what it holds, what it held after each change, and what its writers have written.
+#[derive(Default)]
+struct Platform {
+    state: State,
+    past: Vec<State>,
+    /// What it would hold if it had never lost anything.
+    written: State,
+    /// How often each upstream has started again.
+    starts: BTreeMap<u64, u64>,
+    /// How many documents operators have written, and how many entries upstreams have.
+    documents: u64,
+    puts: u16,
+}
+
+impl Platform {
+    /// Changes what it holds and what its writers have written.
+    fn change(&mut self, change: impl Fn(&mut State)) {
+        self.past.push(self.state.clone());
+        change(&mut self.state);
+        change(&mut self.written);
+    }
+
+    fn put(&mut self, id: u64, leaving: bool) {
+        self.puts += 1;
+        let upstream = Upstream {
+            started: self.starts.get(&id).copied().map(Start),
+            ..upstream(leaving, self.puts)
+        };
+        self.change(|state| state.put(UpstreamId(id), upstream.clone()));
+    }
+
+    fn write_document(&mut self) {
+        self.documents += 1;
+        let mut routes = self.written.document.take();
+        let mut routes = routes.take().map(|(_, document)| document.routes).unwrap_or_default();
+        let port = u16::try_from(self.documents).unwrap();
+        routes.remove(&format!("r-{}", port % 3));
+        let route = Route {
+            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+            shares: Vec::new(),
+            idempotent: true,
+            aim: Duration::ZERO,
+        };
+        routes.insert(format!("r-{}", port % 7), route);
+        let document = Document {
+            revision: Revision(self.documents * 10),
+            routes,
+            idle_timeout: Duration::from_secs(1),
+            cold_starts: BTreeMap::new(),
+        };
+        self.change(|state| {
+            state.revision += 1;
+            state.document = Some((Revision(state.revision), document.clone()));
+        });
+    }
+
+    /// Comes back as it was some changes ago. It has held something at all times.
+    fn come_back(&mut self, age: usize) {
+        let Some(index) = self.past.len().checked_sub(age + 1) else {
+            return;
+        };
+        let epoch = self.state.epoch + 1;
+        self.past.push(self.state.clone());
+        self.state = State {
+            epoch,
+            ..self.past[index].clone()
+        };
+    }
+
+    /// Writes again what is lost: entries that are missing or older, removals, the document, and what operators ask for.
+    fn write_again(&mut self) {
+        self.past.push(self.state.clone());
+        let Self { state, written, .. } = self;
+        for (id, (_, upstream)) in &written.entries {
+            if state.entries.get(id).map(|(_, held)| held) != Some(upstream) {
+                state.put(*id, upstream.clone());
+            }
+        }
+        for id in state.entries.keys().copied().collect::<Vec<_>>() {
+            if !written.entries.contains_key(&id) {
+                state.remove(id);
+            }
+        }
+        for zone in ZONES {
+            let zone: ZoneName = zone.parse().unwrap();
+            state.evacuate(&zone, written.evacuated.contains(&zone));
+        }
+        let document = |state: &State| state.document.clone().map(|(_, document)| document);
+        if document(state) != document(written) {
+            state.revision += 1;
+            state.document = document(written).map(|document| (Revision(state.revision), document));
+        }
+    }
+}
+
 fn run(steps: Vec<Step>) {
-    let mut platform = Platform {
-        revision: 1,
-        ..Platform::default()
-    };
+    let mut platform = Platform::default();
+    platform.change(|state| state.revision = 1);
     let mut holders = vec![Knowledge::default(); HOLDERS];
-    let mut cursors = [None; HOLDERS];
+    let mut cursors: [Option<Position>; HOLDERS] = [None; HOLDERS];
     let mut changes = Vec::new();
     for (index, step) in steps.into_iter().enumerate() {
         let now = Time(index as u64);
-        let before: Vec<_> = holders.iter().map(Knowledge::parts).collect();
+        let before: Vec<_> = holders.iter().map(Knowledge::places).collect();
+        let state = &platform.state;
         match step {
             Step::Put(id, leaving) => platform.put(id, leaving),
             Step::Restart(id) => {
                 *platform.starts.entry(id).or_default() += 1;
                 platform.put(id, false);
             }
-            Step::Remove(id) => platform.remove(id),
+            Step::Remove(id) => platform.change(|state| state.remove(UpstreamId(id))),
             Step::Document => platform.write_document(),
-            Step::Evacuate(zone, is_asked) => platform.evacuate(zone, is_asked),
+            Step::Evacuate(zone, is_asked) => {
+                let zone: ZoneName = ZONES[zone].parse().unwrap();
+                platform.change(|state| state.evacuate(&zone, is_asked));
+            }
             Step::Zones(holder) => {
-                holders[holder].take_evacuations(platform.evacuations(), &BTreeSet::new());
+                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new());
             }
             Step::List(holder) => {
-                let at = Revision(platform.revision);
-                holders[holder].take_list(at, platform.list(), now);
-                cursors[holder] = Some(at);
+                holders[holder].take_list(state.at(), state.list(), now);
+                cursors[holder] = Some(state.at());
             }
             Step::Watch(holder) => {
-                let Some(since) = cursors[holder] else {
-                    continue;
-                };
-                let at = Revision(platform.revision);
-                holders[holder].take_watched(at, platform.since(since), now);
-                cursors[holder] = Some(at);
+                // A place of an earlier epoch is none of this one, and what has changed since then is not known.
+                let since = cursors[holder].filter(|since| since.epoch == state.at().epoch);
+                cursors[holder] = since.and(Some(state.at()));
+                if let Some(since) = since {
+                    holders[holder].take_watched(state.at(), state.since(since.revision), now);
+                }
             }
             Step::Read(holder) => {
-                if let Some((at, document)) = platform.document.clone() {
+                if let Some((at, document)) = state.document() {
                     holders[holder].take_document(at, document);
                 }
             }
             Step::Pull(to, from) => {
-                let held = holders[to].revisions();
-                let change = holders[from].since(held);
+                let held = holders[to].places();
+                let change = holders[from].since(&held);
                 changes.push((held.upstreams_at, change.clone()));
                 holders[to].take(change, now);
             }
@@ -231,22 +316,38 @@
                     holders[to].take(change, now);
                 }
             }
+            Step::Late(holder, age) => {
+                let Some(index) = platform.past.len().checked_sub(age + 1) else {
+                    continue;
+                };
+                let state = &platform.past[index];
+                holders[holder].take_list(state.at(), state.list(), now);
+                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new());
+                if let Some((at, document)) = state.document() {
+                    holders[holder].take_document(at, document);
+                }
+            }
+            Step::Return(age) => platform.come_back(age),
+            Step::WriteAgain => platform.write_again(),
         }
         for (held, before) in holders.iter().zip(before) {
-            let is_no_older = held.parts().iter().zip(before).all(|(now, before)| *now >= before);
-            assert!(is_no_older);
+            let after = held.places();
+            assert!(after.document >= before.document, "never an older document");
+            assert!(after.document_at >= before.document_at);
+            assert!(after.upstreams_at >= before.upstreams_at);
+            assert!(after.evacuations_at >= before.evacuations_at);
         }
     }
-    settle(&platform, &mut holders);
+    platform.write_again();
+    settle(&platform.state, &mut holders);
 }
 
 /// One holder reads everything, the others ask it. Then all hold what the platform holds.
-fn settle(platform: &Platform, holders: &mut [Knowledge]) {
+fn settle(platform: &State, holders: &mut [Knowledge]) {
     let now = Time(1_000_000);
-    let at = Revision(platform.revision);
     let (first, others) = holders.split_first_mut().unwrap();
-    first.take_list(at, platform.list(), now);
-    if let Some((at, document)) = platform.document.clone() {
+    first.take_list(platform.at(), platform.list(), now);
+    if let Some((at, document)) = platform.document() {
         first.take_document(at, document);
     }
     first.take_evacuations(platform.evacuations(), &BTreeSet::new());
@@ -256,10 +357,11 @@
         ask(first, other, now);
         ask(other, first, now);
         assert_eq!(other.level(), first.level());
-        assert_eq!(other.parts(), first.parts());
+        assert_eq!(other.places(), first.places());
     }
     for held in [&*first].into_iter().chain(&*others) {
-        assert_eq!(held.document(), platform.document.as_ref());
+        let document = held.document().map(|(_, document)| document);
+        assert_eq!(document, platform.document.as_ref().map(|(_, document)| document));
         assert_eq!(held.evacuations().zones, platform.evacuated);
         let listed = held.upstreams().filter(|(_, entry)| !entry.gone);
         let listed: Vec<_> = listed.map(|(id, entry)| (id, entry.upstream.clone())).collect();
@@ -274,8 +376,8 @@
 
 /// A holder that knows less in any part asks another one.
 fn ask(holder: &mut Knowledge, other: &Knowledge, now: Time) {
-    if holder.parts() != other.parts() {
-        holder.take(other.since(holder.revisions()), now);
+    if holder.places() != other.places() {
+        holder.take(other.since(&holder.places()), now);
     }
 }
 
@@ -333,7 +435,7 @@
 fn a_wish_that_becomes_unreadable_stays_and_a_new_one_that_is_unreadable_is_none() {
     let zones: Vec<ZoneName> = ZONES.iter().map(|zone| zone.parse().unwrap()).collect();
     let read = |at, zones: &[ZoneName]| Evacuations {
-        at: Revision(at),
+        at: Revision(at).into(),
         zones: zones.iter().cloned().collect(),
     };
     let mut knowledge = Knowledge::awaiting_evacuations();
@@ -367,5 +469,5 @@
     assert!(!knowledge.forget(Time(10)));
     assert!(knowledge.forget(Time(11)));
     assert_eq!(knowledge.upstreams().count(), 0);
-    assert_eq!(knowledge.upstreams_at(), Revision(3), "the revision stays");
+    assert_eq!(knowledge.upstreams_at(), Revision(3).into(), "the place stays");
 }
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -206,9 +206,12 @@
         };
         self.revision += 1;
         let at = Revision(self.revision);
-        let is_new = self
-            .core
+        let given = document.clone();
+        let before = self.core.knowledge().document().cloned();
+        self.core
             .learn(self.now, |knowledge| knowledge.take_document(at, document));
+        let held = self.core.knowledge().document().cloned();
+        let is_new = held != before && held.is_some_and(|(_, held)| held == given);
         if is_new {
             String::new()
         } else {
@@ -231,7 +234,7 @@
     fn evacuate(&mut self, zones: &[&str]) -> String {
         self.revision += 1;
         let read = Evacuations {
-            at: Revision(self.revision),
+            at: Revision(self.revision).into(),
             zones: zones.iter().map(|zone| zone.parse().unwrap()).collect(),
         };
         let none = BTreeSet::new();
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -13,6 +13,7 @@
 use jayquayd::forward::status::Status;
 use serde::Serialize;
 use units::InstanceName;
+use units::Position;
 use units::Revision;
 use units::ZoneName;
 
@@ -63,7 +64,7 @@
     /// An instance holds another document than the store.
     Document(String, Option<Revision>, Revision),
     /// An instance has found the store's document unreadable, and an earlier one is in force.
-    Unreadable(String, Revision),
+    Unreadable(String, Position),
     /// An instance does not know that a zone is to be emptied, and still leads new flows there.
     NotEvacuated(String, ZoneName),
     /// An instance takes a zone for one that is to be emptied, which the store does not.
--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -12,12 +12,12 @@
 
 use adapter::Store;
 use adapter::store::Error;
-use flow::Revisions;
+use flow::Places;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use units::Revision;
+use units::Position;
 use units::Time;
 
 use super::metric;
@@ -296,8 +296,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Part {
     kind: Kind,
-    /// The store's revision up to which this instance knows it.
-    at: Revision,
+    /// The place up to which this instance knows it.
+    at: Position,
 }
 
 /// Reads what the store knows beyond this instance.
@@ -305,7 +305,8 @@
 /// One revision counts all changes, and each part of the knowledge is complete up to a revision of its own. Where news came
 /// lately, the parts that lag are asked for their changes since: those up to the part that is ahead may have been missed, as their
 /// watches may be cut and the other's not. Later on the history back to there may be gone, so the part that is ahead is asked. An
-/// answer's revision tells whether the others have to be asked as well. As a rule one or two short calls tell that nothing is new.
+/// answer's place tells whether the others have to be asked as well. As a rule one or two short calls tell that nothing is new.
+/// What is held of an earlier epoch than the store's is always asked: its revision says nothing of what the store knows now.
 async fn compare(store: &Store, shared: &Shared, has_evacuations: bool) -> Result<Finding, Error> {
     let before = pull::held(shared);
     let mut parts = parts(&before, has_evacuations);
@@ -315,10 +316,11 @@
     if !is_fresh {
         parts.reverse();
     }
-    let mut store_at = Revision(0);
+    let mut store_at = Position::default();
     for (index, part) in parts.into_iter().enumerate() {
-        if index >= first && store_at <= known {
-            break;
+        let is_of_earlier_epoch = part.at.epoch < store_at.epoch.max(known.epoch);
+        if index >= first && store_at <= known && !is_of_earlier_epoch {
+            continue;
         }
         store_at = store_at.max(since(store, shared, part).await?);
     }
@@ -327,7 +329,7 @@
 }
 
 /// The parts of the knowledge, the one that lags most first.
-fn parts(held: &Revisions, has_evacuations: bool) -> Vec<Part> {
+fn parts(held: &Places, has_evacuations: bool) -> Vec<Part> {
     let part = |kind, at| Part { kind, at };
     let mut parts = vec![
         part(Kind::Document, held.document_at),
@@ -340,8 +342,8 @@
     parts
 }
 
-/// Takes in what has changed of a part, and gives the store's revision.
-async fn since(store: &Store, shared: &Shared, part: Part) -> Result<Revision, Error> {
+/// Takes in what has changed of a part, and gives the place at which the store stood.
+async fn since(store: &Store, shared: &Shared, part: Part) -> Result<Position, Error> {
     match part.kind {
         Kind::Document => documents_since(store, shared, part.at).await,
         Kind::Upstreams => upstreams_since(store, shared, part.at).await,
@@ -350,8 +352,8 @@
     }
 }
 
-/// Takes in what has changed of the document, and gives the store's revision.
-async fn documents_since(store: &Store, shared: &Shared, since: Revision) -> Result<Revision, Error> {
+/// Takes in what has changed of the document, and gives the place at which the store stood.
+async fn documents_since(store: &Store, shared: &Shared, since: Position) -> Result<Position, Error> {
     let documents = match store.watch_document(since, Duration::ZERO).await {
         Err(Error::HistoryGone) => store.read_document().await?,
         result => result?,
@@ -361,8 +363,8 @@
     Ok(at)
 }
 
-/// Takes in what has changed of the upstreams, and gives the store's revision.
-async fn upstreams_since(store: &Store, shared: &Shared, since: Revision) -> Result<Revision, Error> {
+/// Takes in what has changed of the upstreams, and gives the place at which the store stood.
+async fn upstreams_since(store: &Store, shared: &Shared, since: Position) -> Result<Position, Error> {
     match store::watch(store, shared, since, Duration::ZERO).await {
         Err(Error::HistoryGone) => store::read_list(store, shared).await,
         result => result.map(|(at, _)| at),
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -5,6 +5,7 @@
 
 use flow::Decision;
 use flow::Grounds;
+use units::Position;
 use units::Revision;
 use units::Time;
 
@@ -69,8 +70,8 @@
 pub(crate) struct Basis {
     /// The revision of the document in force.
     pub(crate) document: Revision,
-    /// The store's revision that the upstreams stood at.
-    pub(crate) upstreams_at: Revision,
+    /// The place in the store's history that the upstreams stood at.
+    pub(crate) upstreams_at: Position,
 }
 
 /// What speaks for a reset, as it stands in the log.
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -11,7 +11,6 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use flow::Document;
-use flow::Revisions;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
@@ -66,9 +65,9 @@
     StatusCode::SERVICE_UNAVAILABLE
 }
 
-async fn changes(State(context): State<Context>, Query(held): Query<Revisions>) -> Vec<u8> {
+async fn changes(State(context): State<Context>, Query(held): Query<relay::Query>) -> Vec<u8> {
     let core = context.shared.core();
-    let change = core.knowledge().since(held);
+    let change = core.knowledge().since(&held.into());
     relay::encode(&change)
 }
 
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flow::Revisions;
+use flow::Places;
 use platform::transport;
 use platform::transport::Transport;
 use reqwest::Method;
 use reqwest::StatusCode;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use units::Epoch;
 use units::Revision;
 use wire::Digest;
 
@@ -38,15 +39,7 @@
 
 /// Asks one instance, and takes in what it tells.
 async fn pull(transport: &Transport, from: SocketAddr, shared: &Shared) {
-    let Revisions {
-        document_at,
-        upstreams_at,
-        evacuations_at,
-    } = held(shared);
-    let path = format!(
-        "{}?document_at={document_at}&upstreams_at={upstreams_at}&evacuations_at={evacuations_at}",
-        relay::PATH
-    );
+    let path = format!("{}?{}", relay::PATH, relay::Query::from(held(shared)));
     let request = transport.request(Method::GET, from, &path, Duration::ZERO);
     let response = match request.send().await {
         Ok(response) if response.status() == StatusCode::OK => response,
@@ -70,10 +63,11 @@
     };
     let now = shared.now();
     if shared.learn(|knowledge| knowledge.take(change, now)) {
-        let Revisions {
+        let Places {
             document_at,
             upstreams_at,
             evacuations_at,
+            ..
         } = held(shared);
         log::info!(
             "peers: learnt from={from} document_at={document_at} upstreams_at={upstreams_at} evacuations_at={evacuations_at}"
@@ -81,9 +75,9 @@
     }
 }
 
-/// The revisions that this instance holds.
-pub(super) fn held(shared: &Shared) -> Revisions {
-    shared.core().knowledge().revisions()
+/// The places that this instance's knowledge stands at.
+pub(super) fn held(shared: &Shared) -> Places {
+    shared.core().knowledge().places()
 }
 
 /// Asks an instance of another zone a little later, if nobody nearer has told the same by then.
@@ -98,8 +92,26 @@
 pub(super) fn level(shared: &Shared) -> (Revision, Digest) {
     let core = shared.core();
     let knowledge = core.knowledge();
-    let parts = knowledge.parts().map(|at| at.0.to_be_bytes());
-    (knowledge.level(), Digest::of(parts.as_flattened()))
+    (knowledge.level(), Digest::of(&digested(&knowledge.places())))
+}
+
+/// What the digest of an instance's knowledge is made of. In the first epoch that is the parts' revisions: the document's number adds
+/// nothing to its place there.
+fn digested(held: &Places) -> Vec<u8> {
+    let Places {
+        document,
+        document_at,
+        upstreams_at,
+        evacuations_at,
+    } = held;
+    let parts = [document_at, upstreams_at, evacuations_at];
+    let mut bytes: Vec<u8> = parts.iter().flat_map(|at| at.revision.0.to_be_bytes()).collect();
+    if parts.iter().all(|at| at.epoch == Epoch(0)) {
+        return bytes;
+    }
+    bytes.extend(parts.iter().flat_map(|at| at.epoch.0.to_be_bytes()));
+    bytes.extend(document.unwrap_or_default().0.to_be_bytes());
+    bytes
 }
 
 /// Asks others for their knowledge, one after the other, and only while they still know more.
--- a/crates/jayquayd/src/forward/relay.rs
+++ b/crates/jayquayd/src/forward/relay.rs
@@ -1,6 +1,13 @@
-//! What an instance gives to another that asks for news: the document and the upstreams that changed, in CBOR.
+//! What instances ask one another for news with, and what they give: the document and the upstreams that changed, in CBOR.
+
+use std::fmt;
 
 use flow::Change;
+use flow::Places;
+use serde::Deserialize;
+use units::Epoch;
+use units::Position;
+use units::Revision;
 
 /// The path that other instances ask, with GET.
 pub(crate) const PATH: &str = "/v1/changes";
@@ -25,3 +32,71 @@
     }
     ciborium::from_reader(item).ok()
 }
+
+/// What an instance holds, as it stands in a question: revisions, and their epochs besides.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub(crate) struct Query {
+    document_at: Revision,
+    upstreams_at: Revision,
+    #[serde(default)]
+    evacuations_at: Revision,
+    #[serde(default)]
+    document: Option<Revision>,
+    #[serde(default)]
+    document_epoch: Epoch,
+    #[serde(default)]
+    upstreams_epoch: Epoch,
+    #[serde(default)]
+    evacuations_epoch: Epoch,
+}
+
+impl From<Places> for Query {
+    fn from(held: Places) -> Self {
+        Self {
+            document_at: held.document_at.revision,
+            upstreams_at: held.upstreams_at.revision,
+            evacuations_at: held.evacuations_at.revision,
+            document: held.document,
+            document_epoch: held.document_at.epoch,
+            upstreams_epoch: held.upstreams_at.epoch,
+            evacuations_epoch: held.evacuations_at.epoch,
+        }
+    }
+}
+
+impl From<Query> for Places {
+    fn from(query: Query) -> Self {
+        Self {
+            document: query.document,
+            document_at: Position::new(query.document_epoch, query.document_at),
+            upstreams_at: Position::new(query.upstreams_epoch, query.upstreams_at),
+            evacuations_at: Position::new(query.evacuations_epoch, query.evacuations_at),
+        }
+    }
+}
+
+impl fmt::Display for Query {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            document_at,
+            upstreams_at,
+            evacuations_at,
+            document,
+            document_epoch,
+            upstreams_epoch,
+            evacuations_epoch,
+        } = self;
+        write!(
+            f,
+            "document_at={document_at}&upstreams_at={upstreams_at}&evacuations_at={evacuations_at}"
+        )?;
+        write!(
+            f,
+            "&document_epoch={document_epoch}&upstreams_epoch={upstreams_epoch}&evacuations_epoch={evacuations_epoch}"
+        )?;
+        match document {
+            Some(document) => write!(f, "&document={document}"),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/jayquayd/src/forward/rhythm.rs
+++ b/crates/jayquayd/src/forward/rhythm.rs
@@ -16,7 +16,7 @@
 
 use rand::RngExt;
 use tokio::sync::Notify;
-use units::Revision;
+use units::Position;
 
 use super::role::Role;
 
@@ -125,9 +125,9 @@
         }
     }
 
-    /// Waits until others have told of changes for so long that a watch since this revision should have told of them as well.
+    /// Waits until others have told of changes for so long that a watch since this place should have told of them as well.
     /// `held_at` gives what is held now.
-    pub async fn overtaken(&self, since: Revision, held_at: impl Fn() -> Revision) {
+    pub async fn overtaken(&self, since: Position, held_at: impl Fn() -> Position) {
         let mut overtaken_at = None;
         loop {
             tokio::time::sleep(OVERTAKEN / 4).await;
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -12,7 +12,7 @@
 use flow::Knowledge;
 use membership::Membership;
 use tokio::sync::Notify;
-use units::Revision;
+use units::Position;
 use units::Time;
 
 use crate::clock::Clock;
@@ -37,8 +37,8 @@
     /// What was told may have led to decisions that no packet carries out.
     decided: Notify,
     is_stopping: AtomicBool,
-    /// The revision of a document in the store that can't be read, or zero.
-    unreadable_document: AtomicU64,
+    /// The place of a document in the store that can't be read.
+    unreadable_document: Mutex<Option<Position>>,
     last_packet: AtomicU64,
     grown_at: AtomicU64,
 }
@@ -55,7 +55,7 @@
                 awaited: Notify::new(),
                 decided: Notify::new(),
                 is_stopping: AtomicBool::new(false),
-                unreadable_document: AtomicU64::new(0),
+                unreadable_document: Mutex::default(),
                 last_packet: AtomicU64::new(0),
                 grown_at: AtomicU64::new(0),
             }),
@@ -146,18 +146,23 @@
         self.inner.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// The store's revision at which this instance last saw a document that can't be read, so that an earlier one stays in
-    /// force.
-    pub(crate) fn unreadable_document(&self) -> Option<Revision> {
-        let at = self.inner.unreadable_document.load(Ordering::Relaxed);
-        (at > 0).then_some(Revision(at))
+    fn unreadable(&self) -> MutexGuard<'_, Option<Position>> {
+        self.inner
+            .unreadable_document
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes the revision of a document that can't be read, or that the last one that was seen can be. Tells whether that is
+    /// The place in the store's history at which this instance last saw a document that can't be read, so that an earlier one stays
+    /// in force.
+    pub(crate) fn unreadable_document(&self) -> Option<Position> {
+        *self.unreadable()
+    }
+
+    /// Notes the place of a document that can't be read, or that the last one that was seen can be. Tells whether that is
     /// news.
-    pub(crate) fn note_document(&self, unreadable_at: Option<Revision>) -> bool {
-        let at = unreadable_at.unwrap_or_default().0;
-        self.inner.unreadable_document.swap(at, Ordering::Relaxed) != at
+    pub(crate) fn note_document(&self, unreadable_at: Option<Position>) -> bool {
+        std::mem::replace(&mut *self.unreadable(), unreadable_at) != unreadable_at
     }
 
     pub(crate) fn note_packet(&self, now: Time) {
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use units::Incarnation;
 use units::InstanceName;
+use units::Position;
 use units::Revision;
 use units::ZoneName;
 use wire::Member;
@@ -39,11 +40,11 @@
     pub document: Option<Revision>,
     /// A digest of it, in hexadecimal.
     pub document_digest: Option<String>,
-    /// The store's revision at which it has seen a document that can't be read, so that the one above stays in force.
+    /// The place in the store's history at which it has seen a document that can't be read, so that the one above stays in force.
     #[serde(default)]
-    pub unreadable_document: Option<Revision>,
-    /// The store's revision up to which it knows changes of upstreams.
-    pub upstreams_at: Revision,
+    pub unreadable_document: Option<Position>,
+    /// The place in the store's history up to which it knows changes of upstreams.
+    pub upstreams_at: Position,
     /// How many upstreams each service has that may get flows.
     pub upstreams: BTreeMap<String, usize>,
     /// Upstreams that get no new flows from it, or single ones on trial, as tries at them end badly.
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -14,6 +14,7 @@
 use adapter::store::Listing;
 use rand::RngExt;
 use tokio::sync::watch;
+use units::Position;
 use units::Revision;
 
 use super::rhythm::Kind;
@@ -87,6 +88,10 @@
                 tokio::select! {
                     result = store.watch_document(since, wait) => result,
                     () = rhythm.doubted(Kind::Document) => continue,
+                    () = come_back(shared, since) => {
+                        cursor = None;
+                        continue;
+                    }
                     () = rhythm.overtaken(since, || shared.core().knowledge().document_at()) => {
                         overtaken(Kind::Document, since);
                         continue;
@@ -120,26 +125,25 @@
         return is_unreadable;
     };
     let revision = document.revision;
+    let before = held_document(shared);
+    shared.learn(|knowledge| knowledge.take_document(at, document));
     let held = held_document(shared);
-    if shared.learn(|knowledge| knowledge.take_document(at, document)) {
+    if held != before && held == Some(revision) {
         log::info!("store: document in force revision={revision} at={at}");
-    } else if let Some((held_revision, held_at)) = held.filter(|held| *held != (revision, at)) {
-        log::warn!(
-            "store: document passed over revision={revision} at={at}, held revision={held_revision} at={held_at}"
-        );
+    }
+    if let Some(held) = held.filter(|held| *held > revision) {
+        log::warn!("store: document passed over revision={revision} at={at}, held revision={held}");
     }
     true
 }
 
-/// The operators' revision of the document that is held, and the store's.
-fn held_document(shared: &Shared) -> Option<(Revision, Revision)> {
-    let core = shared.core();
-    let (at, document) = core.knowledge().document()?;
-    Some((document.revision, *at))
+/// The number that operators gave the document in force.
+fn held_document(shared: &Shared) -> Option<Revision> {
+    shared.core().knowledge().places().document
 }
 
 /// Lets operators know of a document that can't be read.
-fn note_document(shared: &Shared, unreadable_at: Option<Revision>) {
+fn note_document(shared: &Shared, unreadable_at: Option<Position>) {
     let is_news = shared.note_document(unreadable_at);
     if let Some(at) = unreadable_at.filter(|_| is_news) {
         let held = shared.core().knowledge().document_at();
@@ -163,6 +167,10 @@
                 tokio::select! {
                     result = watch(store, shared, since, wait) => result,
                     () = rhythm.doubted(Kind::Upstreams) => continue,
+                    () = come_back(shared, since) => {
+                        cursor = held(shared).filter(|at| at.epoch > since.epoch);
+                        continue;
+                    }
                     () = rhythm.overtaken(since, || shared.core().knowledge().upstreams_at()) => {
                         overtaken(Kind::Upstreams, since);
                         cursor = held(shared);
@@ -187,19 +195,27 @@
     }
 }
 
+/// Waits until something is known of a later epoch than a watch's. Its revision may have been given out again, and then it waits for
+/// changes after something that it has not seen.
+async fn come_back(shared: &Shared, since: Position) {
+    shared.until(|knowledge| knowledge.epoch() > since.epoch).await;
+    // Whatever epoch others tell of, reads follow one another with a pause.
+    tokio::time::sleep(IDLE).await;
+}
+
 /// A watch tells nothing of what others have learnt, so it is asked anew.
-fn overtaken(kind: Kind, since: Revision) {
+fn overtaken(kind: Kind, since: Position) {
     log::info!("store: watch overtaken what={kind} since={since}");
 }
 
-/// The revision from which a new watcher can go on without reading the whole list: it has it from another instance.
-fn held(shared: &Shared) -> Option<Revision> {
+/// The place from which a new watcher can go on without reading the whole list: it has it from another instance.
+fn held(shared: &Shared) -> Option<Position> {
     let at = shared.core().knowledge().upstreams_at();
-    (at > Revision(0)).then_some(at)
+    (!at.is_none()).then_some(at)
 }
 
 /// Reads the list of upstreams, unless another instance tells it meanwhile.
-async fn list(store: &Store, shared: &Shared, rhythm: &Rhythm, is_seed: bool) -> Result<(Revision, bool), Error> {
+async fn list(store: &Store, shared: &Shared, rhythm: &Rhythm, is_seed: bool) -> Result<(Position, bool), Error> {
     let is_needed = || !shared.core().knowledge().is_ready();
     let was_needed = is_needed();
     let mut listing = Listing::default();
@@ -240,8 +256,8 @@
     has_changed
 }
 
-/// Reads the whole list of upstreams, and gives the store's revision.
-pub(super) async fn read_list(store: &Store, shared: &Shared) -> Result<Revision, Error> {
+/// Reads the whole list of upstreams, and gives the place that it stood at.
+pub(super) async fn read_list(store: &Store, shared: &Shared) -> Result<Position, Error> {
     let list = store.list_upstreams().await?;
     let at = list.at;
     take_list(shared, list);
@@ -257,9 +273,9 @@
 pub(super) async fn watch(
     store: &Store,
     shared: &Shared,
-    since: Revision,
+    since: Position,
     wait: Duration,
-) -> Result<(Revision, bool), Error> {
+) -> Result<(Position, bool), Error> {
     let watched = store.watch_upstreams(since, wait).await?;
     if watched.changes.is_empty() {
         return Ok((watched.at, false));
--- a/crates/jayquayd/src/forward/store/evacuations.rs
+++ b/crates/jayquayd/src/forward/store/evacuations.rs
@@ -9,9 +9,10 @@
 use adapter::store::Zones;
 use flow::Evacuations;
 use flow::Knowledge;
-use units::Revision;
+use units::Position;
 
 use super::IDLE;
+use super::come_back;
 use super::link::Link;
 use super::overtaken;
 use crate::forward::rhythm::Kind;
@@ -31,7 +32,7 @@
     // Others tell all there is to know at once as a rule, and then nothing has to be read.
     shared.until(Knowledge::has_routes_and_upstreams).await;
     loop {
-        let is_needed = held_at() == Revision(0);
+        let is_needed = held_at().is_none();
         let is_settled = shared.clock.uptime() >= SETTLED;
         let role = Role::of(shared).filter(|_| is_needed || is_settled);
         let Some(role) = role else {
@@ -46,6 +47,10 @@
                 tokio::select! {
                     result = store.watch_evacuations(since, wait) => result,
                     () = rhythm.doubted(Kind::Evacuations) => continue,
+                    () = come_back(shared, since) => {
+                        cursor = None;
+                        continue;
+                    }
                     () = rhythm.overtaken(since, held_at) => {
                         overtaken(Kind::Evacuations, since);
                         cursor = None;
@@ -68,8 +73,8 @@
     }
 }
 
-/// Reads which zones are to be emptied, and gives the store's revision.
-pub(in crate::forward) async fn read(store: &Store, shared: &Shared) -> Result<Revision, Error> {
+/// Reads which zones are to be emptied, and gives the place that they stood at.
+pub(in crate::forward) async fn read(store: &Store, shared: &Shared) -> Result<Position, Error> {
     let Zones { at, named, unreadable } = store.list_evacuations().await?;
     let read = Evacuations { at, zones: named };
     shared.learn(|knowledge| knowledge.take_evacuations(read, &unreadable));
--- a/crates/jayquayd/tests/flows/older_copy.rs
+++ b/crates/jayquayd/tests/flows/older_copy.rs
@@ -1,14 +1,23 @@
 //! The store comes back from a copy of itself that is some seconds old.
 //!
 //! Seen: a route that a document had taken away was still served four seconds after that document had been accepted, at instances that
-//! nothing had disturbed, some seconds after the store had been away for a moment.
+//! nothing had disturbed, some seconds after the store had been away for a moment. It came about by the store's return from a copy: it gave
+//! out again the revisions after that of the copy, and instances took what was written at them for older than what they held.
+//! Proved by their logs (`document passed over at=4, held at=7`), and by the same for upstreams and for zones to be emptied.
 
+use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 
+use adapter_standin::Client;
 use adapter_standin::Seen;
+use adapter_standin::Upstream;
+use flow::UpstreamId;
 
+use crate::world::PAUSE;
 use crate::world::ROUTE;
+use crate::world::TRIES;
 use crate::world::World;
+use crate::world::until;
 use crate::world::until_open;
 
 /// A route that only this document has.
@@ -42,3 +51,75 @@
         assert_eq!(taken_away, Seen::Reset);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_leaves_after_the_store_came_back_from_an_older_copy_gets_no_new_flows() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let leaving = world.upstream(0x91, "leaving", "search").await;
+    let staying = world.upstream(0x92, "staying", "search").await;
+    let instances = [world.start_ready(1).await, world.start_ready(2).await];
+    let mut client = world.client(1).await;
+    let copy = world.store.copy();
+    // Upstreams that come and go raise the revision, and are known when one that stays is.
+    for id in 0x93..0x99 {
+        let passing = world.upstream(id, "passing", "photos").await;
+        world.store.remove_upstream(UpstreamId(id));
+        drop(passing);
+    }
+    let mark = SocketAddrV4::new(*ROUTE.ip(), 444);
+    let _mark = world.upstream(0xa0, "mark", "mark").await;
+    world.store.put_document(2, &[(ROUTE, "search"), (mark, "mark")]);
+    for instance in &instances {
+        until_open(&mut client, mark, instance.packets(), &Seen::Opened).await;
+    }
+    world.store.come_back_from(&copy);
+    world
+        .store
+        .put_upstream(UpstreamId(0x91), "search", leaving.address(), "zone-a", "draining");
+    for instance in &instances {
+        until_only(&mut client, instance.packets(), &staying).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_that_is_emptied_after_the_store_came_back_from_an_older_copy_gets_no_new_flows() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _emptied = world.upstream(0xb1, "here", "search").await;
+    let other = world.upstream_in("zone-b", 0xb2, "there", "search").await;
+    let instances = [world.start_ready(1).await, world.start_ready(2).await];
+    let mut client = world.client(1).await;
+    let copy = world.store.copy();
+    for _ in 0..4 {
+        world.store.evacuate("zone-b");
+        world.store.restore("zone-b");
+    }
+    world.store.evacuate("zone-x");
+    until("both know", || {
+        [1, 2].iter().all(|number| world.log(*number).contains("zone=zone-x"))
+    })
+    .await;
+    world.store.come_back_from(&copy);
+    world.store.evacuate("zone-a");
+    for instance in &instances {
+        until_only(&mut client, instance.packets(), &other).await;
+    }
+}
+
+/// Opens flows until many in a row have gone to one upstream.
+async fn until_only(client: &mut Client, through: SocketAddr, expected: &Upstream) {
+    const MANY: u64 = 12;
+    for _ in 0..TRIES {
+        let before = expected.opened();
+        for _ in 0..MANY {
+            assert_eq!(client.open(ROUTE, through).await.unwrap(), Seen::Opened);
+            client.ask(b"q", through).await.unwrap();
+        }
+        if expected.opened() - before == MANY {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never all flows to one upstream");
+}
--- a/crates/jayquayd/tests/rhythm.rs
+++ b/crates/jayquayd/tests/rhythm.rs
@@ -108,7 +108,7 @@
     let rhythm = Rhythm::default();
     let held = Cell::new(Revision(7));
     let begin = tokio::time::Instant::now();
-    let overtaken = rhythm.overtaken(Revision(7), || held.get());
+    let overtaken = rhythm.overtaken(Revision(7).into(), || held.get().into());
     tokio::pin!(overtaken);
     let quiet = tokio::time::timeout(Duration::from_mins(1), &mut overtaken).await;
     assert!(quiet.is_err(), "without news nothing is in doubt");
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -182,12 +182,14 @@
         self.push_news(self.timing.fanout, &gossip, out);
     }
 
-    /// Sets the configuration document that this instance holds, and tells a few others at once if it is newer.
+    /// Sets the configuration document that this instance holds, and tells a few others at once if it is newer, or another one of
+    /// the same revision.
     ///
     /// Each of them fetches it and tells a few others in turn, so it is everywhere within a few round trips.
     pub fn set_document(&mut self, revision: Revision, digest: Digest, now: Time, out: &mut Vec<Output>) {
         self.advance(now);
-        if self.document.is_some_and(|(held, _)| held >= revision) {
+        let is_known = |(held, held_digest)| held > revision || (held, held_digest) == (revision, digest);
+        if self.document.is_some_and(is_known) {
             return;
         }
         self.document = Some((revision, digest));
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod id;
 mod name;
+mod position;
 mod quantity;
 mod rate;
 mod time;
@@ -21,6 +22,7 @@
 pub use name::ServiceName;
 pub use name::UpstreamName;
 pub use name::ZoneName;
+pub use position::Position;
 pub use quantity::Bytes;
 pub use quantity::ParseQuantityError;
 pub use quantity::Slots;
