Keep what an older copy of the store has lost in force for the two seconds in which it is written again

What callers would have seen: right after the store's return, upstreams that had registered last are missing from its copy, so that new flows crowd on the others; those that were leaving or had gone, and zones that operators had emptied, get new flows again. Cause: a list from the copy was taken for what holds now, where it tells what held some seconds ago. Ruled out: leaving the copy unread for two seconds, as changes that are written after the return would wait as well; a rank of writes by the upstreams' own counters, which don't rise with each write of the entry. Change: where the copy says otherwise of an upstream (missing, back, no longer leaving) or of a zone, what was known before counts for two seconds, or until something is written anew. Others are told what the store says; each instance keeps its own. A later start of an upstream, and one that leaves only now, count at once. Why it holds: after two seconds the store's word counts alone, so nobody differs from it for good.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -159,7 +159,7 @@
     /// without a change: others must hear of it, or this instance takes itself for ahead of them and asks them no more.
     pub fn learn(&mut self, now: Time, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
         let before = self.knowledge.places();
-        let evacuated = self.knowledge.evacuations().zones.clone();
+        let evacuated = self.knowledge.evacuated();
         if !change(&mut self.knowledge) && self.knowledge.places() == before {
             return false;
         }
@@ -283,6 +283,6 @@
             }
         }
         let then = now.before(self.options.max_flow * 2);
-        self.learn(now, |knowledge| knowledge.forget(then));
+        self.learn(now, |knowledge| knowledge.settle(now) | knowledge.forget(then));
     }
 }
--- a/crates/flow/src/core/evacuating.rs
+++ b/crates/flow/src/core/evacuating.rs
@@ -17,16 +17,16 @@
     ///
     /// Upstreams that got nothing for a while may have become cold, and their entries may tell so only later.
     pub(super) fn note_evacuations(&mut self, before: &BTreeSet<ZoneName>, now: Time) {
-        let evacuations = self.knowledge.evacuations();
-        if evacuations.zones == *before {
+        let after = self.knowledge.evacuated();
+        if after == *before {
             return;
         }
-        let at = evacuations.at;
-        for zone in evacuations.zones.difference(before) {
+        let at = self.knowledge.evacuations().at;
+        for zone in after.difference(before) {
             let (zone, flows) = (zone.clone(), self.flows_in(zone));
             self.decisions.push(Decision::Evacuated { zone, at, flows });
         }
-        for zone in before.difference(&evacuations.zones) {
+        for zone in before.difference(&after) {
             self.directory.chill_zone(zone, now);
             let zone = zone.clone();
             self.decisions.push(Decision::Restored { zone, at });
@@ -43,7 +43,12 @@
 
     /// The zones to be emptied, each with the number of flows that are open there, as far as they were seen here.
     pub fn evacuated(&self) -> BTreeMap<ZoneName, u32> {
-        let zones = self.knowledge.evacuations().zones.iter();
-        zones.map(|zone| (zone.clone(), self.flows_in(zone))).collect()
+        let zones = self.knowledge.evacuated().into_iter();
+        zones
+            .map(|zone| {
+                let flows = self.flows_in(&zone);
+                (zone, flows)
+            })
+            .collect()
     }
 }
--- a/crates/flow/src/entries.rs
+++ b/crates/flow/src/entries.rs
@@ -9,6 +9,7 @@
 use units::Revision;
 use units::Time;
 
+use crate::grace::Grace;
 use crate::upstream::Sighting;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
@@ -30,6 +31,15 @@
     fn is_later_start(&self, other: &Self) -> bool {
         !other.gone && other.upstream.is_earlier_start(&self.upstream)
     }
+
+    /// Whether this, which was known before the store came back from an older copy, may be later than what the copy says of the same
+    /// upstream. An upstream leaves and goes, and comes back only by another start.
+    fn may_outdate(&self, copied: &Self) -> bool {
+        if self.upstream.is_other_start(&copied.upstream) {
+            return false;
+        }
+        self.gone != copied.gone || (self.upstream.leaving && !copied.upstream.leaving)
+    }
 }
 
 /// The upstreams that an instance holds.
@@ -42,6 +52,8 @@
     by_id: BTreeMap<UpstreamId, Entry>,
     /// When each upstream went, as this instance learnt it.
     gone_since: BTreeMap<UpstreamId, Time>,
+    /// What counts in place of what an older copy of the store says. It is not told to others, who have their own.
+    kept: Grace<UpstreamId, Entry>,
 }
 
 impl Entries {
@@ -52,7 +64,8 @@
 
     /// All upstreams, also those remembered after they went.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamId, &Entry)> {
-        self.by_id.iter().map(|(id, entry)| (*id, entry))
+        let entries = self.by_id.iter();
+        entries.map(|(id, entry)| (*id, self.kept.get(id).unwrap_or(entry)))
     }
 
     /// An upstream as it was listed last, also after it went.
@@ -134,13 +147,45 @@
             };
             entries.push((*id, gone));
         }
-        if at.epoch > self.at.epoch {
-            self.begin_epoch(at);
-        }
         self.complete_since = at;
+        if at.epoch > self.at.epoch && !is_first {
+            return self.come_back(at, entries, now);
+        }
         self.apply(at, entries, now) || is_first
     }
 
+    /// Takes in all upstreams as a store holds them that has come back from an older copy.
+    fn come_back(&mut self, at: Position, entries: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
+        let before: Vec<(UpstreamId, Entry)> = self.iter().map(|(id, entry)| (id, entry.clone())).collect();
+        let gone_since = self.gone_since.clone();
+        self.begin_epoch(at);
+        let has_changed = self.apply(at, entries, now);
+        let mut kept = BTreeMap::new();
+        for (id, entry) in before {
+            if !self.by_id.get(&id).is_some_and(|copied| entry.may_outdate(copied)) {
+                continue;
+            }
+            if entry.gone {
+                self.gone_since.insert(id, gone_since.get(&id).copied().unwrap_or(now));
+            }
+            kept.insert(id, entry);
+        }
+        self.kept = Grace::begin(kept, now);
+        has_changed
+    }
+
+    /// Lets what the store says count for good once what was lost by its return has had time to be written again. Tells whether
+    /// that changes anything.
+    pub(crate) fn settle(&mut self, now: Time) -> bool {
+        let ended = self.kept.end(now);
+        for id in ended.keys() {
+            if self.by_id.get(id).is_some_and(|entry| !entry.gone) {
+                self.gone_since.remove(id);
+            }
+        }
+        !ended.is_empty()
+    }
+
     /// Revisions of an earlier epoch say nothing in a later one, where they are given out again: whatever is told there is newer.
     fn begin_epoch(&mut self, at: Position) {
         for entry in self.by_id.values_mut() {
@@ -194,6 +239,7 @@
                 continue;
             }
             has_changed = true;
+            self.kept.remove(&id);
             if entry.gone {
                 self.gone_since.entry(id).or_insert(now);
             } else {
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -105,14 +105,19 @@
         self.upstreams.upstream(id)
     }
 
-    /// The zones that operators have asked to be emptied, as they stood at a place.
+    /// The zones that operators have asked to be emptied, as the store had them at a place.
     pub fn evacuations(&self) -> &Evacuations {
         self.evacuations.current()
     }
 
-    /// Whether operators have asked for a zone to be emptied.
+    /// Whether a zone is to be emptied.
     pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
-        self.evacuations().zones.contains(zone)
+        self.evacuations.contains(zone)
+    }
+
+    /// The zones that are to be emptied here: as the store says, but for what it has lost a moment ago.
+    pub fn evacuated(&self) -> BTreeSet<ZoneName> {
+        self.evacuations.zones()
     }
 
     /// Whether flows can be placed: there are a document and a list of upstreams, and it is known which zones are to be emptied.
@@ -175,7 +180,7 @@
         let has_document = self.documents.update(change.document, change.document_at);
         let has_zones = change
             .evacuations
-            .is_some_and(|evacuations| self.evacuations.hear(evacuations));
+            .is_some_and(|evacuations| self.evacuations.hear(evacuations, now));
         let is_ahead = change.upstreams_at > self.upstreams_at();
         if change.is_whole {
             self.upstreams.replace(change.upstreams_at, change.upstreams, now);
@@ -187,8 +192,15 @@
 
     /// Takes in which zones the platform's operators ask to be emptied. Of those whose wish can't be read, the ones that are
     /// being emptied go on being so. Tells whether anything has changed.
-    pub fn take_evacuations(&mut self, read: Evacuations, unreadable: &BTreeSet<ZoneName>) -> bool {
-        self.evacuations.read(read, unreadable)
+    pub fn take_evacuations(&mut self, read: Evacuations, unreadable: &BTreeSet<ZoneName>, now: Time) -> bool {
+        self.evacuations.read(read, unreadable, now)
+    }
+
+    /// Lets what the store says count for good once what was lost by its return has had time to be written again. Tells whether
+    /// that changes anything.
+    pub fn settle(&mut self, now: Time) -> bool {
+        let upstreams = self.upstreams.settle(now);
+        self.evacuations.settle(now) || upstreams
     }
 
     /// Takes in a document. Tells whether anything has changed: what is in force, or up to where nothing is newer.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -20,6 +20,7 @@
 mod entries;
 mod evacuations;
 mod flows;
+mod grace;
 mod grounds;
 mod health;
 mod inquiry;
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -282,7 +282,7 @@
                 platform.change(|state| state.evacuate(&zone, is_asked));
             }
             Step::Zones(holder) => {
-                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new());
+                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new(), now);
             }
             Step::List(holder) => {
                 holders[holder].take_list(state.at(), state.list(), now);
@@ -322,7 +322,7 @@
                 };
                 let state = &platform.past[index];
                 holders[holder].take_list(state.at(), state.list(), now);
-                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new());
+                holders[holder].take_evacuations(state.evacuations(), &BTreeSet::new(), now);
                 if let Some((at, document)) = state.document() {
                     holders[holder].take_document(at, document);
                 }
@@ -344,13 +344,13 @@
 
 /// One holder reads everything, the others ask it. Then all hold what the platform holds.
 fn settle(platform: &State, holders: &mut [Knowledge]) {
-    let now = Time(1_000_000);
+    let now = Time(10_000_000);
     let (first, others) = holders.split_first_mut().unwrap();
     first.take_list(platform.at(), platform.list(), now);
     if let Some((at, document)) = platform.document() {
         first.take_document(at, document);
     }
-    first.take_evacuations(platform.evacuations(), &BTreeSet::new());
+    first.take_evacuations(platform.evacuations(), &BTreeSet::new(), now);
     for other in others.iter_mut() {
         ask(other, first, now);
         // Whoever knows more of one part tells so, and is asked in turn.
@@ -359,10 +359,11 @@
         assert_eq!(other.level(), first.level());
         assert_eq!(other.places(), first.places());
     }
-    for held in [&*first].into_iter().chain(&*others) {
+    for held in holders {
+        held.settle(now + Duration::from_secs(2));
         let document = held.document().map(|(_, document)| document);
         assert_eq!(document, platform.document.as_ref().map(|(_, document)| document));
-        assert_eq!(held.evacuations().zones, platform.evacuated);
+        assert_eq!(held.evacuated(), platform.evacuated);
         let listed = held.upstreams().filter(|(_, entry)| !entry.gone);
         let listed: Vec<_> = listed.map(|(id, entry)| (id, entry.upstream.clone())).collect();
         let expected: Vec<_> = platform
@@ -439,17 +440,87 @@
         zones: zones.iter().cloned().collect(),
     };
     let mut knowledge = Knowledge::awaiting_evacuations();
-    assert!(knowledge.take_evacuations(read(5, &zones[..1]), &BTreeSet::new()));
-    assert!(!knowledge.take_evacuations(read(6, &[]), &zones.iter().cloned().collect()));
+    assert!(knowledge.take_evacuations(read(5, &zones[..1]), &BTreeSet::new(), Time(0)));
+    assert!(!knowledge.take_evacuations(read(6, &[]), &zones.iter().cloned().collect(), Time(0)));
     assert!(knowledge.is_evacuated(&zones[0]) && !knowledge.is_evacuated(&zones[1]));
     assert!(
-        !knowledge.take_evacuations(read(4, &[]), &BTreeSet::new()),
+        !knowledge.take_evacuations(read(4, &[]), &BTreeSet::new(), Time(0)),
         "it is older"
     );
-    assert!(knowledge.take_evacuations(read(7, &[]), &BTreeSet::new()));
+    assert!(knowledge.take_evacuations(read(7, &[]), &BTreeSet::new(), Time(0)));
     assert!(!knowledge.is_evacuated(&zones[0]));
 }
 
+/// A copy of the store lacks an upstream that serves and a zone to be emptied, and shows an upstream that has left, one that has gone,
+/// and a zone that was taken back. Their writers write that again within two seconds. Until then what was known before counts.
+#[test]
+fn what_a_copy_has_lost_stays_in_force_for_a_moment() {
+    let listed = |id: u64, leaving| (UpstreamId(id), Revision(id), Some(upstream(leaving, 1)));
+    let zones = |zones: &[&str]| zones.iter().map(|zone| zone.parse().unwrap()).collect();
+    let evacuations = |at, named: &[&str]| Evacuations {
+        at,
+        zones: zones(named),
+    };
+    let place = |epoch, revision| Position::new(Epoch(epoch), Revision(revision));
+    let none = BTreeSet::new();
+    let second = Time(1_000_000);
+    let mut before = Knowledge::default();
+    before.take_list(
+        place(0, 10),
+        vec![listed(1, false), listed(2, true), listed(4, false)],
+        Time(0),
+    );
+    before.take_watched(place(0, 11), vec![listed(3, false)], Time(0));
+    before.take_watched(place(0, 12), vec![(UpstreamId(3), Revision(12), None)], Time(0));
+    before.take_evacuations(evacuations(place(0, 12), &["zone-a"]), &none, Time(0));
+    let copy = vec![listed(2, false), listed(3, false), listed(4, true)];
+    let shown = |knowledge: &Knowledge| {
+        let upstreams = knowledge.upstreams();
+        let upstreams = upstreams.map(|(id, entry)| (id.0, entry.gone, entry.upstream.leaving));
+        let zones: Vec<String> = knowledge.evacuated().iter().map(ToString::to_string).collect();
+        (upstreams.collect::<Vec<_>>(), zones)
+    };
+    let mut read = before.clone();
+    assert!(read.take_list(place(1, 9), copy, second));
+    assert!(read.take_evacuations(evacuations(place(1, 9), &["zone-b"]), &none, second));
+    // Whoever knew nothing before takes the copy's word, whoever did hears of the copy by others.
+    let mut newcomer = Knowledge::default();
+    newcomer.take(read.since(&newcomer.places()), second);
+    let mut told = before.clone();
+    assert!(told.take(read.since(&told.places()), second));
+    let as_copied = (
+        vec![(1, true, false), (2, false, false), (3, false, false), (4, false, true)],
+        vec!["zone-b".to_owned()],
+    );
+    assert_eq!(shown(&newcomer), as_copied);
+    for mut held in [read, told] {
+        let as_before = (
+            vec![(1, false, false), (2, false, true), (3, true, false), (4, false, true)],
+            vec!["zone-a".to_owned()],
+        );
+        assert_eq!(shown(&held), as_before);
+        assert!(held.gone_since(UpstreamId(3)).is_some());
+        assert!(!held.settle(Time(2_999_999)));
+        // What is written in the new epoch counts at once.
+        let leaving = (UpstreamId(2), Revision(13), Some(upstream(true, 1)));
+        let gone = (UpstreamId(3), Revision(13), None);
+        held.take_watched(place(1, 13), vec![leaving, gone], second);
+        held.take_evacuations(evacuations(place(1, 14), &[]), &none, second);
+        let written = (
+            vec![(1, false, false), (2, false, true), (3, true, false), (4, false, true)],
+            vec!["zone-a".to_owned()],
+        );
+        assert_eq!(shown(&held), written);
+        assert!(held.settle(Time(3_000_000)));
+        let settled = (
+            vec![(1, true, false), (2, false, true), (3, true, false), (4, false, true)],
+            Vec::new(),
+        );
+        assert_eq!(shown(&held), settled);
+        assert!(!held.settle(Time(9_000_000)));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -238,8 +238,9 @@
             zones: zones.iter().map(|zone| zone.parse().unwrap()).collect(),
         };
         let none = BTreeSet::new();
+        let now = self.now;
         self.core
-            .learn(self.now, |knowledge| knowledge.take_evacuations(read, &none));
+            .learn(now, |knowledge| knowledge.take_evacuations(read, &none, now));
         let mut out = String::new();
         self.show(&mut out);
         for (zone, flows) in self.core.evacuated() {
--- a/crates/jayquayd/src/forward/store/evacuations.rs
+++ b/crates/jayquayd/src/forward/store/evacuations.rs
@@ -77,6 +77,7 @@
 pub(in crate::forward) async fn read(store: &Store, shared: &Shared) -> Result<Position, Error> {
     let Zones { at, named, unreadable } = store.list_evacuations().await?;
     let read = Evacuations { at, zones: named };
-    shared.learn(|knowledge| knowledge.take_evacuations(read, &unreadable));
+    let now = shared.now();
+    shared.learn(|knowledge| knowledge.take_evacuations(read, &unreadable, now));
     Ok(at)
 }
