Let instances of the earlier release and of this one tell each other while a fleet is rolled out

What callers would have seen: during a roll-out on a store that has come back before, instances of the two releases could not read each other's answers, or took each other for far ahead, so that changes were late where a zone's watcher was of the other release. Cause: places got epochs, which the earlier release writes and reads nowhere. Change: questions, answers and messages say whether they tell epochs. Words without them are of the epochs held here, unless this instance has seen the store come back itself; what is told to whoever knows none is written as revisions. In the first epoch both forms are the same. Left: an instance that started after the store's return believes one of the earlier release that still holds what the store has lost, until the store's revision has passed it. That is the earlier release's own fault, and over when it is replaced.

--- a/crates/flow/src/documents.rs
+++ b/crates/flow/src/documents.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use units::Epoch;
 use units::Position;
 use units::Revision;
 
@@ -93,6 +94,22 @@
     Whole(Position, Document),
 }
 
+impl Update {
+    /// Puts all its places in one epoch.
+    pub(crate) fn set_epoch(&mut self, epoch: Epoch) {
+        match self {
+            Self::Nothing => {}
+            Self::Steps(steps) => {
+                for step in steps {
+                    step.from.epoch = epoch;
+                    step.to.epoch = epoch;
+                }
+            }
+            Self::Whole(at, _) => at.epoch = epoch,
+        }
+    }
+}
+
 /// The document that an instance holds, and the steps that led to it.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Documents {
--- a/crates/flow/src/entries.rs
+++ b/crates/flow/src/entries.rs
@@ -52,6 +52,8 @@
     by_id: BTreeMap<UpstreamId, Entry>,
     /// When each upstream went, as this instance learnt it.
     gone_since: BTreeMap<UpstreamId, Time>,
+    /// Whether the store has come back from an older copy since the first list.
+    has_come_back: bool,
     /// What counts in place of what an older copy of the store says. It is not told to others, who have their own.
     kept: Grace<UpstreamId, Entry>,
 }
@@ -62,6 +64,11 @@
         self.at
     }
 
+    /// Whether the store has come back from an older copy since the first list.
+    pub(crate) fn has_come_back(&self) -> bool {
+        self.has_come_back
+    }
+
     /// All upstreams, also those remembered after they went.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamId, &Entry)> {
         let entries = self.by_id.iter();
@@ -159,6 +166,7 @@
         let before: Vec<(UpstreamId, Entry)> = self.iter().map(|(id, entry)| (id, entry.clone())).collect();
         let gone_since = self.gone_since.clone();
         self.begin_epoch(at);
+        self.has_come_back = true;
         let has_changed = self.apply(at, entries, now);
         let mut kept = BTreeMap::new();
         for (id, entry) in before {
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -59,6 +59,9 @@
     /// The zones to be emptied, if there is something newer.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
+    /// Whether its places tell their epochs.
+    #[serde(default)]
+    pub tells_epochs: bool,
 }
 
 /// What an instance holds. Nothing here ever steps down to an older state.
@@ -151,6 +154,11 @@
         epochs.into_iter().max().unwrap_or_default()
     }
 
+    /// Whether this holder has seen the store come back from an older copy.
+    pub(crate) fn has_come_back(&self) -> bool {
+        self.upstreams.has_come_back()
+    }
+
     /// The places of all parts, by name, and the document's number.
     pub fn places(&self) -> Places {
         let [document_at, upstreams_at, evacuations_at] = self.parts();
@@ -172,6 +180,7 @@
             is_whole,
             upstreams,
             evacuations: self.evacuations.since(held.evacuations_at),
+            tells_epochs: true,
         }
     }
 
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -16,6 +16,7 @@
 mod difference;
 mod directory;
 mod documents;
+mod earlier;
 mod ejection;
 mod entries;
 mod evacuations;
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -65,6 +65,9 @@
     from: InstanceName,
     incarnation: Incarnation,
     body: Body,
+    /// Whether the sender tells epochs. Those of an earlier release don't.
+    #[serde(default)]
+    tells_epochs: bool,
 }
 
 /// What an instance tells another.
@@ -213,7 +216,12 @@
             source: from,
         };
         match message.body {
-            Body::Member(frame) => self.handle(&sender.name, message.incarnation, &frame),
+            Body::Member(mut frame) => {
+                if !message.tells_epochs {
+                    self.read_without_epochs(&mut frame);
+                }
+                self.handle(&sender.name, message.incarnation, &frame);
+            }
             Body::Reports(reports) => self.hear_reports(&sender, &reports),
             Body::Failures(reports) => failures::hear(&self.shared, &reports),
             Body::Questions(upstreams) => self.answer(&sender, &upstreams),
@@ -226,6 +234,16 @@
         }
     }
 
+    /// Lets what an instance of an earlier release knows be compared with what is known here.
+    fn read_without_epochs(&self, frame: &mut Frame) {
+        let (Frame::Probe(_, gossip) | Frame::ProbeAck(_, gossip) | Frame::News(gossip)) = frame else {
+            return;
+        };
+        gossip.document = gossip
+            .document
+            .map(|held| pull::level_without_epochs(&self.shared, held));
+    }
+
     /// Takes in a frame of the membership.
     fn handle(&self, from: &InstanceName, incarnation: Incarnation, frame: &Frame) {
         let mut out = Vec::new();
@@ -279,6 +297,7 @@
                 from: me.name.clone(),
                 incarnation: me.incarnation,
                 body,
+                tells_epochs: true,
             }
         };
         let mut bytes = Vec::with_capacity(256);
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -67,8 +67,7 @@
 
 async fn changes(State(context): State<Context>, Query(held): Query<relay::Query>) -> Vec<u8> {
     let core = context.shared.core();
-    let change = core.knowledge().since(&held.into());
-    relay::encode(&change)
+    relay::encode(&relay::answer(core.knowledge(), held))
 }
 
 async fn own_status(State(context): State<Context>) -> Json<Status> {
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flow::Knowledge;
 use flow::Places;
 use platform::transport;
 use platform::transport::Transport;
@@ -62,7 +63,14 @@
         return;
     };
     let now = shared.now();
-    if shared.learn(|knowledge| knowledge.take(change, now)) {
+    let take = |knowledge: &mut Knowledge| {
+        if change.tells_epochs {
+            return knowledge.take(change, now);
+        }
+        let change = knowledge.read_without_epochs(change);
+        change.is_some_and(|change| knowledge.take(change, now))
+    };
+    if shared.learn(take) {
         let Places {
             document_at,
             upstreams_at,
@@ -95,6 +103,16 @@
     (knowledge.level(), Digest::of(&digested(&knowledge.places())))
 }
 
+/// What an instance of an earlier release knows, which tells no epochs, as it stands to what is known here.
+pub(super) fn level_without_epochs(shared: &Shared, (level, parts): (Revision, Digest)) -> (Revision, Digest) {
+    let core = shared.core();
+    let knowledge = core.knowledge();
+    let held = knowledge.places();
+    let is_same = parts == Digest::of(&digested(&held.in_epochs(&Places::default())));
+    let parts = if is_same { Digest::of(&digested(&held)) } else { parts };
+    (knowledge.level_without_epochs(level), parts)
+}
+
 /// What the digest of an instance's knowledge is made of. In the first epoch that is the parts' revisions: the document's number adds
 /// nothing to its place there.
 fn digested(held: &Places) -> Vec<u8> {
--- a/crates/jayquayd/src/forward/relay.rs
+++ b/crates/jayquayd/src/forward/relay.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use flow::Change;
+use flow::Knowledge;
 use flow::Places;
 use serde::Deserialize;
 use units::Epoch;
@@ -40,14 +41,20 @@
     upstreams_at: Revision,
     #[serde(default)]
     evacuations_at: Revision,
-    #[serde(default)]
     document: Option<Revision>,
-    #[serde(default)]
-    document_epoch: Epoch,
-    #[serde(default)]
-    upstreams_epoch: Epoch,
-    #[serde(default)]
-    evacuations_epoch: Epoch,
+    document_epoch: Option<Epoch>,
+    upstreams_epoch: Option<Epoch>,
+    evacuations_epoch: Option<Epoch>,
+}
+
+/// What an instance is given that asks another one. One of an earlier release, which tells no epochs, gets none.
+pub(crate) fn answer(knowledge: &Knowledge, query: Query) -> Change {
+    let held = Places::from(query);
+    if query.document_epoch.is_some() {
+        return knowledge.since(&held);
+    }
+    let held = held.in_epochs(&knowledge.places());
+    knowledge.since(&held).without_epochs()
 }
 
 impl From<Places> for Query {
@@ -57,9 +64,9 @@
             upstreams_at: held.upstreams_at.revision,
             evacuations_at: held.evacuations_at.revision,
             document: held.document,
-            document_epoch: held.document_at.epoch,
-            upstreams_epoch: held.upstreams_at.epoch,
-            evacuations_epoch: held.evacuations_at.epoch,
+            document_epoch: Some(held.document_at.epoch),
+            upstreams_epoch: Some(held.upstreams_at.epoch),
+            evacuations_epoch: Some(held.evacuations_at.epoch),
         }
     }
 }
@@ -68,9 +75,9 @@
     fn from(query: Query) -> Self {
         Self {
             document: query.document,
-            document_at: Position::new(query.document_epoch, query.document_at),
-            upstreams_at: Position::new(query.upstreams_epoch, query.upstreams_at),
-            evacuations_at: Position::new(query.evacuations_epoch, query.evacuations_at),
+            document_at: Position::new(query.document_epoch.unwrap_or_default(), query.document_at),
+            upstreams_at: Position::new(query.upstreams_epoch.unwrap_or_default(), query.upstreams_at),
+            evacuations_at: Position::new(query.evacuations_epoch.unwrap_or_default(), query.evacuations_at),
         }
     }
 }
@@ -90,10 +97,16 @@
             f,
             "document_at={document_at}&upstreams_at={upstreams_at}&evacuations_at={evacuations_at}"
         )?;
-        write!(
-            f,
-            "&document_epoch={document_epoch}&upstreams_epoch={upstreams_epoch}&evacuations_epoch={evacuations_epoch}"
-        )?;
+        let epochs = [
+            ("document_epoch", document_epoch),
+            ("upstreams_epoch", upstreams_epoch),
+            ("evacuations_epoch", evacuations_epoch),
+        ];
+        for (name, epoch) in epochs {
+            if let Some(epoch) = epoch {
+                write!(f, "&{name}={epoch}")?;
+            }
+        }
         match document {
             Some(document) => write!(f, "&document={document}"),
             None => Ok(()),
--- a/crates/jayquayd/tests/flows/older_copy.rs
+++ b/crates/jayquayd/tests/flows/older_copy.rs
@@ -107,6 +107,35 @@
     }
 }
 
+/// What an instance of an earlier release reads of an answer: places are revisions.
+#[derive(Debug, serde::Deserialize)]
+struct EarlierChange {
+    upstreams_at: u64,
+    upstreams: Vec<(UpstreamId, EarlierEntry)>,
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct EarlierEntry {
+    revision: u64,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_of_an_earlier_release_can_read_what_it_is_told_after_the_store_came_back() {
+    const DIGEST_LEN: usize = 32;
+    let world = World::new().await;
+    world.store.come_back_from(&world.store.copy());
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _upstream = world.upstream(0xc1, "one", "search").await;
+    let _entry = world.start_ready(1).await;
+    let answer = world.page(1, "/v1/changes?document_at=0&upstreams_at=0").await;
+    let change: EarlierChange = ciborium::from_reader(&answer[DIGEST_LEN..]).unwrap();
+    let [(id, entry)] = change.upstreams.as_slice() else {
+        panic!("{change:?}");
+    };
+    assert_eq!(*id, UpstreamId(0xc1));
+    assert!(entry.revision <= change.upstreams_at);
+}
+
 /// Opens flows until many in a row have gone to one upstream.
 async fn until_only(client: &mut Client, through: SocketAddr, expected: &Upstream) {
     const MANY: u64 = 12;
--- a/crates/jayquayd/tests/flows/world.rs
+++ b/crates/jayquayd/tests/flows/world.rs
@@ -130,12 +130,17 @@
         fs::read_to_string(self.log_path(number)).unwrap()
     }
 
-    /// An instance's metrics, as text.
-    pub(crate) async fn metrics(&self, number: u8) -> String {
-        let url = format!("http://{}:{}/metrics", self.ip(1, number), self.peers);
+    /// A page that an instance serves to others.
+    pub(crate) async fn page(&self, number: u8, path: &str) -> Vec<u8> {
+        let url = format!("http://{}:{}{path}", self.ip(1, number), self.peers);
         let answer = reqwest::get(url).await.unwrap();
         assert!(answer.status().is_success());
-        answer.text().await.unwrap()
+        answer.bytes().await.unwrap().to_vec()
+    }
+
+    /// An instance's metrics, as text.
+    pub(crate) async fn metrics(&self, number: u8) -> String {
+        String::from_utf8(self.page(number, "/metrics").await).unwrap()
     }
 
     pub(crate) fn start(&self, number: u8) -> Instance {
