Tell two writes of one revision apart, before and after the store came back from an older copy

What callers would have seen: an upstream that has just started under its old id gets as many new flows as a warm one, where its entry stands by chance at the revision that an earlier entry of it had before the store's return. Change: the time for which an upstream is cold is taken for the same only if the entry says the same as well. Before and after: the test red, green; in one epoch a revision has one entry, so nothing differs there.

--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -54,13 +54,15 @@
 
 /// Until when an upstream is cold, by what its entry tells and by what was known before of the same start.
 ///
-/// An entry tells for how long from its writing on; it is counted from when it is first seen here, which errs on the safe side.
+/// An entry tells for how long from its writing on; it is counted from when it is first seen here, which errs on the safe side. One
+/// revision may stand for two writes, before and after the store came back from an older copy.
 fn cold_until(entry: &Entry, held: Option<&Listed>, now: Time) -> Time {
     let told = now + entry.upstream.cold_for;
     let Some(held) = held else {
         return told;
     };
-    if held.revision == entry.revision || entry.upstream.cold_for.is_zero() {
+    let is_same_write = held.revision == entry.revision && held.upstream == entry.upstream;
+    if is_same_write || entry.upstream.cold_for.is_zero() {
         return held.cold_until;
     }
     held.cold_until.max(told)
--- /dev/null
+++ b/crates/flow/tests/returned.rs
@@ -0,0 +1,72 @@
+//! What a flow path does when the store has come back from an older copy of itself.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use flow::ColdStart;
+use flow::Core;
+use flow::Document;
+use flow::Options;
+use flow::Upstream;
+use flow::UpstreamId;
+use units::Epoch;
+use units::Position;
+use units::Revision;
+use units::Slots;
+use units::Time;
+
+const COLD: Duration = Duration::from_secs(2);
+
+fn upstream(cold_for: Duration) -> Upstream {
+    Upstream {
+        service: "search".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        zone: "zone-a".parse().unwrap(),
+        slots: Slots(2),
+        leaving: false,
+        cold_for,
+        started: None,
+    }
+}
+
+/// One revision stands for two writes of an upstream's entry: before the return it served, after it it has just started.
+#[test]
+fn an_entry_of_a_revision_that_is_given_out_again_is_another_one() {
+    let at = |epoch, revision| Position::new(Epoch(epoch), Revision(revision));
+    let id = UpstreamId(1);
+    let now = Time(1);
+    let mut core = Core::new(Options {
+        zone: "zone-a".parse().unwrap(),
+        max_flow: Duration::from_mins(1),
+        awaits_evacuations: false,
+        seed: 1,
+    });
+    let cold = ColdStart {
+        lasts: COLD,
+        rate: Some("4".parse().unwrap()),
+    };
+    let document = Document {
+        revision: Revision(1),
+        routes: BTreeMap::new(),
+        idle_timeout: Duration::from_secs(15),
+        cold_starts: BTreeMap::from([("search".to_owned(), cold)]),
+    };
+    let warm = vec![(id, Revision(5), upstream(Duration::ZERO))];
+    core.learn(now, |knowledge| {
+        knowledge.take_document(at(0, 4), document) | knowledge.take_list(at(0, 10), warm, now)
+    });
+    assert_eq!(core.rationed(now), []);
+    let started = vec![(id, Revision(5), upstream(COLD))];
+    core.learn(now, |knowledge| knowledge.take_list(at(1, 5), started, now));
+    assert_eq!(core.rationed(now), [id]);
+    let kept = vec![(id, Revision(5), upstream(COLD))];
+    let later = now + COLD;
+    core.learn(later, |knowledge| knowledge.take_list(at(2, 5), kept, later));
+    assert_eq!(
+        core.rationed(later),
+        [],
+        "the same write counts from when it was first seen"
+    );
+}
