Let the store of the soak come back from older copies

The store is away for up to 2 s and comes back from a copy of up to 6 s before, every 1.5 to 5 s; what is lost is written again 1.2 s later.

--- a/crates/jayquay/src/soak.rs
+++ b/crates/jayquay/src/soak.rs
@@ -49,6 +49,8 @@
     clients: usize,
     /// Leave the ways between instances alone, as the seeds up to 500 were first run
     no_cuts: bool,
+    /// Let the store come back from older copies of itself
+    returns: bool,
     /// The daemon; without this, the one beside this program
     #[bpaf(argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -87,6 +89,7 @@
             length: Duration::from_secs(args.seconds),
             instances: args.instances.max(1),
             cuts: !args.no_cuts,
+            returns: args.returns,
             clients: args.clients,
             binary: binary.clone(),
             folder: args.logs.join(format!("seed-{seed}")),
--- a/crates/jayquayd/tests/soak.rs
+++ b/crates/jayquayd/tests/soak.rs
@@ -12,15 +12,17 @@
     instances: usize,
     clients: usize,
     cuts: bool,
+    returns: bool,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 10] = [
     Case {
         seed: 1,
         seconds: 6,
         instances: 2,
         clients: 6,
         cuts: false,
+        returns: false,
     },
     Case {
         seed: 2,
@@ -28,6 +30,7 @@
         instances: 2,
         clients: 6,
         cuts: false,
+        returns: false,
     },
     Case {
         seed: 3,
@@ -35,6 +38,7 @@
         instances: 2,
         clients: 6,
         cuts: true,
+        returns: false,
     },
     Case {
         seed: 4,
@@ -42,6 +46,23 @@
         instances: 3,
         clients: 6,
         cuts: true,
+        returns: false,
+    },
+    Case {
+        seed: 5,
+        seconds: 6,
+        instances: 2,
+        clients: 6,
+        cuts: false,
+        returns: true,
+    },
+    Case {
+        seed: 6,
+        seconds: 6,
+        instances: 3,
+        clients: 6,
+        cuts: true,
+        returns: true,
     },
     // All instances are killed twice while the store refuses: opening packets that had waited together in the sockets of
     // two instances were taken for upstreams that do not answer, and open flows were reset.
@@ -51,6 +72,7 @@
         instances: 3,
         clients: 12,
         cuts: false,
+        returns: false,
     },
     // The same at an instance that was paused for three seconds right after all had been killed.
     Case {
@@ -59,6 +81,7 @@
         instances: 3,
         clients: 12,
         cuts: false,
+        returns: false,
     },
     // Watches on connections that were up and brought nothing waited for up to 8 s, at all watchers at once: a leaving
     // upstream got a flow after the bound.
@@ -68,6 +91,17 @@
         instances: 3,
         clients: 12,
         cuts: true,
+        returns: false,
+    },
+    // The store came back from copies and gave out revisions anew: what was written then was taken for older than what was held, so
+    // that all instances kept an old document, and a leaving upstream got flows.
+    Case {
+        seed: 7_002,
+        seconds: 8,
+        instances: 3,
+        clients: 12,
+        cuts: true,
+        returns: true,
     },
 ];
 
@@ -79,6 +113,7 @@
         instances: case.instances,
         clients: case.clients,
         cuts: case.cuts,
+        returns: case.returns,
         binary: PathBuf::from(env!("CARGO_BIN_EXE_jayquayd")),
         folder,
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -14,6 +14,8 @@
     pub instances: usize,
     /// Whether the ways between instances fail as well.
     pub cuts: bool,
+    /// Whether the store comes back from older copies.
+    pub returns: bool,
     /// Clients of each of two services.
     pub clients: usize,
     /// The daemon's program.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,6 +27,8 @@
     Store(Refusal, Duration),
     /// The store forgets its history.
     Compact,
+    /// The store is away for a while, and comes back from a copy of so long ago.
+    Return(Duration, Duration),
     /// An upstream crashes; the next one starts at its address.
     Crash(usize),
     /// An upstream leaves; the next one starts beside it.
@@ -88,6 +90,8 @@
 
 /// The longest time that a fault lasts.
 const LONGEST: Duration = Duration::from_secs(4);
+/// How old a copy of the store may be.
+pub(crate) const OLDEST_COPY: Duration = Duration::from_secs(6);
 
 impl Plan {
     /// Draws a plan for so many instances and upstreams. About two faults begin in each second, so most overlap.
@@ -116,6 +120,21 @@
         self.faults.sort_by_key(|(at, _)| *at);
         self
     }
+
+    /// Adds returns of the store from older copies, one about every three seconds. They are drawn by themselves as well.
+    #[must_use]
+    pub fn with_returns(mut self, seed: u64, length: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(1));
+        let mut at = Duration::from_millis(900);
+        while at < length {
+            let away = rng.random_range(Duration::ZERO..LONGEST / 2);
+            let age = rng.random_range(Duration::ZERO..OLDEST_COPY);
+            self.faults.push((at, Fault::Return(away, age)));
+            at += Duration::from_millis(rng.random_range(1_500..5_000));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+        self
+    }
 }
 
 fn fault(rng: &mut StdRng, instances: usize, upstreams: usize) -> Fault {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -76,6 +76,9 @@
     if options.cuts {
         plan = plan.with_cuts(options.seed, options.length, instances);
     }
+    if options.returns {
+        plan = plan.with_returns(options.seed, options.length);
+    }
     world.play(&plan).await?;
     recovery::check(&mut world, &mut prober).await?;
     drop(tasks);
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -36,6 +36,8 @@
 /// One that leaves.
 #[derive(Debug)]
 struct Leaving {
+    service: &'static str,
+    zone: &'static str,
     id: UpstreamId,
     upstream: Upstream,
     since: Instant,
@@ -82,6 +84,8 @@
     next: u64,
     seats: Vec<Seat>,
     leaving: Vec<Leaving>,
+    /// Those that have ended.
+    ended: Vec<UpstreamId>,
     pub(crate) living: Living,
 }
 
@@ -93,6 +97,7 @@
             next: 0x10,
             seats: Vec::new(),
             leaving: Vec::new(),
+            ended: Vec::new(),
             living: Living::default(),
         }
     }
@@ -137,6 +142,7 @@
         self.living.end(old.id);
         old.upstream.crash().await;
         store.remove_upstream(old.id);
+        self.ended.push(old.id);
         let new = self.start(store, old.service, old.zone, address).await?;
         self.seats.insert(index, new);
         Ok(())
@@ -149,6 +155,8 @@
         let old = std::mem::replace(&mut self.seats[index], new);
         store.put_upstream(old.id, service, old.upstream.address(), zone, "draining");
         self.leaving.push(Leaving {
+            service,
+            zone,
             id: old.id,
             upstream: old.upstream,
             since: Instant::now(),
@@ -173,6 +181,22 @@
         for leaving in over {
             self.living.end(leaving.id);
             store.remove_upstream(leaving.id);
+            self.ended.push(leaving.id);
+        }
+    }
+
+    /// All write their entries again, as a store that has come back from an older copy may have lost them, and those of upstreams that
+    /// have ended lapse.
+    pub(crate) fn write_again(&self, store: &Store) {
+        for seat in &self.seats {
+            store.put_upstream(seat.id, seat.service, seat.upstream.address(), seat.zone, "ready");
+        }
+        for leaving in &self.leaving {
+            let address = leaving.upstream.address();
+            store.put_upstream(leaving.id, leaving.service, address, leaving.zone, "draining");
+        }
+        for id in &self.ended {
+            store.remove_upstream(*id);
         }
     }
 
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,5 +1,6 @@
 //! What a soak runs: instances, upstreams, the store and the ways between them, and the faults that they meet.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use adapter_standin::Copy;
 use adapter_standin::Fault as StoreFault;
 use adapter_standin::Store;
 use tokio::task::JoinSet;
@@ -20,6 +22,7 @@
 use crate::options::Options;
 use crate::plan::Cut;
 use crate::plan::Fault;
+use crate::plan::OLDEST_COPY;
 use crate::plan::Plan;
 use crate::plan::Refusal;
 use crate::plan::Way;
@@ -38,6 +41,11 @@
 /// How long a start may take before traffic begins.
 const START: Duration = Duration::from_secs(20);
 
+/// How often the store is copied.
+const COPY: Duration = Duration::from_millis(250);
+/// How long it takes until what a store has lost is written again.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
+
 /// The part of the loopback network where instances' proxies are.
 const PROXIES: u8 = 5;
 
@@ -48,6 +56,10 @@
     Open(usize),
     Heal(Cut),
     Serve,
+    /// The store comes back from a copy of so long ago.
+    Return(Duration),
+    /// What was lost by that is written again.
+    WriteAgain,
 }
 
 pub(crate) struct World {
@@ -59,6 +71,8 @@
     pub(crate) router: Router,
     pub(crate) book: Book,
     ends: Vec<(Instant, End)>,
+    /// Copies of the store, the oldest first.
+    copies: VecDeque<(Instant, Copy)>,
     pub(crate) version: u64,
     /// When the last disturbance of instances or of the store ended.
     calm_since: Instant,
@@ -131,6 +145,7 @@
             router: Router::default(),
             book: Book::new(),
             ends: Vec::new(),
+            copies: VecDeque::new(),
             version: 0,
             calm_since: Instant::now(),
             next_probe: Instant::now(),
@@ -145,6 +160,10 @@
 
     pub(crate) fn write_document(&mut self) {
         self.version += 1;
+        self.put_document();
+    }
+
+    fn put_document(&self) {
         let own = own_route(self.version);
         self.store.put_document(
             self.version,
@@ -218,6 +237,10 @@
                 self.ends.push((now + span, End::Serve));
             }
             Fault::Compact => self.store.compact(),
+            Fault::Return(away, age) => {
+                self.store.set_fault(StoreFault::Busy);
+                self.ends.push((now + away, End::Return(age)));
+            }
             Fault::Crash(index) => self.upstreams.crash(index, &self.store).await?,
             Fault::Leave(index) => self.upstreams.leave(index, &self.store).await?,
             Fault::Document => self.write_document(),
@@ -226,9 +249,32 @@
         Ok(())
     }
 
+    /// The store serves again, as it was some time ago.
+    fn come_back(&self, now: Instant, age: Duration) {
+        let is_old = |(at, _): &&(Instant, Copy)| now.duration_since(*at) >= age;
+        let copy = self.copies.iter().rfind(is_old).or(self.copies.front());
+        if let Some((_, copy)) = copy {
+            self.store.come_back_from(copy);
+        }
+        self.store.set_fault(StoreFault::None);
+    }
+
+    /// Copies the store now and then.
+    fn copy(&mut self, now: Instant) {
+        if self.copies.back().is_some_and(|(at, _)| now.duration_since(*at) < COPY) {
+            return;
+        }
+        self.copies.push_back((now, self.store.copy()));
+        let is_old = |(at, _): &(Instant, Copy)| now.duration_since(*at) > OLDEST_COPY;
+        if self.copies.front().is_some_and(is_old) {
+            self.copies.pop_front();
+        }
+    }
+
     /// Ends faults whose time is up, starts processes that have ended, and keeps the routers' rotation.
     pub(crate) async fn tend(&mut self) -> io::Result<()> {
         let now = Instant::now();
+        self.copy(now);
         let over: Vec<_> = self.ends.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, end) in over {
             self.calm_since = now;
@@ -237,6 +283,14 @@
                 End::Open(index) => self.proxies[index].set(Way::Open),
                 End::Heal(cut) => self.mesh.end(cut),
                 End::Serve => self.store.set_fault(StoreFault::None),
+                End::Return(age) => {
+                    self.come_back(now, age);
+                    self.ends.push((now + WRITTEN_AGAIN_AFTER, End::WriteAgain));
+                }
+                End::WriteAgain => {
+                    self.upstreams.write_again(&self.store);
+                    self.put_document();
+                }
             }
         }
         for instance in &mut self.instances {
