--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -158,9 +158,9 @@
     /// Changes what is known, and indexes it anew if the change says that something is new. So does a place that grows
     /// without a change: others must hear of it, or this instance takes itself for ahead of them and asks them no more.
     pub fn learn(&mut self, now: Time, change: impl FnOnce(&mut Knowledge) -> bool) -> bool {
-        let before = self.knowledge.places();
+        let before = self.knowledge.positions();
         let evacuated = self.knowledge.evacuated();
-        if !change(&mut self.knowledge) && self.knowledge.places() == before {
+        if !change(&mut self.knowledge) && self.knowledge.positions() == before {
             return false;
         }
         if let Some(&(at, ref document)) = self.knowledge.document()
--- a/crates/flow/src/earlier.rs
+++ b/crates/flow/src/earlier.rs
@@ -9,17 +9,17 @@
 
 use crate::knowledge::Change;
 use crate::knowledge::Knowledge;
-use crate::knowledge::Places;
+use crate::knowledge::Positions;
 
 impl Change {
     /// This change as whoever knows no epochs reads it.
     #[must_use]
     pub fn without_epochs(self) -> Self {
-        self.in_epochs(&Places::default())
+        self.in_epochs(&Positions::default())
     }
 
     /// This change with all its places in the epochs of other ones.
-    fn in_epochs(mut self, of: &Places) -> Self {
+    fn in_epochs(mut self, of: &Positions) -> Self {
         self.document.set_epoch(of.document_at.epoch);
         self.document_at.epoch = of.document_at.epoch;
         self.upstreams_at.epoch = of.upstreams_at.epoch;
@@ -30,7 +30,7 @@
     }
 }
 
-impl Places {
+impl Positions {
     /// These places, told by whoever knows no epochs, as they stand to what is held here.
     #[must_use]
     pub fn in_epochs(mut self, of: &Self) -> Self {
@@ -44,7 +44,7 @@
 impl Knowledge {
     /// What a change of an instance that knows no epochs says, `None` if that can't be known.
     pub fn read_without_epochs(&self, change: Change) -> Option<Change> {
-        let held = self.places();
+        let held = self.positions();
         let is_first_epoch = self.epoch() == Epoch(0);
         (is_first_epoch || !self.has_come_back()).then(|| change.in_epochs(&held))
     }
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -31,7 +31,7 @@
 
 /// The places in the store's history that a holder's knowledge stands at, zero for what it knows nothing of.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Places {
+pub struct Positions {
     /// The number that operators gave the document, if it is known.
     pub document: Option<Revision>,
     /// Up to where no document is newer.
@@ -137,7 +137,7 @@
     /// One number that differs between two holders whenever one knows more than the other.
     ///
     /// Each part only grows, so whoever has the lower sum lacks something; equal sums with different parts are told
-    /// apart by [`Knowledge::places`].
+    /// apart by [`Knowledge::positions`].
     pub fn level(&self) -> Revision {
         let parts = self.parts().into_iter().map(as_number);
         Revision(parts.fold(0, u64::saturating_add))
@@ -160,9 +160,9 @@
     }
 
     /// The places of all parts, by name, and the document's number.
-    pub fn places(&self) -> Places {
+    pub fn positions(&self) -> Positions {
         let [document_at, upstreams_at, evacuations_at] = self.parts();
-        Places {
+        Positions {
             document: self.document().map(|(_, document)| document.revision),
             document_at,
             upstreams_at,
@@ -171,7 +171,7 @@
     }
 
     /// What a holder at these places lacks.
-    pub fn since(&self, held: &Places) -> Change {
+    pub fn since(&self, held: &Positions) -> Change {
         let (is_whole, upstreams) = self.upstreams.since(held.upstreams_at);
         Change {
             document: self.documents.since(held.document, held.document_at),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -51,7 +51,7 @@
 pub use crate::grounds::Grounds;
 pub use crate::knowledge::Change;
 pub use crate::knowledge::Knowledge;
-pub use crate::knowledge::Places;
+pub use crate::knowledge::Positions;
 pub use crate::loss::Sample;
 pub use crate::outcome::FailureReport;
 pub use crate::outcome::Outcome;
--- a/crates/flow/tests/earlier.rs
+++ b/crates/flow/tests/earlier.rs
@@ -6,7 +6,7 @@
 
 use flow::Change;
 use flow::Knowledge;
-use flow::Places;
+use flow::Positions;
 use flow::Update;
 use flow::Upstream;
 use flow::UpstreamId;
@@ -47,9 +47,9 @@
     let mut other = Knowledge::default();
     other.take_list(at(0, 10), vec![listed(1, 3)], NOW);
     other.take_watched(at(0, revision), vec![listed(2, revision)], NOW);
-    let held = Places {
+    let held = Positions {
         upstreams_at: at(0, 10),
-        ..Places::default()
+        ..Positions::default()
     };
     Change {
         tells_epochs: false,
@@ -88,11 +88,13 @@
 fn it_is_told_revisions_alone() {
     let mut knowledge = started_at(2, 10);
     knowledge.take_watched(at(2, 12), vec![listed(2, 12)], NOW);
-    let held = Places {
+    let held = Positions {
         upstreams_at: at(0, 10),
-        ..Places::default()
+        ..Positions::default()
     };
-    let change = knowledge.since(&held.in_epochs(&knowledge.places())).without_epochs();
+    let change = knowledge
+        .since(&held.in_epochs(&knowledge.positions()))
+        .without_epochs();
     assert_eq!(change.upstreams_at, at(0, 12));
     assert_eq!((change.document, change.is_whole), (Update::Nothing, false));
     let ids: Vec<u64> = change.upstreams.iter().map(|(id, _)| id.0).collect();
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -267,7 +267,7 @@
     let mut changes = Vec::new();
     for (index, step) in steps.into_iter().enumerate() {
         let now = Time(index as u64);
-        let before: Vec<_> = holders.iter().map(Knowledge::places).collect();
+        let before: Vec<_> = holders.iter().map(Knowledge::positions).collect();
         let state = &platform.state;
         match step {
             Step::Put(id, leaving) => platform.put(id, leaving),
@@ -302,7 +302,7 @@
                 }
             }
             Step::Pull(to, from) => {
-                let held = holders[to].places();
+                let held = holders[to].positions();
                 let change = holders[from].since(&held);
                 changes.push((held.upstreams_at, change.clone()));
                 holders[to].take(change, now);
@@ -331,7 +331,7 @@
             Step::WriteAgain => platform.write_again(),
         }
         for (held, before) in holders.iter().zip(before) {
-            let after = held.places();
+            let after = held.positions();
             assert!(after.document >= before.document, "never an older document");
             assert!(after.document_at >= before.document_at);
             assert!(after.upstreams_at >= before.upstreams_at);
@@ -357,7 +357,7 @@
         ask(first, other, now);
         ask(other, first, now);
         assert_eq!(other.level(), first.level());
-        assert_eq!(other.places(), first.places());
+        assert_eq!(other.positions(), first.positions());
     }
     for held in holders {
         held.settle(now + Duration::from_secs(2));
@@ -377,8 +377,8 @@
 
 /// A holder that knows less in any part asks another one.
 fn ask(holder: &mut Knowledge, other: &Knowledge, now: Time) {
-    if holder.places() != other.places() {
-        holder.take(other.since(&holder.places()), now);
+    if holder.positions() != other.positions() {
+        holder.take(other.since(&holder.positions()), now);
     }
 }
 
@@ -485,9 +485,9 @@
     assert!(read.take_evacuations(evacuations(place(1, 9), &["zone-b"]), &none, second));
     // Whoever knew nothing before takes the copy's word, whoever did hears of the copy by others.
     let mut newcomer = Knowledge::default();
-    newcomer.take(read.since(&newcomer.places()), second);
+    newcomer.take(read.since(&newcomer.positions()), second);
     let mut told = before.clone();
-    assert!(told.take(read.since(&told.places()), second));
+    assert!(told.take(read.since(&told.positions()), second));
     let as_copied = (
         vec![(1, true, false), (2, false, false), (3, false, false), (4, false, true)],
         vec!["zone-b".to_owned()],
--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -12,7 +12,7 @@
 
 use adapter::Store;
 use adapter::store::Error;
-use flow::Places;
+use flow::Positions;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -329,7 +329,7 @@
 }
 
 /// The parts of the knowledge, the one that lags most first.
-fn parts(held: &Places, has_evacuations: bool) -> Vec<Part> {
+fn parts(held: &Positions, has_evacuations: bool) -> Vec<Part> {
     let part = |kind, at| Part { kind, at };
     let mut parts = vec![
         part(Kind::Document, held.document_at),
--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flow::Knowledge;
-use flow::Places;
+use flow::Positions;
 use platform::transport;
 use platform::transport::Transport;
 use reqwest::Method;
@@ -71,7 +71,7 @@
         change.is_some_and(|change| knowledge.take(change, now))
     };
     if shared.learn(take) {
-        let Places {
+        let Positions {
             document_at,
             upstreams_at,
             evacuations_at,
@@ -84,8 +84,8 @@
 }
 
 /// The places that this instance's knowledge stands at.
-pub(super) fn held(shared: &Shared) -> Places {
-    shared.core().knowledge().places()
+pub(super) fn held(shared: &Shared) -> Positions {
+    shared.core().knowledge().positions()
 }
 
 /// Asks an instance of another zone a little later, if nobody nearer has told the same by then.
@@ -100,23 +100,23 @@
 pub(super) fn level(shared: &Shared) -> (Revision, Digest) {
     let core = shared.core();
     let knowledge = core.knowledge();
-    (knowledge.level(), Digest::of(&digested(&knowledge.places())))
+    (knowledge.level(), Digest::of(&digested(&knowledge.positions())))
 }
 
 /// What an instance of an earlier release knows, which tells no epochs, as it stands to what is known here.
 pub(super) fn level_without_epochs(shared: &Shared, (level, parts): (Revision, Digest)) -> (Revision, Digest) {
     let core = shared.core();
     let knowledge = core.knowledge();
-    let held = knowledge.places();
-    let is_same = parts == Digest::of(&digested(&held.in_epochs(&Places::default())));
+    let held = knowledge.positions();
+    let is_same = parts == Digest::of(&digested(&held.in_epochs(&Positions::default())));
     let parts = if is_same { Digest::of(&digested(&held)) } else { parts };
     (knowledge.level_without_epochs(level), parts)
 }
 
 /// What the digest of an instance's knowledge is made of. In the first epoch that is the parts' revisions: the document's number adds
 /// nothing to its place there.
-fn digested(held: &Places) -> Vec<u8> {
-    let Places {
+fn digested(held: &Positions) -> Vec<u8> {
+    let Positions {
         document,
         document_at,
         upstreams_at,
--- a/crates/jayquayd/src/forward/relay.rs
+++ b/crates/jayquayd/src/forward/relay.rs
@@ -4,7 +4,7 @@
 
 use flow::Change;
 use flow::Knowledge;
-use flow::Places;
+use flow::Positions;
 use serde::Deserialize;
 use units::Epoch;
 use units::Position;
@@ -49,16 +49,16 @@
 
 /// What an instance is given that asks another one. One of an earlier release, which tells no epochs, gets none.
 pub(crate) fn answer(knowledge: &Knowledge, query: Query) -> Change {
-    let held = Places::from(query);
+    let held = Positions::from(query);
     if query.document_epoch.is_some() {
         return knowledge.since(&held);
     }
-    let held = held.in_epochs(&knowledge.places());
+    let held = held.in_epochs(&knowledge.positions());
     knowledge.since(&held).without_epochs()
 }
 
-impl From<Places> for Query {
-    fn from(held: Places) -> Self {
+impl From<Positions> for Query {
+    fn from(held: Positions) -> Self {
         Self {
             document_at: held.document_at.revision,
             upstreams_at: held.upstreams_at.revision,
@@ -71,7 +71,7 @@
     }
 }
 
-impl From<Query> for Places {
+impl From<Query> for Positions {
     fn from(query: Query) -> Self {
         Self {
             document: query.document,
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -139,7 +139,7 @@
 
 /// The number that operators gave the document in force.
 fn held_document(shared: &Shared) -> Option<Revision> {
-    shared.core().knowledge().places().document
+    shared.core().knowledge().positions().document
 }
 
 /// Lets operators know of a document that can't be read.
