Let a later list of one copy take nothing away from what was lost with it

What callers would have seen: where two instances had read the copy at different times, the second one's list made the first one drop upstreams that serve before the two seconds were over. Cause: an entry that is told as gone once more, at a later revision, counted as written anew. Change: it counts as no news where it was missing before. Before and after: the scenario of what a copy has lost, with another holder's later list, red and green.

--- a/crates/flow/src/entries.rs
+++ b/crates/flow/src/entries.rs
@@ -247,7 +247,11 @@
                 continue;
             }
             has_changed = true;
-            self.kept.remove(&id);
+            // Others may have missed it in a later list of the same copy, which is no news.
+            let is_still_missing = entry.gone && held.is_some_and(|held| held.gone);
+            if !is_still_missing {
+                self.kept.remove(&id);
+            }
             if entry.gone {
                 self.gone_since.entry(id).or_insert(now);
             } else {
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -501,6 +501,12 @@
         assert_eq!(shown(&held), as_before);
         assert!(held.gone_since(UpstreamId(3)).is_some());
         assert!(!held.settle(Time(2_999_999)));
+        // Another one has read a later list of the same copy.
+        let mut other = before.clone();
+        let copy = vec![listed(2, false), listed(3, false), listed(4, true)];
+        other.take_list(place(1, 11), copy, second);
+        held.take(other.since(&held.positions()), second);
+        assert_eq!(shown(&held), as_before);
         // What is written in the new epoch counts at once.
         let leaving = (UpstreamId(2), Revision(13), Some(upstream(true, 1)));
         let gone = (UpstreamId(3), Revision(13), None);
