Try: reset flows of upstreams whose address another one answers at

Cause it is meant for: requests on flows to an upstream that has died and whose successor has its address wait until their time limit (584 of them after a zone lost power). Which of two came later goes by the entries' revisions, which say nothing across epochs of the store.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -7,6 +7,7 @@
 mod opening;
 mod silence;
 mod standings;
+mod succession;
 mod warming;
 
 use std::collections::BTreeMap;
