--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -7,7 +7,6 @@
 mod opening;
 mod silence;
 mod standings;
-mod succession;
 mod warming;
 
 use std::collections::BTreeMap;
--- a/crates/flow/src/core/carrying.rs
+++ b/crates/flow/src/core/carrying.rs
@@ -76,9 +76,6 @@
         if progress.is_revived {
             self.note_revived(id, now, now);
         }
-        if let Some(at) = sign.reached {
-            self.note_holder(id, at, now);
-        }
         self.note_waits(id, sign);
         self.note_tries(key, id, sign, now);
         sign
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -121,8 +121,6 @@
             if !self.bears(id, listed, health, now) {
                 continue;
             }
-            let is_doubted = tier == Tier::Ready && self.is_doubted(id, listed, health, now);
-            let tier = if is_doubted { Tier::Suspect } else { tier };
             let view = View::new(listed, health.unwrap_or(&unused), now);
             peers.add(view, listed.upstream.zone == *zone);
             seen.push((id, listed, tier, view));
@@ -155,9 +153,6 @@
     let Some(health) = health else {
         return Some(Tier::Ready);
     };
-    if health.is_replaced() {
-        return None;
-    }
     if health.is_avoided(now) {
         return Some(Tier::Suspect);
     }
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -236,24 +236,18 @@
     /// Ends all flows of an upstream that is taken for dead, also those that are silent: a client whose flow is reset
     /// before its next request opens another one in time, and loses nothing.
     pub(super) fn give_up(&mut self, id: UpstreamId, was_dead: bool, grounds: Grounds) {
-        let flows = self.end_flows(id);
+        let flows = self.flows.take_of(id);
         let Some(health) = self.health.get_mut(&id) else {
             return;
         };
         health.flows = 0;
-        if !was_dead || flows > 0 {
+        if !was_dead || !flows.is_empty() {
             self.decisions.push(Decision::Died {
                 upstream: id,
                 grounds,
-                flows,
+                flows: flows.len(),
             });
         }
-    }
-
-    /// Ends all flows of an upstream towards their clients, and tells how many there were.
-    pub(super) fn end_flows(&mut self, id: UpstreamId) -> usize {
-        let flows = self.flows.take_of(id);
-        let count = flows.len();
         for (key, flow) in flows {
             if flow.stage == Stage::Opening {
                 continue;
@@ -266,7 +260,6 @@
                 cause: ResetCause::Dead,
             });
         }
-        count
     }
 
     /// Whether a flow waits for an upstream that answers nobody: its data was sent again so often, and so many other flows
--- a/crates/flow/src/core/standings.rs
+++ b/crates/flow/src/core/standings.rs
@@ -151,8 +151,6 @@
         health.silence_round = standing.round;
         health.take_told_silent();
         self.heard.push((now, *standing));
-        let answered_at = now.before(answered_ago);
-        self.note_answer(id, answered_at, now);
-        self.end_earlier(id, answered_at);
+        self.note_answer(id, now.before(answered_ago), now);
     }
 }
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -56,15 +56,6 @@
         /// How many flows it had here.
         flows: usize,
     },
-    /// Another upstream has answered at an upstream's address, so that this one has ended and its flows are reset.
-    Replaced {
-        /// The upstream that has ended.
-        upstream: UpstreamId,
-        /// The one that has answered.
-        by: UpstreamId,
-        /// How many flows of the former were remembered here.
-        flows: usize,
-    },
     /// An upstream that was taken for dead answers again.
     Revived(UpstreamId),
     /// An upstream gets no new flows for a while, as more tries at it end badly than chance explains.
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::collections::hash_map;
-use std::net::SocketAddrV4;
 
 use units::Rate;
 use units::Revision;
@@ -25,8 +24,6 @@
     pub(crate) gone_since: Option<Time>,
     /// The revision of the entry that this was read from.
     revision: Revision,
-    /// Since when this start was known to be at its address.
-    pub(crate) since: Time,
     /// Until when it is slow after its start.
     pub(crate) cold_until: Time,
     /// What its service's upstreams bear while they are cold.
@@ -46,15 +43,6 @@
         self.cold_start?.rate.filter(|_| now < self.cold_until)
     }
 
-    /// Whether this start is told to be a later one than another, as far as it can be told: by the times of their starts, or by
-    /// which entry was written later.
-    pub(crate) fn is_later_than(&self, other: &Self) -> bool {
-        match (self.upstream.started, other.upstream.started) {
-            (Some(own), Some(others)) if own != others => own > others,
-            _ => self.revision > other.revision,
-        }
-    }
-
     /// It may be cold from now on, for as long as a start takes, if operators tell what it bears then.
     fn chill(&mut self, now: Time) {
         let Some(ColdStart { lasts, rate: Some(_) }) = self.cold_start else {
@@ -88,15 +76,12 @@
     by_echo: HashMap<Echo, Option<UpstreamId>>,
     by_service: HashMap<String, Vec<UpstreamId>>,
     by_zone: HashMap<ZoneName, Vec<UpstreamId>>,
-    /// Upstreams that were told to be at one address, as far as there are several, gone ones among them.
-    sharing: HashMap<SocketAddrV4, Vec<UpstreamId>>,
 }
 
 impl Directory {
     /// Indexes what is known. Cold times already running are kept from `earlier`.
     pub(crate) fn new(knowledge: &Knowledge, earlier: &Self, now: Time) -> Self {
         let mut directory = Self::default();
-        let mut by_address: HashMap<SocketAddrV4, Vec<UpstreamId>> = HashMap::new();
         let cold_starts = knowledge.document().map(|(_, document)| &document.cold_starts);
         for (id, entry) in knowledge.upstreams() {
             let echo = id.echo();
@@ -115,9 +100,6 @@
                 echo,
                 gone_since: knowledge.gone_since(id).filter(|_| entry.gone),
                 revision: entry.revision,
-                since: held
-                    .filter(|held| held.upstream.address == entry.upstream.address)
-                    .map_or(now, |held| held.since),
                 cold_until: cold_until(entry, held, now),
                 cold_start: cold_starts.and_then(|cold| cold.get(&entry.upstream.service).copied()),
                 is_evacuated: knowledge.is_evacuated(&entry.upstream.zone),
@@ -126,23 +108,11 @@
             directory.by_service.entry(service).or_default().push(id);
             let zone = listed.upstream.zone.clone();
             directory.by_zone.entry(zone).or_default().push(id);
-            by_address.entry(listed.upstream.address).or_default().push(id);
             directory.listed.insert(id, listed);
         }
-        by_address.retain(|_, ids| ids.len() > 1);
-        directory.sharing = by_address;
         directory
     }
 
-    /// The other upstreams that were told to be at an upstream's address, gone ones among them.
-    pub(crate) fn sharing_with(&self, id: UpstreamId) -> impl Iterator<Item = (UpstreamId, &Listed)> {
-        let address = self.get(id).map(|listed| listed.upstream.address);
-        let ids = address.and_then(|address| self.sharing.get(&address));
-        let others = ids.map(Vec::as_slice).unwrap_or_default().iter();
-        let others = others.filter(move |other| **other != id);
-        others.filter_map(|other| Some((*other, self.listed.get(other)?)))
-    }
-
     /// The one upstream that an echo stands for.
     pub(crate) fn by_echo(&self, echo: Echo) -> Option<UpstreamId> {
         self.by_echo.get(&echo).copied().flatten()
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -87,8 +87,6 @@
     stall: u32,
     /// When it was last found dead, if it has not answered since.
     dead_since: Option<Time>,
-    /// Whether another upstream has answered at its address since it last did.
-    is_replaced: bool,
     /// Whether all instances were told that it is silent, and not yet that it has answered.
     is_told_silent: bool,
     /// Since when nobody has seen it answer, when all were told so last.
@@ -115,7 +113,6 @@
             return Progress::default();
         }
         self.last_progress = at;
-        self.is_replaced = false;
         if at < self.stalled_since || at < self.silent_since {
             return Progress::default();
         }
@@ -316,18 +313,6 @@
         self.copies = 0;
     }
 
-    /// Another upstream has answered at its address.
-    pub(crate) fn note_replaced(&mut self) {
-        self.is_replaced = true;
-        self.flows = 0;
-        self.note_all_over();
-    }
-
-    /// Whether that is so.
-    pub(crate) fn is_replaced(&self) -> bool {
-        self.is_replaced
-    }
-
     /// Whether it was found dead and has not answered since.
     pub(crate) fn is_given_up(&self) -> bool {
         self.dead_since.is_some()
@@ -336,7 +321,7 @@
     /// Whether it was found dead a moment ago. Without new flows that wait in vain, this ends by itself: an upstream that
     /// nobody may try can't show that it lives.
     pub(crate) fn is_dead(&self, now: Time) -> bool {
-        self.is_replaced || self.dead_since.is_some_and(|since| now.since(since) < DEAD_KEEP)
+        self.dead_since.is_some_and(|since| now.since(since) < DEAD_KEEP)
     }
 
     /// Whether flows wait for it in vain and none should try it yet.
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Scenarios in a small language: what one instance is told, what packets come, and what becomes of them.
 //!
 //! `at MS` sets the time. `document REVISION ROUTE=SERVICE[:WEIGHT],... ...` (with lines `cold SERVICE RATE MS`) and `upstreams` (one a line: `ID SERVICE ZONE
-//! [leaving] [slots=N] [cold=MS] [started=MS] [at=ID]` (at the address of another one), `ID unreadable`
+//! [leaving] [slots=N] [cold=MS] [started=MS]`, `ID unreadable`
 //! or `ID gone`) tell what is known, `evacuated` the zones that operators ask to be emptied (one a line),
 //! `keep` the cold upstreams that this instance keeps (one a line; it shows all that are cold). `syn`, `ack`, `data`, `copy`, `fin` and `rst` send a
 //! packet of a client's flow; `+MS` lets time pass. `hear` is another instance's report, `reports` shows one's own. `short`
@@ -266,11 +266,7 @@
             }
             let value = |name: &str| words.iter().find_map(|word| word.strip_prefix(name));
             let number = u16::try_from(self.upstreams.len()).unwrap();
-            let address_of = |id: UpstreamId| self.upstreams.get(&id).map(|upstream| upstream.address);
-            let known = match value("at=") {
-                Some(other) => address_of(other.parse().unwrap()),
-                None => address_of(id),
-            };
+            let known = self.upstreams.get(&id).map(|upstream| upstream.address);
             let upstream = Upstream {
                 service: words[1].to_owned(),
                 address: known.unwrap_or(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 8_000 + number)),
@@ -513,9 +509,6 @@
                 Decision::Restarted { upstream, flows } => {
                     writeln!(out, "  {:x} has started again, {flows} flows are over", upstream.0).unwrap();
                 }
-                Decision::Replaced { upstream, by, .. } => {
-                    writeln!(out, "  {:x} has ended, {:x} has its address", upstream.0, by.0).unwrap();
-                }
                 Decision::Evacuated { zone, flows, .. } => {
                     writeln!(out, "  {zone} is to be emptied, {flows} flows are open there").unwrap();
                 }
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -60,7 +60,6 @@
             | Decision::Ejected { .. }
             | Decision::Followed(_)
             | Decision::Readmitted(_)
-            | Decision::Replaced { .. }
             | Decision::Evacuated { .. }
             | Decision::Restored { .. }
     )
@@ -146,9 +145,6 @@
         Decision::Restarted { upstream, flows } => {
             log::info!("flows: started again upstream={upstream} flows={flows} upstreams_at={upstreams_at}");
         }
-        Decision::Replaced { upstream, by, flows } => {
-            log::warn!("flows: replaced upstream={upstream} by={by} flows={flows}");
-        }
         Decision::Evacuated { zone, at, flows } => {
             log::warn!("zones: evacuated zone={zone} at={at} open_flows={flows}");
         }
