Empty a zone in the calm at the end of each soak

After the last fault operators ask for one zone to be emptied: an upstream there that gets a flow more than three seconds later is a broken promise, also after returns of the store from older copies.

--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -12,12 +12,19 @@
 use crate::violation::Violation;
 use crate::world::STEP;
 use crate::world::World;
+use crate::world::ZONES;
 use crate::world::own_route;
 
 /// How long everything may take to come back after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 
-/// After the last fault every instance holds the newest document, serves, and drains as promised.
+/// The zone that is emptied then. The services have upstreams in another one as well.
+const EMPTIED: &str = ZONES[0];
+/// How long after that is asked for its upstreams still accept flows without a fault being found.
+const EVACUATED_WITHIN: Duration = Duration::from_secs(3);
+
+/// After the last fault every instance holds the newest document, serves, drains as promised, and leads nothing new to a zone that is
+/// emptied.
 pub(crate) async fn check(world: &mut World, prober: &mut Client) -> io::Result<()> {
     if !world.until_all_ready(RECOVERY).await? {
         world
@@ -26,6 +33,7 @@
     }
     world.write_document();
     world.upstreams.leave(0, &world.store).await?;
+    world.store.evacuate(EMPTIED);
     let calm = Instant::now();
     while calm.elapsed() < LEAVES_AFTER {
         world.tend().await?;
@@ -41,6 +49,10 @@
             world.book.add(Violation::Document(text));
         }
     }
+    for id in world.upstreams.opened_in(EMPTIED, calm + EVACUATED_WITHIN) {
+        let text = format!("upstream {id} got a flow");
+        world.book.add(Violation::Evacuated(text));
+    }
     Ok(())
 }
 
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -200,6 +200,13 @@
         }
     }
 
+    /// Those of a zone that were opened a flow at later than some time.
+    pub(crate) fn opened_in(&self, zone: &str, after: Instant) -> Vec<UpstreamId> {
+        let seats = self.seats.iter().filter(|seat| seat.zone == zone);
+        let late = seats.filter(|seat| seat.upstream.last_opened().is_some_and(|at| at > after));
+        late.map(|seat| seat.id).collect()
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.seats.len()
     }
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -18,6 +18,8 @@
     WrongService(String),
     /// A leaving upstream got a new flow after the bound.
     Drained(String),
+    /// A flow was opened in a zone that is to be emptied after the bound.
+    Evacuated(String),
     /// An instance went back to an older document, or held one for too long.
     Document(String),
     /// A process ended by itself, or not in time, or not well.
@@ -33,6 +35,7 @@
             Self::Mixed(text) => write!(f, "answer mixed up: {text}"),
             Self::WrongService(text) => write!(f, "wrong service: {text}"),
             Self::Drained(text) => write!(f, "new flow after draining: {text}"),
+            Self::Evacuated(text) => write!(f, "new flow in a zone that is emptied: {text}"),
             Self::Document(text) => write!(f, "document: {text}"),
             Self::Ended(text) => write!(f, "process: {text}"),
             Self::Unserved(text) => write!(f, "not served: {text}"),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -31,7 +31,7 @@
 use crate::violation::Book;
 
 /// The zones, each with instances and upstreams.
-const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+pub(crate) const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 /// The services, each with upstreams in each zone.
 pub(crate) const SERVICES: [&str; 2] = ["search", "photos"];
 /// How often processes are looked after, and faults begin and end.
