--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -527,6 +527,34 @@
     }
 }
 
+/// An instance that started after the return has read an older document from the copy, at a later position than others hold theirs at. It
+/// still learns the newer one from them, and they learn from it that the store shows nothing newer.
+#[test]
+fn whoever_has_read_an_older_document_from_a_copy_learns_the_newer_one_from_others() {
+    let place = |epoch, revision| Position::new(Epoch(epoch), Revision(revision));
+    let document = |number| Document {
+        revision: Revision(number),
+        routes: BTreeMap::new(),
+        idle_timeout: Duration::from_secs(number),
+        cold_starts: BTreeMap::new(),
+    };
+    for has_read_the_copy_too in [false, true] {
+        let mut newcomer = Knowledge::default();
+        newcomer.take_document(place(1, 40), document(73));
+        let mut other = Knowledge::default();
+        other.take_document(place(0, 46), document(73));
+        other.take_document(place(0, 47), document(76));
+        if has_read_the_copy_too {
+            other.take_document(place(1, 40), document(73));
+        }
+        ask(&mut other, &newcomer, Time(1));
+        assert_eq!(other.document(), Some(&(place(1, 40), document(76))));
+        ask(&mut newcomer, &other, Time(1));
+        assert_eq!(newcomer.document(), other.document());
+        assert_eq!(newcomer.positions(), other.positions());
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
--- a/crates/jayquayd/tests/flows/older_copy.rs
+++ b/crates/jayquayd/tests/flows/older_copy.rs
@@ -52,6 +52,25 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_while_the_store_shows_a_copy_gets_the_newest_document_from_others() {
+    let world = World::new().await;
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let _upstream = world.upstream(0x89, "one", "search").await;
+    let first = world.start_ready(1).await;
+    let copy = world.store.copy();
+    let mut client = world.client(1).await;
+    world
+        .store
+        .put_document(2, &[(ROUTE, "search"), (own_route(2), "search")]);
+    until_open(&mut client, own_route(2), first.packets(), &Seen::Opened).await;
+    world.store.come_back_from(&copy);
+    let second = world.start_ready(2).await;
+    for instance in [&second, &first] {
+        until_open(&mut client, own_route(2), instance.packets(), &Seen::Opened).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_that_leaves_after_the_store_came_back_from_an_older_copy_gets_no_new_flows() {
     let world = World::new().await;
