Let a value that can't be read cost what hangs on it, and not the whole document

Cause: the tills' document names a kind of request that the adapter did not know (upload). Its route was refused, and with it the whole document; 88 instances waited for ever for a document that they could read. Any unknown word anywhere in a document did the same.

Ruled out: adding the word alone, which leaves the class.

What could not be read travels with the document as warnings, outside of its digest, is logged once for each cause and shown by status, metrics and jayquay flows. /api/readyz says why an instance is not ready.

--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -74,6 +74,7 @@
         routes: BTreeMap::from([("r".to_owned(), route)]),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::new(),
+        warnings: Vec::new(),
     };
     core.learn(START, |knowledge| {
         knowledge.take_list(Revision(2), list, START) | knowledge.take_document(Revision(1), document)
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -44,6 +44,7 @@
 use crate::usual::Service;
 use crate::verdict::Verdict;
 use crate::wait::Wait;
+use crate::warning::Warning;
 
 /// What an instance is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -80,6 +81,8 @@
     rng: SmallRng,
     knowledge: Knowledge,
     routes: Routes,
+    /// What can't be read of the document that the routes are of.
+    warnings: Vec<Warning>,
     directory: Directory,
     health: HashMap<UpstreamId, Health>,
     /// How long each service's upstreams take to answer at best.
@@ -119,6 +122,7 @@
             options,
             knowledge,
             routes: Routes::default(),
+            warnings: Vec::new(),
             directory: Directory::default(),
             health: HashMap::new(),
             bases: HashMap::new(),
@@ -166,6 +170,16 @@
         if let Some(&(at, ref document)) = self.knowledge.document()
             && !self.routes.are_of(at, document)
         {
+            let warnings = document
+                .warnings
+                .iter()
+                .filter(|warning| !self.warnings.contains(warning));
+            let document_number = document.revision;
+            self.decisions.extend(warnings.map(|warning| Decision::Unread {
+                document: document_number,
+                warning: warning.clone(),
+            }));
+            self.warnings.clone_from(&document.warnings);
             self.routes = Routes::new(at, document);
             let routes = &self.routes;
             self.lengths.retain(|address, _| routes.to(*address).is_some());
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -1,6 +1,7 @@
 //! What was decided, for those who have to explain it later.
 
 use units::Position;
+use units::Revision;
 use units::ZoneName;
 
 use crate::flows::FlowKey;
@@ -10,10 +11,18 @@
 use crate::packet::ResetCause;
 use crate::place::Tier;
 use crate::upstream::UpstreamId;
+use crate::warning::Warning;
 
 /// A decision that touches a flow, or a change of what is believed of an upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
+    /// A document is in force of which something can't be read that could be read of the one before, or was not there.
+    Unread {
+        /// The document's number.
+        document: Revision,
+        /// What can't be read.
+        warning: Warning,
+    },
     /// A new flow goes to an upstream.
     Placed {
         /// The flow.
--- a/crates/flow/src/documents.rs
+++ b/crates/flow/src/documents.rs
@@ -17,6 +17,7 @@
 use crate::route::Digest;
 use crate::route::Document;
 use crate::route::Route;
+use crate::warning::Warning;
 
 /// How many steps are remembered. Changes come every few seconds at most for long, and within seconds they are
 /// everywhere.
@@ -36,6 +37,9 @@
     revision: Revision,
     idle_timeout: Duration,
     cold_starts: BTreeMap<String, ColdStart>,
+    /// What could not be read of the document after.
+    #[serde(default)]
+    warnings: Vec<Warning>,
     /// Routes that are new or different.
     set: BTreeMap<String, Route>,
     /// The names of routes that are gone.
@@ -60,6 +64,7 @@
             revision: after.revision,
             idle_timeout: after.idle_timeout,
             cold_starts: after.cold_starts.clone(),
+            warnings: after.warnings.clone(),
             set: set.map(|(name, route)| (name.clone(), route.clone())).collect(),
             removed: removed.cloned().collect(),
             digest: after.digest(),
@@ -73,6 +78,7 @@
             routes: before.routes.clone(),
             idle_timeout: self.idle_timeout,
             cold_starts: self.cold_starts.clone(),
+            warnings: self.warnings.clone(),
         };
         for name in &self.removed {
             after.routes.remove(name);
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -13,6 +13,8 @@
 use units::Revision;
 use units::Weight;
 
+use crate::warning::Warning;
+
 /// A part of a route's new flows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -93,6 +95,18 @@
     /// What the upstreams of services bear after their start, where operators tell.
     #[serde(default)]
     pub cold_starts: BTreeMap<String, ColdStart>,
+    /// What could not be read of it. It follows from the document as it was written, and decides nothing.
+    #[serde(default)]
+    pub warnings: Vec<Warning>,
+}
+
+/// The parts of a document that something hangs on, in the order in which its digest covers them.
+#[derive(Serialize)]
+struct InForce<'a> {
+    revision: Revision,
+    routes: &'a BTreeMap<String, Route>,
+    idle_timeout: Duration,
+    cold_starts: &'a BTreeMap<String, ColdStart>,
 }
 
 /// What a service's upstreams bear while they are cold: for a while after their start, and after operators have taken back that
@@ -115,9 +129,16 @@
 }
 
 impl Document {
-    /// A digest over all of it. Two instances that hold the same document compute the same.
+    /// A digest over all that something hangs on. Two instances that hold the same document compute the same.
     pub fn digest(&self) -> Digest {
-        let bytes = postcard::to_stdvec(self).expect("a document has a binary form, and a vector takes every write");
+        let in_force = InForce {
+            revision: self.revision,
+            routes: &self.routes,
+            idle_timeout: self.idle_timeout,
+            cold_starts: &self.cold_starts,
+        };
+        let bytes =
+            postcard::to_stdvec(&in_force).expect("a document has a binary form, and a vector takes every write");
         let hash = blake3::hash(&bytes);
         Digest(hash.as_bytes().first_chunk().copied().unwrap_or_default())
     }
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -213,6 +213,7 @@
             routes,
             idle_timeout: Duration::from_secs(1),
             cold_starts: BTreeMap::new(),
+            warnings: Vec::new(),
         };
         self.change(|state| {
             state.revision += 1;
@@ -451,6 +452,37 @@
     assert!(!knowledge.is_evacuated(&zones[0]));
 }
 
+/// Right after a return the copy's wish can't be read: the zone goes on being emptied, and does so once the moment has passed in which
+/// what was lost is written again.
+#[test]
+fn a_wish_that_is_unreadable_right_after_a_return_stays() {
+    let zones: BTreeSet<ZoneName> = ZONES.iter().map(|zone| zone.parse().unwrap()).collect();
+    let emptied: ZoneName = ZONES[0].parse().unwrap();
+    let place = |epoch, revision| Position::new(Epoch(epoch), Revision(revision));
+    let mut knowledge = Knowledge::awaiting_evacuations();
+    let asked = Evacuations {
+        at: place(0, 9),
+        zones: BTreeSet::from([emptied.clone()]),
+    };
+    knowledge.take_evacuations(asked, &BTreeSet::new(), Time(0));
+    let returned = |revision| Evacuations {
+        at: place(1, revision),
+        zones: BTreeSet::new(),
+    };
+    knowledge.take_evacuations(returned(3), &zones, Time(0));
+    let evacuated = |knowledge: &Knowledge| knowledge.evacuated();
+    assert_eq!(evacuated(&knowledge), BTreeSet::from([emptied.clone()]));
+    let later = Time(0) + Duration::from_secs(5);
+    knowledge.settle(later);
+    assert_eq!(evacuated(&knowledge), BTreeSet::from([emptied]));
+    knowledge.take_evacuations(returned(4), &BTreeSet::new(), later);
+    assert_eq!(
+        evacuated(&knowledge),
+        BTreeSet::new(),
+        "it can be read, and says no more"
+    );
+}
+
 /// A copy of the store lacks an upstream that serves and a zone to be emptied, and shows an upstream that has left, one that has gone,
 /// and a zone that was taken back. Their writers write that again within two seconds. Until then what was known before counts.
 #[test]
@@ -537,6 +569,7 @@
         routes: BTreeMap::new(),
         idle_timeout: Duration::from_secs(number),
         cold_starts: BTreeMap::new(),
+        warnings: Vec::new(),
     };
     for has_read_the_copy_too in [false, true] {
         let mut newcomer = Knowledge::default();
--- a/crates/flow/tests/returned.rs
+++ b/crates/flow/tests/returned.rs
@@ -52,6 +52,7 @@
         routes: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::from([("search".to_owned(), cold)]),
+        warnings: Vec::new(),
     };
     let warm = vec![(id, Revision(5), upstream(Duration::ZERO))];
     core.learn(now, |knowledge| {
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -203,6 +203,7 @@
             routes: routes.collect(),
             idle_timeout: Duration::from_secs(15),
             cold_starts,
+            warnings: Vec::new(),
         };
         self.revision += 1;
         let at = Revision(self.revision);
@@ -513,7 +514,10 @@
                     writeln!(out, "  {zone} is to be emptied, {flows} flows are open there").unwrap();
                 }
                 Decision::Restored { zone, .. } => writeln!(out, "  {zone} is taken back").unwrap(),
-                Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => {}
+                Decision::Unread { .. }
+                | Decision::Placed { .. }
+                | Decision::Reset { .. }
+                | Decision::Dropped { .. } => {}
             }
         }
     }
--- a/crates/jayquay/src/flows/error.rs
+++ b/crates/jayquay/src/flows/error.rs
@@ -15,8 +15,8 @@
     Instance(Holder, String),
     /// A holder has no document.
     NoDocument(Holder),
-    /// A holder has a document that can't be read.
-    UnreadableDocument(Holder),
+    /// A holder has a document that can't be read, and why.
+    UnreadableDocument(Holder, String),
     /// A log can't be read.
     Log(PathBuf, io::Error),
 }
@@ -27,7 +27,7 @@
             Self::Store(error) => write!(f, "the store: {error}"),
             Self::Instance(holder, why) => write!(f, "{holder}: {why}"),
             Self::NoDocument(holder) => write!(f, "{holder} holds no document"),
-            Self::UnreadableDocument(holder) => write!(f, "{holder} holds a document that can't be read"),
+            Self::UnreadableDocument(holder, why) => write!(f, "{holder} holds a document that can't be read: {why}"),
             Self::Log(path, error) => write!(f, "{}: {error}", path.display()),
         }
     }
--- a/crates/jayquay/src/flows/read.rs
+++ b/crates/jayquay/src/flows/read.rs
@@ -24,7 +24,10 @@
             let read = Store::new(address).read_document().await?;
             match read.newest {
                 Some((_, document)) => Ok(document),
-                None if read.is_unreadable => Err(Error::UnreadableDocument(holder)),
+                None if read.is_unreadable => Err(Error::UnreadableDocument(
+                    holder,
+                    read.why_unreadable.unwrap_or_default(),
+                )),
                 None => Err(Error::NoDocument(holder)),
             }
         }
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -9,6 +9,7 @@
 use bpaf::Bpaf;
 use flow::Document;
 use flow::UpstreamId;
+use flow::Warning;
 use jayquayd::forward::status;
 use jayquayd::forward::status::Status;
 use serde::Serialize;
@@ -110,6 +111,8 @@
     routes: usize,
     /// The zones that operators ask to be emptied.
     evacuated: BTreeSet<ZoneName>,
+    /// What of the document can't be read, and what holds in its place.
+    warnings: Vec<Warning>,
 }
 
 impl Stored {
@@ -119,16 +122,25 @@
             digest: document.digest().to_string(),
             routes: document.routes.len(),
             evacuated,
+            warnings: document.warnings.clone(),
         }
     }
 }
 
 /// Asks the store and the instances.
 pub async fn run(args: Args) -> Result<Report, Error> {
-    let document = read::document(Holder::Store(args.store)).await?;
-    let stored = Stored::new(&document, read::evacuations(args.store).await?);
+    let read = read::document(Holder::Store(args.store)).await;
     let given = args.instances.into_iter().flat_map(|addresses| addresses.0);
-    let instances = ask_all(given.collect()).await;
+    let given: Vec<SocketAddr> = given.collect();
+    let document = match read {
+        Err(Error::UnreadableDocument(_, why)) if !args.json => {
+            let instances = ask_all(given).await;
+            return Ok(Report::refused(unreadable(&why, &instances)));
+        }
+        read => read?,
+    };
+    let stored = Stored::new(&document, read::evacuations(args.store).await?);
+    let instances = ask_all(given).await;
     let findings = findings(&stored, &instances);
     let text = if args.json {
         output::json(&Shown {
@@ -225,6 +237,27 @@
     findings
 }
 
+/// What operators read first where the store's document can't be read: whether anything is served.
+fn unreadable(why: &str, instances: &[Asked]) -> String {
+    let answered = instances.iter().filter_map(|asked| asked.answer.as_ref().ok());
+    let held: BTreeMap<Revision, usize> =
+        answered
+            .filter_map(|status| status.document)
+            .fold(BTreeMap::new(), |mut held, revision| {
+                *held.entry(revision).or_default() += 1;
+                held
+            });
+    let mut text = if held.is_empty() {
+        format!("! nothing is served: no instance holds a document, and the store's can't be read: {why}\n")
+    } else {
+        format!("! the store's document can't be read, an earlier one stays in force: {why}\n")
+    };
+    for (revision, count) in held {
+        let _infallible = writeln!(text, "  revision {revision} is in force at {count} instances");
+    }
+    text
+}
+
 fn label(asked: &Asked) -> String {
     match &asked.name {
         Some(name) => format!("{name} at {}", asked.address),
@@ -238,8 +271,16 @@
         digest,
         routes,
         evacuated,
+        warnings,
     } = stored;
-    let mut text = format!("store: revision {revision}, digest {digest}, {routes} routes\n");
+    let mut text = format!("store: revision {revision}, digest {digest}, {routes} routes");
+    if !warnings.is_empty() {
+        let _infallible = write!(text, ", {} values that can't be read", warnings.len());
+    }
+    text.push('\n');
+    for warning in warnings {
+        let _infallible = writeln!(text, "! {warning}");
+    }
     for asked in instances {
         let Ok(status) = &asked.answer else {
             continue;
--- a/crates/jayquay/tests/flows.rs
+++ b/crates/jayquay/tests/flows.rs
@@ -19,6 +19,7 @@
 use fleet::process::daemon;
 use fleet::wait_for;
 use flow::UpstreamId;
+use serde_json::json;
 
 const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 const OTHER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 444);
@@ -147,3 +148,57 @@
         "{text}"
     );
 }
+
+/// A document that no instance can read is the first thing that an operator sees, and whether anything is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_cannot_be_read_stands_in_the_first_line() {
+    let store = Store::start().await.unwrap();
+    let upstream = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+    store.put_upstream(UpstreamId(0xa1), "search", upstream, "zone-a", "ready");
+    let unusable = json!({"version": 4, "routes": [{"name": "feed", "host": "later", "service": "search"}]});
+    store.put("config", "main", unusable.clone());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("flows-unreadable");
+    fs::create_dir_all(&folder).unwrap();
+    let [first, _] = peers(62);
+    let _one = start(&folder, "entry-1", first, first, &store);
+    let stored = store.address().to_string();
+    let named = first.to_string();
+    let status = || run(&["flows", "status", "--store", &stored, "--instance", &named]);
+    let log = folder.join("entry-1.log");
+    wait_for("the instance has read it", || {
+        let log = fs::read_to_string(&log).unwrap_or_default();
+        log.contains("store: nothing is served, document unreadable")
+    });
+    let (code, text) = status();
+    assert_eq!(code, Some(1));
+    assert!(
+        text.starts_with("! nothing is served: no instance holds a document"),
+        "{text}"
+    );
+    assert!(text.lines().next().unwrap().contains("route feed: address"), "{text}");
+
+    store.put_document(5, &[(ROUTE, "search")]);
+    wait_for("a later one is in force", || status().0 == Some(0));
+    let mut later = unusable;
+    later["version"] = json!(6);
+    store.put("config", "main", later);
+    wait_for("the earlier one stays in force", || {
+        let (_, text) = status();
+        text.starts_with("! the store's document can't be read, an earlier one stays in force")
+            && text.contains("  revision 5 is in force at 1 instances")
+    });
+
+    let unknown = json!({
+        "version": 7,
+        "routes": [{"name": "feed", "host": "198.18.0.1", "path_prefix": "/443/", "type": "stream", "service": "search"}],
+        "limits": {"idle_timeout_ms": 1_000},
+    });
+    store.put("config", "main", unknown);
+    let warning = "! route feed: kind \"stream\" can't be read, requests run once at most";
+    wait_for("one with an unknown word is in force, and its warning is shown", || {
+        let (code, text) = status();
+        code == Some(0) && text.lines().nth(1) == Some(warning)
+    });
+    let log = fs::read_to_string(&log).unwrap();
+    assert_eq!(log.matches("routes: unread document=7 route feed").count(), 1, "{log}");
+}
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -62,6 +62,7 @@
             | Decision::Readmitted(_)
             | Decision::Evacuated { .. }
             | Decision::Restored { .. }
+            | Decision::Unread { .. }
     )
 }
 
@@ -148,6 +149,7 @@
         Decision::Evacuated { zone, at, flows } => {
             log::warn!("zones: evacuated zone={zone} at={at} open_flows={flows}");
         }
+        Decision::Unread { document, warning } => log::warn!("routes: unread document={document} {warning}"),
         Decision::Restored { zone, at } => log::warn!("zones: restored zone={zone} at={at}"),
     }
 }
--- a/crates/jayquayd/src/forward/figures.rs
+++ b/crates/jayquayd/src/forward/figures.rs
@@ -43,6 +43,8 @@
 fn report_knowledge(knowledge: &Knowledge) {
     let revision = knowledge.document().map(|(_, document)| document.revision);
     metric::document().set(revision.unwrap_or_default().0 as f64);
+    let warnings = knowledge.document().map_or(0, |(_, document)| document.warnings.len());
+    metric::document_warnings().set(warnings as f64);
     metric::upstreams_at().set(knowledge.upstreams_at().revision.0 as f64);
     let mut listed = 0_u32;
     let mut leaving = 0_u32;
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -58,11 +58,11 @@
 /// How many connections may wait to be accepted. A whole fleet may ask one instance at the same time.
 const BACKLOG: u32 = 1_024;
 
-async fn is_ready(State(shared): State<Shared>) -> StatusCode {
-    if shared.is_ready() {
-        return StatusCode::OK;
+async fn is_ready(State(shared): State<Shared>) -> (StatusCode, String) {
+    match shared.why_not_ready() {
+        None => (StatusCode::OK, String::new()),
+        Some(why) => (StatusCode::SERVICE_UNAVAILABLE, why),
     }
-    StatusCode::SERVICE_UNAVAILABLE
 }
 
 async fn changes(State(context): State<Context>, Query(held): Query<relay::Query>) -> Vec<u8> {
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -50,6 +50,9 @@
     /// Whether the store's document can't be read.
     gauge document_unreadable() "jayquay_flow_document_unreadable" Count
         "1 while the store holds a document that can't be read and an earlier one stays in force, else 0.";
+    /// What can't be read of the document in force.
+    gauge document_warnings() "jayquay_flow_document_warnings" Count
+        "Values of the document in force that can't be read, so that something else holds in their place.";
     /// Up to where changes of upstreams are known.
     gauge upstreams_at() "jayquay_flow_upstreams_revision" Count
         "The store's revision up to which changes of upstreams are known.";
--- a/crates/jayquayd/src/forward/shared.rs
+++ b/crates/jayquayd/src/forward/shared.rs
@@ -17,6 +17,15 @@
 
 use crate::clock::Clock;
 
+/// A document in the store that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Unreadable {
+    /// The place in the store's history at which it was seen.
+    pub(crate) at: Position,
+    /// Why it can't be read.
+    pub(crate) why: String,
+}
+
 /// What the parts of a process share. All of them run on one thread, so that locks are never waited for.
 #[derive(Debug, Clone)]
 pub(crate) struct Shared {
@@ -37,8 +46,8 @@
     /// What was told may have led to decisions that no packet carries out.
     decided: Notify,
     is_stopping: AtomicBool,
-    /// The place of a document in the store that can't be read.
-    unreadable_document: Mutex<Option<Position>>,
+    /// A document in the store that can't be read.
+    unreadable_document: Mutex<Option<Unreadable>>,
     last_packet: AtomicU64,
     grown_at: AtomicU64,
 }
@@ -146,23 +155,44 @@
         self.inner.is_stopping.load(Ordering::Relaxed)
     }
 
-    fn unreadable(&self) -> MutexGuard<'_, Option<Position>> {
+    fn unreadable(&self) -> MutexGuard<'_, Option<Unreadable>> {
         self.inner
             .unreadable_document
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The place in the store's history at which this instance last saw a document that can't be read, so that an earlier one stays
-    /// in force.
-    pub(crate) fn unreadable_document(&self) -> Option<Position> {
-        *self.unreadable()
+    /// The document that this instance last saw in the store, if it can't be read, so that an earlier one stays in force.
+    pub(crate) fn unreadable_document(&self) -> Option<Unreadable> {
+        self.unreadable().clone()
+    }
+
+    /// Notes a document that can't be read, or that the last one that was seen can be. Tells whether that is news.
+    pub(crate) fn note_document(&self, unreadable: Option<Unreadable>) -> bool {
+        let mut held = self.unreadable();
+        let is_news = *held != unreadable;
+        *held = unreadable;
+        is_news
     }
 
-    /// Notes the place of a document that can't be read, or that the last one that was seen can be. Tells whether that is
-    /// news.
-    pub(crate) fn note_document(&self, unreadable_at: Option<Position>) -> bool {
-        std::mem::replace(&mut *self.unreadable(), unreadable_at) != unreadable_at
+    /// What flows can't be led here for, in words for an operator; `None` if they can.
+    pub(crate) fn why_not_ready(&self) -> Option<String> {
+        if self.is_stopping() {
+            return Some("stopping".to_owned());
+        }
+        let core = self.core();
+        let knowledge = core.knowledge();
+        if knowledge.is_ready() {
+            return None;
+        }
+        if knowledge.document().is_some() {
+            return Some("starting: the upstreams, or the zones to be emptied, are not known yet".to_owned());
+        }
+        let why = match self.unreadable_document() {
+            Some(Unreadable { at, why }) => format!("no document: the store's of {at} can't be read: {why}"),
+            None => "starting: no document yet".to_owned(),
+        };
+        Some(why)
     }
 
     pub(crate) fn note_packet(&self, now: Time) {
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -4,6 +4,7 @@
 
 use flow::Document;
 use flow::UpstreamId;
+use flow::Warning;
 use serde::Deserialize;
 use serde::Serialize;
 use units::Incarnation;
@@ -43,6 +44,12 @@
     /// The place in the store's history at which it has seen a document that can't be read, so that the one above stays in force.
     #[serde(default)]
     pub unreadable_document: Option<Position>,
+    /// Why it can't.
+    #[serde(default)]
+    pub why_unreadable: Option<String>,
+    /// What of the document in force can't be read, and what holds in its place.
+    #[serde(default)]
+    pub warnings: Vec<Warning>,
     /// The place in the store's history up to which it knows changes of upstreams.
     pub upstreams_at: Position,
     /// How many upstreams each service has that may get flows.
@@ -65,6 +72,7 @@
     pub(crate) fn of(shared: &Shared) -> Self {
         let watches = Role::of(shared).is_some();
         let is_ready = shared.is_ready();
+        let unreadable = shared.unreadable_document();
         let core = shared.core();
         let members = shared.members();
         let knowledge = core.knowledge();
@@ -85,7 +93,9 @@
             watches,
             document: document.map(|document| document.revision),
             document_digest: document.map(|document| document.digest().to_string()),
-            unreadable_document: shared.unreadable_document(),
+            unreadable_document: unreadable.as_ref().map(|unreadable| unreadable.at),
+            why_unreadable: unreadable.map(|unreadable| unreadable.why),
+            warnings: document.map(|document| document.warnings.clone()).unwrap_or_default(),
             upstreams_at: knowledge.upstreams_at(),
             upstreams,
             ejected: core.ejected(),
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -22,6 +22,7 @@
 use super::role::Role;
 use super::settings::Settings;
 use super::shared::Shared;
+use super::shared::Unreadable;
 use link::Link;
 
 /// How many pages of the list every instance reads at its start. Where there are more, only the seeds go on at once: of a
@@ -119,7 +120,9 @@
 pub(super) fn take_document(shared: &Shared, documents: Documents) -> bool {
     let is_unreadable = documents.is_unreadable;
     if is_unreadable || documents.newest.is_some() {
-        note_document(shared, is_unreadable.then_some(documents.at));
+        let at = documents.at;
+        let unreadable = documents.why_unreadable.map(|why| Unreadable { at, why });
+        note_document(shared, unreadable);
     }
     let Some((at, document)) = documents.newest else {
         return is_unreadable;
@@ -143,11 +146,16 @@
 }
 
 /// Lets operators know of a document that can't be read.
-fn note_document(shared: &Shared, unreadable_at: Option<Position>) {
-    let is_news = shared.note_document(unreadable_at);
-    if let Some(at) = unreadable_at.filter(|_| is_news) {
-        let held = shared.core().knowledge().document_at();
-        log::warn!("store: document unreadable at={at}, the one at={held} stays in force");
+fn note_document(shared: &Shared, unreadable: Option<Unreadable>) {
+    let is_news = shared.note_document(unreadable.clone());
+    let Some(Unreadable { at, why }) = unreadable.filter(|_| is_news) else {
+        return;
+    };
+    let held = shared.core().knowledge().document_at();
+    if held.is_none() {
+        log::error!("store: nothing is served, document unreadable at={at}, no other is known error=\"{why}\"");
+    } else {
+        log::warn!("store: document unreadable at={at}, the one at={held} stays in force error=\"{why}\"");
     }
 }
 
