Let a change and a new flow cost what they touch, not how many upstreams there are

Cause: the directory was built anew whole, with a copy of each upstream's strings, for each change of what is known, and a new flow looked at all upstreams of its service. Both grow with the upstreams, not with the changes and flows of an instance.

Change: what is known, what the directory lists and what is told to others share one entry each; the directory follows the entries that have changed.

--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -47,20 +47,12 @@
         seed,
     });
     let list = (1..=upstreams).map(|id| {
-        let upstream = Upstream {
-            service: "quotes".to_owned(),
-            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
-            zone: format!("z{}", id % zones).parse().unwrap(),
-            slots: Slots(2),
-            leaving: false,
-            cold_for: Duration::ZERO,
-            started: None,
-        };
+        let upstream = upstream(id, zones);
         (UpstreamId(id), Revision(1), upstream)
     });
     let list = list.collect();
     let share = Share {
-        service: "quotes".to_owned(),
+        service: "quotes".into(),
         weight: Weight(1),
     };
     let route = Route {
@@ -82,6 +74,19 @@
     core
 }
 
+/// An upstream of the one service, in one of several zones.
+pub fn upstream(id: u64, zones: u64) -> Upstream {
+    Upstream {
+        service: "quotes".into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        zone: format!("z{}", id % zones).parse().unwrap(),
+        slots: Slots(2),
+        leaving: false,
+        cold_for: Duration::ZERO,
+        started: None,
+    }
+}
+
 /// A client's opening packet.
 pub fn packet(client: u32) -> Packet {
     Packet {
--- /dev/null
+++ b/crates/flow/examples/upstream_memory.rs
@@ -0,0 +1,77 @@
+//! What an instance holds of so many upstreams, and what changes and flows cost it: bytes by a counting allocator, times by the clock.
+
+#[path = "../benches/support/mod.rs"]
+mod support;
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use flow::Knowledge;
+use flow::Positions;
+use flow::UpstreamId;
+use peak_alloc::PeakAlloc;
+use units::Revision;
+
+use crate::support::START;
+use crate::support::core;
+use crate::support::packet;
+use crate::support::upstream;
+
+#[global_allocator]
+static ALLOCATED: PeakAlloc = PeakAlloc;
+
+const FLOWS: u32 = 2_000;
+const CHANGES: u64 = 200;
+
+/// Microseconds for each of so many, since a moment.
+fn each(began: Instant, count: u64) -> f64 {
+    began.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn main() {
+    println!("upstreams  bytes each  peak each  us a change  us for 100  us a list  us a flow");
+    for upstreams in [300_u64, 1_300, 10_000, 13_000, 26_000] {
+        let before = ALLOCATED.current_usage();
+        ALLOCATED.reset_peak_usage();
+        let mut core = core(upstreams);
+        let held = ALLOCATED.current_usage() - before;
+        let peak = ALLOCATED.peak_usage() - before;
+        let mut at = core.knowledge().upstreams_at().revision.0;
+        let mut leave = |ids: std::ops::Range<u64>, leaving| {
+            at += 1;
+            let changes = ids.map(|id| {
+                let mut upstream = upstream(id, 10);
+                upstream.leaving = leaving;
+                (UpstreamId(id), Revision(at), upstream)
+            });
+            let changes: Vec<_> = changes.collect();
+            core.learn(START, |knowledge: &mut Knowledge| {
+                knowledge.take_watched(Revision(at), changes, START)
+            });
+        };
+        let began = Instant::now();
+        for id in 1..=CHANGES {
+            leave(id..id + 1, id % 2 == 0);
+        }
+        let change = each(began, CHANGES);
+        let began = Instant::now();
+        for round in 0..CHANGES {
+            leave(1..101, round % 2 == 0);
+        }
+        let hundred = each(began, CHANGES);
+        let began = Instant::now();
+        black_box(core.knowledge().since(&Positions::default()));
+        let list = each(began, 1);
+        let began = Instant::now();
+        for client in 0..FLOWS {
+            black_box(core.packet(&packet(client), START));
+            core.take_decisions();
+        }
+        let flow = each(began, u64::from(FLOWS));
+        println!(
+            "{upstreams:9}  {:10}  {:9}  {change:11.1}  {hundred:10.1}  {list:9.0}  {flow:9.1}",
+            held as u64 / upstreams,
+            peak as u64 / upstreams,
+        );
+    }
+}
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use units::Time;
@@ -24,6 +25,7 @@
 use crate::checks::Checks;
 use crate::decision::Decision;
 use crate::directory::Directory;
+use crate::directory::Followed;
 use crate::flows::FlowKey;
 use crate::flows::Flows;
 use crate::health::Health;
@@ -46,6 +48,9 @@
 use crate::wait::Wait;
 use crate::warning::Warning;
 
+/// How many places there are to begin at where upstreams take turns: far more than there are turns.
+const FIRST_TURNS: u64 = 1 << 20;
+
 /// What an instance is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -64,6 +69,10 @@
 pub struct Stats {
     /// Flows placed at an upstream, copies of opening packets included.
     pub placed: u64,
+    /// Upstreams looked at for new flows.
+    pub looked_at: u64,
+    /// Entries of upstreams taken into the directory.
+    pub indexed: u64,
     /// Packets of flows forwarded.
     pub forwarded: u64,
     /// Flows reset, by cause.
@@ -79,6 +88,8 @@
 pub struct Core {
     options: Options,
     rng: SmallRng,
+    /// Where this instance begins where upstreams take turns.
+    first_turn: usize,
     knowledge: Knowledge,
     routes: Routes,
     /// What can't be read of the document that the routes are of.
@@ -95,7 +106,7 @@
     waits: Vec<Wait>,
     stats: Stats,
     /// What is usual of each service.
-    services: HashMap<String, Service>,
+    services: HashMap<CompactString, Service>,
     /// How long each route's answers are, by the address that clients dial.
     lengths: HashMap<SocketAddrV4, Length>,
     checks: Checks,
@@ -118,6 +129,7 @@
             Knowledge::default()
         };
         Self {
+            first_turn: (options.seed % FIRST_TURNS) as usize,
             rng: SmallRng::seed_from_u64(options.seed),
             options,
             knowledge,
@@ -184,14 +196,19 @@
             let routes = &self.routes;
             self.lengths.retain(|address, _| routes.to(*address).is_some());
         }
-        let earlier = std::mem::take(&mut self.directory);
-        self.directory = Directory::new(&self.knowledge, &earlier, now);
-        for id in self.directory.restarted_since(&earlier) {
+        let mut changed = self.knowledge.take_changed();
+        changed.is_all |= self.knowledge.evacuated() != evacuated;
+        let Followed { indexed, restarted } = self.directory.follow(&self.knowledge, &changed, now);
+        self.stats.indexed += indexed;
+        for id in restarted {
             self.forget_start(id);
         }
         self.note_evacuations(&evacuated, now);
-        let directory = &self.directory;
-        self.health.retain(|id, _| directory.contains(*id));
+        for id in &changed.ids {
+            if !self.directory.contains(*id) {
+                self.health.remove(id);
+            }
+        }
         true
     }
 
@@ -278,7 +295,7 @@
         match self.directory.get(id) {
             Some(listed) => Verdict::Forward {
                 upstream: id,
-                address: listed.upstream.address,
+                address: listed.upstream().address,
                 echo: listed.echo,
             },
             None => Verdict::Drop(DropCause::UnknownEcho),
--- a/crates/flow/src/core/carrying.rs
+++ b/crates/flow/src/core/carrying.rs
@@ -86,7 +86,7 @@
         let Some(listed) = self.directory.get(id) else {
             return;
         };
-        let is_at_home = listed.upstream.zone == self.options.zone;
+        let is_at_home = listed.upstream().zone == self.options.zone;
         let waits = [
             (WaitKind::Handshake, sign.opened_after),
             (WaitKind::Response, sign.waited),
--- a/crates/flow/src/core/failing.rs
+++ b/crates/flow/src/core/failing.rs
@@ -97,7 +97,7 @@
         if let Some(bytes) = sign.answered {
             self.settle_answer(key, id, bytes, now);
         }
-        let Some(service) = self.directory.get(id).map(|listed| &listed.upstream.service) else {
+        let Some(service) = self.directory.get(id).map(|listed| &listed.upstream().service) else {
             return;
         };
         let service = match self.services.get_mut(service) {
@@ -155,7 +155,7 @@
         // What is usual is what others do.
         if !was_ejected
             && let Some(listed) = self.directory.get(id)
-            && let Some(service) = self.services.get_mut(&listed.upstream.service)
+            && let Some(service) = self.services.get_mut(&listed.upstream().service)
         {
             service.tally.add(outcome, now);
             let health = self.health.entry(id).or_default();
@@ -183,7 +183,7 @@
         let Some(listed) = self.directory.get(id) else {
             return;
         };
-        let service = self.services.get(&listed.upstream.service);
+        let service = self.services.get(&listed.upstream().service);
         let health = self.health.entry(id).or_default();
         let usual = service.copied().unwrap_or_default().tally;
         let usual = usual.usual_without(&health.record.tally, now);
@@ -209,8 +209,8 @@
         };
         let mut all = 0;
         let mut ejected = 0;
-        for (other, listed) in self.directory.of_service(&listed.upstream.service) {
-            if listed.upstream.leaving || listed.gone_since.is_some() {
+        for (other, listed) in self.directory.of_service(&listed.upstream().service) {
+            if listed.upstream().leaving || listed.gone_since.is_some() {
                 continue;
             }
             all += 1;
@@ -222,7 +222,7 @@
 
     /// The availability zone of an upstream that is listed.
     pub fn zone_of(&self, id: UpstreamId) -> Option<&ZoneName> {
-        self.directory.get(id).map(|listed| &listed.upstream.zone)
+        self.directory.get(id).map(|listed| &listed.upstream().zone)
     }
 
     /// The upstreams that get no new flows now, or single ones, as tries at them end badly.
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -108,12 +108,34 @@
     }
 
     /// The best upstream for a new flow, another than `earlier` if there is one.
+    ///
+    /// Of a service with very many upstreams some take turns, and all are looked at only where none of these is in good order.
     fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
+        if let Some(next) = self.directory.next(service, &self.options.zone, self.first_turn) {
+            let best = self.best_of(&next, service, earlier, now);
+            if let Some(best) = best.filter(|best| best.tier == Tier::Ready && Some(best.id) != earlier) {
+                return Some(best);
+            }
+        }
+        let all = self.directory.all_of(service).to_vec();
+        self.best_of(&all, service, earlier, now)
+    }
+
+    /// The best of some upstreams of a service for a new flow, another than `earlier` if there is one.
+    fn best_of(
+        &mut self,
+        ids: &[UpstreamId],
+        service: &str,
+        earlier: Option<UpstreamId>,
+        now: Time,
+    ) -> Option<Candidate> {
         let zone = &self.options.zone;
         let unused = Health::default();
         let mut peers = Peers::default();
         let mut seen = Vec::new();
-        for (id, listed) in self.directory.of_service(service) {
+        let reachable = ids.iter().filter_map(|id| self.directory.reachable(*id));
+        self.stats.looked_at += ids.len() as u64;
+        for (id, listed) in reachable {
             let health = self.health.get(&id);
             let Some(tier) = tier(listed, health, now) else {
                 continue;
@@ -122,7 +144,7 @@
                 continue;
             }
             let view = View::new(listed, health.unwrap_or(&unused), now);
-            peers.add(view, listed.upstream.zone == *zone);
+            peers.add(view, listed.upstream().zone == *zone);
             seen.push((id, listed, tier, view));
         }
         peers.base = Base::update(self.bases.get(service).copied(), peers.mean_response(), now);
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -103,7 +103,7 @@
     /// show it within half a second, where one by one it took the length of a cut. An upstream that no flow waits for may
     /// live: several of its zone may have died at once. So its flows are left alone.
     fn judge_zone(&mut self, id: UpstreamId, loss: Percent, now: Time) {
-        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream.zone.clone()) else {
+        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream().zone.clone()) else {
             return;
         };
         if zone == self.options.zone {
@@ -117,7 +117,7 @@
         let home = self.options.zone.clone();
         let at_home = self.outlook(&home);
         let answered = self.answered.within(&(there.since..=there.last_since));
-        let is_home_in_order = answered.iter().any(|id| self.directory.in_zone(&home).contains(id));
+        let is_home_in_order = answered.iter().any(|id| self.zone_of(*id) == Some(&home));
         if !is_home_in_order || at_home.silent * 2 > at_home.seen {
             return;
         }
@@ -135,7 +135,7 @@
 
     /// Ends the belief that a zone is cut off, as one of its upstreams answers.
     pub(super) fn revive_zone(&mut self, id: UpstreamId) {
-        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream.zone.clone()) else {
+        let Some(zone) = self.directory.get(id).map(|listed| listed.upstream().zone.clone()) else {
             return;
         };
         if zone == self.options.zone {
--- /dev/null
+++ b/crates/flow/src/directory/echoes.rs
@@ -0,0 +1,53 @@
+//! Upstreams by their echoes. Two ids may have one echo, which then stands for neither.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::packet::Echo;
+use crate::upstream::UpstreamId;
+
+/// Upstreams by their echoes.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Echoes {
+    single: HashMap<Echo, UpstreamId>,
+    /// The ids that share an echo, two or more.
+    shared: BTreeMap<Echo, BTreeSet<UpstreamId>>,
+}
+
+impl Echoes {
+    /// The one upstream that an echo stands for.
+    pub(super) fn get(&self, echo: Echo) -> Option<UpstreamId> {
+        self.single.get(&echo).copied()
+    }
+
+    pub(super) fn insert(&mut self, echo: Echo, id: UpstreamId) {
+        if let Some(ids) = self.shared.get_mut(&echo) {
+            ids.insert(id);
+            return;
+        }
+        match self.single.insert(echo, id) {
+            Some(held) if held != id => {
+                self.single.remove(&echo);
+                self.shared.insert(echo, BTreeSet::from([held, id]));
+            }
+            Some(_) | None => {}
+        }
+    }
+
+    pub(super) fn remove(&mut self, echo: Echo, id: UpstreamId) {
+        let Some(ids) = self.shared.get_mut(&echo) else {
+            self.single.remove(&echo);
+            return;
+        };
+        ids.remove(&id);
+        if ids.len() > 1 {
+            return;
+        }
+        let last = ids.pop_first();
+        self.shared.remove(&echo);
+        if let Some(last) = last {
+            self.single.insert(echo, last);
+        }
+    }
+}
--- a/crates/flow/src/entries.rs
+++ b/crates/flow/src/entries.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -42,6 +43,15 @@
     }
 }
 
+/// Which upstreams have become different.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub(crate) struct Changed {
+    /// These.
+    pub(crate) ids: BTreeSet<UpstreamId>,
+    /// Any of them.
+    pub(crate) is_all: bool,
+}
+
 /// The upstreams that an instance holds.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Entries {
@@ -49,13 +59,15 @@
     at: Position,
     /// The place from which on all changes are remembered, those that took an upstream away among them.
     complete_since: Position,
-    by_id: BTreeMap<UpstreamId, Entry>,
+    by_id: BTreeMap<UpstreamId, Arc<Entry>>,
     /// When each upstream went, as this instance learnt it.
     gone_since: BTreeMap<UpstreamId, Time>,
     /// Whether the store has come back from an older copy since the first list.
     has_come_back: bool,
     /// What counts in place of what an older copy of the store says. It is not told to others, who have their own.
-    kept: Grace<UpstreamId, Entry>,
+    kept: Grace<UpstreamId, Arc<Entry>>,
+    /// What has become different since it was asked last.
+    changed: Changed,
 }
 
 impl Entries {
@@ -70,11 +82,22 @@
     }
 
     /// All upstreams, also those remembered after they went.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamId, &Entry)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (UpstreamId, &Arc<Entry>)> {
         let entries = self.by_id.iter();
         entries.map(|(id, entry)| (*id, self.kept.get(id).unwrap_or(entry)))
     }
 
+    /// An upstream's entry, also after it went.
+    pub(crate) fn get(&self, id: UpstreamId) -> Option<&Arc<Entry>> {
+        let entry = self.by_id.get(&id)?;
+        Some(self.kept.get(&id).unwrap_or(entry))
+    }
+
+    /// What has become different since this was asked last.
+    pub(crate) fn take_changed(&mut self) -> Changed {
+        std::mem::take(&mut self.changed)
+    }
+
     /// An upstream as it was listed last, also after it went.
     pub(crate) fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
         self.by_id.get(&id).map(|entry| &entry.upstream)
@@ -89,7 +112,7 @@
     ///
     /// A list that was read from the platform does not tell what went before. A holder from before then gets all
     /// upstreams, so that it finds out by what is missing. So does a holder of an earlier epoch.
-    pub(crate) fn since(&self, held: Position) -> (bool, Vec<(UpstreamId, Entry)>) {
+    pub(crate) fn since(&self, held: Position) -> (bool, Vec<(UpstreamId, Arc<Entry>)>) {
         let is_newer = self.at > held;
         let is_whole = is_newer && held < self.complete_since;
         let told = self.by_id.iter();
@@ -104,7 +127,7 @@
     {
         let entries = list.into_iter().filter_map(|(id, revision, sighting)| {
             let entry = self.entry(id, revision, sighting.into())?;
-            Some((id, entry))
+            Some((id, Arc::new(entry)))
         });
         let entries = entries.collect();
         self.replace(at, entries, now)
@@ -136,7 +159,7 @@
 
     /// Takes in all upstreams as they stood at a place. Those that are not told as listed have gone by then, whenever
     /// the teller learnt it.
-    pub(crate) fn replace(&mut self, at: Position, mut entries: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
+    pub(crate) fn replace(&mut self, at: Position, mut entries: Vec<(UpstreamId, Arc<Entry>)>, now: Time) -> bool {
         if at <= self.at {
             return false;
         }
@@ -152,7 +175,7 @@
                 gone: true,
                 upstream: held.upstream.clone(),
             };
-            entries.push((*id, gone));
+            entries.push((*id, Arc::new(gone)));
         }
         self.complete_since = at;
         if at.epoch > self.at.epoch && !is_first {
@@ -162,8 +185,8 @@
     }
 
     /// Takes in all upstreams as a store holds them that has come back from an older copy.
-    fn come_back(&mut self, at: Position, entries: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
-        let before: Vec<(UpstreamId, Entry)> = self.iter().map(|(id, entry)| (id, entry.clone())).collect();
+    fn come_back(&mut self, at: Position, entries: Vec<(UpstreamId, Arc<Entry>)>, now: Time) -> bool {
+        let before: Vec<(UpstreamId, Arc<Entry>)> = self.iter().map(|(id, entry)| (id, Arc::clone(entry))).collect();
         let gone_since = self.gone_since.clone();
         self.begin_epoch(at);
         self.has_come_back = true;
@@ -179,6 +202,7 @@
             kept.insert(id, entry);
         }
         self.kept = Grace::begin(kept, now);
+        self.changed.is_all = true;
         has_changed
     }
 
@@ -186,6 +210,7 @@
     /// that changes anything.
     pub(crate) fn settle(&mut self, now: Time) -> bool {
         let ended = self.kept.end(now);
+        self.changed.ids.extend(ended.keys());
         for id in ended.keys() {
             if self.by_id.get(id).is_some_and(|entry| !entry.gone) {
                 self.gone_since.remove(id);
@@ -197,7 +222,7 @@
     /// Revisions of an earlier epoch say nothing in a later one, where they are given out again: whatever is told there is newer.
     fn begin_epoch(&mut self, at: Position) {
         for entry in self.by_id.values_mut() {
-            entry.revision = Revision(0);
+            Arc::make_mut(entry).revision = Revision(0);
         }
         self.at = Position::new(at.epoch, Revision(0));
     }
@@ -228,14 +253,14 @@
                 self.complete_since = self.complete_since.max(at);
                 continue;
             };
-            entries.push((id, entry));
+            entries.push((id, Arc::new(entry)));
         }
         self.apply(at, entries, now)
     }
 
     /// Takes in single changes that lead from the place held, or an earlier one of its epoch, to `at`. Tells whether anything
     /// has changed.
-    pub(crate) fn apply(&mut self, at: Position, changes: Vec<(UpstreamId, Entry)>, now: Time) -> bool {
+    pub(crate) fn apply(&mut self, at: Position, changes: Vec<(UpstreamId, Arc<Entry>)>, now: Time) -> bool {
         let is_next = at.epoch == self.at.epoch || self.at.is_none();
         if at <= self.at || !is_next {
             return false;
@@ -258,6 +283,7 @@
                 self.gone_since.remove(&id);
             }
             self.by_id.insert(id, entry);
+            self.changed.ids.insert(id);
         }
         self.at = at;
         has_changed
@@ -268,12 +294,14 @@
         let before = self.by_id.len();
         let gone_since = &mut self.gone_since;
         let complete_since = &mut self.complete_since;
+        let changed = &mut self.changed;
         let epoch = self.at.epoch;
         self.by_id.retain(|id, entry| {
             if !entry.gone || gone_since.get(id).is_none_or(|since| *since >= then) {
                 return true;
             }
             gone_since.remove(id);
+            changed.ids.insert(*id);
             *complete_since = (*complete_since).max(Position::new(epoch, entry.revision));
             false
         });
--- a/crates/flow/src/knowledge.rs
+++ b/crates/flow/src/knowledge.rs
@@ -6,6 +6,7 @@
 //! their operators gave them before all else: one that is in the copy, and was replaced before the store went away, is never in force again.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +18,7 @@
 
 use crate::documents::Documents;
 use crate::documents::Update;
+use crate::entries::Changed;
 use crate::entries::Entries;
 use crate::entries::Entry;
 use crate::evacuations;
@@ -55,7 +57,7 @@
     /// Whether all upstreams are told, and not only those that have changed since the place that was asked for.
     pub is_whole: bool,
     /// The upstreams that have changed, or all.
-    pub upstreams: Vec<(UpstreamId, Entry)>,
+    pub upstreams: Vec<(UpstreamId, Arc<Entry>)>,
     /// The zones to be emptied, if there is something newer.
     #[serde(default)]
     pub evacuations: Option<Evacuations>,
@@ -100,9 +102,24 @@
 
     /// All upstreams, also those remembered after they went.
     pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamId, &Entry)> {
+        self.upstreams.iter().map(|(id, entry)| (id, entry.as_ref()))
+    }
+
+    /// The same, to be held elsewhere as well.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = (UpstreamId, &Arc<Entry>)> {
         self.upstreams.iter()
     }
 
+    /// An upstream's entry, also after it went.
+    pub(crate) fn entry(&self, id: UpstreamId) -> Option<&Arc<Entry>> {
+        self.upstreams.get(id)
+    }
+
+    /// Which upstreams have become different since this was asked last.
+    pub(crate) fn take_changed(&mut self) -> Changed {
+        self.upstreams.take_changed()
+    }
+
     /// An upstream as it was listed last, also after it went.
     pub fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
         self.upstreams.upstream(id)
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -79,7 +79,7 @@
         let flows = f64::from(health.flows);
         let load = flows * FLOW_WEIGHT + health.activity(now);
         Self {
-            load: load / f64::from(listed.upstream.slots.0.max(1)),
+            load: load / f64::from(listed.upstream().slots.0.max(1)),
             response: health.response(now),
         }
     }
@@ -173,7 +173,7 @@
 /// of one's own zone at least; without that, idle as they look, they would draw flows away from a zone in good order.
 /// Response times count squared, so that an upstream that answers twice as slowly gets a quarter of the flows.
 pub(crate) fn cost(listed: &Listed, view: View, peers: &Peers, zone: &ZoneName, now: Time, rng: &mut SmallRng) -> f64 {
-    let mut cost = if listed.upstream.zone == *zone {
+    let mut cost = if listed.upstream().zone == *zone {
         BASE_LOAD + view.load
     } else {
         (BASE_LOAD + view.load.max(peers.mean_load())) * peers.other_zone_factor()
--- a/crates/flow/src/upstream.rs
+++ b/crates/flow/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 use units::Slots;
@@ -74,7 +75,7 @@
 #[serde(from = "Told", into = "Told")]
 pub struct Upstream {
     /// The service that it runs, as the document names it.
-    pub service: String,
+    pub service: CompactString,
     /// Where it takes packets.
     pub address: SocketAddrV4,
     /// Its availability zone.
@@ -129,7 +130,7 @@
 
 /// An upstream as instances tell it: service, address, zone, slots, whether it leaves, for how many milliseconds it
 /// was cold, and when it started.
-type Told = (String, SocketAddrV4, ZoneName, Slots, bool, u64, Option<Start>);
+type Told = (CompactString, SocketAddrV4, ZoneName, Slots, bool, u64, Option<Start>);
 
 impl From<Told> for Upstream {
     fn from((service, address, zone, slots, leaving, cold_ms, started): Told) -> Self {
--- a/crates/flow/tests/earlier.rs
+++ b/crates/flow/tests/earlier.rs
@@ -24,7 +24,7 @@
 
 fn listed(id: u64, revision: u64) -> (UpstreamId, Revision, Option<Upstream>) {
     let upstream = Upstream {
-        service: "search".to_owned(),
+        service: "search".into(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
         zone: "zone-a".parse().unwrap(),
         slots: Slots(2),
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -86,7 +86,7 @@
 
 fn upstream(leaving: bool, number: u16) -> Upstream {
     Upstream {
-        service: "search".to_owned(),
+        service: "search".into(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
         zone: "zone-a".parse().unwrap(),
         slots: Slots(2),
--- a/crates/flow/tests/returned.rs
+++ b/crates/flow/tests/returned.rs
@@ -21,7 +21,7 @@
 
 fn upstream(cold_for: Duration) -> Upstream {
     Upstream {
-        service: "search".to_owned(),
+        service: "search".into(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
         zone: "zone-a".parse().unwrap(),
         slots: Slots(2),
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -269,7 +269,7 @@
             let number = u16::try_from(self.upstreams.len()).unwrap();
             let known = self.upstreams.get(&id).map(|upstream| upstream.address);
             let upstream = Upstream {
-                service: words[1].to_owned(),
+                service: words[1].into(),
                 address: known.unwrap_or(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 8_000 + number)),
                 zone: words[2].parse().unwrap(),
                 slots: Slots(value("slots=").map_or(2, |slots| slots.parse().unwrap())),
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -80,7 +80,7 @@
         let mut upstreams = BTreeMap::new();
         for (_, entry) in knowledge.upstreams() {
             if !entry.gone && !entry.upstream.leaving {
-                *upstreams.entry(entry.upstream.service.clone()).or_default() += 1;
+                *upstreams.entry(entry.upstream.service.to_string()).or_default() += 1;
             }
         }
         let me = members.me();
