--- a/crates/flow/tests/returned.rs
+++ b/crates/flow/tests/returned.rs
@@ -21,7 +21,7 @@
 
 fn upstream(cold_for: Duration) -> Upstream {
     Upstream {
-        service: "search".to_owned(),
+        service: "search".into(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
         zone: "zone-a".parse().unwrap(),
         slots: Slots(2),
@@ -52,6 +52,7 @@
         routes: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::from([("search".to_owned(), cold)]),
+        warnings: Vec::new(),
     };
     let warm = vec![(id, Revision(5), upstream(Duration::ZERO))];
     core.learn(now, |knowledge| {
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -203,6 +203,7 @@
             routes: routes.collect(),
             idle_timeout: Duration::from_secs(15),
             cold_starts,
+            warnings: Vec::new(),
         };
         self.revision += 1;
         let at = Revision(self.revision);
@@ -268,7 +269,7 @@
             let number = u16::try_from(self.upstreams.len()).unwrap();
             let known = self.upstreams.get(&id).map(|upstream| upstream.address);
             let upstream = Upstream {
-                service: words[1].to_owned(),
+                service: words[1].into(),
                 address: known.unwrap_or(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 8_000 + number)),
                 zone: words[2].parse().unwrap(),
                 slots: Slots(value("slots=").map_or(2, |slots| slots.parse().unwrap())),
@@ -513,7 +514,10 @@
                     writeln!(out, "  {zone} is to be emptied, {flows} flows are open there").unwrap();
                 }
                 Decision::Restored { zone, .. } => writeln!(out, "  {zone} is taken back").unwrap(),
-                Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => {}
+                Decision::Unread { .. }
+                | Decision::Placed { .. }
+                | Decision::Reset { .. }
+                | Decision::Dropped { .. } => {}
             }
         }
     }
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -50,6 +50,9 @@
     /// Whether the store's document can't be read.
     gauge document_unreadable() "jayquay_flow_document_unreadable" Count
         "1 while the store holds a document that can't be read and an earlier one stays in force, else 0.";
+    /// What can't be read of the document in force.
+    gauge document_warnings() "jayquay_flow_document_warnings" Count
+        "Values of the document in force that can't be read, so that something else holds in their place.";
     /// Up to where changes of upstreams are known.
     gauge upstreams_at() "jayquay_flow_upstreams_revision" Count
         "The store's revision up to which changes of upstreams are known.";
@@ -62,6 +65,9 @@
     /// Checks whether the store knows more.
     counter checks(result) "jayquay_store_checks_total" Count
         "Checks whether the store knows more than the fleet: even, behind, failed or handed-on.";
+    /// Bytes of changes from other instances.
+    counter change_bytes(zone) "jayquay_change_bytes_received_total" Bytes
+        "Bytes of changes that other instances have told, by their zone: own or other.";
     /// Changes from other instances that can't be read.
     counter changes_malformed() "jayquay_changes_malformed_total" Count
         "Changes from other instances that could not be read.";
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -4,6 +4,7 @@
 mod link;
 
 use std::convert::Infallible;
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,7 @@
 use super::role::Role;
 use super::settings::Settings;
 use super::shared::Shared;
+use super::shared::Unreadable;
 use link::Link;
 
 /// How many pages of the list every instance reads at its start. Where there are more, only the seeds go on at once: of a
@@ -31,8 +33,9 @@
 const OTHERS_PATIENCE: Duration = Duration::from_secs(2);
 /// How long a starting instance that no packet waits for leaves it to others to tell, drawn between these: so of a fleet that starts
 /// at once the first ones have told the rest before these read as well. Routers look every half second whether it can serve.
-const LEAST_PATIENCE: Duration = Duration::from_millis(200);
-const MOST_PATIENCE: Duration = Duration::from_millis(1_500);
+const SEEDS_PATIENCE: Range<Duration> = Duration::from_millis(200)..Duration::from_millis(1_500);
+/// The same for those that are not seeds. All ask the seeds first, who read a long list and tell it within this time.
+const PATIENCE: Range<Duration> = Duration::from_secs(2)..Duration::from_secs(4);
 /// How often an instance that does not watch looks whether it should.
 const IDLE: Duration = Duration::from_millis(200);
 
@@ -40,8 +43,9 @@
 ///
 /// A fleet that starts at once, or is restarted instance by instance, so learns from a few that read the store: a third of a day's calls
 /// were those of starting instances. Where the routers still lead packets to it, as when its process was killed, it reads at once.
-async fn hear_first(shared: &Shared) {
-    let patience = rand::rng().random_range(LEAST_PATIENCE..MOST_PATIENCE);
+async fn hear_first(shared: &Shared, is_seed: bool) {
+    let patience = if is_seed { SEEDS_PATIENCE } else { PATIENCE };
+    let patience = rand::rng().random_range(patience);
     tokio::select! {
         () = shared.until_ready() => {}
         () = shared.awaited() => {}
@@ -51,7 +55,8 @@
 
 /// Keeps what is known of the platform up to date, wherever the settings say the store is.
 pub(crate) async fn run(mut settings: watch::Receiver<Settings>, shared: Shared) {
-    hear_first(&shared).await;
+    let is_seed = settings.borrow().is_seed();
+    hear_first(&shared, is_seed).await;
     loop {
         let (address, is_seed, has_evacuations) = {
             let settings = settings.borrow_and_update();
@@ -119,7 +124,9 @@
 pub(super) fn take_document(shared: &Shared, documents: Documents) -> bool {
     let is_unreadable = documents.is_unreadable;
     if is_unreadable || documents.newest.is_some() {
-        note_document(shared, is_unreadable.then_some(documents.at));
+        let at = documents.at;
+        let unreadable = documents.why_unreadable.map(|why| Unreadable { at, why });
+        note_document(shared, unreadable);
     }
     let Some((at, document)) = documents.newest else {
         return is_unreadable;
@@ -143,11 +150,16 @@
 }
 
 /// Lets operators know of a document that can't be read.
-fn note_document(shared: &Shared, unreadable_at: Option<Position>) {
-    let is_news = shared.note_document(unreadable_at);
-    if let Some(at) = unreadable_at.filter(|_| is_news) {
-        let held = shared.core().knowledge().document_at();
-        log::warn!("store: document unreadable at={at}, the one at={held} stays in force");
+fn note_document(shared: &Shared, unreadable: Option<Unreadable>) {
+    let is_news = shared.note_document(unreadable.clone());
+    let Some(Unreadable { at, why }) = unreadable.filter(|_| is_news) else {
+        return;
+    };
+    let held = shared.core().knowledge().document_at();
+    if held.is_none() {
+        log::error!("store: nothing is served, document unreadable at={at}, no other is known error=\"{why}\"");
+    } else {
+        log::warn!("store: document unreadable at={at}, the one at={held} stays in force error=\"{why}\"");
     }
 }
 
