Remember as many dead members as a fleet has had alive

Cause: at most 256 dead members were remembered, the ones born first forgotten. 540 of the fleet's 985 may be killed at once, and who is dead counts where a part of an availability zone looks whether it is the larger one (Membership::keeper): at 2,400 instances a cut of 17% is more than it remembered.

Ruled out as causes of the slow start of 985 (25 s until each knows all): the 48 pieces of news that wait.

Change: the bound is the most that were present at a time, and 256 at least, so what strangers make up stays bounded. tests/size.rs fails without it, at 985 and 2,400.

--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -13,8 +13,9 @@
 use crate::rendezvous::hash;
 use crate::rendezvous::member_key;
 
-/// How many dead members are remembered.
-const MAX_DEAD: usize = 256;
+/// How many dead members are remembered at least. Of a larger fleet, as many as have been there at a time: all of them may die at once,
+/// and who is dead counts where a part of a zone looks whether it is the larger one.
+const LEAST_DEAD: usize = 256;
 
 /// What is known of another instance.
 #[derive(Debug, Clone)]
@@ -111,6 +112,8 @@
 pub(crate) struct Table {
     known: BTreeMap<InstanceName, Known>,
     present: usize,
+    /// The most that were present at a time.
+    most_present: usize,
     dead: usize,
     /// A hash over those that are not dead.
     pub(crate) view: u64,
@@ -147,7 +150,8 @@
         if let Some(old) = &old {
             self.count(old, false);
         }
-        if self.dead > MAX_DEAD {
+        self.most_present = self.most_present.max(self.present);
+        if self.dead > LEAST_DEAD.max(self.most_present) {
             self.forget_oldest();
         }
         old
