--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -12,7 +12,7 @@
 use crate::upstream::UpstreamId;
 
 /// How much dearer an upstream in another availability zone is. Its zone may be cut off at any time, which costs all
-/// of its flows from here. At 4, one day's share of requests served in time was 0.03 higher than at 1.5.
+/// of its flows from here.
 const OTHER_ZONE_FACTOR: f64 = 4.0;
 /// How much dearer an upstream is that is still slow after its start.
 const COLD_FACTOR: f64 = 1.5;
@@ -24,8 +24,7 @@
 const LEAST_RESPONSE: f64 = 0.005;
 /// How much more slowly than its best a zone may answer before another one gets cheaper. Means of a second or so vary by
 /// half and more in a zone that is in good order, and each flow that this leads elsewhere is lost to the client when the way
-/// there is cut. Against 1.5, on three deployments, a zone cut for twice 6 s of 30 costs 0.03, 0.03 and 0.01 less of the day's
-/// worth, and half of a zone's clients moving to another one 0.00 to 0.004 more; without any spill the latter costs 0.009.
+/// there is cut.
 const USUAL_PRESSURE: f64 = 2.2;
 /// How steeply another zone gets cheaper beyond that: at 2.8 times its best, it is as cheap as the own one.
 const PRESSURE_POWER: i32 = 6;
--- a/crates/jayquayd/src/forward/role.rs
+++ b/crates/jayquayd/src/forward/role.rs
@@ -5,10 +5,10 @@
 use super::shared::Shared;
 
 /// From how many availability zones on each has one watcher. What it misses while it fails, the others' watchers tell its
-/// zone a fifth of a second later; a second one there took a quarter of all calls to the store.
+/// zone a fifth of a second later, and each watcher's calls are paid for.
 const ENOUGH_ZONES: usize = 3;
-/// How long changes are gathered before the next call asks for more, so that a series of them costs few calls: at 0.7 s there
-/// were an eighth more of them on quiet days. A change is to be in force within three seconds at least.
+/// How long changes are gathered before the next call asks for more, so that a series of them costs few calls. A change is to be in
+/// force within three seconds at least.
 const GATHER: Duration = Duration::from_secs(1);
 /// How long a zone's second watcher gathers changes. It is there for the moment in which the first one fails, and what
 /// it learns late is still in force within the bounds for a change, the shortest of which are three seconds.
--- a/crates/jayquayd/src/forward/store/evacuations.rs
+++ b/crates/jayquayd/src/forward/store/evacuations.rs
@@ -21,7 +21,7 @@
 use crate::forward::shared::Shared;
 
 /// How long after its start an instance leaves the watch to others. It takes itself for its zone's watcher until it has met the
-/// fleet, and of a fleet that starts at once each instance would begin a watch, which are a tenth of a day's calls.
+/// fleet, and of a fleet that starts at once each instance would begin a watch.
 const SETTLED: Duration = Duration::from_secs(2);
 
 /// Keeps the zones to be emptied up to date.
