--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -41,7 +41,8 @@
 
 /// Gives others time to tell all there is to know, as long as nobody waits for this instance.
 ///
-/// A fleet that starts at once, or is restarted instance by instance, so learns from a few that read the store. Where the routers still lead packets to it, as when its process was killed, it reads at once.
+/// A fleet that starts at once, or is restarted instance by instance, so learns from a few that read the store. Where the routers still
+/// lead packets to it, as when its process was killed, it reads at once.
 async fn hear_first(shared: &Shared, is_seed: bool) {
     let patience = if is_seed { SEEDS_PATIENCE } else { PATIENCE };
     let patience = rand::rng().random_range(patience);
