--- a/crates/flow/src/draft.rs
+++ b/crates/flow/src/draft.rs
@@ -148,9 +148,9 @@
 }
 
 impl Remarks<'_> {
-    fn add(&mut self, field: &'static str, value: String, reading: Reading) {
+    fn add(&mut self, field: &'static str, value: &str, reading: Reading) {
         self.warnings
-            .push(Warning::new(self.subject.clone(), field, &value, reading));
+            .push(Warning::new(self.subject.clone(), field, value, reading));
     }
 
     /// A value that may be left out, or `T::default()` where it can't be read.
@@ -158,7 +158,7 @@
         match told.optional() {
             Ok(value) => value.unwrap_or_default(),
             Err(text) => {
-                self.add(field, text, Reading::Absent);
+                self.add(field, &text, Reading::Absent);
                 T::default()
             }
         }
@@ -211,14 +211,14 @@
         warnings,
     };
     let kind = draft.kind.required().unwrap_or_else(|text| {
-        remarks.add("kind", text, Reading::Once);
+        remarks.add("kind", &text, Reading::Once);
         Kind::Once
     });
     let aim = remarks.optional("aim", draft.aim);
     let shares = draft.shares.into_iter();
     let shares: Vec<route::Share> = shares.filter_map(|share| read_share(share, &mut remarks)).collect();
     if shares.is_empty() {
-        remarks.add("services", "nothing that can be read".to_owned(), Reading::LeftOut);
+        remarks.add("services", "nothing that can be read", Reading::LeftOut);
         return None;
     }
     match draft.address.required() {
@@ -229,7 +229,7 @@
             aim,
         }),
         Err(text) => {
-            remarks.add("address", text, Reading::LeftOut);
+            remarks.add("address", &text, Reading::LeftOut);
             None
         }
     }
@@ -238,9 +238,9 @@
 /// The share that a draft stands for, `None` if it names no service.
 fn read_share(draft: Share, remarks: &mut Remarks<'_>) -> Option<route::Share> {
     let service = draft.service.required();
-    let service = service.map_err(|text| remarks.add("service", text, Reading::ShareLeftOut));
+    let service = service.map_err(|text| remarks.add("service", &text, Reading::ShareLeftOut));
     let weight = draft.weight.required().unwrap_or_else(|text| {
-        remarks.add("weight", text, Reading::NoWeight);
+        remarks.add("weight", &text, Reading::NoWeight);
         Weight(0)
     });
     Some(route::Share {
--- a/crates/flow/src/entries.rs
+++ b/crates/flow/src/entries.rs
@@ -117,7 +117,7 @@
         let is_whole = is_newer && held < self.complete_since;
         let told = self.by_id.iter();
         let told = told.filter(|(_, entry)| is_whole || (is_newer && entry.revision > held.revision));
-        (is_whole, told.map(|(id, entry)| (*id, entry.clone())).collect())
+        (is_whole, told.map(|(id, entry)| (*id, Arc::clone(entry))).collect())
     }
 
     /// Takes in the whole list of upstreams as it stood at a place. Tells whether anything has changed.
--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -4,7 +4,6 @@
 //! with other instances, and the HTTP endpoints. Every part but the packets' may be late or fail without harm to a flow.
 
 pub mod check;
-mod compression;
 pub mod logging;
 pub mod metric;
 pub mod rhythm;
@@ -12,6 +11,8 @@
 pub mod settings;
 pub mod status;
 
+mod answers;
+mod compression;
 mod decisions;
 mod failures;
 mod figures;
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -20,9 +20,9 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
+use super::answers::Answers;
 use super::figures;
 use super::relay;
-use super::relay::Answers;
 use super::shared::Shared;
 use super::status;
 use super::status::Status;
--- a/crates/jayquayd/src/forward/relay.rs
+++ b/crates/jayquayd/src/forward/relay.rs
@@ -2,9 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::Weak;
 
 use flow::Change;
 use flow::Knowledge;
@@ -36,7 +33,8 @@
 }
 
 impl Encoded {
-    fn new(change: &Change, reads_compressed: bool) -> Self {
+    /// A change for an asker that reads compressed ones, or not.
+    pub(crate) fn new(change: &Change, reads_compressed: bool) -> Self {
         let bytes = encode(change);
         if !reads_compressed || bytes.len() < COMPRESSED_FROM {
             return Self {
@@ -51,31 +49,6 @@
     }
 }
 
-/// What an answer was made for: the question, and what was known here.
-type Made = (Query, Positions);
-
-/// The answer that was made last, for as long as it is being sent to somebody. Of a fleet that starts at once many ask the same at the same
-/// time, and the list of all upstreams is long.
-#[derive(Debug, Default)]
-pub(crate) struct Answers {
-    last: Mutex<Option<(Made, Weak<[u8]>, bool)>>,
-}
-
-impl Answers {
-    /// What an instance is told that asks this.
-    pub(crate) fn to(&self, query: Query, knowledge: &Knowledge) -> Encoded {
-        let made = (query, knowledge.positions());
-        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
-        let held = last.as_ref().filter(|(held, ..)| *held == made);
-        if let Some((bytes, is_compressed)) = held.and_then(|(_, bytes, is)| Some((bytes.upgrade()?, *is))) {
-            return Encoded { bytes, is_compressed };
-        }
-        let encoded = Encoded::new(&answer(knowledge, query), query.reads_compressed);
-        *last = Some((made, Arc::downgrade(&encoded.bytes), encoded.is_compressed));
-        encoded
-    }
-}
-
 /// A change with a digest over it, so that one that was damaged on its way is not taken in.
 pub(crate) fn encode(change: &Change) -> Vec<u8> {
     let mut bytes = vec![0; blake3::OUT_LEN];
@@ -107,7 +80,7 @@
     evacuations_epoch: Option<Epoch>,
     /// Whether the asker reads compressed answers. Those of an earlier release don't say.
     #[serde(default)]
-    reads_compressed: bool,
+    pub(crate) reads_compressed: bool,
 }
 
 /// What an instance is given that asks another one. One of an earlier release, which tells no epochs, gets none.
--- a/crates/jayquayd/src/forward/store/link.rs
+++ b/crates/jayquayd/src/forward/store/link.rs
@@ -62,7 +62,7 @@
                 self.note_lost(error);
             }
             Error::Refused(_) | Error::Malformed(_) | Error::TooLong | Error::Endless | Error::Epoch(_) => {
-                self.note_lost(error)
+                self.note_lost(error);
             }
         }
         tokio::time::sleep(self.backoff.next()).await;
--- a/crates/membership/tests/size.rs
+++ b/crates/membership/tests/size.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 
 use membership::Membership;
+use membership::Output;
 use membership::Timing;
 use units::Incarnation;
 use units::InstanceName;
+use units::Revision;
 use units::Time;
+use wire::Digest;
 use wire::Frame;
 use wire::Gossip;
 use wire::Member;
@@ -69,3 +72,29 @@
     tell(&mut membership, 100..3_000, MemberState::Dead);
     assert!(membership.dead().count() <= 256);
 }
+
+/// Where news of a document go at once.
+fn told_zones(membership: &mut Membership) -> Vec<String> {
+    let mut out = Vec::new();
+    membership.set_document(Revision(7), Digest::of(b"new"), NOW, &mut out);
+    let told = out.iter().filter_map(|output| match output {
+        Output::Send { to, .. } => membership.member(to),
+        _ => None,
+    });
+    told.map(|member| member.zone.to_string()).collect()
+}
+
+/// Bytes between zones are dear, and one of another zone is enough to tell it.
+#[test]
+fn news_of_a_document_go_to_the_own_zone_and_to_one_member_elsewhere() {
+    let zones = told_zones(&mut member_of(985));
+    assert_eq!(zones.len(), 4);
+    assert_eq!(zones.iter().filter(|zone| *zone == "z0").count(), 3, "{zones:?}");
+}
+
+#[test]
+fn whoever_is_alone_in_its_zone_tells_as_many_elsewhere() {
+    let zones = told_zones(&mut member_of(5));
+    assert_eq!(zones.len(), 3);
+    assert!(!zones.contains(&"z0".to_owned()), "{zones:?}");
+}
