--- a/crates/jayquay/tests/flows.rs
+++ b/crates/jayquay/tests/flows.rs
@@ -19,7 +19,6 @@
 use fleet::process::daemon;
 use fleet::wait_for;
 use flow::UpstreamId;
-use serde_json::json;
 
 const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 const OTHER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 444);
@@ -155,8 +154,7 @@
     let store = Store::start().await.unwrap();
     let upstream = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
     store.put_upstream(UpstreamId(0xa1), "search", upstream, "zone-a", "ready");
-    let unusable = json!({"version": 4, "routes": [{"name": "feed", "host": "later", "service": "search"}]});
-    store.put("config", "main", unusable.clone());
+    store.put_route(4, "feed", None, "search", "idempotent");
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("flows-unreadable");
     fs::create_dir_all(&folder).unwrap();
     let [first, _] = peers(62);
@@ -179,21 +177,14 @@
 
     store.put_document(5, &[(ROUTE, "search")]);
     wait_for("a later one is in force", || status().0 == Some(0));
-    let mut later = unusable;
-    later["version"] = json!(6);
-    store.put("config", "main", later);
+    store.put_route(6, "feed", None, "search", "idempotent");
     wait_for("the earlier one stays in force", || {
         let (_, text) = status();
         text.starts_with("! the store's document can't be read, an earlier one stays in force")
             && text.contains("  revision 5 is in force at 1 instances")
     });
 
-    let unknown = json!({
-        "version": 7,
-        "routes": [{"name": "feed", "host": "198.18.0.1", "path_prefix": "/443/", "type": "stream", "service": "search"}],
-        "limits": {"idle_timeout_ms": 1_000},
-    });
-    store.put("config", "main", unknown);
+    store.put_route(7, "feed", Some(ROUTE), "search", "stream");
     let warning = "! route feed: kind \"stream\" can't be read, requests run once at most";
     wait_for("one with an unknown word is in force, and its warning is shown", || {
         let (code, text) = status();
