--- a/crates/jayquayd/src/forward/pull.rs
+++ b/crates/jayquayd/src/forward/pull.rs
@@ -119,18 +119,18 @@
 }
 
 /// How long an instance waits for its own zone to tell what another zone has told. While clients wait for it, it does not.
-fn far_pause(shared: &Shared) -> Duration {
+fn far_pause(shared: &Shared) -> Option<Duration> {
     if shared.is_ready() {
-        return FAR_PAUSE;
+        return Some(FAR_PAUSE);
     }
     if shared.is_awaited() {
-        return Duration::ZERO;
+        return None;
     }
     let members = shared.members();
     let zone = &members.me().zone;
     let near = members.members().filter(|member| member.zone == *zone).count() - 1;
     let longest = FAR_SPACE * u32::try_from(near).unwrap_or(u32::MAX);
-    longest.mul_f64(rand::rng().random())
+    Some(longest.mul_f64(rand::rng().random()))
 }
 
 /// How much this instance knows, and which parts that is made of.
@@ -179,12 +179,12 @@
         if level > newer.level || (level, parts) == (newer.level, newer.parts) {
             continue;
         }
-        let pause = far_pause(&shared);
-        if newer.is_far && !newer.is_overdue && !pause.is_zero() {
-            put_off = put_off.filter(|task: &JoinHandle<()>| !task.is_finished());
-            put_off.get_or_insert_with(|| tokio::spawn(ask_later(newer, pause, again.clone())));
+        let may_wait = newer.is_far && !newer.is_overdue;
+        let Some(pause) = far_pause(&shared).filter(|_| may_wait) else {
+            pull(&transport, newer, &shared).await;
             continue;
-        }
-        pull(&transport, newer, &shared).await;
+        };
+        put_off = put_off.filter(|task: &JoinHandle<()>| !task.is_finished());
+        put_off.get_or_insert_with(|| tokio::spawn(ask_later(newer, pause, again.clone())));
     }
 }
