Assert that the directory lists what it would if it were made anew

A randomised run (60 seeds: lists, watches, returns of the store, evacuations, lapses, two ids of one echo) checks it after each change in debug builds.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -200,6 +200,10 @@
         changed.is_all |= self.knowledge.evacuated() != evacuated;
         let Followed { indexed, restarted } = self.directory.follow(&self.knowledge, &changed, now);
         self.stats.indexed += indexed;
+        debug_assert!(
+            self.directory.is_of(&self.knowledge),
+            "the directory follows what is known"
+        );
         for id in restarted {
             self.forget_start(id);
         }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -177,6 +177,27 @@
         }
     }
 
+    /// Whether it lists just what is known, as if it were made anew.
+    pub(crate) fn is_of(&self, knowledge: &Knowledge) -> bool {
+        let agrees = |id: UpstreamId, entry: &Arc<Entry>| {
+            let Some(listed) = self.listed.get(&id) else {
+                return false;
+            };
+            let Upstream { service, zone, .. } = listed.upstream();
+            Arc::ptr_eq(entry, &listed.entry)
+                && listed.gone_since == knowledge.gone_since(id).filter(|_| entry.gone)
+                && listed.is_evacuated == knowledge.is_evacuated(zone)
+                && self.echoes.holds(listed.echo, id)
+                && self.in_zone(zone).binary_search(&id).is_ok()
+                && self.all_of(service).binary_search(&id).is_ok()
+        };
+        let indexed: usize = self.by_zone.values().map(Vec::len).sum();
+        let pooled: usize = self.by_service.values().map(|pool| pool.all().len()).sum();
+        let count = self.listed.len();
+        (indexed, pooled, knowledge.entries().count()) == (count, count, count)
+            && knowledge.entries().all(|(id, entry)| agrees(id, entry))
+    }
+
     /// The one upstream that an echo stands for.
     pub(crate) fn by_echo(&self, echo: Echo) -> Option<UpstreamId> {
         self.echoes.get(echo)
--- a/crates/flow/src/directory/echoes.rs
+++ b/crates/flow/src/directory/echoes.rs
@@ -21,6 +21,12 @@
         self.single.get(&echo).copied()
     }
 
+    /// Whether an id is held with this echo, alone or not.
+    pub(super) fn holds(&self, echo: Echo, id: UpstreamId) -> bool {
+        let is_shared = || self.shared.get(&echo).is_some_and(|ids| ids.contains(&id));
+        self.get(echo) == Some(id) || is_shared()
+    }
+
     pub(super) fn insert(&mut self, echo: Echo, id: UpstreamId) {
         if let Some(ids) = self.shared.get_mut(&echo) {
             ids.insert(id);
--- /dev/null
+++ b/crates/flow/tests/directory.rs
@@ -0,0 +1,154 @@
+//! The directory follows what is known entry by entry, whatever comes in which order. That it lists just what it would if it were made anew
+//! is asserted inside the flow path.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use flow::Core;
+use flow::Evacuations;
+use flow::Options;
+use flow::Sighting;
+use flow::Start;
+use flow::Upstream;
+use flow::UpstreamId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use units::Epoch;
+use units::Position;
+use units::Revision;
+use units::Slots;
+use units::Time;
+use units::ZoneName;
+
+/// The first two ids of 40 bits whose echoes are alike, so that neither can be led back to.
+fn twins() -> [u64; 2] {
+    let mut seen = std::collections::HashMap::new();
+    for id in 0.. {
+        if let Some(other) = seen.insert(UpstreamId(id).echo(), id) {
+            return [other, id];
+        }
+    }
+    unreachable!("there are fewer echoes than ids")
+}
+
+fn zone(index: u64) -> ZoneName {
+    format!("z{}", index % 3).parse().unwrap()
+}
+
+fn upstream(rng: &mut SmallRng) -> Upstream {
+    Upstream {
+        service: ["search", "photos"][rng.random_range(0..2)].into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, rng.random_range(1..9)),
+        zone: zone(rng.random_range(0..3)),
+        slots: Slots(2),
+        leaving: rng.random_bool(0.2),
+        cold_for: Duration::from_millis(rng.random_range(0..3)),
+        started: Some(Start(rng.random_range(1..5))),
+    }
+}
+
+fn sighting(rng: &mut SmallRng) -> Sighting {
+    match rng.random_range(0..6) {
+        0 => Sighting::Gone,
+        1 => Sighting::Unreadable,
+        _ => Sighting::Listed(upstream(rng)),
+    }
+}
+
+struct World {
+    core: Core,
+    rng: SmallRng,
+    ids: Vec<u64>,
+    now: Time,
+    at: Position,
+}
+
+impl World {
+    fn new(seed: u64, twins: [u64; 2]) -> Self {
+        let options = Options {
+            zone: zone(0),
+            max_flow: Duration::from_secs(5),
+            awaits_evacuations: false,
+            seed,
+        };
+        Self {
+            core: Core::new(options),
+            rng: SmallRng::seed_from_u64(seed),
+            ids: (1..12).chain(twins).collect(),
+            now: Time(1),
+            at: Position::default(),
+        }
+    }
+
+    /// The next place in the store's history, at times of a later epoch, whose revisions begin anew.
+    fn next_place(&mut self) -> Position {
+        let Position { epoch, revision } = self.at;
+        self.at = if self.rng.random_bool(0.1) {
+            Position::new(Epoch(epoch.0 + 1), Revision(1 + revision.0 / 2))
+        } else {
+            Position::new(epoch, Revision(revision.0 + 1))
+        };
+        self.at
+    }
+
+    fn sightings(&mut self, likely: f64) -> Vec<(UpstreamId, Revision, Sighting)> {
+        let revision = self.at.revision;
+        let rng = &mut self.rng;
+        let chosen = self.ids.iter().filter(|_| rng.random_bool(likely));
+        let chosen: Vec<u64> = chosen.copied().collect();
+        let sighted = chosen
+            .into_iter()
+            .map(|id| (UpstreamId(id), revision, sighting(&mut self.rng)));
+        sighted.collect()
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        match self.rng.random_range(0..8) {
+            0 => {
+                let at = self.next_place();
+                let list = self.sightings(0.7);
+                self.core.learn(now, |knowledge| knowledge.take_list(at, list, now));
+            }
+            1..=4 => {
+                let at = self.next_place();
+                let changes = self.sightings(0.2);
+                self.core
+                    .learn(now, |knowledge| knowledge.take_watched(at, changes, now));
+            }
+            5 => {
+                let at = self.next_place();
+                let asked = (0..3).filter(|_| self.rng.random_bool(0.3)).map(zone);
+                let read = Evacuations {
+                    at,
+                    zones: asked.collect(),
+                };
+                let unreadable = BTreeSet::new();
+                self.core
+                    .learn(now, |knowledge| knowledge.take_evacuations(read, &unreadable, now));
+            }
+            6 => self.core.tick(now),
+            _ => {
+                let then = now.before(Duration::from_secs(2));
+                self.core
+                    .learn(now, |knowledge| knowledge.settle(now) | knowledge.forget(then));
+            }
+        }
+        self.now = now + Duration::from_millis(self.rng.random_range(0..1_500));
+    }
+}
+
+#[test]
+fn a_directory_that_follows_is_as_one_that_is_made_anew() {
+    let twins = twins();
+    for seed in 0..60 {
+        let mut world = World::new(seed, twins);
+        for _ in 0..200 {
+            world.step();
+        }
+        assert!(world.core.stats().indexed > 100, "seed {seed}");
+    }
+}
