Let a long list be read by those who watch, and not by whoever checks

The store forgets its history there. Each second's check then read the whole list, 50 pages, which took longer than the 0.4 s that a check waits for an answer; so it was handed on to four others and these to sixteen more, each of which read the list as well: up to 1,050 calls a second. It holds only while a list takes less than 0.4 s, some twenty pages. Shown by the log of a tenth of the fleet before all 10,000 upstreams: 30 lists read within three seconds by others than the five watchers.

Ruled out: watchers that list again and again (five lists, one each).

Change: the word that the history is gone is an answer of the store, and is not handed on; each answer begins a check's patience anew; whoever checks reads four pages and leaves the rest to the watchers for as long as their reading takes by what was seen, and stops once it is told.

--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -15,6 +15,7 @@
 use flow::Positions;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use units::Position;
@@ -212,26 +213,27 @@
     async fn call(&mut self, question: Question) {
         self.follow_settings();
         let has_evacuations = self.settings.borrow().evacuations;
-        let call = compare(&self.store, &self.shared, has_evacuations);
+        let answered = Notify::new();
+        let call = compare(&self.store, &self.shared, has_evacuations, &answered);
         tokio::pin!(call);
-        let in_time = tokio::time::timeout(PATIENCE, &mut call).await;
-        let is_late = in_time.is_err();
-        let result = match in_time {
-            Ok(result) => result,
-            Err(_late) => {
-                self.checker.lose(self.shared.now());
-                self.hand_on(question);
-                // An answer that comes late still tells.
-                call.await
+        let mut is_late = false;
+        // An answer that comes late still tells.
+        let result = loop {
+            tokio::select! {
+                result = &mut call => break result,
+                () = answered.notified() => {}
+                () = tokio::time::sleep(PATIENCE), if !is_late => {
+                    is_late = true;
+                    self.checker.lose(self.shared.now());
+                    self.hand_on(question);
+                }
             }
         };
         match result {
             Ok(finding) => {
                 self.checker.regain();
                 metric::checks(finding.as_str()).increment(1);
-                if finding == Finding::Behind {
-                    log::info!("store: check found news round={}", question.round);
-                }
+                self.follow(finding, question).await;
             }
             Err(error) => {
                 metric::checks("failed").increment(1);
@@ -248,6 +250,21 @@
         }
     }
 
+    /// Reads what a check has found to be missed. Whoever watches reads a list whose history is gone as well, so it is no part of the
+    /// question, which the store has answered: others would read it too.
+    async fn follow(&self, finding: Finding, question: Question) {
+        match finding {
+            Finding::Even => {}
+            Finding::Behind => log::info!("store: check found news round={}", question.round),
+            Finding::HistoryGone => {
+                log::info!("store: check found history gone round={}", question.round);
+                if let Err(error) = store::read_list(&self.store, &self.shared).await {
+                    log::info!("store: check read no list round={} error=\"{error}\"", question.round);
+                }
+            }
+        }
+    }
+
     fn follow_settings(&mut self) {
         let address = self.settings.borrow().store;
         if self.store.address() != address {
@@ -280,6 +297,8 @@
     Even,
     /// It knew more, which was read.
     Behind,
+    /// It no longer tells what has become of the upstreams since, so that their list is to be read.
+    HistoryGone,
 }
 
 impl Finding {
@@ -288,6 +307,7 @@
         match self {
             Self::Even => "even",
             Self::Behind => "behind",
+            Self::HistoryGone => "gone",
         }
     }
 }
@@ -307,7 +327,8 @@
 /// watches may be cut and the other's not. Later on the history back to there may be gone, so the part that is ahead is asked. An
 /// answer's place tells whether the others have to be asked as well. As a rule one or two short calls tell that nothing is new.
 /// What is held of an earlier epoch than the store's is always asked: its revision says nothing of what the store knows now.
-async fn compare(store: &Store, shared: &Shared, has_evacuations: bool) -> Result<Finding, Error> {
+/// `answered` hears of each answer.
+async fn compare(store: &Store, shared: &Shared, has_evacuations: bool, answered: &Notify) -> Result<Finding, Error> {
     let before = pull::held(shared);
     let mut parts = parts(&before, has_evacuations);
     let known = parts.last().map(|part| part.at).unwrap_or_default();
@@ -317,12 +338,22 @@
         parts.reverse();
     }
     let mut store_at = Position::default();
+    let mut is_gone = false;
     for (index, part) in parts.into_iter().enumerate() {
         let is_of_earlier_epoch = part.at.epoch < store_at.epoch.max(known.epoch);
-        if index >= first && store_at <= known && !is_of_earlier_epoch {
+        if index >= first && store_at <= known && !is_of_earlier_epoch && !is_gone {
             continue;
         }
-        store_at = store_at.max(since(store, shared, part).await?);
+        let told = since(store, shared, part).await;
+        answered.notify_one();
+        match told {
+            Ok(at) => store_at = store_at.max(at),
+            Err(Error::HistoryGone) if part.kind == Kind::Upstreams => is_gone = true,
+            Err(error) => return Err(error),
+        }
+    }
+    if is_gone {
+        return Ok(Finding::HistoryGone);
     }
     let is_even = pull::held(shared) == before;
     Ok(if is_even { Finding::Even } else { Finding::Behind })
@@ -346,7 +377,10 @@
 async fn since(store: &Store, shared: &Shared, part: Part) -> Result<Position, Error> {
     match part.kind {
         Kind::Document => documents_since(store, shared, part.at).await,
-        Kind::Upstreams => upstreams_since(store, shared, part.at).await,
+        Kind::Upstreams => {
+            let watched = store::watch(store, shared, part.at, Duration::ZERO).await;
+            watched.map(|(at, _)| at)
+        }
         // These are few, and are always read together.
         Kind::Evacuations => evacuations::read(store, shared).await,
     }
@@ -362,11 +396,3 @@
     store::take_document(shared, documents);
     Ok(at)
 }
-
-/// Takes in what has changed of the upstreams, and gives the place at which the store stood.
-async fn upstreams_since(store: &Store, shared: &Shared, since: Position) -> Result<Position, Error> {
-    match store::watch(store, shared, since, Duration::ZERO).await {
-        Err(Error::HistoryGone) => store::read_list(store, shared).await,
-        result => result.map(|(at, _)| at),
-    }
-}
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -64,7 +64,7 @@
     gauge watches() "jayquay_flow_watches" Count "1 while this instance watches the store for its zone, else 0.";
     /// Checks whether the store knows more.
     counter checks(result) "jayquay_store_checks_total" Count
-        "Checks whether the store knows more than the fleet: even, behind, failed or handed-on.";
+        "Checks whether the store knows more than the fleet: even, behind, gone, failed or handed-on.";
     /// Bytes of changes from other instances.
     counter change_bytes(zone) "jayquay_change_bytes_received_total" Bytes
         "Bytes of changes that other instances have told, by their zone: own or other.";
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -13,6 +13,7 @@
 use adapter::store::Error;
 use adapter::store::List;
 use adapter::store::Listing;
+use flow::Knowledge;
 use rand::RngExt;
 use tokio::sync::watch;
 use units::Position;
@@ -245,7 +246,7 @@
             Err(error) => return Err(error),
         }
         if was_needed && pages == PAGES_AT_ONCE && !is_seed {
-            wait_for_others(shared).await;
+            wait_for_others(shared, OTHERS_PATIENCE, Knowledge::is_ready).await;
         }
         if was_needed && !is_needed() {
             return Ok((shared.core().knowledge().upstreams_at(), false));
@@ -268,18 +269,42 @@
     has_changed
 }
 
-/// Reads the whole list of upstreams, and gives the place that it stood at.
-pub(super) async fn read_list(store: &Store, shared: &Shared) -> Result<Position, Error> {
-    let list = store.list_upstreams().await?;
-    let at = list.at;
+/// Reads the whole list of upstreams, unless others tell meanwhile what it holds. They are left some time to read a long one.
+pub(super) async fn read_list(store: &Store, shared: &Shared) -> Result<(), Error> {
+    let mut listing = Listing::default();
+    let began = Instant::now();
+    let mut pages = 0;
+    let list = loop {
+        if let Some(list) = store.next_page(&mut listing).await? {
+            break list;
+        }
+        pages += 1;
+        let Some(at) = listing.at() else {
+            continue;
+        };
+        let is_told = move |knowledge: &Knowledge| knowledge.upstreams_at() >= at;
+        if pages == PAGES_AT_ONCE {
+            wait_for_others(shared, patience(shared, listing.len(), began.elapsed()), is_told).await;
+        }
+        if is_told(shared.core().knowledge()) {
+            return Ok(());
+        }
+    };
     take_list(shared, list);
-    Ok(at)
+    Ok(())
+}
+
+/// How long others are left to read a list of which so many entries took so long: a half more than all that are known would take.
+fn patience(shared: &Shared, entries: usize, took: Duration) -> Duration {
+    let known = shared.core().knowledge().upstreams().count();
+    let whole = took.mul_f64(known as f64 / entries.max(1) as f64);
+    OTHERS_PATIENCE.max(whole + whole / 2)
 }
 
-/// Leaves it to others for a moment to read a long list.
-async fn wait_for_others(shared: &Shared) {
+/// Leaves it to others for a moment to read a long list, until what they tell will do.
+async fn wait_for_others(shared: &Shared, patience: Duration, will_do: impl Fn(&Knowledge) -> bool) {
     // Whether they told in time or not, the caller looks what is known.
-    let _in_time = tokio::time::timeout(OTHERS_PATIENCE, shared.until_ready()).await;
+    let _in_time = tokio::time::timeout(patience, shared.until(will_do)).await;
 }
 
 pub(super) async fn watch(
--- /dev/null
+++ b/crates/jayquayd/tests/flows/history.rs
@@ -0,0 +1,47 @@
+//! The store forgets its history: who reads the whole list again, which takes many calls where there are many upstreams.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use adapter_standin::Fault;
+use flow::UpstreamId;
+
+use crate::world::ROUTE;
+use crate::world::World;
+use crate::world::until;
+
+const UPSTREAMS: u64 = 60;
+/// How many calls a whole list takes, at three upstreams a page.
+const PAGES: u64 = UPSTREAMS / 3;
+/// The zone's watchers read it; each second's check may read a few pages until they have told it.
+const READERS: u64 = 2;
+const CHECKS: u64 = 6;
+
+/// A list takes 2 s to read, longer than a check waits for an answer. That is no reason to have others read it as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_list_is_read_by_the_watchers_and_not_by_whoever_checks() {
+    let world = World::new().await;
+    for id in 1..=UPSTREAMS {
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, id as u8), 80);
+        world
+            .store
+            .put_upstream(UpstreamId(id), "search", address, "zone-a", "ready");
+    }
+    world.store.put_document(1, &[(ROUTE, "search")]);
+    let mut instances = Vec::new();
+    for number in 1..=8 {
+        instances.push(world.start(number));
+    }
+    for instance in &instances {
+        until("the instance is ready", || instance.is_ready()).await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    world.store.set_fault(Fault::Slow);
+    let before = world.store.calls();
+    world.store.remove_upstream(UpstreamId(1));
+    world.store.compact();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let calls = world.store.calls() - before;
+    assert!(calls <= READERS * PAGES + CHECKS * 6 + 20, "{calls} calls");
+}
--- a/crates/jayquayd/tests/flows/main.rs
+++ b/crates/jayquayd/tests/flows/main.rs
@@ -1,6 +1,7 @@
 //! The flow mode over real processes: instances, the platform's store, upstreams and clients, on loopback.
 
 mod explain;
+mod history;
 mod older_copy;
 mod told;
 mod watchers;
