Let only the flow mode tell its own zone first of a document

The request mode shares the membership; telling the own zone first draws other random numbers there, and nobody asked for it in that mode.

Change: a timing of the membership that only the flow mode sets. What the flow mode does is unchanged.

--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -58,6 +58,7 @@
         probe_timeout: Duration::from_millis(300),
         suspect_for: Duration::from_secs(1),
         dead_probe_every: Duration::from_secs(3),
+        near_first: true,
         ..Timing::default()
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -197,7 +197,10 @@
             document: self.document,
             ..Gossip::default()
         };
-        self.push_near(&gossip, out);
+        if self.timing.near_first {
+            return self.push_near(&gossip, out);
+        }
+        self.push_news(self.timing.fanout, &gossip, out);
     }
 
     /// The configuration document that this instance holds.
--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// How often and how patiently members look after one another.
+/// How often and how patiently members look after one another, and whom they tell.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Timing {
     /// Time between two probes that a member starts.
@@ -23,6 +23,8 @@
     pub fanout: usize,
     /// How many members are told at once of a planned stop and of a hand-over.
     pub stop_fanout: usize,
+    /// Whether news of a document go to the own availability zone first, where bytes between zones are dear.
+    pub near_first: bool,
 }
 
 impl Default for Timing {
@@ -37,6 +39,7 @@
             helpers: 3,
             fanout: 3,
             stop_fanout: 64,
+            near_first: false,
         }
     }
 }
