--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -31,6 +31,7 @@
 use crate::health::Health;
 use crate::inquiry::Inquiry;
 use crate::knowledge::Knowledge;
+use crate::load::Loads;
 use crate::loss::Loss;
 use crate::outcome::Outcome;
 use crate::packet::DropCause;
@@ -99,6 +100,8 @@
     health: HashMap<UpstreamId, Health>,
     /// Baseline response time of each service.
     baselines: HashMap<String, Baseline>,
+    /// Joint view of the load of all upstreams.
+    loads: Loads,
     loss: Loss,
     answer_log: AnswerLog,
     flows: Flows,
@@ -139,6 +142,7 @@
             directory: Directory::default(),
             health: HashMap::new(),
             baselines: HashMap::new(),
+            loads: Loads::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
             flows: Flows::default(),
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -164,6 +164,7 @@
             id,
             tier,
             cost: place::cost(listed, load, &peers, zone, now, rng),
+            expected: None,
         });
         place::best(costed)
     }
--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -1,6 +1,7 @@
 //! Upstream selection for new flows.
 
 use std::fmt;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -62,6 +63,8 @@
     pub(crate) id: UpstreamId,
     pub(crate) tier: Tier,
     pub(crate) cost: f64,
+    /// Expected response time there, including the network round trip, if the joint view of its load is fresh.
+    pub(crate) expected: Option<Duration>,
 }
 
 /// Load and response time of an upstream as seen from here.
