Count work in flight at upstreams and apply digests of their joint load

Cause: each instance sees only its own share of an upstream's load, and nothing reads the rest. Change: the messages LoadReport, LoadDigest and ZoneLoads; Core counts openings and requests without an answer, open flows and completed requests by upstream; Loads answers from the digests that Core::receive_load_digest applies, with this instance's own changes added. Nothing sends these messages yet.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -4,6 +4,7 @@
 mod established;
 mod evacuation;
 mod inquiries;
+mod load;
 mod opening;
 mod outliers;
 mod silence;
@@ -229,7 +230,11 @@
     /// Its flows are lost, but no resets are sent for them here: some may have been opened to the new process before
     /// this instance learned of the restart. The upstream itself resets the flows that it doesn't hold.
     fn discard_start(&mut self, id: UpstreamId) {
-        let flows = self.flows.take_by_upstream(id).len();
+        let flows = self.flows.take_by_upstream(id);
+        for (_, flow) in &flows {
+            self.uncount_flow(flow);
+        }
+        let flows = flows.len();
         self.health.remove(&id);
         self.decisions.push(Decision::Restarted { upstream: id, flows });
     }
@@ -237,6 +242,7 @@
     /// Returns the verdict for a packet from a client.
     pub fn handle_packet(&mut self, packet: &Packet, now: Time) -> Verdict {
         self.run_due_checks(now);
+        self.expire_work(now);
         let verdict = if packet.flags.contains(Flags::SYN) {
             self.open_flow(packet, now)
         } else {
@@ -299,6 +305,7 @@
         let Some(flow) = self.flows.remove(key) else {
             return;
         };
+        self.uncount_flow(&flow);
         if let Some(health) = self.health.get_mut(&flow.upstream) {
             health.record_flow_end();
         }
@@ -322,6 +329,7 @@
         };
         let idle = document.idle_timeout.min(self.options.max_flow);
         for flow in self.flows.take_idle(idle, now) {
+            self.uncount_flow(&flow);
             if let Some(health) = self.health.get_mut(&flow.upstream) {
                 health.record_flow_end();
             }
--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -27,6 +27,7 @@
         let key = FlowKey::from(packet);
         if packet.flags.contains(Flags::RST) || packet.flags.contains(Flags::FIN) {
             self.record_last_response(&key, packet, now);
+            self.count_last_completion(&key, packet);
             self.close(&key);
             return self.forward(id);
         }
@@ -48,6 +49,7 @@
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
             self.close(key);
             self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
+            self.count_flow(key, now);
             self.health.entry(id).or_default().flows += 1;
         }
         let Some(flow) = self.flows.get_mut(key) else {
@@ -76,6 +78,10 @@
         if progress.is_revived {
             self.handle_revival(id, now, now);
         }
+        self.count_work(key, sign, now);
+        if let Some(bytes) = sign.answer_len {
+            self.count_completion(key, id, bytes);
+        }
         self.record_waits(id, sign);
         self.record_attempts(key, id, sign, now);
         sign
--- /dev/null
+++ b/crates/flow/src/core/load.rs
@@ -0,0 +1,169 @@
+//! Work in flight: counts this instance's own work at upstreams, and keeps the joint view of their load.
+
+use std::collections::BTreeMap;
+
+use units::Incarnation;
+use units::Time;
+use units::ZoneName;
+
+use super::Core;
+use crate::flows::Flow;
+use crate::flows::FlowKey;
+use crate::flows::Observation;
+use crate::load::LoadDigest;
+use crate::load::Member;
+use crate::load::UpstreamSum;
+use crate::load::WorkCounts;
+use crate::load::WorkKind;
+use crate::load::ZoneLoad;
+use crate::load::to_micros;
+use crate::packet::Flags;
+use crate::packet::Packet;
+use crate::report::ReporterId;
+use crate::upstream::UpstreamId;
+
+impl Core {
+    /// Counts a flow that was inserted into the flow table, and its opening if this instance has placed it.
+    pub(super) fn count_flow(&mut self, key: &FlowKey, now: Time) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        let (id, is_opening) = (flow.upstream, flow.is_opening());
+        if !self.loads.own.contains(id) {
+            let Some((group, echo)) = self.directory.load_group(id) else {
+                return;
+            };
+            self.loads.own.insert(id, echo, group);
+        }
+        self.loads.own.open(id);
+        if is_opening {
+            self.begin_work(key, WorkKind::Opening, now);
+        }
+    }
+
+    /// Counts the end of a flow that was removed from the flow table.
+    pub(super) fn uncount_flow(&mut self, flow: &Flow) {
+        if flow.working_since.is_some() {
+            self.end_work(flow.upstream);
+        }
+        self.loads.own.close(flow.upstream);
+    }
+
+    /// Counts the work that a packet of an established flow begins and ends.
+    pub(super) fn count_work(&mut self, key: &FlowKey, sign: Observation, now: Time) {
+        if sign.is_progress {
+            self.finish_work(key, None);
+        }
+        if sign.is_request {
+            self.begin_work(key, WorkKind::Request, now);
+        }
+    }
+
+    /// Counts an answered request, unless the answer is far shorter than usual: upstreams without capacity refuse with
+    /// short answers, and these would make them look fast.
+    pub(super) fn count_completion(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32) {
+        let typical = self.typical_lengths.get(&key.route);
+        if !typical.is_some_and(|typical| typical.is_short(bytes)) {
+            self.loads.own.complete(id);
+        }
+    }
+
+    /// Counts the last request of a flow, whose answer is complete when the client closes the flow.
+    pub(super) fn count_last_completion(&mut self, key: &FlowKey, packet: &Packet) {
+        if !packet.flags.contains(Flags::FIN) {
+            return;
+        }
+        let answered = self
+            .flows
+            .get_mut(key)
+            .and_then(|flow| Some((flow.upstream, flow.answer_len()?)));
+        if let Some((id, bytes)) = answered {
+            self.count_completion(key, id, bytes);
+        }
+    }
+
+    /// Ends the work whose answer was not seen in time.
+    pub(super) fn expire_work(&mut self, now: Time) {
+        while let Some(work) = self.loads.own.pop_deadline(now) {
+            self.finish_work(&work.key, Some(work.since));
+        }
+    }
+
+    fn begin_work(&mut self, key: &FlowKey, kind: WorkKind, now: Time) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        if flow.working_since.is_some() {
+            return;
+        }
+        flow.working_since = Some(now);
+        let id = flow.upstream;
+        self.loads.own.begin(id, *key, kind, now);
+        self.adjust_zone(id, 1);
+    }
+
+    /// Ends the work of a flow, or if `since` is given, only work that began then.
+    fn finish_work(&mut self, key: &FlowKey, since: Option<Time>) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        if flow.working_since.is_none() || (since.is_some() && flow.working_since != since) {
+            return;
+        }
+        flow.working_since = None;
+        let id = flow.upstream;
+        self.end_work(id);
+    }
+
+    fn end_work(&mut self, id: UpstreamId) {
+        if self.loads.own.end(id) {
+            self.adjust_zone(id, -1);
+        }
+    }
+
+    fn adjust_zone(&mut self, id: UpstreamId, by: i32) {
+        if let Some(listed) = self.directory.get(id) {
+            let upstream = listed.upstream();
+            self.loads.views.adjust(&upstream.service, &upstream.zone, by);
+        }
+    }
+
+    /// Applies the digest of a collector, which is identified by its name and its incarnation. Returns whether it was
+    /// new. Late and duplicate digests are ignored.
+    pub fn receive_load_digest(
+        &mut self,
+        from: ReporterId,
+        incarnation: Incarnation,
+        digest: &LoadDigest,
+        now: Time,
+    ) -> bool {
+        let ids = self.directory.group_ids(&digest.group).iter();
+        let listed = ids.filter_map(|id| self.directory.reachable(*id));
+        let members: Vec<Member> = listed.map(|(id, listed)| Member { id, echo: listed.echo }).collect();
+        let loads = &mut self.loads;
+        loads
+            .views
+            .apply((from, incarnation), digest, &members, &loads.own, now)
+    }
+
+    /// This instance's own work at an upstream.
+    pub fn own_work(&self, id: UpstreamId) -> WorkCounts {
+        self.loads.own.counts(id)
+    }
+
+    /// The joint load of an upstream, this instance's latest changes included, or `None` without a fresh view.
+    pub fn joint_work(&self, id: UpstreamId, now: Time) -> Option<UpstreamSum> {
+        let work = self.loads.work(id, now)?;
+        Some(UpstreamSum {
+            echo: id.echo(),
+            in_flight: work.in_flight,
+            open_flows: work.open_flows,
+            service_us: to_micros(work.service_time),
+        })
+    }
+
+    /// The joint load of a service by availability zone, or `None` without a fresh view.
+    pub fn zone_loads(&self, service: &str, now: Time) -> Option<&BTreeMap<ZoneName, ZoneLoad>> {
+        self.loads.zones(service, now)
+    }
+}
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -64,6 +64,7 @@
         self.record_cold_flow(id, now);
         self.loss.note_attempt(now);
         self.flows.insert(key, flow);
+        self.count_flow(&key, now);
         self.checks.add_opening(key, now);
         self.forward(id)
     }
@@ -98,6 +99,7 @@
     /// upstream.
     fn remove_unanswered_opening(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
         let mut flow = self.flows.remove(key)?;
+        self.uncount_flow(&flow);
         let health = self.health.get_mut(&flow.upstream)?;
         health.record_flow_end();
         if flow.stage == Stage::Opening {
--- a/crates/flow/src/core/silence.rs
+++ b/crates/flow/src/core/silence.rs
@@ -255,6 +255,7 @@
             });
         }
         for (key, flow) in flows {
+            self.uncount_flow(&flow);
             if flow.stage == Stage::Opening {
                 continue;
             }
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -16,6 +16,8 @@
 use crate::entries::ChangedUpstreams;
 use crate::entries::Entry;
 use crate::knowledge::Knowledge;
+use crate::load::GROUP_LEN;
+use crate::load::LoadGroup;
 use crate::packet::Echo;
 use crate::route::ColdStart;
 use crate::upstream::Upstream;
@@ -219,6 +221,26 @@
         self.by_service.get(service).map(Pool::all).unwrap_or_default()
     }
 
+    /// The group in which the load of an upstream is collected, and its echo, if the echo is unique.
+    pub(crate) fn load_group(&self, id: UpstreamId) -> Option<(LoadGroup, Echo)> {
+        let (_, listed) = self.reachable(id)?;
+        let Upstream { service, zone, .. } = listed.upstream();
+        let ids = self.by_service.get(service)?.in_zone(zone);
+        let group = LoadGroup {
+            service: service.clone(),
+            zone: zone.clone(),
+            number: u16::try_from(ids.binary_search(&id).ok()? / GROUP_LEN).ok()?,
+        };
+        Some((group, listed.echo))
+    }
+
+    /// The upstreams of a load group.
+    pub(crate) fn group_ids(&self, group: &LoadGroup) -> &[UpstreamId] {
+        let pool = self.by_service.get(&group.service);
+        let ids = pool.map(|pool| pool.in_zone(&group.zone)).unwrap_or_default();
+        ids.chunks(GROUP_LEN).nth(group.number.into()).unwrap_or_default()
+    }
+
     /// The next candidates for a new flow from a zone, if the service has too many upstreams to consider all of them;
     /// otherwise `None`.
     pub(crate) fn next_candidates(&mut self, service: &str, zone: &ZoneName, first: usize) -> Option<Vec<UpstreamId>> {
--- a/crates/flow/src/directory/pool.rs
+++ b/crates/flow/src/directory/pool.rs
@@ -40,6 +40,11 @@
         &self.all
     }
 
+    /// The upstreams of the service in an availability zone.
+    pub(crate) fn in_zone(&self, zone: &ZoneName) -> &[UpstreamId] {
+        self.by_zone.get(zone).map(Vec::as_slice).unwrap_or_default()
+    }
+
     /// The next candidates for a new flow from a zone, if there are too many upstreams to consider all of them;
     /// otherwise `None`.
     ///
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -69,6 +69,8 @@
     pub(crate) counted_in_stall: u32,
     /// The latest request, while its outcome is unknown.
     pub(crate) request: Option<OpenRequest>,
+    /// When its opening or its latest request began, while that counts as work in flight.
+    pub(crate) working_since: Option<Time>,
 }
 
 /// A request whose outcome is not known yet.
@@ -128,9 +130,15 @@
             pending: None,
             counted_in_stall: 0,
             request: None,
+            working_since: None,
         }
     }
 
+    /// Whether this instance placed the flow, and the upstream has not responded yet.
+    pub(crate) fn is_opening(&self) -> bool {
+        self.stage == Stage::Opening
+    }
+
     /// When the flow started to wait for its upstream.
     pub(crate) fn waiting_since(&self) -> Time {
         self.pending.map_or(self.first_seen, |pending| pending.since)
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -1,12 +1,36 @@
 //! The load of upstreams as all instances together see it.
+//!
+//! Each instance counts its own work (`own`) and reports it to the collectors of each group of upstreams. A collector
+//! sums the reports (`collector`) and answers with digests, from which each instance has its joint view (`view`).
+
+mod message;
+mod own;
+mod view;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use units::Time;
 use units::ZoneName;
 
 use crate::upstream::UpstreamId;
+pub use message::LoadDigest;
+pub use message::LoadGroup;
+pub use message::LoadReport;
+pub use message::ReportedWork;
+pub use message::UpstreamSum;
+pub use message::WorkCounts;
+pub use message::ZoneLoads;
+pub use message::ZoneSum;
+pub(crate) use own::OwnWork;
+pub(crate) use own::WorkKind;
+pub(crate) use view::Member;
+pub(crate) use view::Views;
+
+/// Maximum number of upstreams of a group, so that a digest fits a packet of 1,500 bytes.
+pub(crate) const GROUP_LEN: usize = 64;
 
 /// Work at one upstream, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -20,7 +44,8 @@
 }
 
 /// Load of a service's upstreams in one availability zone, over all instances.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
 pub struct ZoneLoad {
     /// Slots of the upstreams that take new flows.
     pub slots: u32,
@@ -30,21 +55,53 @@
     pub service_time: Option<Duration>,
 }
 
+impl From<(u32, u32, u32)> for ZoneLoad {
+    fn from((slots, in_flight, service_us): (u32, u32, u32)) -> Self {
+        Self {
+            slots,
+            in_flight,
+            service_time: from_micros(service_us),
+        }
+    }
+}
+
+impl From<ZoneLoad> for (u32, u32, u32) {
+    fn from(load: ZoneLoad) -> Self {
+        (load.slots, load.in_flight, to_micros(load.service_time))
+    }
+}
+
+/// A service time from its encoded form, in which zero means that it is unknown.
+fn from_micros(micros: u32) -> Option<Duration> {
+    (micros > 0).then(|| Duration::from_micros(micros.into()))
+}
+
+pub(crate) fn to_micros(time: Option<Duration>) -> u32 {
+    time.map_or(0, |time| u32::try_from(time.as_micros()).unwrap_or(u32::MAX))
+}
+
 /// Joint view of the load of all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
-    zones: BTreeMap<String, BTreeMap<ZoneName, ZoneLoad>>,
+    pub(crate) own: OwnWork,
+    pub(crate) views: Views,
 }
 
 impl Loads {
     /// Returns the joint view of an upstream, including this instance's latest changes, or `None` without a fresh view.
-    pub(crate) fn work(&self, _id: UpstreamId, _now: Time) -> Option<Work> {
-        None
+    pub(crate) fn work(&self, id: UpstreamId, now: Time) -> Option<Work> {
+        let others = self.views.upstream(id, now)?;
+        let own = self.own.counts(id);
+        Some(Work {
+            in_flight: others.in_flight.saturating_add(own.in_flight),
+            open_flows: others.open_flows.saturating_add(own.open_flows),
+            service_time: others.service_time,
+        })
     }
 
     /// Returns the load of a service by availability zone, or `None` without a fresh view.
-    pub(crate) fn zones(&self, service: &str, _now: Time) -> Option<&BTreeMap<ZoneName, ZoneLoad>> {
-        self.zones.get(service)
+    pub(crate) fn zones(&self, service: &str, now: Time) -> Option<&BTreeMap<ZoneName, ZoneLoad>> {
+        self.views.zones(service, now)
     }
 
     /// Returns the work in flight per slot of a service, over all availability zones, or `None` without a fresh view.
--- /dev/null
+++ b/crates/flow/src/load/view.rs
@@ -0,0 +1,164 @@
+//! The joint view: the load of upstreams as the digests of collectors give it, without this instance's own work.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use units::Incarnation;
+use units::Time;
+use units::ZoneName;
+
+use super::LoadDigest;
+use super::LoadGroup;
+use super::OwnWork;
+use super::Work;
+use super::ZoneLoad;
+use super::from_micros;
+use crate::packet::Echo;
+use crate::report::ReporterId;
+use crate::upstream::UpstreamId;
+
+/// Age from which a view counts as no view.
+const VALIDITY: Duration = Duration::from_secs(1);
+/// Interval at which stale views are removed, and the age from which they are.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// An upstream of a group, as the directory lists it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Member {
+    pub(crate) id: UpstreamId,
+    pub(crate) echo: Echo,
+}
+
+/// Work of the other instances at one upstream.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamView {
+    others: Work,
+    at: Time,
+}
+
+/// Load of one service.
+#[derive(Debug, Default)]
+struct ServiceView {
+    /// By availability zone, with this instance's latest changes.
+    zones: BTreeMap<ZoneName, ZoneLoad>,
+    is_busy: bool,
+    at: Time,
+}
+
+/// The latest digest of one collector about one group.
+#[derive(Debug, Clone, Copy)]
+struct LatestDigest {
+    incarnation: Incarnation,
+    seq: u32,
+    at: Time,
+}
+
+/// The joint view, from the digests that were received.
+#[derive(Debug, Default)]
+pub(crate) struct Views {
+    upstreams: HashMap<UpstreamId, UpstreamView>,
+    services: HashMap<CompactString, ServiceView>,
+    latest: HashMap<(ReporterId, LoadGroup), LatestDigest>,
+    pruned_at: Time,
+}
+
+impl Views {
+    /// Work of the other instances at an upstream, or `None` without a fresh view.
+    pub(super) fn upstream(&self, id: UpstreamId, now: Time) -> Option<Work> {
+        let view = self.upstreams.get(&id)?;
+        (now.since(view.at) < VALIDITY).then_some(view.others)
+    }
+
+    fn service(&self, service: &str, now: Time) -> Option<&ServiceView> {
+        let view = self.services.get(service)?;
+        (now.since(view.at) < VALIDITY).then_some(view)
+    }
+
+    /// Load of a service by availability zone, or `None` without a fresh view.
+    pub(super) fn zones(&self, service: &str, now: Time) -> Option<&BTreeMap<ZoneName, ZoneLoad>> {
+        Some(&self.service(service, now)?.zones)
+    }
+
+    /// Whether a collector says that the service is busy.
+    pub(crate) fn is_busy(&self, service: &str, now: Time) -> bool {
+        self.service(service, now).is_some_and(|view| view.is_busy)
+    }
+
+    /// Adds or subtracts one piece of own work.
+    pub(crate) fn adjust(&mut self, service: &str, zone: &ZoneName, by: i32) {
+        let Some(view) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Some(load) = view.zones.get_mut(zone) {
+            load.in_flight = load.in_flight.saturating_add_signed(by);
+        }
+    }
+
+    /// Applies the digest of a collector about a group with these members. Returns whether it is new.
+    pub(crate) fn apply(
+        &mut self,
+        (from, incarnation): (ReporterId, Incarnation),
+        digest: &LoadDigest,
+        members: &[Member],
+        own: &OwnWork,
+        now: Time,
+    ) -> bool {
+        if !self.is_new((from, incarnation), digest, now) {
+            return false;
+        }
+        if let Some(upstreams) = &digest.upstreams {
+            let sums: HashMap<Echo, _> = upstreams.iter().map(|sum| (sum.echo, sum)).collect();
+            for member in members {
+                let sum = sums.get(&member.echo).copied().copied().unwrap_or_default();
+                let base = own.counts_as_of(member.id, digest.included);
+                let others = Work {
+                    in_flight: sum.in_flight.saturating_sub(base.in_flight),
+                    open_flows: sum.open_flows.saturating_sub(base.open_flows),
+                    service_time: from_micros(sum.service_us),
+                };
+                self.upstreams.insert(member.id, UpstreamView { others, at: now });
+            }
+        }
+        self.apply_zones(digest, own, now);
+        self.prune(now);
+        true
+    }
+
+    fn apply_zones(&mut self, digest: &LoadDigest, own: &OwnWork, now: Time) {
+        let view = self.services.entry(digest.group.service.clone()).or_default();
+        view.at = now;
+        view.is_busy = digest.is_busy;
+        view.zones = digest.zones.iter().cloned().collect();
+        if let Some(load) = view.zones.get_mut(&digest.group.zone) {
+            let (current, included) = own.group_in_flight(&digest.group, digest.included);
+            load.in_flight = load.in_flight.saturating_sub(included).saturating_add(current);
+        }
+    }
+
+    /// Whether the digest is the latest one of its sender about its group.
+    fn is_new(&mut self, (from, incarnation): (ReporterId, Incarnation), digest: &LoadDigest, now: Time) -> bool {
+        let seq = digest.seq;
+        let key = (from, digest.group.clone());
+        let latest = self.latest.get(&key);
+        if latest.is_some_and(|latest| (latest.incarnation, latest.seq) >= (incarnation, seq)) {
+            return false;
+        }
+        let at = now;
+        self.latest.insert(key, LatestDigest { incarnation, seq, at });
+        true
+    }
+
+    /// Removes what has been stale for long.
+    fn prune(&mut self, now: Time) {
+        if now.since(self.pruned_at) < PRUNE_INTERVAL {
+            return;
+        }
+        self.pruned_at = now;
+        let is_recent = |at: Time| now.since(at) < PRUNE_INTERVAL;
+        self.upstreams.retain(|_, view| is_recent(view.at));
+        self.services.retain(|_, view| is_recent(view.at));
+        self.latest.retain(|_, latest| is_recent(latest.at));
+    }
+}
