Take no response-time sample from short answers

A refusal or an error arrives sooner than a regular answer. As a sample it made its upstream look up to twice as fast, so placement preferred the upstream that refuses most, and it lowered the service's typical response time, from which the time until a request counts as overdue is derived.

The response time is now kept with the request, and recorded once the client has acknowledged more than a short answer. For regular answers that is the first acknowledgement, as before.

--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -101,6 +101,9 @@
         if let Some(bytes) = sign.answer_len {
             self.record_response(key, id, bytes, now);
         }
+        if sign.is_progress {
+            self.record_response_time(key, id, sign.response_time, now);
+        }
         let Some(service) = self.directory.get(id).map(|listed| &listed.upstream().service) else {
             return;
         };
@@ -108,17 +111,39 @@
             Some(service) => service,
             None => self.typical_services.entry(service.clone()).or_default(),
         };
-        if let Some(waited) = sign.response_time {
-            service.record_response_time(waited);
-            let sample = waited.as_secs_f64().max(service.min_response_sample());
-            self.health.entry(id).or_default().record_response_time(sample, now);
-        }
         if sign.is_request {
             let due = now + service.overdue_after();
             self.checks.add_request(*key, now, due);
         }
     }
 
+    /// Records the response time of an upstream, once the response is longer than a short one.
+    ///
+    /// A short response is usually an error or a refusal, which takes no work: as a sample, it would make its upstream
+    /// look fast, and a service that refuses many requests would have a low typical response time.
+    fn record_response_time(&mut self, key: &FlowKey, id: UpstreamId, measured: Option<Duration>, now: Time) {
+        let mut waited = measured;
+        if let Some(flow) = self.flows.get_mut(key)
+            && let answered = flow.answer_len()
+            && let Some(request) = &mut flow.request
+        {
+            request.response_time = request.response_time.or(measured);
+            let length = self.typical_lengths.get(&key.route);
+            if answered.is_some_and(|bytes| length.is_some_and(|length| length.is_short(bytes))) {
+                return;
+            }
+            waited = request.response_time.take();
+        }
+        let (Some(waited), Some(listed)) = (waited, self.directory.get(id)) else {
+            return;
+        };
+        if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
+            service.record_response_time(waited);
+            let sample = waited.as_secs_f64().max(service.min_response_sample());
+            self.health.entry(id).or_default().record_response_time(sample, now);
+        }
+    }
+
     /// Records the last response of a flow, which is complete when the client closes the flow.
     pub(super) fn record_last_response(&mut self, key: &FlowKey, packet: &Packet, now: Time) {
         if !packet.flags.contains(Flags::FIN) {
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -80,6 +80,8 @@
     ack: u32,
     /// When the client last acknowledged more of the response.
     pub(crate) progress_at: Option<Time>,
+    /// The response time, until it has been recorded as a sample.
+    pub(crate) response_time: Option<Duration>,
 }
 
 /// Client data that the upstream has not responded to yet.
@@ -191,6 +193,7 @@
             at: now,
             ack: self.client_ack,
             progress_at: None,
+            response_time: None,
         });
         answer_len
     }
