Tell refusals for lack of capacity from failures

While a service is overloaded, its upstreams refuse requests with short answers.

Such an answer is now Outcome::Rejected, neither a failure nor a success. An upstream is full if the joint view shows at least as much work in flight as it has slots. Without a view it is taken as full if at least three other upstreams, and a fifth of those answering, have answered short within two seconds, and its own response time is not far below that of the service: an upstream that fails answers its remaining requests as usual, a full one makes them wait. A connection that nothing follows counts as rejected too if a view shows that the upstream is full and completes requests.

Short answers move the typical response length a quarter as far as others, as refusals may be more than half of the answers during an overload.

With a view, an upstream is ejected only if the work in flight is at most 0.8 of the remaining slots. The limit of half of the upstreams holds with and without a view.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,5 +1,6 @@
 //! The packet path of one instance: takes packets and control-plane updates, and returns verdicts.
 
+mod capacity;
 mod cold;
 mod established;
 mod evacuation;
@@ -21,6 +22,7 @@
 use units::Time;
 use units::ZoneName;
 
+pub use self::capacity::ServiceLoad;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -15,6 +15,8 @@
 use units::ZoneName;
 
 use super::Core;
+use super::capacity::is_full;
+use super::capacity::is_working_at_capacity;
 use crate::checks::Check;
 use crate::decision::Decision;
 use crate::ejection::Transition;
@@ -31,9 +33,6 @@
 const COMPLETE_AFTER: Duration = Duration::from_millis(100);
 /// How late a check may run and still count. A later check was delayed by this process, so its result proves nothing.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(250);
-/// At most one in this many upstreams of a service may be ejected. If more fail, the cause usually lies elsewhere, and
-/// the remaining upstreams couldn't carry the load.
-const EJECTED_ONE_IN: usize = 2;
 /// Maximum number of reports sent at once.
 const MAX_REPORTS: usize = 16;
 
@@ -57,6 +56,9 @@
             return;
         }
         let upstream = flow.upstream;
+        if is_working_at_capacity(&self.directory, &self.loads, upstream, now) {
+            return self.record_outcome(upstream, Outcome::Rejected, now);
+        }
         // Only an upstream that no longer listens refuses a connection, and then its open flows are lost too. So a
         // refusal counts as much as a missing answer, and is confirmed in the same way.
         if let Some(health) = self.health.get_mut(&upstream) {
@@ -81,12 +83,13 @@
         let upstream = flow.upstream;
         let is_sent_again = flow.pending.is_some_and(|pending| pending.retransmissions > 0);
         let answered = flow.answer_len();
+        let was_full = asked.was_full;
         flow.request = None;
         if now.since(check.due) > MAX_CHECK_DELAY {
             return;
         }
         match answered {
-            Some(bytes) => self.record_response(&check.key, upstream, bytes, now),
+            Some(bytes) => self.record_response(&check.key, upstream, bytes, was_full, now),
             // The upstream hasn't acknowledged the request; retransmissions are counted separately.
             None if is_sent_again => {}
             None => self.record_outcome(upstream, Outcome::Overdue, now),
@@ -99,7 +102,7 @@
             self.record_outcome(id, Outcome::Good, now);
         }
         if let Some(bytes) = sign.answer_len {
-            self.record_response(key, id, bytes, now);
+            self.record_response(key, id, bytes, false, now);
         }
         if sign.is_progress {
             self.record_response_time(key, id, sign.response_time, now);
@@ -130,6 +133,7 @@
             request.response_time = request.response_time.or(measured);
             let length = self.typical_lengths.get(&key.route);
             if answered.is_some_and(|bytes| length.is_some_and(|length| length.is_short(bytes))) {
+                request.was_full |= is_full(&self.directory, &self.loads, id, now) == Some(true);
                 return;
             }
             waited = request.response_time.take();
@@ -155,15 +159,28 @@
         flow.observe(packet, now);
         if let Some(bytes) = flow.answer_len() {
             let upstream = flow.upstream;
-            self.record_response(key, upstream, bytes, now);
+            let was_full = flow.request.is_some_and(|request| request.was_full);
+            self.record_response(key, upstream, bytes, was_full, now);
         }
     }
 
-    fn record_response(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32, now: Time) {
+    /// Records a complete response. `was_full` says that the upstream is known to have been full when it answered.
+    fn record_response(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32, was_full: bool, now: Time) {
         let length = self.typical_lengths.entry(key.route).or_default();
         let is_short = length.is_short(bytes);
         length.add_sample(bytes);
-        let outcome = if is_short { Outcome::Short } else { Outcome::Good };
+        if let Some(listed) = self.directory.get(id)
+            && let Some(service) = self.typical_services.get_mut(&listed.upstream().service)
+        {
+            service.recent_answers.add(id, is_short, now);
+        }
+        let outcome = if !is_short {
+            Outcome::Good
+        } else if was_full || self.is_short_of_capacity(id, now) {
+            Outcome::Rejected
+        } else {
+            Outcome::Short
+        };
         self.record_outcome(id, outcome, now);
     }
 
@@ -215,10 +232,10 @@
         };
         let service = self.typical_services.get(&listed.upstream().service);
         let health = self.health.entry(id).or_default();
-        let usual = service.copied().unwrap_or_default().tally;
+        let usual = service.map(|service| service.tally).unwrap_or_default();
         let usual = usual.baseline_without(&health.record.tally, now);
         let is_failing = health.record.add_report(report, instances, usual, now);
-        if !is_failing || health.ejection.is_ejected() || !self.may_eject(id) {
+        if !is_failing || health.ejection.is_ejected() || !self.may_eject(id, now) {
             return;
         }
         let health = self.health.entry(id).or_default();
@@ -232,24 +249,6 @@
         self.announce_ejection(id);
     }
 
-    /// Whether another upstream of the same service may be ejected.
-    fn may_eject(&self, id: UpstreamId) -> bool {
-        let Some(listed) = self.directory.get(id) else {
-            return false;
-        };
-        let mut all = 0;
-        let mut ejected = 0;
-        for (other, listed) in self.directory.of_service(&listed.upstream().service) {
-            if listed.upstream().leaving || listed.gone_since.is_some() {
-                continue;
-            }
-            all += 1;
-            let health = self.health.get(&other);
-            ejected += usize::from(health.is_some_and(|health| health.ejection.is_ejected()));
-        }
-        (ejected + 1) * EJECTED_ONE_IN <= all
-    }
-
     /// Availability zone of a listed upstream.
     pub fn zone_of(&self, id: UpstreamId) -> Option<&ZoneName> {
         self.directory.get(id).map(|listed| &listed.upstream().zone)
--- a/crates/flow/src/ejection.rs
+++ b/crates/flow/src/ejection.rs
@@ -137,8 +137,11 @@
     }
 
     /// Records the outcome of an attempt. Existing flows continue while the upstream is ejected; as long as they fail,
-    /// it stays ejected.
+    /// it stays ejected. A rejected attempt says nothing about the failure.
     pub(crate) fn note_outcome(&mut self, outcome: Outcome, now: Time) -> Transition {
+        if outcome == Outcome::Rejected {
+            return Transition::None;
+        }
         let is_good = outcome == Outcome::Good;
         let (successes, next) = match self.phase {
             Phase::Probing { successes, next } => (successes, next),
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -82,6 +82,8 @@
     pub(crate) progress_at: Option<Time>,
     /// The response time, until it has been recorded as a sample.
     pub(crate) response_time: Option<Duration>,
+    /// Whether the upstream was full when the client acknowledged the beginning of a short response.
+    pub(crate) was_full: bool,
 }
 
 /// Client data that the upstream has not responded to yet.
@@ -194,6 +196,7 @@
             ack: self.client_ack,
             progress_at: None,
             response_time: None,
+            was_full: false,
         });
         answer_len
     }
--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -53,6 +53,9 @@
     Overdue,
     /// The response was far shorter than is usual for the route.
     Short,
+    /// An upstream without free capacity refused the request or the connection at once. This is neither a failure of
+    /// the upstream nor a success.
+    Rejected,
 }
 
 impl Outcome {
@@ -63,11 +66,12 @@
             Self::Refused => "refused",
             Self::Overdue => "overdue",
             Self::Short => "short",
+            Self::Rejected => "rejected",
         }
     }
 
-    fn is_failure(self) -> bool {
-        self != Self::Good
+    pub(crate) fn is_failure(self) -> bool {
+        matches!(self, Self::Refused | Self::Overdue | Self::Short)
     }
 }
 
@@ -80,6 +84,9 @@
 
 impl Tally {
     pub(crate) fn add(&mut self, outcome: Outcome, now: Time) {
+        if outcome == Outcome::Rejected {
+            return;
+        }
         self.attempts.add(1, TALLY_TIME_CONSTANT, now);
         if outcome.is_failure() {
             self.failures.add(1, TALLY_TIME_CONSTANT, now);
@@ -125,8 +132,12 @@
 }
 
 impl AttemptRecord {
-    /// Adds an attempt to the rate and, if it failed, to the next report, but not to the tally.
+    /// Adds an attempt to the rate and, if it failed, to the next report, but not to the tally. A rejected one would
+    /// count as a success if it were part of the rate, as successes are estimated from the rate.
     pub(crate) fn add(&mut self, outcome: Outcome, now: Time) {
+        if outcome == Outcome::Rejected {
+            return;
+        }
         self.first_attempt_at.get_or_insert(now);
         self.attempts.add(1, RATE_TIME_CONSTANT, now);
         if outcome.is_failure() {
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::outcome::Tally;
+use crate::recent_answers::RecentAnswers;
 
 /// Weight of a new response time sample of a service. An instance sees about fifty answers a second.
 const SAMPLE_WEIGHT: f64 = 0.02;
@@ -15,13 +16,18 @@
 const MIN_OVERDUE: Duration = Duration::from_millis(250);
 const MAX_OVERDUE: Duration = Duration::from_secs(2);
 
+/// Fraction of the typical response time from which on an upstream counts as busy.
+const BUSY_FRACTION: f64 = 0.7;
+
 /// Typical behaviour of a service's upstreams.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone)]
 pub(crate) struct TypicalService {
     /// Moving average of the time until an answer begins, in seconds.
     response: Option<f64>,
     /// Results of attempts at upstreams that aren't ejected.
     pub(crate) tally: Tally,
+    /// The latest answers of its upstreams.
+    pub(crate) recent_answers: RecentAnswers,
 }
 
 impl TypicalService {
@@ -37,6 +43,14 @@
         typical.mul_f64(OVERDUE_FACTOR).clamp(MIN_OVERDUE, MAX_OVERDUE)
     }
 
+    /// Whether an upstream with this mean response time, if one is known, is among the busier ones of the service.
+    /// Requests wait in the queue of an upstream that refuses others for lack of capacity, while one that fails answers
+    /// the rest of its requests as usual.
+    pub(crate) fn is_busy(&self, response: Option<f64>) -> bool {
+        let typical = self.response.unwrap_or_default();
+        response.is_none_or(|response| response >= typical * BUSY_FRACTION)
+    }
+
     /// Lower bound in seconds for response time samples: an answer that comes much sooner than usual is typically an
     /// error, and must not make its upstream look fast.
     pub(crate) fn min_response_sample(&self) -> f64 {
@@ -52,8 +66,12 @@
 /// Minimum step of the median estimate per answer, relative to the median.
 const MIN_MEDIAN_STEP: f64 = 0.02;
 
-/// Running estimate of the median response length of a route. It moves in small steps, so errors can't shift it while
-/// they are fewer than half of the answers.
+/// Factor on the step for a short answer. An overloaded service may refuse more than half of its requests for as long
+/// as the overload lasts, and a median that followed would let the refusals count as regular answers.
+const SHORT_STEP_FACTOR: f64 = 0.25;
+
+/// Running estimate of the median response length of a route. It moves in small steps, and in smaller ones for short
+/// answers, so errors can't shift it while they are fewer than four in five of the answers.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct TypicalLength {
     median: f64,
@@ -68,7 +86,10 @@
             self.median = bytes;
             return;
         }
-        let step = MIN_MEDIAN_STEP.max(1.0 / f64::from(self.answers));
+        let mut step = MIN_MEDIAN_STEP.max(1.0 / f64::from(self.answers));
+        if self.is_short_length(bytes) {
+            step *= SHORT_STEP_FACTOR;
+        }
         if bytes > self.median {
             self.median *= 1.0 + step;
         } else {
@@ -78,6 +99,10 @@
 
     /// Whether an answer is far shorter than usual.
     pub(crate) fn is_short(&self, bytes: u32) -> bool {
-        self.answers >= MIN_ANSWERS && f64::from(bytes) < self.median * SHORT_FRACTION
+        self.answers >= MIN_ANSWERS && self.is_short_length(f64::from(bytes))
+    }
+
+    fn is_short_length(&self, bytes: f64) -> bool {
+        bytes < self.median * SHORT_FRACTION
     }
 }
--- /dev/null
+++ b/crates/flow/tests/capacity.rs
@@ -0,0 +1,64 @@
+//! Lack of capacity is told from failures of single upstreams, and ejection leaves enough capacity.
+
+use std::time::Duration;
+
+use flow::RecentAnswers;
+use flow::ServiceLoad;
+use flow::UpstreamId;
+use units::Time;
+
+const START: Time = Time(1_000_000_000);
+
+/// Answers of upstreams 1 to `answering`, of which the first `short` answer short, `times` times 10 ms apart.
+fn answers(answering: u64, short: u64, times: u32) -> (RecentAnswers, Time) {
+    let mut answers = RecentAnswers::default();
+    let mut now = START;
+    for _ in 0..times {
+        now = now + Duration::from_millis(10);
+        for id in 1..=answering {
+            answers.add(UpstreamId(id), id <= short, now);
+        }
+    }
+    (answers, now)
+}
+
+/// Upstreams that fail together on their own account were counted as full, or full ones as failing.
+#[test]
+fn short_answers_are_widespread_only_if_many_upstreams_give_them() {
+    let cases = [
+        // Answering, short, asked about, widespread among the others.
+        (12, 4, 1, true),
+        (12, 3, 1, false),
+        (12, 3, 12, true),
+        (20, 3, 20, false),
+        (20, 4, 20, true),
+        (3, 3, 1, false),
+    ];
+    for (answering, short, except, is_widespread) in cases {
+        let (answers, now) = answers(answering, short, 3);
+        let actual = answers.are_widely_short(UpstreamId(except), now);
+        assert_eq!(actual, is_widespread, "{answering} {short} {except}");
+    }
+}
+
+/// An overload that has ended must not excuse the failures that come after it.
+#[test]
+fn earlier_short_answers_do_not_count() {
+    let (mut answers, now) = answers(12, 12, 5);
+    assert!(answers.are_widely_short(UpstreamId(1), now));
+    let later = now + Duration::from_millis(2_100);
+    assert!(!answers.are_widely_short(UpstreamId(1), later));
+    for id in 1..=12 {
+        answers.add(UpstreamId(id), false, later);
+    }
+    assert!(!answers.are_widely_short(UpstreamId(1), later));
+}
+
+/// An ejection that leaves too few slots turns the failures of one upstream into refusals at all others.
+#[test]
+fn an_ejection_needs_enough_remaining_slots() {
+    for (in_flight, slots, is_allowed) in [(0, 0, true), (1, 0, false), (8, 10, true), (9, 10, false)] {
+        let load = ServiceLoad { in_flight, slots };
+        assert_eq!(load.allows_ejection(), is_allowed, "{load:?}");
+    }
+}
