Collect the load of upstreams from reports, and answer with digests

Cause: an instance sees about an eightieth of an upstream's load. Change: Core takes its due reports (sums of a sample each second while a service is quiet, values by upstream every 100 ms while it is busy), and as a collector applies reports and takes digests and the sums for other collectors. A collector sends nothing before it has collected for a second, also after a pause of its process. Phases of samples come from the seed and the group rather than from the generator that places flows.

--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -1,6 +1,7 @@
 //! Work in flight: counts this instance's own work at upstreams, and keeps the joint view of their load.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use units::Incarnation;
 use units::Time;
@@ -10,18 +11,36 @@
 use crate::flows::Flow;
 use crate::flows::FlowKey;
 use crate::flows::Observation;
+use crate::load::DueDigest;
+use crate::load::ListedSlots;
 use crate::load::LoadDigest;
+use crate::load::LoadGroup;
+use crate::load::LoadReport;
+use crate::load::Loads;
 use crate::load::Member;
 use crate::load::UpstreamSum;
 use crate::load::WorkCounts;
 use crate::load::WorkKind;
 use crate::load::ZoneLoad;
+use crate::load::ZoneLoads;
 use crate::load::to_micros;
+use crate::packet::Echo;
 use crate::packet::Flags;
 use crate::packet::Packet;
 use crate::report::ReporterId;
 use crate::upstream::UpstreamId;
 
+/// Interval at which the groups of own work are compared with the directory.
+const REGROUP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time until the first sample of a group, below about a second. It depends on the instance and the group, but not on
+/// when work begins, which would make samples too high.
+fn sample_phase(seed: u64, echo: Echo) -> Duration {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (seed ^ u64::from(echo.0)).wrapping_mul(MULTIPLIER);
+    Duration::from_micros(mixed >> 44)
+}
+
 impl Core {
     /// Counts a flow that was inserted into the flow table, and its opening if this instance has placed it.
     pub(super) fn count_flow(&mut self, key: &FlowKey, now: Time) {
@@ -33,7 +52,8 @@
             let Some((group, echo)) = self.directory.load_group(id) else {
                 return;
             };
-            self.loads.own.insert(id, echo, group);
+            let phase = sample_phase(self.options.seed, echo);
+            self.loads.own.insert(id, echo, group, phase, now);
         }
         self.loads.own.open(id);
         if is_opening {
@@ -128,6 +148,82 @@
         }
     }
 
+    /// Takes the reports of this instance's own work that are due, for the collectors of each group: two instances of
+    /// the group's availability zone. To be called every 100 milliseconds.
+    pub fn take_load_reports(&mut self, now: Time) -> Vec<LoadReport> {
+        self.expire_work(now);
+        self.regroup(now);
+        let Loads { own, views, .. } = &mut self.loads;
+        own.take_reports(&self.options.zone, |service| views.is_busy(service, now), now)
+    }
+
+    /// Brings the groups of own work in line with the directory.
+    fn regroup(&mut self, now: Time) {
+        if now.since(self.loads.regrouped_at) < REGROUP_INTERVAL {
+            return;
+        }
+        self.loads.regrouped_at = now;
+        let directory = &self.directory;
+        let Loads { own, views, .. } = &mut self.loads;
+        own.regroup(|id| Some(directory.load_group(id)?.0), now);
+        let zone = &self.options.zone;
+        let recent = own.recent_services(now);
+        let busy = recent.filter(|service| views.is_busy(service, now));
+        let groups: Vec<LoadGroup> = busy.flat_map(|service| directory.load_groups(service, zone)).collect();
+        own.add_groups(groups.into_iter(), now);
+    }
+
+    /// Applies a report that was sent to this instance as a collector. Returns whether it was new. Late and duplicate
+    /// reports are ignored.
+    pub fn receive_load_report(
+        &mut self,
+        from: ReporterId,
+        incarnation: Incarnation,
+        report: &LoadReport,
+        now: Time,
+    ) -> bool {
+        self.loads.collector.add_report((from, incarnation), report, now)
+    }
+
+    /// Takes the digests that are due, as a collector. To be called every 100 milliseconds.
+    pub fn take_load_digests(&mut self, now: Time) -> Vec<DueDigest> {
+        let directory = &self.directory;
+        let listed = |group: &LoadGroup| {
+            let ids = directory.group_ids(group).iter();
+            let listed = ids.filter_map(|id| directory.reachable(*id));
+            let slots = listed.map(|(_, listed)| ListedSlots {
+                echo: listed.echo,
+                slots: listed.upstream().slots.0.into(),
+                is_open: listed.accepts_flows() && listed.gone_since.is_none(),
+            });
+            slots.collect()
+        };
+        self.loads.collector.take_digests(listed, now)
+    }
+
+    /// Takes the sums that are due for other collectors of the same services, as a collector.
+    pub fn take_zone_loads(&mut self, now: Time) -> Vec<ZoneLoads> {
+        let directory = &self.directory;
+        let zones = |service: &str| directory.load_group_counts(service);
+        self.loads.collector.take_zone_loads(zones, now)
+    }
+
+    /// Applies the sums of another collector. Returns whether they were new.
+    pub fn receive_zone_loads(
+        &mut self,
+        from: ReporterId,
+        incarnation: Incarnation,
+        loads: &ZoneLoads,
+        now: Time,
+    ) -> bool {
+        self.loads.collector.add_zone_loads((from, incarnation), loads, now)
+    }
+
+    /// Drops what an instance has reported, as it is down.
+    pub fn remove_load_reporter(&mut self, from: ReporterId, now: Time) {
+        self.loads.collector.remove_reporter(from, now);
+    }
+
     /// Applies the digest of a collector, which is identified by its name and its incarnation. Returns whether it was
     /// new. Late and duplicate digests are ignored.
     pub fn receive_load_digest(
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -74,6 +74,11 @@
     held.cold_until.max(from_entry)
 }
 
+/// The number of load groups of these upstreams.
+fn group_count(ids: &[UpstreamId]) -> u16 {
+    u16::try_from(ids.len().div_ceil(GROUP_LEN)).unwrap_or(u16::MAX)
+}
+
 /// The result of applying changes.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub(crate) struct IndexUpdate {
@@ -234,6 +239,29 @@
         Some((group, listed.echo))
     }
 
+    /// The load groups of a service in an availability zone.
+    pub(crate) fn load_groups(&self, service: &CompactString, zone: &ZoneName) -> Vec<LoadGroup> {
+        let pool = self.by_service.get(service);
+        let count = pool.map_or(0, |pool| group_count(pool.in_zone(zone)));
+        let groups = (0..count).map(|number| LoadGroup {
+            service: service.clone(),
+            zone: zone.clone(),
+            number,
+        });
+        groups.collect()
+    }
+
+    /// The number of load groups of a service in each availability zone, ordered by zone.
+    pub(crate) fn load_group_counts(&self, service: &str) -> Vec<(ZoneName, u16)> {
+        let Some(pool) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let counts = pool.zones().map(|(zone, ids)| (zone.clone(), group_count(ids)));
+        let mut counts: Vec<(ZoneName, u16)> = counts.filter(|(_, count)| *count > 0).collect();
+        counts.sort_unstable();
+        counts
+    }
+
     /// The upstreams of a load group.
     pub(crate) fn group_ids(&self, group: &LoadGroup) -> &[UpstreamId] {
         let pool = self.by_service.get(&group.service);
--- a/crates/flow/src/directory/pool.rs
+++ b/crates/flow/src/directory/pool.rs
@@ -40,6 +40,11 @@
         &self.all
     }
 
+    /// The upstreams of the service by availability zone.
+    pub(crate) fn zones(&self) -> impl Iterator<Item = (&ZoneName, &[UpstreamId])> {
+        self.by_zone.iter().map(|(zone, ids)| (zone, ids.as_slice()))
+    }
+
     /// The upstreams of the service in an availability zone.
     pub(crate) fn in_zone(&self, zone: &ZoneName) -> &[UpstreamId] {
         self.by_zone.get(zone).map(Vec::as_slice).unwrap_or_default()
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -3,8 +3,11 @@
 //! Each instance counts its own work (`own`) and reports it to the collectors of each group of upstreams. A collector
 //! sums the reports (`collector`) and answers with digests, from which each instance has its joint view (`view`).
 
+mod collector;
+mod group_sums;
 mod message;
 mod own;
+mod service_time;
 mod view;
 
 use std::collections::BTreeMap;
@@ -16,6 +19,10 @@
 use units::ZoneName;
 
 use crate::upstream::UpstreamId;
+pub(crate) use collector::Collector;
+pub use collector::DueDigest;
+pub(crate) use group_sums::ListedSlots;
+pub use group_sums::LoadRecipient;
 pub use message::LoadDigest;
 pub use message::LoadGroup;
 pub use message::LoadReport;
@@ -85,6 +92,9 @@
 pub(crate) struct Loads {
     pub(crate) own: OwnWork,
     pub(crate) views: Views,
+    pub(crate) collector: Collector,
+    /// When the groups of own work were last compared with the directory.
+    pub(crate) regrouped_at: Time,
 }
 
 impl Loads {
--- /dev/null
+++ b/crates/flow/src/load/collector.rs
@@ -0,0 +1,289 @@
+//! The groups that this instance collects: reports come in, digests and the sums of zones go out.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use units::Incarnation;
+use units::Time;
+use units::ZoneName;
+
+use super::ListedSlots;
+use super::LoadDigest;
+use super::LoadGroup;
+use super::LoadRecipient;
+use super::LoadReport;
+use super::ZoneLoad;
+use super::ZoneLoads;
+use super::ZoneSum;
+use super::group_sums::GroupSums;
+use crate::report::ReporterId;
+
+/// Intervals of digests while the service is busy, and otherwise.
+const BUSY_INTERVAL: Duration = Duration::from_millis(100);
+const QUIET_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which collectors exchange sums while the service is busy.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Age from which the sums of another collector no longer count. They are at most 500 milliseconds old when they have
+/// passed two collectors. Together with the time for which an instance keeps them, a zone that is cut off is no longer
+/// shown within a second.
+const SUM_VALIDITY: Duration = Duration::from_millis(700);
+/// Longest interval between two calls after which the sums still hold. After a longer one this process was paused, and
+/// reports were lost.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Work in flight per slot from which a service is busy, in percent, and below which it no longer is.
+const BUSY_PERCENT: u32 = 50;
+const QUIET_PERCENT: u32 = 40;
+
+/// A digest and the instances that get it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DueDigest {
+    /// The digest. The sender sets [`LoadDigest::included`] for each recipient.
+    pub digest: LoadDigest,
+    /// The recipients.
+    pub recipients: Vec<LoadRecipient>,
+}
+
+/// Sums of a zone or group as another collector gave them, or as this one last computed them.
+#[derive(Debug, Clone, Copy)]
+struct KnownSum {
+    load: ZoneLoad,
+    as_of: Time,
+}
+
+/// One group that this instance collects.
+#[derive(Debug)]
+struct CollectedGroup {
+    sums: GroupSums,
+    is_busy: bool,
+    digest_seq: u32,
+    digest_due: Time,
+    exchange_due: Time,
+    /// Sums by zone, and by group within the zone; `None` is the whole zone.
+    known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
+    /// The latest message of each collector.
+    latest: HashMap<ReporterId, (Incarnation, u32)>,
+}
+
+/// The groups that this instance collects.
+#[derive(Debug, Default)]
+pub(crate) struct Collector {
+    groups: BTreeMap<LoadGroup, CollectedGroup>,
+    exchange_seq: u32,
+    called_at: Time,
+}
+
+impl Collector {
+    /// Applies a report. Returns whether it is the sender's latest.
+    pub(crate) fn add_report(&mut self, from: (ReporterId, Incarnation), report: &LoadReport, now: Time) -> bool {
+        self.group(&report.group, now).sums.add(from, report, now)
+    }
+
+    /// Applies the sums of another collector. Returns whether the message is the sender's latest.
+    pub(crate) fn add_zone_loads(
+        &mut self,
+        (from, incarnation): (ReporterId, Incarnation),
+        loads: &ZoneLoads,
+        now: Time,
+    ) -> bool {
+        let group = self.group(&loads.to, now);
+        let latest = (incarnation, loads.seq);
+        if group.latest.get(&from).is_some_and(|held| *held >= latest) {
+            return false;
+        }
+        group.latest.insert(from, latest);
+        for sum in &loads.zones {
+            let as_of = now.before(Duration::from_millis(sum.age_ms.into()));
+            let key = (sum.zone.clone(), sum.group);
+            if group.known.get(&key).is_none_or(|held| held.as_of <= as_of) {
+                group.known.insert(key, KnownSum { load: sum.load, as_of });
+            }
+        }
+        true
+    }
+
+    /// Drops the values of an instance that is down.
+    pub(crate) fn remove_reporter(&mut self, from: ReporterId, now: Time) {
+        for group in self.groups.values_mut() {
+            group.sums.remove(from, now);
+        }
+    }
+
+    fn group(&mut self, key: &LoadGroup, now: Time) -> &mut CollectedGroup {
+        if !self.groups.contains_key(key) {
+            self.groups.insert(key.clone(), CollectedGroup::new(now));
+        }
+        self.groups.get_mut(key).expect("the group was inserted above")
+    }
+
+    /// Takes the digests that are due. `listed` gives the upstreams of a group.
+    pub(crate) fn take_digests(
+        &mut self,
+        listed: impl Fn(&LoadGroup) -> Vec<ListedSlots>,
+        now: Time,
+    ) -> Vec<DueDigest> {
+        let was_paused = now.since(std::mem::replace(&mut self.called_at, now)) > MAX_PAUSE;
+        let mut due = Vec::new();
+        for (key, group) in &mut self.groups {
+            if was_paused {
+                group.sums.restart(now);
+            }
+            group.update(key, &listed(key), now);
+            due.extend(group.take_digest(key, now));
+        }
+        self.groups.retain(|key, group| !group.is_unused(key));
+        due
+    }
+
+    /// Takes the sums to send to other collectors. `zones` gives the zones of a service, each with its number of groups.
+    pub(crate) fn take_zone_loads(
+        &mut self,
+        zones: impl Fn(&str) -> Vec<(ZoneName, u16)>,
+        now: Time,
+    ) -> Vec<ZoneLoads> {
+        let mut due = Vec::new();
+        for (key, group) in &mut self.groups {
+            if !group.is_busy || !group.sums.is_warm(now) || now < group.exchange_due {
+                continue;
+            }
+            group.exchange_due = now + EXCHANGE_INTERVAL;
+            for (to, zones) in group.exchange(key, &zones(&key.service), now) {
+                self.exchange_seq += 1;
+                let seq = self.exchange_seq;
+                due.push(ZoneLoads { to, seq, zones });
+            }
+        }
+        due
+    }
+}
+
+impl CollectedGroup {
+    fn new(now: Time) -> Self {
+        Self {
+            sums: GroupSums::new(now),
+            is_busy: false,
+            digest_seq: 0,
+            digest_due: now,
+            exchange_due: now,
+            known: BTreeMap::new(),
+            latest: HashMap::new(),
+        }
+    }
+
+    /// Recomputes the sums, and whether the service is busy.
+    fn update(&mut self, key: &LoadGroup, listed: &[ListedSlots], now: Time) {
+        self.sums.expire(now);
+        self.known.retain(|_, sum| now.since(sum.as_of) < SUM_VALIDITY);
+        let load = self.sums.load(listed, now);
+        let own = (key.zone.clone(), Some(key.number));
+        self.known.insert(own, KnownSum { load, as_of: now });
+        let limit = if self.is_busy { QUIET_PERCENT } else { BUSY_PERCENT };
+        let is_above = |sum: &KnownSum| {
+            let ZoneLoad { slots, in_flight, .. } = sum.load;
+            slots > 0 && in_flight.saturating_mul(100) >= slots.saturating_mul(limit)
+        };
+        let was_busy = self.is_busy;
+        self.is_busy = self.known.values().any(is_above);
+        if self.is_busy && !was_busy {
+            self.digest_due = now;
+        }
+    }
+
+    fn take_digest(&mut self, key: &LoadGroup, now: Time) -> Option<DueDigest> {
+        if now < self.digest_due || !self.sums.is_warm(now) {
+            return None;
+        }
+        self.digest_due = now + if self.is_busy { BUSY_INTERVAL } else { QUIET_INTERVAL };
+        let recipients = self.sums.recipients();
+        if recipients.is_empty() {
+            return None;
+        }
+        self.digest_seq += 1;
+        let upstreams = self.is_busy.then(|| self.sums.upstream_sums()).flatten();
+        let zones = self.zones(key).into_iter();
+        let digest = LoadDigest {
+            group: key.clone(),
+            seq: self.digest_seq,
+            included: 0,
+            is_busy: self.is_busy,
+            upstreams,
+            zones: zones.map(|(zone, sum)| (zone, sum.load)).collect(),
+        };
+        Some(DueDigest { digest, recipients })
+    }
+
+    /// Sums of whole zones. The first group of a zone adds up all groups; the others are told by its collectors.
+    fn zones(&self, key: &LoadGroup) -> BTreeMap<ZoneName, KnownSum> {
+        let whole = self.known.iter().filter(|((_, group), _)| group.is_none());
+        let mut zones: BTreeMap<ZoneName, KnownSum> = whole.map(|((zone, _), sum)| (zone.clone(), *sum)).collect();
+        if key.number == 0 || !zones.contains_key(&key.zone) {
+            let groups = self
+                .known
+                .iter()
+                .filter(|((zone, group), _)| *zone == key.zone && group.is_some());
+            if let Some(total) = add_up(groups.map(|(_, sum)| *sum)) {
+                zones.insert(key.zone.clone(), total);
+            }
+        }
+        zones
+    }
+
+    /// Sums to send, each with the group whose collectors they are for.
+    fn exchange(&self, key: &LoadGroup, all: &[(ZoneName, u16)], now: Time) -> Vec<(LoadGroup, Vec<ZoneSum>)> {
+        let to = |zone: &ZoneName, number| LoadGroup {
+            service: key.service.clone(),
+            zone: zone.clone(),
+            number,
+        };
+        let zone_sum = |zone: &ZoneName, group, sum: &KnownSum| ZoneSum {
+            zone: zone.clone(),
+            group,
+            load: sum.load,
+            age_ms: u32::try_from(now.since(sum.as_of).as_millis()).unwrap_or(u32::MAX),
+        };
+        if key.number > 0 {
+            let own = self.known.get(&(key.zone.clone(), Some(key.number)));
+            let own = own.map(|sum| zone_sum(&key.zone, Some(key.number), sum));
+            return own.map(|sum| (to(&key.zone, 0), vec![sum])).into_iter().collect();
+        }
+        let zones = self.zones(key);
+        let sums = zones.iter().map(|(zone, sum)| zone_sum(zone, None, sum));
+        let sums: Vec<ZoneSum> = sums.collect();
+        let own: Vec<ZoneSum> = sums.iter().filter(|sum| sum.zone == key.zone).cloned().collect();
+        let mut out = Vec::new();
+        for (zone, groups) in all {
+            if *zone == key.zone {
+                out.extend((1..*groups).map(|number| (to(zone, number), sums.clone())));
+            } else {
+                out.push((to(zone, 0), own.clone()));
+            }
+        }
+        out
+    }
+
+    /// Whether nobody has reported recently, nor sent sums.
+    fn is_unused(&self, key: &LoadGroup) -> bool {
+        let is_own = |(zone, group): &(ZoneName, Option<u16>)| *zone == key.zone && *group == Some(key.number);
+        self.sums.is_unused() && self.known.keys().all(is_own)
+    }
+}
+
+/// Adds up the sums of groups.
+fn add_up(groups: impl Iterator<Item = KnownSum>) -> Option<KnownSum> {
+    groups.reduce(|a, b| {
+        let weighted = |sum: &KnownSum| sum.load.service_time.map(|time| (time, sum.load.slots.max(1)));
+        let service_time = match (weighted(&a), weighted(&b)) {
+            (Some((time_a, slots_a)), Some((time_b, slots_b))) => {
+                Some((time_a * slots_a + time_b * slots_b) / (slots_a + slots_b))
+            }
+            (known_a, known_b) => known_a.or(known_b).map(|(time, _)| time),
+        };
+        let load = ZoneLoad {
+            slots: a.load.slots.saturating_add(b.load.slots),
+            in_flight: a.load.in_flight.saturating_add(b.load.in_flight),
+            service_time,
+        };
+        let as_of = a.as_of.min(b.as_of);
+        KnownSum { load, as_of }
+    })
+}
--- a/crates/flow/src/load/message.rs
+++ b/crates/flow/src/load/message.rs
@@ -37,7 +37,7 @@
     }
 }
 
-/// Work of one instance at one upstream, or at all upstreams of a group.
+/// Work of one instance at one upstream.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
 pub struct WorkCounts {
@@ -68,9 +68,9 @@
 /// The values that a report carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReportedWork {
-    /// The sum over the group, sent while the service is not busy.
+    /// Work in flight at all upstreams of the group, sent while the service is not busy.
     #[serde(rename = "s")]
-    Sum(WorkCounts),
+    Sum(u32),
     /// The values of all upstreams with open flows or work in flight.
     #[serde(rename = "a")]
     All(Vec<(Echo, WorkCounts)>),
@@ -156,14 +156,13 @@
 /// Sums that collectors of a service exchange.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneLoads {
-    /// The service.
-    #[serde(rename = "s")]
-    pub service: CompactString,
-    /// Number of the message, growing within the service and the incarnation of the sender.
+    /// The group whose collectors the message is for.
+    #[serde(rename = "g")]
+    pub to: LoadGroup,
+    /// Number of the message, growing within the incarnation of the sender.
     #[serde(rename = "n")]
     pub seq: u32,
-    /// The sums, each with its age in milliseconds. The load of a group, if it is given, replaces what was known of that
-    /// group; otherwise the load is that of the whole zone.
+    /// The sums.
     #[serde(rename = "z")]
     pub zones: Vec<ZoneSum>,
 }
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -8,8 +8,11 @@
 
 use compact_str::CompactString;
 use units::Time;
+use units::ZoneName;
 
 use super::LoadGroup;
+use super::LoadReport;
+use super::ReportedWork;
 use super::WorkCounts;
 use crate::flows::FlowKey;
 use crate::packet::Echo;
@@ -19,6 +22,10 @@
 const MAX_OPENING: Duration = Duration::from_secs(1);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
+/// Interval at which all values are sent while a service is busy, and work in flight is sampled otherwise.
+const FULL_INTERVAL: Duration = Duration::from_secs(1);
+/// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
+const INTEREST: Duration = Duration::from_secs(5);
 /// Number of reported values kept for each upstream and group: a report every 100 milliseconds over the time for which
 /// a digest is valid.
 const MAX_SENT: usize = 12;
@@ -72,11 +79,36 @@
 }
 
 /// Own work at the upstreams of a group.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct OwnGroup {
     upstreams: BTreeSet<UpstreamId>,
+    /// Number of the latest report.
+    seq: u32,
     /// Work in flight as it was reported.
     sent: SentValues<u32>,
+    /// When work in flight is sampled next.
+    sample_due: Time,
+    /// When all values were last sent, if the latest report had values of upstreams.
+    all_at: Option<Time>,
+}
+
+impl OwnGroup {
+    fn new(sample_due: Time) -> Self {
+        Self {
+            upstreams: BTreeSet::new(),
+            seq: 0,
+            sent: SentValues::default(),
+            sample_due,
+            all_at: None,
+        }
+    }
+
+    /// Begins the next report, which gives this work in flight.
+    fn next_seq(&mut self, in_flight: u32) -> u32 {
+        self.seq += 1;
+        self.sent.push(self.seq, in_flight);
+        self.seq
+    }
 }
 
 /// This instance's own work.
@@ -97,9 +129,12 @@
         self.upstreams.contains_key(&id)
     }
 
-    /// Adds a record of an upstream.
-    pub(crate) fn insert(&mut self, id: UpstreamId, echo: Echo, group: LoadGroup) {
-        self.groups.entry(group.clone()).or_default().upstreams.insert(id);
+    /// Adds a record of an upstream. `phase` is the time until the first sample of its group, random within a second,
+    /// so that samples are independent of when work begins.
+    pub(crate) fn insert(&mut self, id: UpstreamId, echo: Echo, group: LoadGroup, phase: Duration, now: Time) {
+        let own = self.groups.entry(group.clone());
+        let own = own.or_insert_with(|| OwnGroup::new(now + phase));
+        own.upstreams.insert(id);
         let upstream = OwnUpstream {
             echo,
             group,
@@ -186,3 +221,154 @@
         openings.or_else(|| self.requests.pop_front_if(|work| work.due <= now))
     }
 }
+
+impl OwnWork {
+    /// Takes the reports that are due. Upstreams of a service that `is_busy` are reported in detail, otherwise only work
+    /// in flight is sampled.
+    pub(crate) fn take_reports(
+        &mut self,
+        own_zone: &ZoneName,
+        is_busy: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Vec<LoadReport> {
+        let mut reports = Vec::new();
+        let Self {
+            upstreams,
+            groups,
+            begun_at,
+            ..
+        } = self;
+        for (key, group) in groups {
+            let has_interest = begun_at.get(&key.service).is_some_and(|at| now.since(*at) < INTEREST);
+            let work = if is_busy(&key.service) {
+                group.detail(upstreams, has_interest, now)
+            } else {
+                group.sample(upstreams, now)
+            };
+            let Some(work) = work else {
+                continue;
+            };
+            reports.push(LoadReport {
+                group: key.clone(),
+                seq: group.seq,
+                is_from_other_zone: key.zone != *own_zone,
+                work,
+            });
+        }
+        reports
+    }
+
+    /// Adds the groups of the own zone of a busy service that work has recently begun at.
+    pub(crate) fn add_groups(&mut self, groups: impl Iterator<Item = LoadGroup>, now: Time) {
+        for group in groups {
+            self.groups.entry(group).or_insert_with(|| OwnGroup::new(now));
+        }
+    }
+
+    /// The services at which work has begun recently.
+    pub(crate) fn recent_services(&self, now: Time) -> impl Iterator<Item = &CompactString> {
+        let recent = self.begun_at.iter().filter(move |(_, at)| now.since(**at) < INTEREST);
+        recent.map(|(service, _)| service)
+    }
+
+    /// Moves the records of upstreams whose group has changed, and removes those without a group. Upstreams change
+    /// groups when others of a large service come or go.
+    pub(crate) fn regroup(&mut self, group_of: impl Fn(UpstreamId) -> Option<LoadGroup>, now: Time) {
+        let groups = &mut self.groups;
+        self.upstreams.retain(|id, own| {
+            let group = group_of(*id);
+            if group.as_ref() == Some(&own.group) {
+                return true;
+            }
+            if let Some(old) = groups.get_mut(&own.group) {
+                old.upstreams.remove(id);
+            }
+            let Some(group) = group else {
+                return false;
+            };
+            own.group = group.clone();
+            own.sent = SentValues::default();
+            let group = groups.entry(group).or_insert_with(|| OwnGroup::new(now));
+            group.upstreams.insert(*id)
+        });
+        self.begun_at.retain(|_, at| now.since(*at) < INTEREST);
+        let begun_at = &self.begun_at;
+        groups.retain(|key, group| !group.upstreams.is_empty() || begun_at.contains_key(&key.service));
+    }
+}
+
+impl OwnGroup {
+    /// The work in flight, if a sample is due and there is any.
+    fn sample(&mut self, upstreams: &mut HashMap<UpstreamId, OwnUpstream>, now: Time) -> Option<ReportedWork> {
+        self.all_at = None;
+        if now < self.sample_due {
+            return None;
+        }
+        // Keeps the phase, except after a pause of this process.
+        self.sample_due = (self.sample_due + FULL_INTERVAL).max(now);
+        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
+        let in_flight = own.map(|own| own.counts.in_flight).sum();
+        self.remove_idle(upstreams, OwnUpstream::is_idle);
+        if in_flight == 0 {
+            return None;
+        }
+        self.next_seq(in_flight);
+        Some(ReportedWork::Sum(in_flight))
+    }
+
+    /// All values if they are due, or those that have changed since the previous report.
+    fn detail(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        has_interest: bool,
+        now: Time,
+    ) -> Option<ReportedWork> {
+        let is_all = self.all_at.is_none_or(|at| now.since(at) >= FULL_INTERVAL);
+        if is_all {
+            // The collector learns from their absence that they are idle.
+            self.remove_idle(upstreams, |own| own.is_idle() && !own.has_changed());
+        }
+        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
+        let values = own.clone().filter(|own| is_all || own.has_changed());
+        let values: Vec<(Echo, WorkCounts)> = values.map(|own| (own.echo, own.counts)).collect();
+        if values.is_empty() && !(is_all && has_interest) {
+            return None;
+        }
+        let seq = self.next_seq(own.map(|own| own.counts.in_flight).sum());
+        for id in &self.upstreams {
+            if let Some(own) = upstreams.get_mut(id).filter(|own| own.has_changed()) {
+                own.sent.push(seq, own.counts);
+            }
+        }
+        if !is_all {
+            return Some(ReportedWork::Changed(values));
+        }
+        self.all_at = Some(now);
+        Some(ReportedWork::All(values))
+    }
+
+    fn remove_idle(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        is_idle: impl Fn(&OwnUpstream) -> bool,
+    ) {
+        self.upstreams.retain(|id| {
+            let is_kept = upstreams.get(id).is_some_and(|own| !is_idle(own));
+            if !is_kept {
+                upstreams.remove(id);
+            }
+            is_kept
+        });
+    }
+}
+
+impl OwnUpstream {
+    fn is_idle(&self) -> bool {
+        self.counts.in_flight == 0 && self.counts.open_flows == 0
+    }
+
+    /// Whether the counts differ from those that were last reported.
+    fn has_changed(&self) -> bool {
+        self.counts != self.sent.last()
+    }
+}
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -21,6 +21,9 @@
 
 /// Age from which a view counts as no view.
 const VALIDITY: Duration = Duration::from_secs(1);
+/// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one every
+/// 100 milliseconds.
+const BUSY_SUM_VALIDITY: Duration = Duration::from_millis(300);
 /// Interval at which stale views are removed, and the age from which they are.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -43,7 +46,10 @@
 struct ServiceView {
     /// By availability zone, with this instance's latest changes.
     zones: BTreeMap<ZoneName, ZoneLoad>,
-    is_busy: bool,
+    /// When a digest last gave the load of each of these zones.
+    given_at: BTreeMap<ZoneName, Time>,
+    /// When a collector last said that the service is busy.
+    busy_at: Option<Time>,
     at: Time,
 }
 
@@ -83,7 +89,8 @@
 
     /// Whether a collector says that the service is busy.
     pub(crate) fn is_busy(&self, service: &str, now: Time) -> bool {
-        self.service(service, now).is_some_and(|view| view.is_busy)
+        let busy_at = self.service(service, now).and_then(|view| view.busy_at);
+        busy_at.is_some_and(|at| now.since(at) < VALIDITY)
     }
 
     /// Adds or subtracts one piece of own work.
@@ -129,8 +136,17 @@
     fn apply_zones(&mut self, digest: &LoadDigest, own: &OwnWork, now: Time) {
         let view = self.services.entry(digest.group.service.clone()).or_default();
         view.at = now;
-        view.is_busy = digest.is_busy;
-        view.zones = digest.zones.iter().cloned().collect();
+        if digest.is_busy {
+            view.busy_at = Some(now);
+        }
+        for (zone, load) in &digest.zones {
+            view.zones.insert(zone.clone(), *load);
+            view.given_at.insert(zone.clone(), now);
+        }
+        let validity = if digest.is_busy { BUSY_SUM_VALIDITY } else { VALIDITY };
+        view.given_at.retain(|_, at| now.since(*at) < validity);
+        let given_at = &view.given_at;
+        view.zones.retain(|zone, _| given_at.contains_key(zone));
         if let Some(load) = view.zones.get_mut(&digest.group.zone) {
             let (current, included) = own.group_in_flight(&digest.group, digest.included);
             load.in_flight = load.in_flight.saturating_sub(included).saturating_add(current);
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -1,21 +1,28 @@
 //! The load that instances share: own work, reports, sums and views.
 
+mod load_fleet;
+#[expect(dead_code, reason = "each program uses a part of it")]
 #[path = "../benches/support/mod.rs"]
 mod support;
 
 use std::time::Duration;
 
 use flow::Core;
+use flow::DueDigest;
 use flow::Flags;
 use flow::LoadDigest;
 use flow::LoadGroup;
+use flow::LoadReport;
 use flow::Packet;
+use flow::ReportedWork;
 use flow::ReporterId;
 use flow::UpstreamId;
 use flow::UpstreamSum;
 use flow::Verdict;
 use flow::WorkCounts;
 use flow::ZoneLoad;
+use load_fleet::Fleet;
+use load_fleet::Network;
 use support::START;
 use support::core_with_zones;
 use support::opening_packet;
@@ -159,3 +166,264 @@
     assert!(!receive(5, 8, 2), "from before its restart");
     assert_eq!(in_flight(&core, 1, START), Some(3));
 }
+
+#[test]
+fn every_instance_learns_the_work_of_all() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    fleet.assert_views_are_exact();
+    let zones = fleet.cores[5].zone_loads("quotes", fleet.now).unwrap();
+    let load = zones[&"z0".parse().unwrap()];
+    assert_eq!((load.slots, load.in_flight), (4, 8));
+}
+
+#[test]
+fn a_quiet_service_is_reported_as_a_sum_and_by_few_messages() {
+    let mut fleet = Fleet::new(&[0; 8], 20, 1);
+    fleet.open(3);
+    fleet.run(3_000, &Network::default());
+    let now = fleet.now;
+    let load = fleet.cores[3].zone_loads("quotes", now).unwrap()[&"z0".parse().unwrap()];
+    assert_eq!((load.slots, load.in_flight), (40, 1));
+    assert!((1..=20).all(|id| fleet.cores[3].joint_work(UpstreamId(id), now).is_none()));
+    assert!(
+        fleet.cores[4].zone_loads("quotes", now).is_none(),
+        "has reported nothing"
+    );
+    // One report a second to each of two collectors, and as many digests.
+    assert!(fleet.messages <= 12, "{} messages in three seconds", fleet.messages);
+}
+
+#[test]
+fn lost_messages_are_made_up_for_within_a_second() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    let lossy = Network {
+        loses_one_in: Some(3),
+        ..Network::default()
+    };
+    fleet.run(4_000, &lossy);
+    for instance in 0..8 {
+        assert!(fleet.cores[instance].joint_work(UpstreamId(1), fleet.now).is_some());
+    }
+    fleet.run(1_200, &Network::default());
+    fleet.assert_views_are_exact();
+}
+
+#[test]
+fn doubled_messages_change_nothing() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    let doubling = Network {
+        doubles: true,
+        ..Network::default()
+    };
+    fleet.run(3_000, &doubling);
+    fleet.assert_views_are_exact();
+}
+
+#[test]
+fn one_collector_suffices_and_without_any_there_is_no_view() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    fleet.kill(0);
+    fleet.run(1_000, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_some());
+    fleet.kill(1);
+    fleet.run(900, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_some());
+    fleet.run(200, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_none());
+    assert!(fleet.cores[5].zone_loads("quotes", fleet.now).is_none());
+}
+
+#[test]
+fn a_collector_that_was_frozen_collects_anew_before_it_sends_digests() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    fleet.kill(1);
+    fleet.is_frozen[0] = true;
+    fleet.run(3_000, &Network::default());
+    fleet.is_frozen[0] = false;
+    fleet.run(700, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_none());
+    fleet.run(2_300, &Network::default());
+    fleet.assert_views_are_exact();
+}
+
+#[test]
+fn a_killed_instance_stops_counting_after_two_seconds_or_once_it_is_known_to_be_down() {
+    for is_known in [false, true] {
+        let mut fleet = Fleet::new(&[0; 8], 2, 1);
+        for instance in 0..8 {
+            fleet.open(instance);
+        }
+        fleet.run(3_000, &Network::default());
+        fleet.kill(7);
+        if is_known {
+            for collector in 0..2 {
+                let now = fleet.now;
+                fleet.cores[collector].remove_load_reporter(Fleet::name(7), now);
+            }
+        }
+        fleet.run(400, &Network::default());
+        let in_flight = |fleet: &Fleet| -> u32 {
+            let sums = [1, 2].map(|id| fleet.cores[5].joint_work(UpstreamId(id), fleet.now).unwrap());
+            sums.iter().map(|sum| sum.in_flight).sum()
+        };
+        assert_eq!(in_flight(&fleet), if is_known { 7 } else { 8 });
+        fleet.run(2_000, &Network::default());
+        assert_eq!(in_flight(&fleet), 7);
+    }
+}
+
+#[test]
+fn half_of_the_instances_may_go_in_a_burst() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    for instance in [0, 4, 5, 6] {
+        fleet.kill(instance);
+    }
+    fleet.run(2_500, &Network::default());
+    fleet.assert_views_are_exact();
+}
+
+#[test]
+fn a_restarted_instance_replaces_what_it_reported_before() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    fleet.restart(7);
+    fleet.open(7);
+    fleet.run(1_500, &Network::default());
+    fleet.assert_views_are_exact();
+}
+
+#[test]
+fn an_instance_of_an_earlier_release_leaves_the_sums_too_low_and_no_more() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.is_earlier_release[6] = true;
+    fleet.run(3_000, &Network::default());
+    let sums = [1, 2].map(|id| fleet.cores[5].joint_work(UpstreamId(id), fleet.now).unwrap());
+    assert_eq!(sums.iter().map(|sum| sum.in_flight).sum::<u32>(), 7);
+    assert!(fleet.cores[6].joint_work(UpstreamId(1), fleet.now).is_none());
+}
+
+#[test]
+fn sums_cross_zones_and_those_of_a_cut_off_zone_end_within_a_second() {
+    let mut fleet = Fleet::new(&[0, 0, 0, 1, 1, 1], 4, 2);
+    for _ in 0..4 {
+        fleet.open(1);
+    }
+    fleet.run(4_000, &Network::default());
+    let zones = |fleet: &Fleet, instance: usize| -> Vec<(String, u32)> {
+        let zones = fleet.cores[instance].zone_loads("quotes", fleet.now).unwrap();
+        zones
+            .iter()
+            .map(|(zone, load)| (zone.to_string(), load.slots))
+            .collect()
+    };
+    assert_eq!(zones(&fleet, 1), [("z0".to_owned(), 4), ("z1".to_owned(), 4)]);
+    let cut = Network {
+        is_cut: true,
+        ..Network::default()
+    };
+    fleet.run(1_000, &cut);
+    assert_eq!(zones(&fleet, 1), [("z0".to_owned(), 4)]);
+}
+
+#[test]
+fn the_service_time_is_busy_time_over_completed_requests() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(4_000, &Network::default());
+    // Each of two slots is busy all the time, and each flow ends a request every 100 milliseconds. The completions of the
+    // last 100 milliseconds are still to be reported, a tenth of those that count.
+    for id in [1, 2] {
+        let sum = fleet.cores[5].joint_work(UpstreamId(id), fleet.now).unwrap();
+        let expected = 1_000_000 * sum.in_flight.min(2) / (sum.in_flight * 10);
+        assert!(
+            sum.service_us.abs_diff(expected) < expected / 8,
+            "{sum:?}, not {expected}"
+        );
+    }
+}
+
+#[test]
+fn late_and_doubled_reports_are_ignored() {
+    let mut core = core_with_zones(2, 1, 1);
+    let report = |seq, in_flight| LoadReport {
+        group: group(),
+        seq,
+        is_from_other_zone: false,
+        work: ReportedWork::All(vec![(UpstreamId(1).echo(), counts(in_flight, in_flight, 0))]),
+    };
+    let reporter = ReporterId(9);
+    let mut receive = |incarnation, seq, in_flight| {
+        core.receive_load_report(
+            reporter,
+            Incarnation(incarnation),
+            &report(seq, in_flight),
+            after(1_000),
+        )
+    };
+    assert!(receive(1, 2, 4));
+    assert!(!receive(1, 2, 5), "doubled");
+    assert!(!receive(1, 1, 5), "late");
+    assert!(receive(2, 1, 3), "the sender has restarted");
+    assert!(!receive(1, 3, 5), "from before its restart");
+    let due = (10..=20).flat_map(|step| core.take_load_digests(after(step * 100)));
+    let due: Vec<DueDigest> = due.collect();
+    let sums = due[0].digest.upstreams.as_ref().unwrap();
+    assert_eq!(sums.len(), 1);
+    assert_eq!((sums[0].in_flight, sums[0].open_flows), (3, 3));
+    assert_eq!(due[0].recipients[0].included, 1);
+}
+
+#[test]
+fn own_work_that_a_digest_includes_is_not_counted_twice() {
+    let mut fleet = Fleet::new(&[0; 3], 1, 1);
+    for instance in 0..3 {
+        fleet.open(instance);
+    }
+    fleet.run(3_000, &Network::default());
+    fleet.open(2);
+    let in_flight = |fleet: &Fleet, instance: usize| in_flight(&fleet.cores[instance], 1, fleet.now);
+    assert_eq!(in_flight(&fleet, 2), Some(4), "begun since the digest");
+    assert_eq!(in_flight(&fleet, 1), Some(3));
+    let zone = "z0".parse().unwrap();
+    assert_eq!(
+        fleet.cores[2].zone_loads("quotes", fleet.now).unwrap()[&zone].in_flight,
+        4
+    );
+    fleet.run(200, &Network::default());
+    assert_eq!(in_flight(&fleet, 2), Some(4));
+    assert_eq!(in_flight(&fleet, 1), Some(4));
+    assert_eq!(
+        fleet.cores[2].zone_loads("quotes", fleet.now).unwrap()[&zone].in_flight,
+        4
+    );
+}
