Exchange the load of upstreams between instances

Cause: nothing sent the reports, digests and sums that the flow core computes. Change: every 100 ms an instance sends what is due to the two collectors of each group, chosen by rendezvous hashing over the instances of the group's zone. Load messages are not compressed, and leave out flags that other messages carry. A member that is down no longer counts at once. Metrics show own and joint work, and the messages received.

--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -55,6 +55,7 @@
         let Some(flow) = self.flows.get_mut(key) else {
             return Observation::default();
         };
+        let was_working = flow.working_since.is_some();
         let sign = flow.observe(packet, now);
         let health = self.health.entry(id).or_default();
         let progress = if sign.is_progress {
@@ -78,7 +79,9 @@
         if progress.is_revived {
             self.handle_revival(id, now, now);
         }
-        self.count_work(key, sign, now);
+        if sign.is_request || (sign.is_progress && was_working) {
+            self.count_work(key, sign, now);
+        }
         if let Some(bytes) = sign.answer_len {
             self.count_completion(key, id, bytes);
         }
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -258,6 +258,11 @@
         })
     }
 
+    /// Work in flight at all upstreams: of this instance, and of all instances as far as there is a fresh view.
+    pub fn work_in_flight(&self, now: Time) -> (u32, u32) {
+        (self.loads.own.in_flight(), self.loads.views.in_flight(now))
+    }
+
     /// The joint load of a service by availability zone, or `None` without a fresh view.
     pub fn zone_loads(&self, service: &str, now: Time) -> Option<&BTreeMap<ZoneName, ZoneLoad>> {
         self.loads.zones(service, now)
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -149,6 +149,11 @@
         self.upstreams.get(&id).map(|own| own.counts).unwrap_or_default()
     }
 
+    /// Own work in flight at all upstreams.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.upstreams.values().map(|own| own.counts.in_flight).sum()
+    }
+
     /// Own work at an upstream as the report of this number gave it.
     pub(super) fn counts_as_of(&self, id: UpstreamId, seq: u32) -> WorkCounts {
         let own = self.upstreams.get(&id);
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -87,6 +87,14 @@
         Some(&self.service(service, now)?.zones)
     }
 
+    /// Work in flight at all services with a fresh view.
+    pub(crate) fn in_flight(&self, now: Time) -> u32 {
+        let fresh = self.services.values().filter(|view| now.since(view.at) < VALIDITY);
+        fresh
+            .flat_map(|view| view.zones.values())
+            .fold(0, |sum, load| sum.saturating_add(load.in_flight))
+    }
+
     /// Whether a collector says that the service is busy.
     pub(crate) fn is_busy(&self, service: &str, now: Time) -> bool {
         let busy_at = self.service(service, now).and_then(|view| view.busy_at);
--- a/crates/jayquayd/src/forward.rs
+++ b/crates/jayquayd/src/forward.rs
@@ -20,6 +20,7 @@
 mod failures;
 mod gossip;
 mod http;
+mod loads;
 mod metric_update;
 mod packets;
 mod pull;
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -3,9 +3,11 @@
 
 mod compression_support;
 mod datagram;
+mod loads;
 mod upstreams;
 
 use std::net::SocketAddr;
+use std::ops::Not;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,9 +15,12 @@
 use std::time::Duration;
 
 use flow::FailureReport;
+use flow::LoadDigest;
+use flow::LoadReport;
 use flow::Report;
 use flow::StatusUpdate;
 use flow::UpstreamId;
+use flow::ZoneLoads;
 use membership::Membership;
 use membership::Output;
 use membership::Timing;
@@ -33,6 +38,8 @@
 use super::check::PeerChannels;
 use super::cold_assignment;
 use super::failures;
+use super::loads::Collectors;
+use super::loads::reporter_id;
 use super::pull;
 use super::pull::Announcement;
 use super::settings::Settings;
@@ -71,10 +78,10 @@
     incarnation: Incarnation,
     body: Body,
     /// Whether the sender's frames carry epochs. Those of an earlier release don't.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Not::not")]
     tells_epochs: bool,
     /// Whether the sender supports compressed messages. Instances of an earlier release don't.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Not::not")]
     reads_compressed: bool,
 }
 
@@ -96,6 +103,19 @@
     Standings(Vec<StatusUpdate>),
     /// Asks the receiver to check the store for newer data.
     Check(CheckRequest),
+    /// The sender's work at upstreams, sent to the collectors.
+    LoadReport(LoadReport),
+    /// The joint load of upstreams, the reply to `LoadReport`.
+    LoadDigest(Box<LoadDigest>),
+    /// Sums of load, sent between collectors of one service.
+    ZoneLoads(ZoneLoads),
+}
+
+impl Body {
+    /// Whether it concerns the load of upstreams.
+    fn is_load(&self) -> bool {
+        matches!(self, Self::LoadReport(_) | Self::LoadDigest(_) | Self::ZoneLoads(_))
+    }
 }
 
 /// The sender of a message, and the source address of its datagram.
@@ -116,6 +136,8 @@
     checks: PeerChannels,
     /// Source addresses of messages whose senders support compression.
     compression_support: Mutex<CompressionSupport>,
+    /// The instances that load messages are exchanged with.
+    collectors: Mutex<Collectors>,
 }
 
 impl Peers {
@@ -137,6 +159,7 @@
             pulls,
             checks,
             compression_support: Mutex::default(),
+            collectors: Mutex::default(),
         }
     }
 
@@ -158,6 +181,7 @@
                     self.report_failures();
                     self.send_inquiries();
                     self.publish_status_updates();
+                    self.exchange_loads();
                     cold_assignment::update(&self.shared);
                     let now = self.shared.now();
                     if now >= next_seed_contact && self.is_alone() {
@@ -244,6 +268,9 @@
                 // A full queue holds equivalent checks.
                 let _full = self.checks.requests.try_send(request);
             }
+            body @ (Body::LoadReport(_) | Body::LoadDigest(_) | Body::ZoneLoads(_)) => {
+                self.receive_load_message((reporter_id(&sender.name), message.incarnation), &body);
+            }
         }
     }
 
@@ -298,7 +325,11 @@
                     member.zone
                 ),
                 Output::Leaving(member) => log::info!("peers: leaving instance={}", member.name),
-                Output::Down(member) => log::info!("peers: down instance={}", member.name),
+                Output::Down(member) => {
+                    log::info!("peers: down instance={}", member.name);
+                    let now = self.shared.now();
+                    self.shared.core().remove_load_reporter(reporter_id(&member.name), now);
+                }
                 Output::Succeeded(_) | Output::UpstreamLeaving(_) => {}
             }
         }
@@ -308,7 +339,13 @@
         self.compression_support.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn collectors(&self) -> MutexGuard<'_, Collectors> {
+        self.collectors.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn send(&self, to: SocketAddr, body: Body) {
+        // Load messages are frequent and short, and hardly shrink when compressed.
+        let is_load = body.is_load();
         let message = {
             let members = self.shared.members();
             let me = members.me();
@@ -316,11 +353,12 @@
                 from: me.name.clone(),
                 incarnation: me.incarnation,
                 body,
-                tells_epochs: true,
-                reads_compressed: true,
+                tells_epochs: !is_load,
+                reads_compressed: !is_load,
             }
         };
-        let bytes = datagram::encode(&message, self.compression_support().contains(&to));
+        let may_compress = !is_load && self.compression_support().contains(&to);
+        let bytes = datagram::encode(&message, may_compress);
         metric::frames_sent().increment(1);
         metric::frame_bytes_sent().increment(bytes.len() as u64);
         if let Err(error) = self.socket.try_send_to(&bytes, to) {
--- a/crates/jayquayd/src/forward/gossip/upstreams.rs
+++ b/crates/jayquayd/src/forward/gossip/upstreams.rs
@@ -4,17 +4,16 @@
 use std::net::SocketAddr;
 
 use flow::Report;
-use flow::ReporterId;
 use flow::StatusUpdate;
 use flow::UpstreamId;
 use rand::seq::IteratorRandom;
-use units::InstanceName;
 use wire::Member;
 
 use super::Body;
 use super::Peers;
 use super::Sender;
 use crate::forward::failures;
+use crate::forward::loads::reporter_id;
 use crate::forward::silence;
 
 /// Numbers of instances of the local zone, and of other zones, that receive a decision directly from the instance that
@@ -137,10 +136,3 @@
         local.iter().chain(&remote).map(|member| member.address).collect()
     }
 }
-
-/// The identifier of a reporting instance.
-fn reporter_id(name: &InstanceName) -> ReporterId {
-    let hash = blake3::hash(name.as_str().as_bytes());
-    let id = hash.as_bytes().first_chunk().copied().unwrap_or_default();
-    ReporterId(u64::from_be_bytes(id))
-}
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -37,6 +37,12 @@
         "Flows seen here that are still open at upstreams of zones that are to be emptied.";
     /// Flows tracked by this instance.
     gauge remembered() "jayquay_flows_remembered" Count "Flows remembered here.";
+    /// Work in flight at upstreams.
+    gauge work_in_flight(view) "jayquay_flow_work_in_flight" Count
+        "Openings and requests without an answer yet, by view: own, or joint for all instances as far as known.";
+    /// Messages about the load of upstreams that were received.
+    counter load_messages(kind) "jayquay_load_messages_received_total" Count
+        "Messages about the load of upstreams from other instances: report, digest, sums, or late if a newer one was there.";
     /// Duration of handshakes.
     histogram handshake_seconds(zone) "jayquay_flow_handshake_seconds" Seconds
         "From a flow's opening packet to the client's next one, by the upstream's zone: own or other.";
--- a/crates/jayquayd/src/forward/metric_update.rs
+++ b/crates/jayquayd/src/forward/metric_update.rs
@@ -34,6 +34,9 @@
     for (outcome, count) in &stats.outcomes {
         metric::outcomes(outcome.as_str()).absolute(*count);
     }
+    let (own, joint) = core.work_in_flight(shared.now());
+    metric::work_in_flight("own").set(f64::from(own));
+    metric::work_in_flight("joint").set(f64::from(joint));
     metric::ejected().set(core.ejected().len() as f64);
     let evacuated = core.evacuated();
     metric::evacuated().set(evacuated.len() as f64);
--- a/crates/jayquayd/tests/flows/main.rs
+++ b/crates/jayquayd/tests/flows/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod compression;
+mod loads;
 mod lost_history;
 mod observability;
 mod store_restore;
