Add the choice of an upstream by the joint view of load

Cause: each instance sees an eightieth of an upstream's load and all of them prefer the same upstreams; a zone sends flows elsewhere only once its own answers are 2.2 times as slow. Change: place::joint draws two upstreams of the local zone by capacity and takes the one with the shorter expected response time. place::spillover sets for which share of the flows one upstream of another zone is compared too; the share follows the sums gradually, since all instances act on the same ones. Nothing calls these yet.

--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -1,5 +1,8 @@
 //! Upstream selection for new flows.
 
+pub(crate) mod joint;
+pub(crate) mod spillover;
+
 use std::fmt;
 use std::time::Duration;
 
