Place flows of busy services by the joint view of load

Cause: the choice by load existed, but nothing called it. Otherwise, and if nothing is ready, the earlier rules apply as they were. An idle zone, whose service time is unknown, is taken to be as slow as the slowest known one; times that don't fit a Duration no longer matter. The view is still a stub, so the path through Core was compiled, not run.

--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -21,6 +21,10 @@
 use crate::place::PeerTotals;
 use crate::place::Tier;
 use crate::place::UpstreamLoad;
+use crate::place::joint::Contender;
+use crate::place::joint::View;
+use crate::place::joint::Warmth;
+use crate::place::joint::choose;
 use crate::upstream::UpstreamId;
 use crate::verdict::Verdict;
 use crate::verdict::reset_for_opening;
@@ -29,6 +33,13 @@
 /// expired along with the platform's store; such entries are back within about two seconds.
 const LAPSED_GRACE: Duration = Duration::from_secs(2);
 
+/// Work in flight per slot of a service from which placement goes by the joint view of load.
+const BUSY: f64 = 0.5;
+/// Number of upstreams of the local zone that two are drawn from by their capacity.
+const NEAR_SAMPLE: usize = 8;
+/// Number of upstreams of the local zone that are examined at most to find these, if many are avoided.
+const MAX_NEAR_EXAMINED: usize = 24;
+
 impl Core {
     /// Places a new flow, or moves a retransmitted opening packet to another upstream.
     pub(super) fn open_flow(&mut self, packet: &Packet, now: Time) -> Verdict {
@@ -113,6 +124,9 @@
     /// For a service with very many upstreams, only a rotating subset is examined; all are examined only if none of the
     /// subset is [`Tier::Ready`].
     fn place(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
+        if let Some(best) = self.best_by_load(service, earlier, now) {
+            return Some(best);
+        }
         if let Some(next) = self
             .directory
             .next_candidates(service, &self.options.zone, self.start_offset)
@@ -142,12 +156,9 @@
         self.stats.examined += ids.len() as u64;
         for (id, listed) in reachable {
             let health = self.health.get(&id);
-            let Some(tier) = tier(listed, health, now) else {
+            let Some(tier) = self.tier_of(id, listed, health, now) else {
                 continue;
             };
-            if !self.permits_new_flow(id, listed, health, now) {
-                continue;
-            }
             let load = UpstreamLoad::new(listed, health.unwrap_or(&unused), now);
             peers.add(load, listed.upstream().zone == *zone);
             seen.push((id, listed, tier, load));
@@ -168,6 +179,62 @@
         });
         place::best(costed)
     }
+
+    /// The tier of an upstream, or `None` if it gets no new flow from here now.
+    fn tier_of(&self, id: UpstreamId, listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
+        let tier = tier(listed, health, now)?;
+        self.permits_new_flow(id, listed, health, now).then_some(tier)
+    }
+
+    /// Selects an upstream by the joint view of load, among a random sample of the service's upstreams.
+    ///
+    /// Returns `None` without a view, while the service isn't busy, and if none of the sample is [`Tier::Ready`].
+    fn best_by_load(&mut self, service: &str, earlier: Option<UpstreamId>, now: Time) -> Option<Candidate> {
+        if self.loads.utilization(service, now)? < BUSY {
+            return None;
+        }
+        let zone = &self.options.zone;
+        let zones = self.loads.zones(service, now)?;
+        let view = View { local: zone, zones };
+        let pool = self.directory.pool(service)?;
+        let mut spillover = pool.spillover;
+        let mut rng = self.rng.clone();
+        let near = pool.draw(zone, MAX_NEAR_EXAMINED, &mut rng);
+        let mut examined = near.len();
+        let near = near.into_iter().filter_map(|id| self.contender(id, earlier, now));
+        let mut contenders: Vec<Contender<'_>> = near.take(NEAR_SAMPLE).collect();
+        if contenders.is_empty() || spillover.is_open(&view) {
+            let far = pool.draw_outside(zone, &mut rng);
+            examined += far.len();
+            contenders.extend(far.into_iter().filter_map(|id| self.contender(id, earlier, now)));
+        }
+        let choice = choose(&contenders, view, &mut spillover, now, &mut rng);
+        self.rng = rng;
+        self.stats.examined += examined as u64;
+        self.directory.set_spillover(service, spillover);
+        choice.map(Candidate::from)
+    }
+
+    /// An upstream as a contender for a new flow, if it is [`Tier::Ready`] and isn't `earlier`.
+    fn contender(&self, id: UpstreamId, earlier: Option<UpstreamId>, now: Time) -> Option<Contender<'_>> {
+        let (id, listed) = self.directory.reachable(id).filter(|(id, _)| Some(*id) != earlier)?;
+        let tier = self.tier_of(id, listed, self.health.get(&id), now);
+        tier.filter(|tier| *tier == Tier::Ready)?;
+        let work = self.loads.work(id, now);
+        let warmth = match listed.cold_rate(now) {
+            _ if now >= listed.cold_until => Warmth::Warm,
+            Some(_) => Warmth::Permitted,
+            None => Warmth::Cold,
+        };
+        Some(Contender {
+            id,
+            zone: &listed.upstream().zone,
+            slots: listed.upstream().slots.0.into(),
+            in_flight: work.map(|work| work.in_flight),
+            service_time: work.and_then(|work| work.service_time),
+            warmth,
+        })
+    }
 }
 
 /// The tier of an upstream, or `None` if it gets no new flows.
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -17,6 +17,7 @@
 use crate::entries::Entry;
 use crate::knowledge::Knowledge;
 use crate::packet::Echo;
+use crate::place::spillover::Spillover;
 use crate::route::ColdStart;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
@@ -225,6 +226,18 @@
         self.by_service.get_mut(service)?.next_candidates(zone, first)
     }
 
+    /// The upstreams of a service.
+    pub(crate) fn pool(&self, service: &str) -> Option<&Pool> {
+        self.by_service.get(service)
+    }
+
+    /// Sets the share of a service's new flows for which other zones are considered.
+    pub(crate) fn set_spillover(&mut self, service: &str, spillover: Spillover) {
+        if let Some(pool) = self.by_service.get_mut(service) {
+            pool.spillover = spillover;
+        }
+    }
+
     /// An upstream, if its echo is unique, so that packets can be routed back to it.
     pub(crate) fn reachable(&self, id: UpstreamId) -> Option<(UpstreamId, &DirectoryEntry)> {
         let listed = self.listed.get(&id)?;
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -13,29 +13,29 @@
 use units::ZoneName;
 
 use crate::load::ZoneLoad;
+use crate::place::Candidate;
 use crate::place::Tier;
 use crate::place::spillover::OTHER_ZONE_ROUND_TRIP;
 use crate::place::spillover::Spillover;
 use crate::upstream::UpstreamId;
 
-/// Service time of an upstream if neither it nor its zone has finished enough requests. It cancels out between
-/// upstreams of which nothing is known.
+/// Service time of an upstream if no zone has finished enough requests. It cancels out between upstreams.
 const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Service times in seconds below this count as equal: they are shorter than a packet takes to an upstream.
+const MIN_SERVICE_TIME: f64 = 1e-4;
 /// Capacity of a cold upstream relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 /// Largest ratio between the service times of an upstream and its zone that counts in the comparison of upstreams. A
 /// free slot at a slower one is still better than a long queue at a fast one, which may refuse the request.
 const MAX_SLOWNESS: f64 = 2.0;
 
-/// Upstream that may get a new flow, with its load over all instances.
+/// Upstream that is ready for a new flow, with its load over all instances.
 #[derive(Debug, Clone, Copy)]
 pub struct Contender<'a> {
     /// Its id.
     pub id: UpstreamId,
     /// Its availability zone.
     pub zone: &'a ZoneName,
-    /// Its preference class.
-    pub tier: Tier,
     /// Number of requests that it serves concurrently.
     pub slots: u32,
     /// Work in flight; `None` if only the sums of its zone are known.
@@ -62,12 +62,21 @@
 pub struct Choice {
     /// Its id.
     pub id: UpstreamId,
-    /// Its preference class.
-    pub tier: Tier,
     /// Expected response time there, including the network round trip.
     pub expected: Duration,
 }
 
+impl From<Choice> for Candidate {
+    fn from(choice: Choice) -> Self {
+        Self {
+            id: choice.id,
+            tier: Tier::Ready,
+            cost: choice.expected.as_secs_f64(),
+            expected: Some(choice.expected),
+        }
+    }
+}
+
 /// Load of a service's zones as seen from one of them.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -77,11 +86,21 @@
     pub zones: &'a BTreeMap<ZoneName, ZoneLoad>,
 }
 
+impl View<'_> {
+    /// Service time in a zone in seconds, with the longest one of any zone in place of an unknown one: an idle zone has
+    /// finished no requests.
+    pub(super) fn service_time(&self, zone: &ZoneName) -> f64 {
+        let known = self.zones.get(zone).and_then(|zone| zone.service_time);
+        let longest = || self.zones.values().filter_map(|zone| zone.service_time).max();
+        let time = known.or_else(longest).unwrap_or(UNKNOWN_SERVICE_TIME);
+        time.as_secs_f64().max(MIN_SERVICE_TIME)
+    }
+}
+
 /// Contender with the numbers that decide between it and others.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     id: UpstreamId,
-    tier: Tier,
     /// Requests per second that it can serve.
     capacity: f64,
     /// Requests per slot, the new one included.
@@ -99,9 +118,11 @@
         let slots = f64::from(contender.slots.max(1));
         let of_zone = || zone.map(|zone| zone.fill() * slots);
         let in_flight = contender.in_flight.map(f64::from).or_else(of_zone)?;
-        let zone_service_time = zone.and_then(|zone| zone.service_time);
-        let service_time = contender.service_time.or(zone_service_time);
-        let service_time = service_time.unwrap_or(UNKNOWN_SERVICE_TIME).as_secs_f64().max(1e-6);
+        let zone_service_time = view.service_time(contender.zone);
+        let service_time = contender
+            .service_time
+            .map(|time| time.as_secs_f64().max(MIN_SERVICE_TIME));
+        let service_time = service_time.unwrap_or(zone_service_time);
         let warmth = if contender.warmth == Warmth::Warm {
             1.0
         } else {
@@ -114,11 +135,10 @@
         };
         Some(Self {
             id: contender.id,
-            tier: contender.tier,
             capacity: slots / service_time * warmth,
             fill: (in_flight + 1.0) / (slots * warmth),
             service_time,
-            zone_service_time: zone_service_time.map_or(service_time, |time| time.as_secs_f64()),
+            zone_service_time,
             round_trip: round_trip.as_secs_f64(),
         })
     }
@@ -143,16 +163,14 @@
     fn choice(&self) -> Choice {
         Choice {
             id: self.id,
-            tier: self.tier,
-            expected: Duration::from_secs_f64(self.expected()),
+            expected: Duration::try_from_secs_f64(self.expected()).unwrap_or(Duration::MAX),
         }
     }
 }
 
 /// Chooses the upstream for a new flow among `contenders`, which are all upstreams of a service or a random sample.
 ///
-/// Only contenders of the best tier are considered. Returns `None` if their loads aren't known, or those of the local
-/// zone although it has contenders.
+/// Returns `None` if their loads aren't known, or those of the local zone although it has contenders.
 pub fn choose(
     contenders: &[Contender<'_>],
     view: View<'_>,
@@ -160,9 +178,7 @@
     now: Time,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    let best = contenders.iter().map(|contender| contender.tier).min()?;
-    let contenders = || contenders.iter().filter(|contender| contender.tier == best);
-    let near = contenders().filter(|contender| contender.zone == view.local);
+    let near = contenders.iter().filter(|contender| contender.zone == view.local);
     if near.clone().next().is_some() && !view.zones.contains_key(view.local) {
         return None;
     }
@@ -171,7 +187,10 @@
     let local = best_of_two(&near, rng);
     let share = spillover.update(&view, now);
     if local.is_none() || rng.random::<f64>() < share {
-        let far: Vec<&Contender<'_>> = contenders().filter(|contender| contender.zone != view.local).collect();
+        let far: Vec<&Contender<'_>> = contenders
+            .iter()
+            .filter(|contender| contender.zone != view.local)
+            .collect();
         let other = draw_other(&far, &view, local.is_none(), rng);
         if let Some(other) = other.filter(|other| is_better(other, local.as_ref())) {
             return Some(other.choice());
--- a/crates/flow/src/place/spillover.rs
+++ b/crates/flow/src/place/spillover.rs
@@ -42,11 +42,6 @@
         let is_free = self.fill() <= OTHER_FILL;
         is_free || local.is_some_and(|local| local.fill() >= self.fill() + MIN_DIFFERENCE)
     }
-
-    /// Expected response time of a request in this zone, in seconds, without the network.
-    fn response(&self) -> Option<f64> {
-        Some(self.service_time?.as_secs_f64() * self.fill().max(1.0))
-    }
 }
 
 /// Share of the new flows of a service for which other zones are considered.
@@ -57,6 +52,12 @@
 }
 
 impl Spillover {
+    /// Whether other zones may get flows now.
+    pub(crate) fn is_open(&self, view: &View<'_>) -> bool {
+        let local = view.zones.get(view.local);
+        self.share > 0.0 || local.is_none_or(|local| local.fill() > LOCAL_FILL)
+    }
+
     /// Returns the share adjusted to the current loads.
     pub(super) fn update(&mut self, view: &View<'_>, now: Time) -> f64 {
         let step = now.since(self.at).min(MAX_STEP).as_secs_f64() / RESPONSE.as_secs_f64();
@@ -78,13 +79,14 @@
     }
     let others = view.zones.iter().filter(|(zone, _)| *zone != view.local);
     let others = others.filter(|(_, load)| load.slots > 0 && load.takes_from(Some(local)));
-    let response = |load: &ZoneLoad| {
-        let service_time = load.service_time?.as_secs_f64();
-        Some(load.response()? + service_time + OTHER_ZONE_ROUND_TRIP.as_secs_f64())
-    };
-    let best = others.filter_map(|(_, load)| response(load)).min_by(f64::total_cmp);
-    let (Some(best), Some(here)) = (best, local.response()) else {
+    let response = |zone, load: &ZoneLoad| view.service_time(zone) * load.fill().max(1.0);
+    let with_margin = |zone, load| response(zone, load) + view.service_time(zone) + OTHER_ZONE_ROUND_TRIP.as_secs_f64();
+    let Some(best) = others
+        .map(|(zone, load)| with_margin(zone, load))
+        .min_by(f64::total_cmp)
+    else {
         return -1.0;
     };
+    let here = response(view.local, local);
     (here - best) / here
 }
--- a/crates/flow/tests/placement/service.rs
+++ b/crates/flow/tests/placement/service.rs
@@ -7,7 +7,6 @@
 
 use flow::Contender;
 use flow::Spillover;
-use flow::Tier;
 use flow::UpstreamId;
 use flow::View;
 use flow::Warmth;
@@ -172,7 +171,6 @@
         let contenders = (0..).zip(&self.servers).map(|(id, server)| Contender {
             id: UpstreamId(id),
             zone: &server.zone,
-            tier: Tier::Ready,
             slots: server.slots,
             in_flight: (server.zone == *from).then_some(server.viewed),
             service_time: (server.zone == *from).then_some(server.service_time),
