Read the priority and timeout of routes and the connection limit of services

Cause: nothing read these fields, so that under scarce capacity all requests were treated alike and upstreams got more connections than they take. Change: the document has them, with warnings as for other values. Missing or invalid priorities are the least urgent, invalid timeouts and limits are treated as missing; no new kind of warning is sent between instances, as the release before couldn't decode it. The digest does not cover the fields, so that instances of both releases compute the same. A pinned digest, computed by the code before, guards the equality.

--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -11,6 +11,7 @@
 use flow::Flags;
 use flow::Options;
 use flow::Packet;
+use flow::Priority;
 use flow::Route;
 use flow::Share;
 use flow::Upstream;
@@ -60,12 +61,15 @@
         shares: vec![share],
         idempotent: true,
         aim: Duration::from_millis(100),
+        priority: Priority::LEAST_URGENT,
+        timeout: None,
     };
     let document = Document {
         revision: Revision(1),
         routes: BTreeMap::from([("r".to_owned(), route)]),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::new(),
+        connection_limits: BTreeMap::new(),
         warnings: Vec::new(),
     };
     core.learn(START, |knowledge| {
--- a/crates/flow/src/difference.rs
+++ b/crates/flow/src/difference.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::num::NonZeroU32;
 
 use serde::Serialize;
 
@@ -45,6 +46,15 @@
         /// The new limit, if there is one.
         new: Option<ColdStart>,
     },
+    /// The connection limit of a service was changed.
+    ConnectionLimit {
+        /// The service.
+        service: String,
+        /// The old limit, if there was one.
+        old: Option<NonZeroU32>,
+        /// The new limit, if there is one.
+        new: Option<NonZeroU32>,
+    },
     /// The idle timeout of flows was changed, in milliseconds.
     IdleTimeout {
         /// Before.
@@ -68,18 +78,26 @@
                     OptionalLimit(*new)
                 )
             }
+            Self::ConnectionLimit { service, old, new } => {
+                write!(
+                    f,
+                    "~ open flows at each upstream of {service}: {}, now {}",
+                    OptionalLimit(*old),
+                    OptionalLimit(*new)
+                )
+            }
             Self::IdleTimeout { old_ms, new_ms } => write!(f, "~ idle timeout: {old_ms} ms, now {new_ms} ms"),
         }
     }
 }
 
-/// Formats an optional cold start limit.
-struct OptionalLimit(Option<ColdStart>);
+/// Formats an optional limit.
+struct OptionalLimit<T>(Option<T>);
 
-impl fmt::Display for OptionalLimit {
+impl<T: fmt::Display> fmt::Display for OptionalLimit<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(cold) => cold.fmt(f),
+        match &self.0 {
+            Some(limit) => limit.fmt(f),
             None => f.write_str("not set"),
         }
     }
@@ -102,6 +120,16 @@
                 differences.push(Difference::ColdStart { service, old, new });
             }
         }
+        let (old_limits, new_limits) = (&self.connection_limits, &newer.connection_limits);
+        let services: BTreeSet<&String> = old_limits.keys().chain(new_limits.keys()).collect();
+        for service in services {
+            let old = old_limits.get(service).copied();
+            let new = new_limits.get(service).copied();
+            if old != new {
+                let service = service.clone();
+                differences.push(Difference::ConnectionLimit { service, old, new });
+            }
+        }
         for (name, old) in &self.routes {
             let name = name.clone();
             let old = old.clone();
--- a/crates/flow/src/documents.rs
+++ b/crates/flow/src/documents.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -39,6 +40,9 @@
     revision: Revision,
     idle_timeout: Duration,
     cold_starts: BTreeMap<String, ColdStart>,
+    /// The connection limits of the next document. It is absent if the sender is of a release without them.
+    #[serde(default)]
+    connection_limits: Option<BTreeMap<String, NonZeroU32>>,
     /// The warnings of the next document.
     #[serde(default)]
     warnings: Vec<Warning>,
@@ -66,6 +70,7 @@
             revision: after.revision,
             idle_timeout: after.idle_timeout,
             cold_starts: after.cold_starts.clone(),
+            connection_limits: Some(after.connection_limits.clone()),
             warnings: after.warnings.clone(),
             set: set.map(|(name, route)| (name.clone(), route.clone())).collect(),
             removed: removed.cloned().collect(),
@@ -75,11 +80,13 @@
 
     /// Applies the step to a document. Returns `None` if the result does not have the expected digest.
     fn apply(&self, before: &Document) -> Option<Document> {
+        let connection_limits = self.connection_limits.as_ref().unwrap_or(&before.connection_limits);
         let mut after = Document {
             revision: self.revision,
             routes: before.routes.clone(),
             idle_timeout: self.idle_timeout,
             cold_starts: self.cold_starts.clone(),
+            connection_limits: connection_limits.clone(),
             warnings: self.warnings.clone(),
         };
         for name in &self.removed {
--- a/crates/flow/src/draft.rs
+++ b/crates/flow/src/draft.rs
@@ -9,6 +9,8 @@
 //! | the target response time of a request | none |
 //! | the address, or all services, of a route | the route is skipped |
 //! | the service of a share | the share is skipped |
+//! | the priority of a route | the least urgent |
+//! | the timeout of a route, and the connection limit of a service | none |
 //! | the weight of a share | 0: no new flows while other shares have a weight |
 //! | the cold start limit of a service | none |
 //! | the idle timeout of flows | [`LONGEST_IDLE`] |
@@ -20,6 +22,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use units::Rate;
@@ -28,6 +31,7 @@
 
 use crate::route;
 use crate::route::ColdStart;
+use crate::route::Priority;
 use crate::warning::Fallback;
 use crate::warning::Subject;
 use crate::warning::Warning;
@@ -98,6 +102,10 @@
     pub kind: DraftValue<Kind>,
     /// The target response time of a request.
     pub aim: DraftValue<Duration>,
+    /// Which requests go first while their service is short of capacity.
+    pub priority: DraftValue<Priority>,
+    /// The time after which a client gives up on a request.
+    pub timeout: DraftValue<Duration>,
     /// The services that share its new flows.
     pub shares: Vec<Share>,
 }
@@ -111,6 +119,8 @@
     pub lasts: DraftValue<Duration>,
     /// The limit for new flows per second to each cold upstream.
     pub rate: DraftValue<Rate>,
+    /// The maximum number of open flows at each of its upstreams.
+    pub connection_limit: DraftValue<NonZeroU32>,
 }
 
 /// A document.
@@ -186,10 +196,14 @@
             let first = first.unwrap_or_else(|| Warning::new(Subject::Document, "routes", "", Fallback::LeftOut));
             return Err(NoRouteError { first });
         }
-        let cold_starts = draft.services.into_iter();
-        let cold_starts = cold_starts
-            .map(|service| read_service(service, &mut warnings))
-            .collect();
+        let mut cold_starts = BTreeMap::new();
+        let mut connection_limits = BTreeMap::new();
+        for service in draft.services {
+            let name = service.name.clone();
+            let (cold_start, connection_limit) = read_service(service, &mut warnings);
+            connection_limits.extend(connection_limit.map(|limit| (name.clone(), limit)));
+            cold_starts.insert(name, cold_start);
+        }
         let idle_timeout = draft.idle_timeout.required().unwrap_or_else(|text| {
             let reading = Fallback::LongestIdle;
             warnings.push(Warning::new(Subject::Document, "idle timeout", &text, reading));
@@ -201,6 +215,7 @@
             routes,
             idle_timeout,
             cold_starts,
+            connection_limits,
             warnings,
         })
     }
@@ -217,6 +232,8 @@
         Kind::Once
     });
     let aim = collector.optional("aim", draft.aim);
+    let priority = collector.optional("priority", draft.priority);
+    let timeout = collector.optional("timeout", draft.timeout);
     let shares = draft.shares.into_iter();
     let shares: Vec<route::Share> = shares.filter_map(|share| read_share(share, &mut collector)).collect();
     if shares.is_empty() {
@@ -229,6 +246,8 @@
             shares,
             idempotent: kind == Kind::Idempotent,
             aim,
+            priority,
+            timeout: Some(timeout).filter(|timeout| !timeout.is_zero()),
         }),
         Err(text) => {
             collector.add("address", &text, Fallback::LeftOut);
@@ -251,16 +270,21 @@
     })
 }
 
-fn read_service(draft: Service, warnings: &mut Vec<Warning>) -> (String, ColdStart) {
+/// Validates a service. Returns its cold start limit and its connection limit.
+fn read_service(draft: Service, warnings: &mut Vec<Warning>) -> (ColdStart, Option<NonZeroU32>) {
     let mut collector = WarningCollector {
-        subject: Subject::Service(draft.name.clone()),
+        subject: Subject::Service(draft.name),
         warnings,
     };
     let lasts = collector.optional("cold time", draft.lasts);
     let rate = collector.optional("cold rate", draft.rate);
+    let connection_limit = draft.connection_limit.optional().unwrap_or_else(|text| {
+        collector.add("connection limit", &text, Fallback::Absent);
+        None
+    });
     let cold = ColdStart {
         lasts,
         rate: Some(rate).filter(|rate| *rate > Rate::default()),
     };
-    (draft.name, cold)
+    (cold, connection_limit)
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -72,6 +72,7 @@
 pub use crate::route::ColdStart;
 pub use crate::route::Digest;
 pub use crate::route::Document;
+pub use crate::route::Priority;
 pub use crate::route::Route;
 pub use crate::route::Share;
 pub use crate::status_update::Status;
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -24,6 +25,38 @@
     pub weight: Weight,
 }
 
+/// The priority of a route's requests, from 0, the most urgent, to 9.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Priority(u8);
+
+impl Priority {
+    /// The priority of routes without one.
+    pub const LEAST_URGENT: Self = Self(9);
+
+    /// Returns the priority of this number, or `None` if it is above 9.
+    pub fn new(number: u8) -> Option<Self> {
+        Some(Self(number)).filter(|priority| *priority <= Self::LEAST_URGENT)
+    }
+
+    #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+    fn is_least_urgent(&self) -> bool {
+        *self == Self::LEAST_URGENT
+    }
+}
+
+impl Default for Priority {
+    fn default() -> Self {
+        Self::LEAST_URGENT
+    }
+}
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Distributes the new flows to one address over services.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
@@ -35,6 +68,12 @@
     pub idempotent: bool,
     /// The target response time of a request.
     pub aim: Duration,
+    /// Which requests go first while their service is short of capacity.
+    #[serde(default, skip_serializing_if = "Priority::is_least_urgent")]
+    pub priority: Priority,
+    /// The time after which a client gives up on a request, if operators have set one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub timeout: Option<Duration>,
 }
 
 impl Route {
@@ -68,7 +107,14 @@
         } else {
             "not idempotent"
         };
-        write!(f, ", {repeats}, aim {} ms", self.aim.as_millis())
+        write!(f, ", {repeats}, aim {} ms", self.aim.as_millis())?;
+        if let Some(timeout) = self.timeout {
+            write!(f, ", timeout {} ms", timeout.as_millis())?;
+        }
+        if !self.priority.is_least_urgent() {
+            write!(f, ", priority {}", self.priority)?;
+        }
+        Ok(())
     }
 }
 
@@ -96,21 +142,47 @@
     /// The cold start limits by service, where operators have set them.
     #[serde(default)]
     pub cold_starts: BTreeMap<String, ColdStart>,
+    /// The maximum number of open flows at each upstream by service, over all instances, where operators have set one.
+    #[serde(default)]
+    pub connection_limits: BTreeMap<String, NonZeroU32>,
     /// Warnings about values that could not be parsed. They are derived from the document as written, and affect no
     /// decision.
     #[serde(default)]
     pub warnings: Vec<Warning>,
 }
 
-/// The parts of a document that affect decisions, in the order in which its digest covers them.
+/// The parts of a document that its digest covers, in this order.
+///
+/// Instances of the release before priorities, timeouts and connection limits compute the digest without them and
+/// reject a document step whose digest differs, so these fields aren't covered.
 #[derive(Serialize)]
 struct DigestInput<'a> {
     revision: Revision,
-    routes: &'a BTreeMap<String, Route>,
+    routes: BTreeMap<&'a str, RouteDigestInput<'a>>,
     idle_timeout: Duration,
     cold_starts: &'a BTreeMap<String, ColdStart>,
 }
 
+/// The parts of a route that the digest of its document covers, in this order.
+#[derive(Serialize)]
+struct RouteDigestInput<'a> {
+    address: SocketAddrV4,
+    shares: &'a [Share],
+    idempotent: bool,
+    aim: Duration,
+}
+
+impl<'a> From<&'a Route> for RouteDigestInput<'a> {
+    fn from(route: &'a Route) -> Self {
+        Self {
+            address: route.address,
+            shares: &route.shares,
+            idempotent: route.idempotent,
+            aim: route.aim,
+        }
+    }
+}
+
 /// The limit for new flows to a service's cold upstreams. Upstreams are cold for a while after their start, and after
 /// operators have cancelled an evacuation of their availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,12 +203,13 @@
 }
 
 impl Document {
-    /// The digest of the parts that affect decisions. All instances that hold the same document compute the same
+    /// The digest of the parts that all releases know. All instances that hold the same document compute the same
     /// digest.
     pub fn digest(&self) -> Digest {
+        let routes = self.routes.iter();
         let in_force = DigestInput {
             revision: self.revision,
-            routes: &self.routes,
+            routes: routes.map(|(name, route)| (name.as_str(), route.into())).collect(),
             idle_timeout: self.idle_timeout,
             cold_starts: &self.cold_starts,
         };
--- a/crates/flow/tests/draft.rs
+++ b/crates/flow/tests/draft.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use flow::Core;
@@ -12,6 +13,7 @@
 use flow::Flags;
 use flow::Options;
 use flow::Packet;
+use flow::Priority;
 use flow::ResetCause;
 use flow::Subject;
 use flow::Upstream;
@@ -45,6 +47,8 @@
         address: DraftValue::Known(address(port)),
         kind: DraftValue::Known(Kind::Idempotent),
         aim: DraftValue::Known(Duration::from_millis(120)),
+        priority: DraftValue::Absent,
+        timeout: DraftValue::Absent,
         shares: vec![share("search")],
     }
 }
@@ -94,6 +98,10 @@
     let absent = read_changed(|route| route.aim = DraftValue::Absent);
     assert_eq!(absent.warnings, []);
 
+    let document = read_changed(|route| route.timeout = unknown());
+    assert_eq!(warning(&document).1, Fallback::Absent);
+    assert_eq!(document.routes["r-1"].timeout, None);
+
     let mut draft = document_with_service(unknown(), DraftValue::Known("4".parse().unwrap()));
     let cold = Document::try_from(draft.clone()).unwrap();
     assert_eq!(
@@ -113,6 +121,7 @@
         name: "search".to_owned(),
         lasts,
         rate,
+        connection_limit: DraftValue::Absent,
     };
     draft::Document {
         services: vec![service],
@@ -177,6 +186,31 @@
     assert_eq!(with.digest(), without.digest());
 }
 
+#[test]
+fn an_unknown_priority_is_the_least_urgent() {
+    for (priority, warnings) in [(unknown(), 1), (DraftValue::Absent, 0)] {
+        let document = read_changed(|route| route.priority = priority);
+        assert_eq!(document.warnings.len(), warnings);
+        assert_eq!(document.routes["r-1"].priority, Priority::LEAST_URGENT);
+    }
+}
+
+/// During a rolling update an instance of the earlier release rejects a document step whose digest is not the one that
+/// it computes. The digest was computed by that release.
+#[test]
+fn the_digest_is_that_of_the_release_before_priorities() {
+    let cold_for = DraftValue::Known(Duration::from_secs(2));
+    let draft = document_with_service(cold_for, DraftValue::Known("4".parse().unwrap()));
+    let mut document = Document::try_from(draft).unwrap();
+    assert_eq!(document.digest().to_string(), "cfa2ab4f1c6447cda275e1ecd1e38cb4");
+    let route = document.routes.get_mut("r-1").unwrap();
+    route.priority = Priority::new(1).unwrap();
+    route.timeout = Some(Duration::from_secs(5));
+    let limit = NonZeroU32::new(2_000).unwrap();
+    document.connection_limits.insert("search".to_owned(), limit);
+    assert_eq!(document.digest().to_string(), "cfa2ab4f1c6447cda275e1ecd1e38cb4");
+}
+
 /// A core with one upstream, to which documents are applied one after the other.
 struct Harness {
     core: Core,
--- a/crates/flow/tests/knowledge.rs
+++ b/crates/flow/tests/knowledge.rs
@@ -10,6 +10,7 @@
 use flow::Document;
 use flow::Evacuations;
 use flow::Knowledge;
+use flow::Priority;
 use flow::Route;
 use flow::StartTime;
 use flow::Upstream;
@@ -209,6 +210,8 @@
             shares: Vec::new(),
             idempotent: true,
             aim: Duration::ZERO,
+            priority: Priority::LEAST_URGENT,
+            timeout: None,
         };
         routes.insert(format!("r-{}", port % 7), route);
         let document = Document {
@@ -216,6 +219,7 @@
             routes,
             idle_timeout: Duration::from_secs(1),
             cold_starts: BTreeMap::new(),
+            connection_limits: BTreeMap::new(),
             warnings: Vec::new(),
         };
         self.change(|state| {
@@ -579,6 +583,7 @@
         routes: BTreeMap::new(),
         idle_timeout: Duration::from_secs(number),
         cold_starts: BTreeMap::new(),
+        connection_limits: BTreeMap::new(),
         warnings: Vec::new(),
     };
     for has_read_the_restored_copy in [false, true] {
--- a/crates/flow/tests/returned.rs
+++ b/crates/flow/tests/returned.rs
@@ -53,6 +53,7 @@
         routes: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::from([("search".to_owned(), cold)]),
+        connection_limits: BTreeMap::new(),
         warnings: Vec::new(),
     };
     let warm = vec![(id, Revision(5), upstream(Duration::ZERO))];
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -47,6 +47,7 @@
 use flow::ListingState;
 use flow::Options;
 use flow::Packet;
+use flow::Priority;
 use flow::Report;
 use flow::ReporterId;
 use flow::Route;
@@ -213,6 +214,8 @@
                 shares: shares.collect(),
                 idempotent: true,
                 aim: Duration::from_millis(100),
+                priority: Priority::LEAST_URGENT,
+                timeout: None,
             };
             (format!("r-{port}"), route)
         });
@@ -221,6 +224,7 @@
             routes: routes.collect(),
             idle_timeout: Duration::from_secs(15),
             cold_starts,
+            connection_limits: BTreeMap::new(),
             warnings: Vec::new(),
         };
         self.revision += 1;
