Add the policy of admission control

Cause: an opening is either placed or reset for lack of any upstream, so that under scarce capacity upstreams refuse urgent and less urgent requests alike. Change: admission::Policy decides on plain values: priority by a halved response-time budget per class, a tenth of the admissions for the classes that are not the most urgent, a share per client address, held openings, and refusals. Nothing calls it yet.

--- /dev/null
+++ b/crates/flow/src/admission.rs
@@ -0,0 +1,184 @@
+//! Admission control for new flows while their service is short of capacity.
+//!
+//! A service is short of capacity for an opening if the joint view of its load is fresh and no upstream that the
+//! opening can get has a free slot. What is left to distribute then are places in the queues of upstreams, measured by
+//! the response time that an opening would see. The most urgent class of a service may use them up to its response-time
+//! target, each further class up to half as much as the class before. An opening that gets no place is held, if its
+//! client's next retransmission can still be served in time, or else refused at once.
+//!
+//! Everything here is a function of plain values, so that it can be tested without a network.
+
+mod fair_shares;
+mod held;
+mod service;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use units::Time;
+
+use crate::flows::FlowKey;
+use fair_shares::FairShares;
+use service::Service;
+
+/// Times of a client's retransmissions of an opening packet, after its first transmission.
+const RETRANSMISSION_TIMES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+/// Time after which a client gives up on an opening packet, retransmissions included. It stands in for the target of
+/// routes that have neither a target nor a timeout.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Interval between two sweeps of state that no longer matters.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The class of an opening: its route's priority among those of all routes to its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Class {
+    /// The number of more urgent classes of the service.
+    pub rank: u8,
+    /// The number of classes of the service, at least one.
+    pub count: u8,
+}
+
+/// An opening packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Opening {
+    /// The flow to open.
+    pub flow: FlowKey,
+    /// Its class.
+    pub class: Class,
+    /// The target response time of its route, if operators have set one.
+    pub target: Option<Duration>,
+    /// The time after which the client gives up on a request, if operators have set one.
+    pub timeout: Option<Duration>,
+    /// The number of earlier transmissions of the packet.
+    pub retransmissions: u32,
+}
+
+impl Opening {
+    /// The time since the first transmission, by the client's schedule.
+    fn age(&self) -> Duration {
+        let earlier = usize::try_from(self.retransmissions).unwrap_or(usize::MAX);
+        let Some(last) = earlier.min(RETRANSMISSION_TIMES.len()).checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        RETRANSMISSION_TIMES[last]
+    }
+
+    /// The age at the next retransmission, if there will be one.
+    fn next_age(&self) -> Option<Duration> {
+        let earlier = usize::try_from(self.retransmissions).ok()?;
+        RETRANSMISSION_TIMES.get(earlier).copied()
+    }
+
+    /// The response time, counted from the first transmission, up to which an answer is of use.
+    fn limit(&self) -> Duration {
+        let limit = self.target.or(self.timeout).unwrap_or(ATTEMPT_TIMEOUT);
+        limit.min(self.timeout.unwrap_or(Duration::MAX))
+    }
+}
+
+/// What the upstreams of a service have to offer to an opening.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Whether an upstream has a free slot.
+    pub has_free_slot: bool,
+    /// The expected response time at the best upstream, or `None` without a fresh view.
+    pub expected: Option<Duration>,
+    /// The time that a request occupies a slot, if it is known.
+    pub service_time: Option<Duration>,
+}
+
+/// Decision on an opening.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The flow is opened.
+    Admit,
+    /// The packet is dropped; the client's retransmission can still be served in time.
+    Hold,
+    /// The flow is reset at once, as it can't be served in time.
+    Refuse,
+}
+
+/// Admission control of one instance.
+#[derive(Debug, Default)]
+pub struct Policy {
+    services: BTreeMap<CompactString, Service>,
+    shares: FairShares,
+    next_sweep_at: Time,
+}
+
+impl Policy {
+    /// Decides on an opening and records the decision.
+    pub fn decide(&mut self, service: &str, opening: &Opening, room: Room, now: Time) -> Admission {
+        if room.expected.is_none() {
+            return Admission::Admit;
+        }
+        self.sweep(now);
+        let rank = self.rank(opening, now);
+        let admission = self.assess(service, opening, room, now);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.into(), Service::default());
+        }
+        let Some(state) = self.services.get_mut(service) else {
+            return admission;
+        };
+        let was_held = state.held.remove(&opening.flow);
+        if !was_held {
+            let flow = opening.flow;
+            self.shares.record(flow.route, *flow.client.ip(), now);
+        }
+        match admission {
+            Admission::Admit => state.record_admission(rank, room.has_free_slot, now),
+            Admission::Hold => state.hold(opening, rank, now),
+            Admission::Refuse => {}
+        }
+        admission
+    }
+
+    /// Returns the decision that [`Policy::decide`] would take, without recording it.
+    pub fn assess(&self, service: &str, opening: &Opening, room: Room, now: Time) -> Admission {
+        let Some(expected) = room.expected else {
+            return Admission::Admit;
+        };
+        if room.has_free_slot {
+            return Admission::Admit;
+        }
+        let unused = Service::default();
+        let state = self.services.get(service).unwrap_or(&unused);
+        let rank = self.rank(opening, now);
+        let is_in_time = opening.age() + expected <= opening.limit();
+        let is_reserved = rank == opening.class.rank && state.is_reserved_for(opening.class, now);
+        let service_time = room.service_time.unwrap_or(expected);
+        if is_in_time && (is_reserved || expected <= state.budget(opening, rank, service_time, now)) {
+            return Admission::Admit;
+        }
+        if state.may_hold(opening, rank, service_time, now) {
+            return Admission::Hold;
+        }
+        Admission::Refuse
+    }
+
+    /// The rank of an opening. An address that opens more than its share is less urgent than all classes.
+    fn rank(&self, opening: &Opening, now: Time) -> u8 {
+        let flow = opening.flow;
+        if self.shares.is_over(flow.route, *flow.client.ip(), now) {
+            return opening.class.count;
+        }
+        opening.class.rank
+    }
+
+    /// The number of openings that are held.
+    pub fn held_count(&self) -> usize {
+        self.services.values().map(|service| service.held.len()).sum()
+    }
+
+    /// Removes state that no longer matters, once per interval.
+    fn sweep(&mut self, now: Time) {
+        if now < self.next_sweep_at {
+            return;
+        }
+        self.next_sweep_at = now + SWEEP_INTERVAL;
+        self.shares.sweep(now);
+        self.services.retain(|_, service| service.is_active(now));
+    }
+}
--- /dev/null
+++ b/crates/flow/src/admission/service.rs
@@ -0,0 +1,127 @@
+//! What admission control remembers of one service.
+
+use std::time::Duration;
+
+use units::Time;
+
+use super::Class;
+use super::Opening;
+use super::held::Held;
+use super::held::HeldOpening;
+use crate::decaying_count::DecayingCount;
+
+/// Share of the openings admitted while short of capacity that is reserved for all classes but the most urgent, so that
+/// they are not starved.
+const RESERVED_SHARE: f64 = 0.1;
+/// Span of the counts that the reserved share is measured by. An instance of a large fleet admits only some openings
+/// per second.
+const RESERVE_SPAN: Duration = Duration::from_secs(10);
+/// Span of the rate of admissions.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+/// The number of openings that may be held whatever the rate of admissions. Packets arrive in bunches, and an instance
+/// that has not admitted anything yet has no rate.
+const MIN_HELD: usize = 4;
+/// The maximum number of openings of a service that are held.
+const MAX_HELD: usize = 256;
+/// Number of service times that an opening may wait for while others have precedence. Loads are known with a delay, and
+/// without any queue slots would be idle in the meantime.
+const MIN_QUEUE: u32 = 2;
+/// Maximum number of halvings of a budget.
+const MAX_HALVINGS: u8 = 16;
+/// Count below which the admissions of a service no longer matter.
+const NEGLIGIBLE: f64 = 0.01;
+
+/// State of one service.
+#[derive(Debug, Default)]
+pub(super) struct Service {
+    pub(super) held: Held,
+    /// All admitted openings.
+    admitted: DecayingCount,
+    /// Openings admitted while short of capacity, by rank.
+    admitted_while_short: Vec<DecayingCount>,
+}
+
+impl Service {
+    /// The longest expected response time at which an opening is admitted while short of capacity.
+    ///
+    /// Its limit is halved for each more urgent class. If an opening that goes before it is to return, half of what
+    /// that one needs is left to it.
+    pub(super) fn budget(&self, opening: &Opening, rank: u8, service_time: Duration, now: Time) -> Duration {
+        let budget = halved(opening.limit(), rank);
+        let since = now.before(opening.age());
+        match self.held.ahead_of(&opening.flow, rank, since, now) {
+            Some(ahead) => budget.min((ahead.budget / 2).max(service_time * MIN_QUEUE)),
+            None => budget,
+        }
+    }
+
+    /// Whether an opening is part of the reserved share, which all classes but the most urgent divide equally.
+    pub(super) fn is_reserved_for(&self, class: Class, now: Time) -> bool {
+        if class.rank == 0 || class.count < 2 {
+            return false;
+        }
+        let count = |admitted: &DecayingCount| admitted.value(RESERVE_SPAN, now);
+        let total: f64 = self.admitted_while_short.iter().map(count).sum();
+        let own = self
+            .admitted_while_short
+            .get(usize::from(class.rank))
+            .map_or(0.0, count);
+        own < total * RESERVED_SHARE / f64::from(class.count - 1)
+    }
+
+    /// Whether an opening may be held: it can still be served after its next retransmission, and no more are waiting
+    /// than are likely to be admitted until then.
+    pub(super) fn may_hold(&self, opening: &Opening, rank: u8, service_time: Duration, now: Time) -> bool {
+        let Some(next_age) = opening.next_age() else {
+            return false;
+        };
+        if next_age + service_time > opening.limit() {
+            return false;
+        }
+        let wait = next_age.saturating_sub(opening.age());
+        let likely = self.admitted.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64() * wait.as_secs_f64();
+        let likely = likely / f64::from(1_u32 << rank.min(MAX_HALVINGS));
+        let allowed = (likely as usize).clamp(MIN_HELD, MAX_HELD);
+        self.held.count(&opening.flow, rank, now) < allowed
+    }
+
+    pub(super) fn record_admission(&mut self, rank: u8, has_free_slot: bool, now: Time) {
+        self.admitted.add(1, RATE_SPAN, now);
+        if has_free_slot {
+            return;
+        }
+        let rank = usize::from(rank);
+        if self.admitted_while_short.len() <= rank {
+            self.admitted_while_short.resize_with(rank + 1, DecayingCount::default);
+        }
+        self.admitted_while_short[rank].add(1, RESERVE_SPAN, now);
+    }
+
+    pub(super) fn hold(&mut self, opening: &Opening, rank: u8, now: Time) {
+        let Some(next_age) = opening.next_age() else {
+            return;
+        };
+        let since = now.before(opening.age());
+        let held = HeldOpening {
+            flow: opening.flow,
+            rank,
+            since,
+            due: since + next_age,
+            budget: opening.limit().saturating_sub(next_age),
+        };
+        self.held.add(held, now);
+    }
+
+    /// Whether anything that is remembered still matters.
+    pub(super) fn is_active(&self, now: Time) -> bool {
+        let recent = |admitted: &DecayingCount| admitted.value(RESERVE_SPAN, now) > NEGLIGIBLE;
+        self.held.is_any_expected(now)
+            || self.admitted.value(RATE_SPAN, now) > NEGLIGIBLE
+            || self.admitted_while_short.iter().any(recent)
+    }
+}
+
+/// A budget halved once for each more urgent class.
+fn halved(budget: Duration, rank: u8) -> Duration {
+    budget / (1_u32 << rank.min(MAX_HALVINGS))
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 //! This crate does no I/O, reads no clock, and uses no randomness other than the seed that it is given. It is
 //! independent of the encoding of packets, routes and upstreams.
 
+pub mod admission;
 mod answer_log;
 mod checks;
 mod compat;
