Decide on admission when a flow is opened

Cause: priorities, targets, timeouts and connection limits of the document affected no flow. Change: an opening that no upstream has a free slot for goes through admission::Policy before any flow is recorded. A held opening's packet is dropped (held), a refused one is reset (overload). Upstreams at the connection limit are told by Core::is_at_connection_limit. Without a view of load nothing changes. Not covered by a test yet: the path with a view, as the interface in load.rs still knows nothing.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -9,6 +9,7 @@
 //! Everything here is a function of plain values, so that it can be tested without a network.
 
 mod fair_shares;
+mod full_services;
 mod held;
 mod service;
 
@@ -20,6 +21,7 @@
 
 use crate::flows::FlowKey;
 use fair_shares::FairShares;
+pub(crate) use full_services::FullServices;
 use service::Service;
 
 /// Times of a client's retransmissions of an opening packet, after its first transmission.
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,5 +1,6 @@
 //! The packet path of one instance: takes packets and control-plane updates, and returns verdicts.
 
+mod admission;
 mod cold;
 mod established;
 mod evacuation;
@@ -21,6 +22,8 @@
 use units::Time;
 use units::ZoneName;
 
+use crate::admission::FullServices;
+use crate::admission::Policy;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
@@ -102,6 +105,8 @@
     baselines: HashMap<String, Baseline>,
     /// Joint view of the load of all upstreams.
     loads: Loads,
+    admission: Policy,
+    full_services: FullServices,
     loss: Loss,
     answer_log: AnswerLog,
     flows: Flows,
@@ -143,6 +148,8 @@
             health: HashMap::new(),
             baselines: HashMap::new(),
             loads: Loads::default(),
+            admission: Policy::default(),
+            full_services: FullServices::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
             flows: Flows::default(),
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -5,6 +5,7 @@
 use units::Time;
 
 use super::Core;
+use super::admission;
 use crate::decision::Decision;
 use crate::directory::DirectoryEntry;
 use crate::flows::Flow;
@@ -42,14 +43,34 @@
             return Verdict::Reset(reset_for_opening(packet, ResetCause::NoUpstream));
         };
         let service = service.to_owned();
-        let key = FlowKey::from(packet);
+        let opening = admission::opening(packet, route, &self.routes, &service);
+        let key = opening.flow;
         if let Some(id) = self.delayed_duplicate(&key, now) {
             return self.forward(id);
         }
+        // A flow that was admitted keeps its admission when its opening packet is retransmitted.
+        let earlier = self.flows.get_mut(&key);
+        let is_admitted = earlier.is_some_and(|flow| flow.stage == Stage::Opening);
+        if !is_admitted && let Some(verdict) = self.reject_early(packet, &service, &opening, now) {
+            return verdict;
+        }
         let earlier = self.remove_unanswered_opening(&key, now);
-        let Some(candidate) = self.place(&service, earlier, now) else {
+        let Some(mut candidate) = self.place(&service, earlier, now) else {
             return Verdict::Reset(reset_for_opening(packet, self.no_upstream_cause(&service, now)));
         };
+        if !is_admitted {
+            candidate = match self.admit(packet, &service, &opening, candidate, now) {
+                Ok(candidate) => candidate,
+                Err(verdict) => return verdict,
+            };
+        }
+        self.record_placement(packet, candidate, earlier, now);
+        self.forward(candidate.id)
+    }
+
+    /// Records a new flow at its upstream.
+    fn record_placement(&mut self, packet: &Packet, candidate: Candidate, earlier: Option<UpstreamId>, now: Time) {
+        let key = FlowKey::from(packet);
         let id = candidate.id;
         self.stats.placed += 1;
         self.decisions.push(Decision::Placed {
@@ -65,7 +86,6 @@
         self.loss.note_attempt(now);
         self.flows.insert(key, flow);
         self.checks.add_opening(key, now);
-        self.forward(id)
     }
 
     /// The upstream of an opening packet whose copy arrived just before. Both were delayed on the way, so the second
@@ -88,6 +108,13 @@
         if listed().any(|listed| listed.accepts_flows() && listed.cold_rate(now).is_some()) {
             return ResetCause::Cold;
         }
+        let at_limit = |id, listed: &DirectoryEntry| {
+            listed.gone_since.is_none() && listed.accepts_flows() && self.is_at_connection_limit(id, listed, now)
+        };
+        let mut of_service = self.directory.of_service(service);
+        if of_service.any(|(id, listed)| at_limit(id, listed)) {
+            return ResetCause::Overload;
+        }
         if listed().any(|listed| listed.is_evacuated) {
             return ResetCause::Evacuated;
         }
@@ -171,7 +198,7 @@
 }
 
 /// The tier of an upstream, or `None` if it gets no new flows.
-fn tier(listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
+pub(super) fn tier(listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
     if !listed.accepts_flows() {
         return None;
     }
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -84,6 +84,8 @@
     /// No upstream of the service can accept a flow, and some of them are cold and already at their rate limit for new
     /// flows.
     Cold,
+    /// The service is short of capacity, and the flow can't be served in time.
+    Overload,
     /// The flow is waiting for an upstream that responds to no flow.
     Stalled,
     /// The upstream of the flow is considered dead.
@@ -98,6 +100,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Evacuated => "evacuated",
             Self::Cold => "cold",
+            Self::Overload => "overload",
             Self::Stalled => "stalled",
             Self::Dead => "dead",
         }
@@ -132,6 +135,8 @@
     NoEcho,
     /// The route document or the list of upstreams has not been received yet.
     NotReady,
+    /// The service is short of capacity; the client's retransmission of the opening packet can be served in time.
+    Held,
     /// The packet is a client's reset of a flow whose upstream is unknown.
     Reset,
 }
@@ -143,6 +148,7 @@
             Self::UnknownEcho => "unknown-echo",
             Self::NoEcho => "no-echo",
             Self::NotReady => "not-ready",
+            Self::Held => "held",
             Self::Reset => "reset",
         }
     }
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -1,6 +1,7 @@
 //! Routes and the document that defines them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddrV4;
@@ -14,6 +15,7 @@
 use units::Revision;
 use units::Weight;
 
+use crate::admission::Class;
 use crate::warning::Warning;
 
 /// A service's share of the new flows of a route.
@@ -239,15 +241,27 @@
     /// The revision of the document that the routes come from, and its position in the store's history.
     source: (Revision, Position),
     by_address: HashMap<SocketAddrV4, Route>,
+    /// The priorities of the routes to each service, the most urgent first.
+    priorities: HashMap<String, BTreeSet<Priority>>,
+    connection_limits: BTreeMap<String, NonZeroU32>,
 }
 
 impl Routes {
     /// Indexes the routes of a document at the given position in the store's history.
     pub(crate) fn new(at: Position, document: &Document) -> Self {
         let routes = document.routes.values().map(|route| (route.address, route.clone()));
+        let mut priorities: HashMap<String, BTreeSet<Priority>> = HashMap::new();
+        for route in document.routes.values() {
+            for share in &route.shares {
+                let priorities = priorities.entry(share.service.clone()).or_default();
+                priorities.insert(route.priority);
+            }
+        }
         Self {
             source: (document.revision, at),
             by_address: routes.collect(),
+            priorities,
+            connection_limits: document.connection_limits.clone(),
         }
     }
 
@@ -256,6 +270,22 @@
         self.source == (document.revision, at)
     }
 
+    /// The class of a priority among the routes to a service.
+    pub(crate) fn class(&self, service: &str, priority: Priority) -> Class {
+        let priorities = self.priorities.get(service);
+        let rank = priorities.map_or(0, |priorities| priorities.range(..priority).count());
+        let count = priorities.map_or(1, BTreeSet::len);
+        Class {
+            rank: u8::try_from(rank).unwrap_or(u8::MAX),
+            count: u8::try_from(count).unwrap_or(u8::MAX),
+        }
+    }
+
+    /// The maximum number of open flows at each upstream of a service, if operators have set one.
+    pub(crate) fn connection_limit(&self, service: &str) -> Option<u32> {
+        self.connection_limits.get(service).copied().map(NonZeroU32::get)
+    }
+
     pub(crate) fn to(&self, address: SocketAddrV4) -> Option<&Route> {
         self.by_address.get(&address)
     }
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -21,9 +21,9 @@
     /// Packets that the kernel did not accept for sending.
     counter unsent() "jayquay_flow_packets_unsent_total" Count "Packets of flows that the system's socket did not take.";
     /// Flows reset.
-    counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, evacuated, cold, stalled or dead.";
+    counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, evacuated, cold, overload, stalled or dead.";
     /// Packets dropped.
-    counter drops(cause) "jayquay_flow_drops_total" Count "Packets dropped: not-ready, no-echo, unknown-echo or reset.";
+    counter drops(cause) "jayquay_flow_drops_total" Count "Packets dropped: not-ready, no-echo, unknown-echo, held or reset.";
     /// Outcomes of tries at upstreams.
     counter outcomes(outcome) "jayquay_flow_tries_total" Count
         "Flows opened and requests sent to upstreams, by how they ended: good, refused, overdue or short.";
