--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,5 +1,6 @@
 //! The packet path of one instance: takes packets and control-plane updates, and returns verdicts.
 
+mod admission;
 mod capacity;
 mod cold;
 mod established;
@@ -24,6 +25,8 @@
 use units::ZoneName;
 
 pub use self::capacity::ServiceLoad;
+use crate::admission::FullServices;
+use crate::admission::Policy;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
@@ -105,6 +108,8 @@
     baselines: HashMap<String, Baseline>,
     /// Joint view of the load of all upstreams.
     loads: Loads,
+    admission: Policy,
+    full_services: FullServices,
     loss: Loss,
     answer_log: AnswerLog,
     flows: Flows,
@@ -146,6 +151,8 @@
             health: HashMap::new(),
             baselines: HashMap::new(),
             loads: Loads::default(),
+            admission: Policy::default(),
+            full_services: FullServices::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
             flows: Flows::default(),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 //! This crate does no I/O, reads no clock, and uses no randomness other than the seed that it is given. It is
 //! independent of the encoding of packets, routes and upstreams.
 
+pub mod admission;
 mod answer_log;
 mod checks;
 mod compat;
@@ -91,6 +92,7 @@
 pub use crate::route::ColdStart;
 pub use crate::route::Digest;
 pub use crate::route::Document;
+pub use crate::route::Priority;
 pub use crate::route::Route;
 pub use crate::route::Share;
 pub use crate::status_update::Status;
