Share out free slots among openings that have no room elsewhere

Cause: every instance that found no room for an opening sent it to one of the few upstreams with a free slot by the joint view, so that 46 new flows reached one upstream within 50 ms. Change: such an opening gets a free slot with a probability that grows with their share.

--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -31,13 +31,43 @@
 /// of load shows them.
 const CONNECTION_MARGIN: u32 = 32;
 
+/// How many openings a free slot may get, on average, until the view of load shows that it is in use. A view is about
+/// as old as a request takes.
+const FREE_SLOT_USES: f64 = 2.0;
+
 /// Upstreams of a zone that were searched.
 #[derive(Debug, Default)]
 struct SearchedZone {
-    /// Those that are listed as accepting flows.
-    listed: u32,
+    /// Slots of those that are listed as accepting flows.
+    slots: u32,
+    /// Slots of those that can get a flow now.
+    usable_slots: u32,
     /// Those that can get a flow now.
     usable: Vec<UpstreamId>,
+    /// Free slots of those whose load is known.
+    free_slots: u32,
+    /// Those known to have a free slot.
+    free: Vec<UpstreamId>,
+}
+
+/// Upstreams with free slots.
+#[derive(Debug, Default)]
+struct FreeSlots {
+    slots: u32,
+    /// All slots of the zone that can be used.
+    of_slots: u32,
+    upstreams: Vec<UpstreamId>,
+}
+
+/// Result of the search for a free slot.
+#[derive(Debug, Clone, Copy)]
+enum FreeUpstream {
+    /// No upstream has one.
+    None,
+    /// Some have, but too few for all openings that look for one.
+    Contended,
+    /// An upstream with a free slot.
+    Found(UpstreamId),
 }
 
 /// Describes an opening packet for admission control.
@@ -91,12 +121,13 @@
         let mut room = self.room(service, &candidate, now);
         if self.admission.assess(service, opening, room, now) != Admission::Admit {
             match self.find_free_upstream(service, now) {
-                Some(id) => {
+                FreeUpstream::Found(id) => {
                     candidate.id = id;
                     candidate.tier = Tier::Ready;
                     room.has_free_slot = true;
                 }
-                None => self.full_services.insert(service, room, now),
+                FreeUpstream::Contended => {}
+                FreeUpstream::None => self.full_services.insert(service, room, now),
             }
         }
         let admission = self.admission.decide(service, opening, room, now);
@@ -133,13 +164,15 @@
         }
     }
 
-    /// Finds an upstream with a free slot: in the local zone, or in a zone that must have one by its sums. Which one of
-    /// several is random, as all instances have the same view.
-    fn find_free_upstream(&mut self, service: &str, now: Time) -> Option<UpstreamId> {
+    /// Finds an upstream with a free slot: in the local zone, or in a zone that must have one by its sums.
+    ///
+    /// All instances have the same view. If each sent all openings that have no room elsewhere to the few free slots,
+    /// these upstreams would get many times what they can serve. So an opening gets a free slot with a probability
+    /// that grows with the share of free slots.
+    fn find_free_upstream(&mut self, service: &str, now: Time) -> FreeUpstream {
         let ids = self.directory.service_ids(service);
         let first = self.rng.random_range(0..ids.len().max(1));
         let mut zones: BTreeMap<&ZoneName, SearchedZone> = BTreeMap::new();
-        let mut free = Vec::new();
         let (before, after) = ids.split_at(first);
         for id in after.iter().chain(before).take(MAX_SEARCHED) {
             let Some((id, listed)) = self.directory.reachable(*id) else {
@@ -149,47 +182,62 @@
                 continue;
             }
             let zone = zones.entry(&listed.upstream().zone).or_default();
-            zone.listed += 1;
+            let slots = u32::from(listed.upstream().slots.0);
+            zone.slots += slots;
             if !self.is_usable(id, listed, now) {
                 continue;
             }
+            zone.usable_slots += slots;
             zone.usable.push(id);
-            let work = self.loads.work(id, now);
-            if work.is_some_and(|work| work.in_flight < u32::from(listed.upstream().slots.0)) {
-                free.push(id);
+            let in_flight = self.loads.work(id, now).map(|work| work.in_flight);
+            if let Some(free) = in_flight.and_then(|in_flight| slots.checked_sub(in_flight).filter(|free| *free > 0)) {
+                zone.free_slots += free;
+                zone.free.push(id);
             }
         }
-        if free.is_empty() {
-            free = self.upstreams_of_free_zone(service, zones, now);
+        let free = self.free_slots(service, zones, now);
+        if free.upstreams.is_empty() {
+            return FreeUpstream::None;
+        }
+        let chance = f64::from(free.slots) / f64::from(free.of_slots.max(1)) * FREE_SLOT_USES;
+        if self.rng.random::<f64>() >= chance {
+            return FreeUpstream::Contended;
         }
-        let chosen = self.rng.random_range(0..free.len().max(1));
-        free.get(chosen).copied()
+        let chosen = self.rng.random_range(0..free.upstreams.len());
+        FreeUpstream::Found(free.upstreams[chosen])
     }
 
-    /// The usable upstreams of the other zone with the most free slots by its sums, or none if no zone has any.
+    /// The free slots of the local zone or, if it has none, those of the zone with the most by its sums.
     ///
     /// The sums include upstreams that can't be used now, so only the usable part of the slots counts.
-    fn upstreams_of_free_zone(
-        &self,
-        service: &str,
-        searched: BTreeMap<&ZoneName, SearchedZone>,
-        now: Time,
-    ) -> Vec<UpstreamId> {
-        let Some(loads) = self.loads.zones(service, now) else {
-            return Vec::new();
-        };
-        let mut best = (0, Vec::new());
+    fn free_slots(&self, service: &str, searched: BTreeMap<&ZoneName, SearchedZone>, now: Time) -> FreeSlots {
+        let mut best = FreeSlots::default();
         for (name, zone) in searched {
-            let Some(load) = loads.get(name).filter(|_| *name != self.options.zone) else {
+            if !zone.free.is_empty() && *name == self.options.zone {
+                return FreeSlots {
+                    slots: zone.free_slots,
+                    of_slots: zone.usable_slots,
+                    upstreams: zone.free,
+                };
+            }
+            let loads = self.loads.zones(service, now);
+            let Some(load) = loads
+                .and_then(|loads| loads.get(name))
+                .filter(|_| *name != self.options.zone)
+            else {
                 continue;
             };
-            let usable = u64::from(load.slots) * zone.usable.len() as u64 / u64::from(zone.listed.max(1));
-            let free = usable.saturating_sub(load.in_flight.into());
-            if free > best.0 {
-                best = (free, zone.usable);
+            let usable = u64::from(load.slots) * u64::from(zone.usable_slots) / u64::from(zone.slots.max(1));
+            let free = usable.saturating_sub(load.in_flight.into()) as u32;
+            if free > best.slots {
+                best = FreeSlots {
+                    slots: free,
+                    of_slots: usable as u32,
+                    upstreams: zone.usable,
+                };
             }
         }
-        best.1
+        best
     }
 
     /// Whether an upstream that is listed as accepting flows can get one now.
