--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -72,7 +72,7 @@
     /// Counts the work that a packet of an established flow begins and ends.
     pub(super) fn count_work(&mut self, key: &FlowKey, sign: Observation, now: Time) {
         if sign.is_progress {
-            self.finish_work(key, None);
+            self.finish_work(key);
         }
         if sign.is_request {
             self.begin_work(key, WorkKind::Request, now);
@@ -105,7 +105,13 @@
     /// Ends the work whose answer was not seen in time.
     pub(super) fn expire_work(&mut self, now: Time) {
         while let Some(work) = self.loads.own.pop_deadline(now) {
-            self.finish_work(&work.key, Some(work.since));
+            // A handshake may end and a request begin at the time at which the flow was opened, as read here.
+            let is_opening = work.kind == WorkKind::Opening;
+            let flow = self.flows.get_mut(&work.key);
+            let flow = flow.filter(|flow| flow.working_since == Some(work.since) && flow.is_opening() == is_opening);
+            if flow.is_some() {
+                self.finish_work(&work.key);
+            }
         }
     }
 
@@ -122,17 +128,15 @@
         self.adjust_zone(id, 1);
     }
 
-    /// Ends the work of a flow, or if `since` is given, only work that began then.
-    fn finish_work(&mut self, key: &FlowKey, since: Option<Time>) {
+    /// Ends the work of a flow.
+    fn finish_work(&mut self, key: &FlowKey) {
         let Some(flow) = self.flows.get_mut(key) else {
             return;
         };
-        if flow.working_since.is_none() || (since.is_some() && flow.working_since != since) {
-            return;
-        }
-        flow.working_since = None;
         let id = flow.upstream;
-        self.end_work(id);
+        if flow.working_since.take().is_some() {
+            self.end_work(id);
+        }
     }
 
     fn end_work(&mut self, id: UpstreamId) {
@@ -154,7 +158,10 @@
         self.expire_work(now);
         self.regroup(now);
         let Loads { own, views, .. } = &mut self.loads;
-        own.take_reports(&self.options.zone, |service| views.is_busy(service, now), now)
+        // With few busy services, the other groups cost no look-up.
+        let is_any_busy = views.is_any_busy(now);
+        let is_busy = |service: &str| is_any_busy && views.is_busy(service, now);
+        own.take_reports(&self.options.zone, is_busy, now)
     }
 
     /// Brings the groups of own work in line with the directory.
@@ -164,7 +171,12 @@
         }
         self.loads.regrouped_at = now;
         let directory = &self.directory;
-        let Loads { own, views, .. } = &mut self.loads;
+        let Loads {
+            own, views, collector, ..
+        } = &mut self.loads;
+        let group_count = directory.load_group_count();
+        own.budget.set_groups(group_count);
+        collector.budget.set_groups(group_count);
         own.regroup(|id| Some(directory.load_group(id)?.0), now);
         let zone = &self.options.zone;
         let recent = own.recent_services(now);
@@ -201,7 +213,8 @@
         self.loads.collector.take_digests(listed, now)
     }
 
-    /// Takes the sums that are due for other collectors of the same services, as a collector.
+    /// Takes the sums that are due for other collectors of the same services, as a collector. To be called before the
+    /// digests are taken, which may use up the budget of messages.
     pub fn take_zone_loads(&mut self, now: Time) -> Vec<ZoneLoads> {
         let directory = &self.directory;
         let zones = |service: &str| directory.load_group_counts(service);
--- a/crates/flow/src/directory.rs
+++ b/crates/flow/src/directory.rs
@@ -251,6 +251,12 @@
         groups.collect()
     }
 
+    /// The number of load groups of all services.
+    pub(crate) fn load_group_count(&self) -> usize {
+        let zones = self.by_service.values().flat_map(Pool::zones);
+        zones.map(|(_, ids)| usize::from(group_count(ids))).sum()
+    }
+
     /// The number of load groups of a service in each availability zone, ordered by zone.
     pub(crate) fn load_group_counts(&self, service: &str) -> Vec<(ZoneName, u16)> {
         let Some(pool) = self.by_service.get(service) else {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -56,6 +56,7 @@
 pub use crate::knowledge::Change;
 pub use crate::knowledge::Knowledge;
 pub use crate::knowledge::Positions;
+pub use crate::load::COLLECTOR_COUNT;
 pub use crate::load::DueDigest;
 pub use crate::load::LoadDigest;
 pub use crate::load::LoadGroup;
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -3,6 +3,7 @@
 //! Each instance counts its own work (`own`) and reports it to the collectors of each group of upstreams. A collector
 //! sums the reports (`collector`) and answers with digests, from which each instance has its joint view (`view`).
 
+mod budget;
 mod collector;
 mod group_sums;
 mod message;
@@ -19,6 +20,7 @@
 use units::ZoneName;
 
 use crate::upstream::UpstreamId;
+pub(crate) use budget::Budget;
 pub(crate) use collector::Collector;
 pub use collector::DueDigest;
 pub(crate) use group_sums::ListedSlots;
@@ -36,6 +38,8 @@
 pub(crate) use view::Member;
 pub(crate) use view::Views;
 
+/// Number of collectors of each group: one may be down for a second before the others notice.
+pub const COLLECTOR_COUNT: usize = 2;
 /// Maximum number of upstreams of a group, so that a digest fits a packet of 1,500 bytes.
 pub(crate) const GROUP_LEN: usize = 64;
 
--- /dev/null
+++ b/crates/flow/src/load/budget.rs
@@ -0,0 +1,56 @@
+//! Limits the messages about load that an instance sends.
+
+use units::Time;
+
+/// Messages at each call, every 100 milliseconds, in a fleet with few groups. A collector then answers each of some
+/// hundred instances at each call.
+const MAX_PER_CALL: f64 = 400.0;
+/// Messages at each call in a fleet with thousands of groups, whose collectors are spread evenly over the instances: with
+/// twice that for reports and digests together, and 110 bytes a message, 2.6 KB per second.
+const MIN_PER_CALL: f64 = 1.2;
+/// Number of groups up to which the maximum holds. Beyond, the messages per call are inversely proportional to it.
+const FEW_GROUPS: f64 = 16.0;
+
+/// The messages that may be sent. What isn't sent at one call is sent at one of the next.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    per_call: f64,
+    left: f64,
+    refilled_at: Time,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            per_call: MAX_PER_CALL,
+            left: 0.0,
+            refilled_at: Time::default(),
+        }
+    }
+}
+
+impl Budget {
+    /// Sets the number of groups in the fleet.
+    pub(crate) fn set_groups(&mut self, count: usize) {
+        let per_call = MAX_PER_CALL * FEW_GROUPS / (count as f64).max(FEW_GROUPS);
+        self.per_call = per_call.max(MIN_PER_CALL);
+    }
+
+    /// Begins the calls at this time. Of earlier ones, no more than two messages are kept.
+    pub(super) fn refill(&mut self, now: Time) {
+        if now <= self.refilled_at {
+            return;
+        }
+        self.refilled_at = now;
+        self.left = (self.left + self.per_call).min(self.per_call.max(2.0));
+    }
+
+    pub(super) fn is_used_up(&self) -> bool {
+        self.left <= 0.0
+    }
+
+    /// Accounts for messages, which may be more than are left.
+    pub(super) fn spend(&mut self, messages: usize) {
+        self.left -= messages as f64;
+    }
+}
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -8,6 +8,8 @@
 use units::Time;
 use units::ZoneName;
 
+use super::Budget;
+use super::COLLECTOR_COUNT;
 use super::ListedSlots;
 use super::LoadDigest;
 use super::LoadGroup;
@@ -69,6 +71,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Collector {
     groups: BTreeMap<LoadGroup, CollectedGroup>,
+    pub(crate) budget: Budget,
+    /// The first group whose digest was put off for lack of budget.
+    next_group: Option<LoadGroup>,
     exchange_seq: u32,
     called_at: Time,
 }
@@ -123,33 +128,50 @@
         now: Time,
     ) -> Vec<DueDigest> {
         let was_paused = now.since(std::mem::replace(&mut self.called_at, now)) > MAX_PAUSE;
-        let mut due = Vec::new();
         for (key, group) in &mut self.groups {
             if was_paused {
                 group.sums.restart(now);
             }
             group.update(key, &listed(key), now);
-            due.extend(group.take_digest(key, now));
+        }
+        let mut due = Vec::new();
+        self.budget.refill(now);
+        let first = self.next_group.take();
+        let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
+        for turn in [true, false] {
+            for (key, group) in self.groups.iter_mut().filter(|(key, _)| is_later(key) == turn) {
+                if self.budget.is_used_up() {
+                    self.next_group.get_or_insert_with(|| key.clone());
+                    break;
+                }
+                if let Some(digest) = group.take_digest(key, now) {
+                    self.budget.spend(digest.recipients.len());
+                    due.push(digest);
+                }
+            }
         }
         self.groups.retain(|key, group| !group.is_unused(key));
         due
     }
 
-    /// Takes the sums to send to other collectors. `zones` gives the zones of a service, each with its number of groups.
+    /// Takes the sums to send to other collectors, before the digests use up the budget. `zones` gives the zones of a service, each with its number of groups.
     pub(crate) fn take_zone_loads(
         &mut self,
         zones: impl Fn(&str) -> Vec<(ZoneName, u16)>,
         now: Time,
     ) -> Vec<ZoneLoads> {
         let mut due = Vec::new();
+        self.budget.refill(now);
         for (key, group) in &mut self.groups {
-            if !group.is_busy || !group.sums.is_warm(now) || now < group.exchange_due {
+            let is_due = group.is_busy && group.sums.is_warm(now) && now >= group.exchange_due;
+            if !is_due || self.budget.is_used_up() {
                 continue;
             }
             group.exchange_due = now + EXCHANGE_INTERVAL;
             for (to, zones) in group.exchange(key, &zones(&key.service), now) {
                 self.exchange_seq += 1;
                 let seq = self.exchange_seq;
+                self.budget.spend(COLLECTOR_COUNT);
                 due.push(ZoneLoads { to, seq, zones });
             }
         }
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -10,6 +10,8 @@
 use units::Time;
 use units::ZoneName;
 
+use super::Budget;
+use super::COLLECTOR_COUNT;
 use super::LoadGroup;
 use super::LoadReport;
 use super::ReportedWork;
@@ -40,6 +42,7 @@
 /// Work in flight that stops counting when it is due, unless it has ended before.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct WorkDeadline {
+    pub(crate) kind: WorkKind,
     pub(crate) due: Time,
     pub(crate) key: FlowKey,
     /// When the work began.
@@ -118,6 +121,9 @@
     groups: BTreeMap<LoadGroup, OwnGroup>,
     /// When work last began at each service.
     begun_at: HashMap<CompactString, Time>,
+    pub(crate) budget: Budget,
+    /// The first group whose report was put off for lack of budget.
+    next_group: Option<LoadGroup>,
     /// Deadlines of work in flight, ordered by due time, with one queue for each kind.
     openings: VecDeque<WorkDeadline>,
     requests: VecDeque<WorkDeadline>,
@@ -200,7 +206,7 @@
             WorkKind::Request => (&mut self.requests, MAX_REQUEST),
         };
         let (due, since) = (now + lasts, now);
-        queue.push_back(WorkDeadline { due, key, since });
+        queue.push_back(WorkDeadline { kind, due, key, since });
     }
 
     /// Counts the end of work in flight. Returns whether it was counted.
@@ -229,7 +235,7 @@
 
 impl OwnWork {
     /// Takes the reports that are due. Upstreams of a service that `is_busy` are reported in detail, otherwise only work
-    /// in flight is sampled.
+    /// in flight is sampled. Reports that the budget has no room for are put off.
     pub(crate) fn take_reports(
         &mut self,
         own_zone: &ZoneName,
@@ -237,28 +243,33 @@
         now: Time,
     ) -> Vec<LoadReport> {
         let mut reports = Vec::new();
-        let Self {
-            upstreams,
-            groups,
-            begun_at,
-            ..
-        } = self;
-        for (key, group) in groups {
-            let has_interest = begun_at.get(&key.service).is_some_and(|at| now.since(*at) < INTEREST);
-            let work = if is_busy(&key.service) {
-                group.detail(upstreams, has_interest, now)
-            } else {
-                group.sample(upstreams, now)
-            };
-            let Some(work) = work else {
-                continue;
-            };
-            reports.push(LoadReport {
-                group: key.clone(),
-                seq: group.seq,
-                is_from_other_zone: key.zone != *own_zone,
-                work,
-            });
+        self.budget.refill(now);
+        let first = self.next_group.take();
+        let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
+        for turn in [true, false] {
+            for (key, group) in self.groups.iter_mut().filter(|(key, _)| is_later(key) == turn) {
+                if self.budget.is_used_up() {
+                    self.next_group.get_or_insert_with(|| key.clone());
+                    break;
+                }
+                let work = if is_busy(&key.service) {
+                    let begun_at = self.begun_at.get(&key.service);
+                    let has_interest = begun_at.is_some_and(|at| now.since(*at) < INTEREST);
+                    group.detail(&mut self.upstreams, has_interest, now)
+                } else {
+                    group.sample(&mut self.upstreams, now)
+                };
+                let Some(work) = work else {
+                    continue;
+                };
+                self.budget.spend(COLLECTOR_COUNT);
+                reports.push(LoadReport {
+                    group: key.clone(),
+                    seq: group.seq,
+                    is_from_other_zone: key.zone != *own_zone,
+                    work,
+                });
+            }
         }
         reports
     }
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -101,6 +101,11 @@
         busy_at.is_some_and(|at| now.since(at) < VALIDITY)
     }
 
+    /// Whether a collector says so of any service.
+    pub(crate) fn is_any_busy(&self, now: Time) -> bool {
+        self.services.keys().any(|service| self.is_busy(service, now))
+    }
+
     /// Adds or subtracts one piece of own work.
     pub(crate) fn adjust(&mut self, service: &str, zone: &ZoneName, by: i32) {
         let Some(view) = self.services.get_mut(service) else {
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -5,6 +5,7 @@
 #[path = "../benches/support/mod.rs"]
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use flow::Core;
@@ -427,3 +428,22 @@
         4
     );
 }
+
+/// Guards against a burst of messages, and against groups that are never reported, where groups are many.
+#[test]
+fn reports_on_many_groups_are_spread_over_calls() {
+    let mut core = core_with_zones(13_000, 1, 1);
+    for client in 0..4_000 {
+        let (_, ack) = open(&mut core, client, START);
+        core.handle_packet(&Packet { len: 100, ..ack }, START);
+    }
+    let mut groups = BTreeSet::new();
+    for step in 1..=19 {
+        let reports = core.take_load_reports(after(step * 100));
+        assert!(reports.len() <= 40, "{} reports at once", reports.len());
+        for report in reports {
+            groups.insert(report.group.number);
+        }
+    }
+    assert_eq!(groups.len(), 13_000_usize.div_ceil(64));
+}
--- a/crates/jayquayd/src/forward/gossip/loads.rs
+++ b/crates/jayquayd/src/forward/gossip/loads.rs
@@ -20,8 +20,8 @@
     pub(super) fn exchange_loads(&self) {
         self.collectors().refresh(&self.shared.members(), self.shared.now());
         self.report_loads();
-        self.send_load_digests();
         self.send_zone_loads();
+        self.send_load_digests();
     }
 
     /// Reports this instance's own work to the collectors.
--- a/crates/jayquayd/src/forward/loads.rs
+++ b/crates/jayquayd/src/forward/loads.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flow::COLLECTOR_COUNT;
 use flow::LoadGroup;
 use flow::ReporterId;
 use membership::Membership;
@@ -16,8 +17,6 @@
 
 use super::aggregators::members_in_zone;
 
-/// Number of collectors per group: one may be down for a second before the others notice.
-const COLLECTOR_COUNT: usize = 2;
 /// Interval at which the members are compared with those that the choice of collectors is based on.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/jayquayd/tests/flows/cluster.rs
+++ b/crates/jayquayd/tests/flows/cluster.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Address at which an instance takes messages of other instances.
+    pub(crate) fn peers(&self, number: u8) -> SocketAddr {
+        SocketAddr::from((self.ip(1, number), self.peers))
+    }
+
     pub(crate) fn ip(&self, group: u8, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.subnet, group, number)
     }
