--- a/crates/flow/benches/load.rs
+++ b/crates/flow/benches/load.rs
@@ -1,5 +1,6 @@
 //! Benchmarks of sharing the load of upstreams, in a fleet of 88 instances with 40 upstreams in a zone.
 
+#[expect(dead_code, reason = "each program uses a part of it")]
 mod support;
 
 use std::time::Duration;
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -18,6 +18,7 @@
 use crate::load::LoadReport;
 use crate::load::Loads;
 use crate::load::Member;
+use crate::load::Purpose;
 use crate::load::UpstreamSum;
 use crate::load::WorkCounts;
 use crate::load::WorkKind;
@@ -175,8 +176,8 @@
             own, views, collector, ..
         } = &mut self.loads;
         let group_count = directory.load_group_count();
-        own.budget.set_groups(group_count);
-        collector.budget.set_groups(group_count);
+        own.budget.set_groups(group_count, Purpose::Reports);
+        collector.budget.set_groups(group_count, Purpose::Digests);
         own.regroup(|id| Some(directory.load_group(id)?.0), now);
         let zone = &self.options.zone;
         let recent = own.recent_services(now);
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -21,6 +21,7 @@
 
 use crate::upstream::UpstreamId;
 pub(crate) use budget::Budget;
+pub(crate) use budget::Purpose;
 pub(crate) use collector::Collector;
 pub use collector::DueDigest;
 pub(crate) use group_sums::ListedSlots;
--- a/crates/flow/src/load/budget.rs
+++ b/crates/flow/src/load/budget.rs
@@ -5,11 +5,23 @@
 /// Messages at each call, every 100 milliseconds, in a fleet with few groups. A collector then answers each of some
 /// hundred instances at each call.
 const MAX_PER_CALL: f64 = 400.0;
-/// Messages at each call in a fleet with thousands of groups, whose collectors are spread evenly over the instances: with
-/// twice that for reports and digests together, and 110 bytes a message, 2.6 KB per second.
-const MIN_PER_CALL: f64 = 1.2;
 /// Number of groups up to which the maximum holds. Beyond, the messages per call are inversely proportional to it.
 const FEW_GROUPS: f64 = 16.0;
+/// Number of groups from which digests only answer reports. An instance then takes part in more groups than can tell it
+/// their load every 100 milliseconds.
+const MANY_GROUPS: usize = 64;
+/// Reports at each call in a fleet with thousands of groups: 12 a second, or 1.2 KB.
+const MIN_REPORTS: f64 = 1.2;
+/// Digests at each call in such a fleet. Most collectors send far fewer, as digests only answer reports, but those of a
+/// busy service answer hundreds of instances.
+const MIN_DIGESTS: f64 = 30.0;
+
+/// What a budget is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Reports,
+    Digests,
+}
 
 /// The messages that may be sent. What isn't sent at one call is sent at one of the next.
 #[derive(Debug)]
@@ -17,6 +29,7 @@
     per_call: f64,
     left: f64,
     refilled_at: Time,
+    has_many_groups: bool,
 }
 
 impl Default for Budget {
@@ -25,15 +38,25 @@
             per_call: MAX_PER_CALL,
             left: 0.0,
             refilled_at: Time::default(),
+            has_many_groups: false,
         }
     }
 }
 
 impl Budget {
     /// Sets the number of groups in the fleet.
-    pub(crate) fn set_groups(&mut self, count: usize) {
+    pub(crate) fn set_groups(&mut self, count: usize, purpose: Purpose) {
+        let min = match purpose {
+            Purpose::Reports => MIN_REPORTS,
+            Purpose::Digests => MIN_DIGESTS,
+        };
         let per_call = MAX_PER_CALL * FEW_GROUPS / (count as f64).max(FEW_GROUPS);
-        self.per_call = per_call.max(MIN_PER_CALL);
+        self.per_call = per_call.max(min);
+        self.has_many_groups = count >= MANY_GROUPS;
+    }
+
+    pub(super) fn has_many_groups(&self) -> bool {
+        self.has_many_groups
     }
 
     /// Begins the calls at this time. Of earlier ones, no more than two messages are kept.
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -21,11 +21,12 @@
 use super::group_sums::GroupSums;
 use crate::report::ReporterId;
 
-/// Intervals of digests while the service is busy, and otherwise.
-const BUSY_INTERVAL: Duration = Duration::from_millis(100);
-const QUIET_INTERVAL: Duration = Duration::from_secs(1);
+/// Intervals of digests while the service is busy, and otherwise. Calls come every 100 milliseconds or a bit earlier or
+/// later, so intervals end a bit before the call that they last to.
+const BUSY_INTERVAL: Duration = Duration::from_millis(80);
+const QUIET_INTERVAL: Duration = Duration::from_millis(980);
 /// Interval at which collectors exchange sums while the service is busy.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(180);
 /// Age from which the sums of another collector no longer count. They are at most 500 milliseconds old when they have
 /// passed two collectors. Together with the time for which an instance keeps them, a zone that is cut off is no longer
 /// shown within a second.
@@ -60,6 +61,7 @@
     is_busy: bool,
     digest_seq: u32,
     digest_due: Time,
+    digest_sent: Time,
     exchange_due: Time,
     /// Sums by zone, and by group within the zone; `None` is the whole zone.
     known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
@@ -136,6 +138,7 @@
         }
         let mut due = Vec::new();
         self.budget.refill(now);
+        let answers_only = self.budget.has_many_groups();
         let first = self.next_group.take();
         let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
         for turn in [true, false] {
@@ -144,7 +147,7 @@
                     self.next_group.get_or_insert_with(|| key.clone());
                     break;
                 }
-                if let Some(digest) = group.take_digest(key, now) {
+                if let Some(digest) = group.take_digest(key, answers_only, now) {
                     self.budget.spend(digest.recipients.len());
                     due.push(digest);
                 }
@@ -186,6 +189,7 @@
             is_busy: false,
             digest_seq: 0,
             digest_due: now,
+            digest_sent: Time::default(),
             exchange_due: now,
             known: BTreeMap::new(),
             latest: HashMap::new(),
@@ -211,12 +215,17 @@
         }
     }
 
-    fn take_digest(&mut self, key: &LoadGroup, now: Time) -> Option<DueDigest> {
+    /// Takes the digest, if it is due: while busy for all recent reporters, else for those that reported since the
+    /// previous one.
+    fn take_digest(&mut self, key: &LoadGroup, answers_only: bool, now: Time) -> Option<DueDigest> {
         if now < self.digest_due || !self.sums.is_warm(now) {
             return None;
         }
         self.digest_due = now + if self.is_busy { BUSY_INTERVAL } else { QUIET_INTERVAL };
-        let recipients = self.sums.recipients();
+        let sent = std::mem::replace(&mut self.digest_sent, now);
+        let is_to_all = self.is_busy && !answers_only;
+        let since = if is_to_all { Time::default() } else { sent };
+        let recipients = self.sums.recipients(since);
         if recipients.is_empty() {
             return None;
         }
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -216,9 +216,10 @@
         (undetailed.saturating_mul(MAX_UNDETAILED_ONE_IN) <= detailed.saturating_add(undetailed)).then_some(sums)
     }
 
-    /// The instances that get a digest.
-    pub(super) fn recipients(&self) -> Vec<LoadRecipient> {
-        let recipients = self.reporters.iter().map(|(name, held)| LoadRecipient {
+    /// The instances that have reported at the given time or later.
+    pub(super) fn recipients(&self, since: Time) -> Vec<LoadRecipient> {
+        let recent = self.reporters.iter().filter(|(_, held)| held.at >= since);
+        let recipients = recent.map(|(name, held)| LoadRecipient {
             name: *name,
             included: if held.is_counted() { held.seq } else { 0 },
             is_in_other_zone: held.is_in_other_zone,
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -24,8 +24,10 @@
 const MAX_OPENING: Duration = Duration::from_secs(1);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
-/// Interval at which all values are sent while a service is busy, and work in flight is sampled otherwise.
-const FULL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which work in flight is sampled while a service isn't busy.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which all values are sent while a service is busy: at every tenth call, also if calls come a bit early.
+const FULL_INTERVAL: Duration = Duration::from_millis(980);
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
 const INTEREST: Duration = Duration::from_secs(5);
 /// Number of reported values kept for each upstream and group: a report every 100 milliseconds over the time for which
@@ -321,7 +323,7 @@
             return None;
         }
         // Keeps the phase, except after a pause of this process.
-        self.sample_due = (self.sample_due + FULL_INTERVAL).max(now);
+        self.sample_due = (self.sample_due + SAMPLE_INTERVAL).max(now);
         let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
         let in_flight = own.map(|own| own.counts.in_flight).sum();
         self.remove_idle(upstreams, OwnUpstream::is_idle);
