--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -8,6 +8,8 @@
 use units::Time;
 use units::ZoneName;
 
+use super::Budget;
+use super::COLLECTOR_COUNT;
 use super::ListedSlots;
 use super::LoadDigest;
 use super::LoadGroup;
@@ -19,11 +21,12 @@
 use super::group_sums::GroupSums;
 use crate::report::ReporterId;
 
-/// Intervals of digests while the service is busy, and otherwise.
-const BUSY_INTERVAL: Duration = Duration::from_millis(100);
-const QUIET_INTERVAL: Duration = Duration::from_secs(1);
+/// Intervals of digests while the service is busy, and otherwise. Calls come every 100 milliseconds or a bit earlier or
+/// later, so intervals end a bit before the call that they last to.
+const BUSY_INTERVAL: Duration = Duration::from_millis(80);
+const QUIET_INTERVAL: Duration = Duration::from_millis(980);
 /// Interval at which collectors exchange sums while the service is busy.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(180);
 /// Age from which the sums of another collector no longer count. They are at most 500 milliseconds old when they have
 /// passed two collectors. Together with the time for which an instance keeps them, a zone that is cut off is no longer
 /// shown within a second.
@@ -58,6 +61,7 @@
     is_busy: bool,
     digest_seq: u32,
     digest_due: Time,
+    digest_sent: Time,
     exchange_due: Time,
     /// Sums by zone, and by group within the zone; `None` is the whole zone.
     known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
@@ -69,6 +73,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Collector {
     groups: BTreeMap<LoadGroup, CollectedGroup>,
+    pub(crate) budget: Budget,
+    /// The first group whose digest was put off for lack of budget.
+    next_group: Option<LoadGroup>,
     exchange_seq: u32,
     called_at: Time,
 }
@@ -123,33 +130,51 @@
         now: Time,
     ) -> Vec<DueDigest> {
         let was_paused = now.since(std::mem::replace(&mut self.called_at, now)) > MAX_PAUSE;
-        let mut due = Vec::new();
         for (key, group) in &mut self.groups {
             if was_paused {
                 group.sums.restart(now);
             }
             group.update(key, &listed(key), now);
-            due.extend(group.take_digest(key, now));
+        }
+        let mut due = Vec::new();
+        self.budget.refill(now);
+        let answers_only = self.budget.has_many_groups();
+        let first = self.next_group.take();
+        let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
+        for turn in [true, false] {
+            for (key, group) in self.groups.iter_mut().filter(|(key, _)| is_later(key) == turn) {
+                if self.budget.is_used_up() {
+                    self.next_group.get_or_insert_with(|| key.clone());
+                    break;
+                }
+                if let Some(digest) = group.take_digest(key, answers_only, now) {
+                    self.budget.spend(digest.recipients.len());
+                    due.push(digest);
+                }
+            }
         }
         self.groups.retain(|key, group| !group.is_unused(key));
         due
     }
 
-    /// Takes the sums to send to other collectors. `zones` gives the zones of a service, each with its number of groups.
+    /// Takes the sums to send to other collectors, before the digests use up the budget. `zones` gives the zones of a service, each with its number of groups.
     pub(crate) fn take_zone_loads(
         &mut self,
         zones: impl Fn(&str) -> Vec<(ZoneName, u16)>,
         now: Time,
     ) -> Vec<ZoneLoads> {
         let mut due = Vec::new();
+        self.budget.refill(now);
         for (key, group) in &mut self.groups {
-            if !group.is_busy || !group.sums.is_warm(now) || now < group.exchange_due {
+            let is_due = group.is_busy && group.sums.is_warm(now) && now >= group.exchange_due;
+            if !is_due || self.budget.is_used_up() {
                 continue;
             }
             group.exchange_due = now + EXCHANGE_INTERVAL;
             for (to, zones) in group.exchange(key, &zones(&key.service), now) {
                 self.exchange_seq += 1;
                 let seq = self.exchange_seq;
+                self.budget.spend(COLLECTOR_COUNT);
                 due.push(ZoneLoads { to, seq, zones });
             }
         }
@@ -164,6 +189,7 @@
             is_busy: false,
             digest_seq: 0,
             digest_due: now,
+            digest_sent: Time::default(),
             exchange_due: now,
             known: BTreeMap::new(),
             latest: HashMap::new(),
@@ -189,12 +215,17 @@
         }
     }
 
-    fn take_digest(&mut self, key: &LoadGroup, now: Time) -> Option<DueDigest> {
+    /// Takes the digest, if it is due: while busy for all recent reporters, else for those that reported since the
+    /// previous one.
+    fn take_digest(&mut self, key: &LoadGroup, answers_only: bool, now: Time) -> Option<DueDigest> {
         if now < self.digest_due || !self.sums.is_warm(now) {
             return None;
         }
         self.digest_due = now + if self.is_busy { BUSY_INTERVAL } else { QUIET_INTERVAL };
-        let recipients = self.sums.recipients();
+        let sent = std::mem::replace(&mut self.digest_sent, now);
+        let is_to_all = self.is_busy && !answers_only;
+        let since = if is_to_all { Time::default() } else { sent };
+        let recipients = self.sums.recipients(since);
         if recipients.is_empty() {
             return None;
         }
