Order the checks of requests by the time when they are due

The queue was ordered by insertion, but requests become overdue after 250 ms to 2 s depending on their service. A check that was due late held up those behind it, which then ran too late to count, so the outcomes of their requests were lost.

cargo test -p flow passes.

--- a/crates/flow/src/checks.rs
+++ b/crates/flow/src/checks.rs
@@ -1,5 +1,7 @@
 //! Scheduled checks of attempts at upstreams.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -12,7 +14,7 @@
 const REFUSED_AFTER: Duration = Duration::from_millis(300);
 
 /// Scheduled check of one attempt.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Check {
     /// When the check is due.
     pub(crate) due: Time,
@@ -22,11 +24,12 @@
     pub(crate) started_at: Time,
 }
 
-/// Scheduled checks, with one queue for each kind, ordered by due time.
+/// Scheduled checks, with one queue for each kind, ordered by due time. Requests become overdue at different times,
+/// depending on their upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Checks {
     openings: VecDeque<Check>,
-    requests: VecDeque<Check>,
+    requests: BinaryHeap<Reverse<Check>>,
 }
 
 impl Checks {
@@ -38,7 +41,7 @@
 
     /// Schedules a check of a request, also of one whose answer isn't complete yet.
     pub(crate) fn add_request(&mut self, key: FlowKey, started_at: Time, due: Time) {
-        self.requests.push_back(Check { due, key, started_at });
+        self.requests.push(Reverse(Check { due, key, started_at }));
     }
 
     /// Removes and returns the next due check of an opening.
@@ -48,6 +51,7 @@
 
     /// Removes and returns the next due check of a request.
     pub(crate) fn pop_request(&mut self, now: Time) -> Option<Check> {
-        self.requests.pop_front_if(|check| check.due <= now)
+        self.requests.peek().filter(|check| check.0.due <= now)?;
+        self.requests.pop().map(|check| check.0)
     }
 }
