Judge short answers by response times where no view of the load exists

Sparse refusals were still taken for failures: an instance of a large service sees one or two answers per second of an upstream, and a few percent of refusals don't look widespread there.

- A service also counts as short of capacity while the median of its response times is at least 1.5 times its level at low load: requests then wait in queues.
A median isn't raised by a minority of slow upstreams.
- Of such a service, only upstreams whose own response time is far below the typical one can fail by short answers.
- In a window of 300 ms, short answers count as evidence up to 0.35 of the usual attempts.
A burst of flows at one upstream gives more refusals than that.
FailureReport has a new field for their number; reports without it are read as before.
- A request counts as overdue relative to its upstream's own response time if that is longer than the typical one.

The simulated fleet now has slots, queues, refusals and upstreams that fail.

--- a/crates/flow/examples/silence_rates.rs
+++ b/crates/flow/examples/silence_rates.rs
@@ -8,6 +8,7 @@
 #[path = "../benches/support/mod.rs"]
 mod support;
 
+#[expect(dead_code, reason = "each program uses a part of it")]
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
 
--- a/crates/flow/src/core/capacity.rs
+++ b/crates/flow/src/core/capacity.rs
@@ -33,7 +33,7 @@
 
 impl Core {
     /// Whether a short answer of an upstream is a refusal for lack of capacity: by the joint view of the load or,
-    /// without a view, if many upstreams of its service answer short and it is one of the busier ones.
+    /// without a view, if its service seems to be short of capacity and it is one of the busier upstreams.
     pub(super) fn is_short_of_capacity(&self, id: UpstreamId, now: Time) -> bool {
         if let Some(is_full) = is_full(&self.directory, &self.loads, id, now) {
             return is_full;
@@ -44,8 +44,8 @@
         let Some(service) = self.typical_services.get(&listed.upstream().service) else {
             return false;
         };
-        let response = self.health.get(&id).and_then(|health| health.response(now));
-        service.recent_answers.are_widely_short(id, now) && service.is_busy(response)
+        let response = self.health.get(&id).and_then(|health| health.unbounded_response(now));
+        service.is_short_of_capacity(id, now) && service.is_busy(response)
     }
 
     /// Whether another upstream of the same service may be ejected: at most half of the service's upstreams are, and
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -115,7 +115,8 @@
             None => self.typical_services.entry(service.clone()).or_default(),
         };
         if sign.is_request {
-            let due = now + service.overdue_after();
+            let response = self.health.get(&id).and_then(|health| health.response(now));
+            let due = now + service.overdue_after(response);
             self.checks.add_request(*key, now, due);
         }
     }
@@ -142,9 +143,10 @@
             return;
         };
         if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
-            service.record_response_time(waited);
-            let sample = waited.as_secs_f64().max(service.min_response_sample());
-            self.health.entry(id).or_default().record_response_time(sample, now);
+            service.record_response_time(waited, now);
+            let (sample, min_sample) = (waited.as_secs_f64(), service.min_response_sample());
+            let health = self.health.entry(id).or_default();
+            health.record_response_time(sample, min_sample, now);
         }
     }
 
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -23,6 +23,9 @@
 /// Weight of a new response time sample. One instance sends an upstream about ten requests a second, so a change shows
 /// within a second or two.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of a new sample in the mean that is compared with the service's typical response time. Of a large service, one
+/// instance sends an upstream one or two requests a second, and the mean has to follow a burst within seconds.
+const UNBOUNDED_SAMPLE_WEIGHT: f64 = 0.2;
 /// How long the mean remains valid after the last sample. After that, a slow upstream is tried again.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(4);
 
@@ -67,6 +70,8 @@
     /// Moving average of its response times, in seconds.
     response: Option<f64>,
     response_at: Time,
+    /// A faster average without the lower bound that placement sets for samples.
+    unbounded_response: Option<f64>,
     /// Time of its last answer.
     pub(crate) last_progress: Time,
     /// Number of distinct flows that have stalled since then.
@@ -126,8 +131,11 @@
         }
     }
 
-    /// Records a response time, in seconds.
-    pub(crate) fn record_response_time(&mut self, sample: f64, now: Time) {
+    /// Records a response time, in seconds. For placement, it counts as `min_sample` at least.
+    pub(crate) fn record_response_time(&mut self, sample: f64, min_sample: f64, now: Time) {
+        let mean = self.unbounded_response(now).unwrap_or(sample);
+        self.unbounded_response = Some(mean + (sample - mean) * UNBOUNDED_SAMPLE_WEIGHT);
+        let sample = sample.max(min_sample);
         let mean = self.response(now).unwrap_or(sample);
         self.response = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
         self.response_at = now;
@@ -138,6 +146,12 @@
         self.response.filter(|_| now.since(self.response_at) < SAMPLE_VALIDITY)
     }
 
+    /// Mean response time in seconds without a lower bound for samples, if there are recent ones.
+    pub(crate) fn unbounded_response(&self, now: Time) -> Option<f64> {
+        self.unbounded_response
+            .filter(|_| now.since(self.response_at) < SAMPLE_VALIDITY)
+    }
+
     /// Counts a request that was forwarded to it.
     pub(crate) fn record_request(&mut self, now: Time) {
         self.activity.add(1, ACTIVITY_SPAN, now);
--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -37,6 +37,13 @@
 /// percent, a sixth of `MIN_BASELINE`, none of fourteen upstreams was detected in a million attempts.
 const DETECTION_THRESHOLD: f64 = 13.8;
 
+/// The window in which the number of short answers that count as evidence is limited. If many flows arrive at an
+/// upstream at once, it refuses most of them, and they are more than its usual attempts.
+const SHORT_WINDOW: Duration = Duration::from_millis(300);
+/// The limit, as a share of the attempts that are usual in such a window, and its minimum.
+const MAX_SHORT_SHARE: f64 = 0.35;
+const MIN_SHORT_LIMIT: f64 = 1.0;
+
 /// The time constant of the exponential decay in the rate of attempts at an upstream.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(10);
 
@@ -111,6 +118,9 @@
     pub upstream: UpstreamId,
     /// The number of failed attempts since the last report.
     pub failed: u16,
+    /// How many of them were short answers. An instance of an earlier release doesn't tell.
+    #[serde(default)]
+    pub short: u16,
     /// The number of attempts with a known outcome per ten seconds, successful or not.
     pub tried_in_ten: u16,
 }
@@ -126,8 +136,9 @@
     /// The attempts at this upstream that are included in the tally of its service: all but those made while the
     /// upstream was ejected. The caller updates it together with the service's tally.
     pub(crate) tally: Tally,
-    /// Failures that have not been reported yet.
+    /// Failures that have not been reported yet, and how many of them were short answers.
     unreported: u16,
+    unreported_short: u16,
     evidence: Evidence,
 }
 
@@ -143,6 +154,9 @@
         if outcome.is_failure() {
             self.unreported = self.unreported.saturating_add(1);
         }
+        if outcome == Outcome::Short {
+            self.unreported_short = self.unreported_short.saturating_add(1);
+        }
     }
 
     /// The rate, per second, of attempts whose outcome this instance recorded.
@@ -161,10 +175,12 @@
     /// of unreported failures.
     pub(crate) fn take_report(&mut self, upstream: UpstreamId, now: Time) -> Option<FailureReport> {
         let failed = std::mem::take(&mut self.unreported);
+        let short = std::mem::take(&mut self.unreported_short);
         let tried_in_ten = (self.rate(now) * RATE_TIME_CONSTANT.as_secs_f64()).round();
         (failed > 0).then_some(FailureReport {
             upstream,
             failed,
+            short,
             tried_in_ten: tried_in_ten.min(f64::from(u16::MAX)) as u16,
         })
     }
@@ -175,7 +191,7 @@
     pub(crate) fn add_report(&mut self, report: &FailureReport, instances: u32, baseline: f64, now: Time) -> bool {
         let reported_rate = f64::from(report.tried_in_ten) / RATE_TIME_CONSTANT.as_secs_f64();
         let rate = f64::midpoint(self.rate(now), reported_rate) * f64::from(instances.max(1));
-        self.evidence.update(report.failed, rate, baseline, now);
+        self.evidence.update(report, rate, baseline, now);
         self.evidence.score >= DETECTION_THRESHOLD
     }
 
@@ -192,18 +208,36 @@
     score: f64,
     /// When the score was last updated.
     updated_at: Time,
+    /// The start of the current window, and the short answers counted in it.
+    window_start: Time,
+    short_in_window: f64,
 }
 
 impl Evidence {
-    /// Adds `failed` failures, and the successes estimated from `rate` (attempts per second) since the last update.
-    fn update(&mut self, failed: u16, rate: f64, baseline: f64, now: Time) {
+    /// Adds reported failures, and the successes estimated from `rate` (attempts per second) since the last update.
+    fn update(&mut self, report: &FailureReport, rate: f64, baseline: f64, now: Time) {
         let failing_ratio = (baseline * FAILING_RATIO_FACTOR).max(MIN_FAILING_RATIO);
         let failure_weight = (failing_ratio / baseline).ln();
         // Negative, so that successes decrease the score.
         let success_weight = ((1.0 - failing_ratio) / (1.0 - baseline)).ln();
         let estimated_attempts = rate * now.since(self.updated_at).as_secs_f64();
-        let estimated_successes = (estimated_attempts - f64::from(failed)).max(0.0);
-        self.score = (self.score + estimated_successes * success_weight).max(0.0) + f64::from(failed) * failure_weight;
+        let estimated_successes = (estimated_attempts - f64::from(report.failed)).max(0.0);
+        let long = report.failed.saturating_sub(report.short);
+        let counted = f64::from(long) + self.count_short(report.short, rate, now);
+        self.score = (self.score + estimated_successes * success_weight).max(0.0) + counted * failure_weight;
         self.updated_at = now;
     }
+
+    /// Returns how many of the reported short answers count within the limit of the current window.
+    fn count_short(&mut self, short: u16, rate: f64, now: Time) -> f64 {
+        if now.since(self.window_start) >= SHORT_WINDOW {
+            self.window_start = now;
+            self.short_in_window = 0.0;
+        }
+        let usual_attempts = rate * SHORT_WINDOW.as_secs_f64();
+        let limit = (usual_attempts * MAX_SHORT_SHARE).max(MIN_SHORT_LIMIT);
+        let counted = f64::from(short).min(limit - self.short_in_window).max(0.0);
+        self.short_in_window += counted;
+        counted
+    }
 }
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -3,8 +3,12 @@
 
 use std::time::Duration;
 
+use units::Time;
+
 use crate::outcome::Tally;
 use crate::recent_answers::RecentAnswers;
+use crate::response_level::ResponseLevel;
+use crate::upstream::UpstreamId;
 
 /// Weight of a new response time sample of a service. An instance sees about fifty answers a second.
 const SAMPLE_WEIGHT: f64 = 0.02;
@@ -17,7 +21,7 @@
 const MAX_OVERDUE: Duration = Duration::from_secs(2);
 
 /// Fraction of the typical response time from which on an upstream counts as busy.
-const BUSY_FRACTION: f64 = 0.7;
+const BUSY_FRACTION: f64 = 0.4;
 
 /// Typical behaviour of a service's upstreams.
 #[derive(Debug, Default, Clone)]
@@ -28,19 +32,31 @@
     pub(crate) tally: Tally,
     /// The latest answers of its upstreams.
     pub(crate) recent_answers: RecentAnswers,
+    /// Level of the response times, which shows whether requests wait.
+    level: ResponseLevel,
 }
 
 impl TypicalService {
-    pub(crate) fn record_response_time(&mut self, waited: Duration) {
+    pub(crate) fn record_response_time(&mut self, waited: Duration, now: Time) {
+        self.level.add(waited, now);
         let sample = waited.as_secs_f64();
         let mean = self.response.unwrap_or(sample);
         self.response = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
     }
 
-    /// Time after which an unanswered request counts as overdue.
-    pub(crate) fn overdue_after(&self) -> Duration {
-        let typical = Duration::from_secs_f64(self.response.unwrap_or_default());
-        typical.mul_f64(OVERDUE_FACTOR).clamp(MIN_OVERDUE, MAX_OVERDUE)
+    /// Time after which an unanswered request counts as overdue at an upstream with this mean response time, if one is
+    /// known. A slow upstream, or one whose queue is full, takes longer than others without failing.
+    pub(crate) fn overdue_after(&self, response: Option<f64>) -> Duration {
+        let expected = self.response.unwrap_or_default().max(response.unwrap_or_default());
+        Duration::from_secs_f64(expected)
+            .mul_f64(OVERDUE_FACTOR)
+            .clamp(MIN_OVERDUE, MAX_OVERDUE)
+    }
+
+    /// Whether the service seems to be short of capacity: requests wait, or many upstreams other than `except` answer
+    /// short.
+    pub(crate) fn is_short_of_capacity(&self, except: UpstreamId, now: Time) -> bool {
+        self.level.is_raised() || self.recent_answers.are_widely_short(except, now)
     }
 
     /// Whether an upstream with this mean response time, if one is known, is among the busier ones of the service.
--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flow::RecentAnswers;
+use flow::ResponseLevel;
 use flow::ServiceLoad;
 use flow::UpstreamId;
 use units::Time;
@@ -62,3 +63,43 @@
         assert_eq!(load.allows_ejection(), is_allowed, "{load:?}");
     }
 }
+
+/// Adds samples of one length, 20 ms apart.
+fn add_samples(level: &mut ResponseLevel, millis: u64, samples: u32, now: &mut Time) {
+    for _ in 0..samples {
+        *now = *now + Duration::from_millis(20);
+        level.add(Duration::from_millis(millis), *now);
+    }
+}
+
+/// A service without a known level at low load, or with a minority of slow upstreams, was taken for an overloaded one.
+#[test]
+fn response_times_are_raised_only_if_most_of_them_are() {
+    let mut level = ResponseLevel::default();
+    let mut now = START;
+    add_samples(&mut level, 40, 30, &mut now);
+    add_samples(&mut level, 400, 1, &mut now);
+    assert!(!level.is_raised());
+    add_samples(&mut level, 40, 100, &mut now);
+    for _ in 0..100 {
+        add_samples(&mut level, 240, 1, &mut now);
+        add_samples(&mut level, 40, 3, &mut now);
+    }
+    assert!(!level.is_raised());
+    add_samples(&mut level, 120, 100, &mut now);
+    assert!(level.is_raised());
+    add_samples(&mut level, 40, 100, &mut now);
+    assert!(!level.is_raised());
+}
+
+/// A service that has become slower for good must not count as overloaded for ever.
+#[test]
+fn a_raised_level_becomes_the_usual_one() {
+    let mut level = ResponseLevel::default();
+    let mut now = START;
+    add_samples(&mut level, 40, 100, &mut now);
+    add_samples(&mut level, 80, 100, &mut now);
+    assert!(level.is_raised());
+    add_samples(&mut level, 80, 50 * 90, &mut now);
+    assert!(!level.is_raised());
+}
--- a/crates/flow/tests/fleet/capacity.rs
+++ b/crates/flow/tests/fleet/capacity.rs
@@ -35,8 +35,10 @@
     pub demand: f64,
     pub burst_demand: f64,
     pub burst_duration: Duration,
-    /// Upstreams that fail from [`WARMUP`] on, and the share of their requests that they answer with an error.
+    /// Upstreams that fail from some time after [`WARMUP`] on, and the share of their requests that they answer with an
+    /// error.
     pub failing: Vec<u64>,
+    pub failing_after: Duration,
     pub failing_share: f64,
     /// Upstreams that take several times as long, and how many times.
     pub slow: Vec<u64>,
@@ -53,6 +55,7 @@
             burst_demand: demand,
             burst_duration: Duration::ZERO,
             failing: Vec::new(),
+            failing_after: Duration::ZERO,
             failing_share: 0.45,
             slow: Vec::new(),
             slowdown: 6.0,
@@ -90,7 +93,11 @@
         };
         let burst_begin = START + WARMUP;
         let is_burst = self.now >= burst_begin && self.now < burst_begin + capacity.burst_duration;
-        let demand = if is_burst { capacity.burst_demand } else { capacity.demand };
+        let demand = if is_burst {
+            capacity.burst_demand
+        } else {
+            capacity.demand
+        };
         let slots = self.config.upstreams as f64 * capacity.slots as f64;
         let requests_per_second = demand * slots / self.config.mean_response_secs;
         self.config.flows as f64 / requests_per_second
@@ -102,7 +109,7 @@
         let Some(capacity) = self.config.capacity.clone() else {
             return;
         };
-        let is_failing = self.has_fault_begun() && capacity.failing.contains(&upstream);
+        let is_failing = self.now >= START + WARMUP + capacity.failing_after && capacity.failing.contains(&upstream);
         if is_failing && self.rng.random_bool(capacity.failing_share) {
             self.outcome.capacity.failed += 1;
             self.schedule(LATENCY * 2, Event::Error(job));
@@ -152,7 +159,11 @@
         }
         flow.is_waiting = false;
         flow.ack += ERROR_LEN;
-        flow.retries = if flow.retries < MAX_RETRIES { flow.retries + 1 } else { 0 };
+        flow.retries = if flow.retries < MAX_RETRIES {
+            flow.retries + 1
+        } else {
+            0
+        };
         for flags in [Flags::ACK, Flags::FIN | Flags::ACK] {
             let packet = self.flows[index].packet(flags, self.flows[index].seq, 0);
             self.forward(index, &packet);
--- a/crates/flow/tests/fleet/mod.rs
+++ b/crates/flow/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A simulated fleet in virtual time: instances that forward the flows of many upstreams and exchange reports, clients
 //! that send requests, retransmit and open new flows, and injected faults. Runs with the same seed are identical.
 
+mod capacity;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
@@ -10,6 +12,7 @@
 
 use flow::Core;
 use flow::Echo;
+use flow::FailureReport;
 use flow::Flags;
 use flow::Packet;
 use flow::Report;
@@ -23,6 +26,10 @@
 use rand::rngs::SmallRng;
 use units::Time;
 
+pub use self::capacity::Capacity;
+pub use self::capacity::CapacityOutcome;
+use self::capacity::Job;
+use self::capacity::Server;
 use crate::support::START;
 use crate::support::core_in_zone;
 use crate::support::route;
@@ -76,6 +83,8 @@
     /// Instances that are suspended, and for how long.
     pub suspended: Vec<u64>,
     pub suspension_duration: Duration,
+    /// Limits of the upstreams' capacity, if there are any. Only then do instances exchange failure reports.
+    pub capacity: Option<Capacity>,
 }
 
 /// Time before the first fault.
@@ -105,6 +114,7 @@
             congestion_delay: Duration::from_millis(450),
             suspended: Vec::new(),
             suspension_duration: Duration::from_secs(3),
+            capacity: None,
         }
     }
 }
@@ -123,6 +133,7 @@
     /// of its flows.
     pub detected: BTreeMap<u64, Duration>,
     pub last_reset: BTreeMap<u64, Duration>,
+    pub capacity: CapacityOutcome,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -133,6 +144,8 @@
     Request(usize, u32),
     Retransmit(usize, u32, u32, usize),
     Response(usize, u32, u32),
+    Error(Job),
+    Served(u64, Job),
     Message(u64, u64, Box<Message>),
     Tick(u64),
 }
@@ -140,6 +153,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Message {
     Reports(Vec<Report>),
+    Failures(Vec<FailureReport>),
     Inquiries(Vec<UpstreamId>),
     InquiryReplies(Vec<Report>),
     StatusUpdates(Vec<StatusUpdate>),
@@ -172,6 +186,8 @@
     request: u32,
     requested_at: Time,
     is_waiting: bool,
+    /// How often the current request has been repeated.
+    retries: u32,
 }
 
 impl Flow {
@@ -196,6 +212,7 @@
     event_count: u64,
     cores: Vec<Core>,
     flows: Vec<Flow>,
+    servers: Vec<Server>,
     by_client: BTreeMap<SocketAddrV4, usize>,
     next_client: u32,
     pub outcome: Outcome,
@@ -226,6 +243,7 @@
             event_count: 0,
             cores: cores.collect(),
             flows: Vec::new(),
+            servers: vec![Server::default(); config.upstreams as usize],
             by_client: BTreeMap::new(),
             next_client: 0,
             outcome: Outcome::default(),
@@ -248,6 +266,7 @@
                 request: 0,
                 requested_at: START,
                 is_waiting: false,
+                retries: 0,
             });
             let offset = Duration::from_micros(fleet.rng.random_range(0..1_000_000));
             fleet.schedule(offset, Event::Open(index as usize));
@@ -309,6 +328,11 @@
         instance.is_multiple_of(self.config.lossy_every) && self.rng.random_bool(self.config.loss)
     }
 
+    fn pause(&mut self) -> Duration {
+        let mean = self.mean_pause_secs();
+        self.exponential(mean)
+    }
+
     fn exponential(&mut self, mean: f64) -> Duration {
         let draw: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
         Duration::from_secs_f64(-draw.ln() * mean)
@@ -322,7 +346,9 @@
             | Event::Handshake(flow, _)
             | Event::Request(flow, _)
             | Event::Retransmit(flow, ..)
-            | Event::Response(flow, ..) => self.flows[*flow].instance,
+            | Event::Response(flow, ..)
+            | Event::Error((flow, ..)) => self.flows[*flow].instance,
+            Event::Served(..) => return false,
             Event::Message(_, to, _) => *to,
             Event::Tick(instance) => *instance,
         };
@@ -347,6 +373,8 @@
                 self.retransmit(flow, generation, request, attempt);
             }
             Event::Response(flow, generation, request) => self.receive_response(flow, generation, request),
+            Event::Error(job) => self.receive_error(job),
+            Event::Served(upstream, job) => self.finish(upstream, job),
             Event::Message(from, to, message) => self.receive_message(from, to, &message),
             Event::Tick(instance) => self.tick(instance),
         }
@@ -400,7 +428,8 @@
         flow.ack = 9_000;
         let packet = flow.packet(Flags::ACK, flow.seq, 0);
         self.forward(index, &packet);
-        let pause = self.exponential(MEAN_PAUSE_SECS);
+        let is_repeated = self.flows[index].retries > 0;
+        let pause = if is_repeated { Duration::ZERO } else { self.pause() };
         self.schedule(pause, Event::Request(index, generation));
     }
 
@@ -418,7 +447,10 @@
         let packet = flow.packet(Flags::ACK, flow.seq, 100);
         flow.seq += 100;
         self.send_request(index, generation, request, &packet);
-        self.schedule(RETRANSMIT_AFTER[0], Event::Retransmit(index, generation, request, 0));
+        // An upstream of limited capacity acknowledges a request before it serves it.
+        if self.config.capacity.is_none() {
+            self.schedule(RETRANSMIT_AFTER[0], Event::Retransmit(index, generation, request, 0));
+        }
     }
 
     fn retransmit(&mut self, index: usize, generation: u32, request: u32, attempt: usize) {
@@ -446,6 +478,9 @@
         if self.forward(index, packet).is_none() || !self.round_trip_succeeds(index) {
             return;
         }
+        if self.config.capacity.is_some() {
+            return self.arrive((index, generation, request));
+        }
         let wait = self.exponential(self.config.mean_response_secs) + LATENCY;
         let link_delay = self.link_delay(self.flows[index].instance);
         self.schedule(link_delay + wait, Event::Response(index, generation, request));
@@ -457,12 +492,13 @@
             return;
         }
         flow.is_waiting = false;
+        flow.retries = 0;
         flow.ack += 1_000;
         let is_last = self.config.requests_per_flow > 0 && flow.request.is_multiple_of(self.config.requests_per_flow);
         let flags = if is_last { Flags::FIN | Flags::ACK } else { Flags::ACK };
         let packet = flow.packet(flags, flow.seq, 0);
         self.forward(index, &packet);
-        let pause = self.exponential(MEAN_PAUSE_SECS);
+        let pause = self.pause();
         let next = if is_last {
             Event::Open(index)
         } else {
@@ -506,7 +542,8 @@
             };
             self.reset(*index);
         }
-        self.cores[instance as usize].take_decisions();
+        let decisions = self.cores[instance as usize].take_decisions();
+        self.record_decisions(decisions);
         self.cores[instance as usize].take_waits();
     }
 
@@ -567,6 +604,7 @@
                 }
             }
         }
+        self.report_failures(instance);
         self.inquire(instance);
         self.spread_status_updates(instance);
         self.carry_out_resets(instance);
@@ -597,6 +635,11 @@
                 }
                 self.inquire(to);
             }
+            Message::Failures(reports) => {
+                for report in reports {
+                    self.evaluate_failures(to, report);
+                }
+            }
             Message::Inquiries(ids) => {
                 let replies = core.reports_on(ids, self.now);
                 self.send_message(to, from, Message::InquiryReplies(replies));
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -1,63 +1,98 @@
-//! Upstreams that refuse requests for lack of capacity are not taken for failing ones, and failing ones are found among
-//! them.
+//! Upstreams that refuse requests for lack of capacity are not taken for failing ones, and upstreams that fail are found
+//! among them. No joint view of the load is available here, so each instance judges by the answers that it sees.
 
 #[expect(dead_code, reason = "each program uses a part of it")]
 #[path = "../benches/support/mod.rs"]
 mod support;
 
-#[expect(dead_code, reason = "each program uses a part of it")]
 mod fleet;
 
 use std::time::Duration;
 
 use crate::fleet::Capacity;
+use crate::fleet::CapacityOutcome;
 use crate::fleet::FleetConfig;
 use crate::fleet::simulate;
 
+/// Demand before the change, relative to the capacity.
+const USUAL_DEMAND: f64 = 0.5;
+/// One in this many upstreams fails, 13% of them.
+const FAILING_EVERY: u64 = 7;
+/// Time from the beginning of the failures to the last ejection.
+const MAX_DETECTION: Duration = Duration::from_secs(5);
+
+/// A fleet whose demand changes after the warm-up, and of which upstreams fail from then on.
+fn run(instances: u64, seed: u64, demand: f64, has_failing: bool) -> (CapacityOutcome, Vec<u64>) {
+    let base = FleetConfig::new(instances, seed);
+    let failing = (1..=base.upstreams).filter(|id| has_failing && id.is_multiple_of(FAILING_EVERY));
+    let capacity = Capacity {
+        burst_demand: demand,
+        burst_duration: Duration::from_secs(10),
+        failing: failing.collect(),
+        ..Capacity::new(USUAL_DEMAND)
+    };
+    let failing = capacity.failing.clone();
+    let outcome = simulate(&FleetConfig {
+        mean_response_secs: 0.055,
+        flows: base.upstreams * 60,
+        duration: Duration::from_secs(14),
+        requests_per_flow: 8,
+        capacity: Some(capacity),
+        ..base
+    });
+    (outcome.capacity, failing)
+}
+
+/// Refusals counted as failures: 41 to 81 ejections per second on overloaded days, each of which moved load to others.
+#[test]
+fn an_overload_ejects_no_upstream_of_a_large_fleet() {
+    for demand in [0.8, 1.0, 1.3] {
+        let (outcome, _) = run(60, 1, demand, false);
+        assert!(outcome.refused > 0, "{demand}: nothing is refused");
+        assert!(outcome.ejections.is_empty(), "{demand}: {:?}", outcome.ejections);
+    }
+}
+
+/// With three instances and four upstreams in each zone, refusals are too concentrated to tell them from failures in
+/// all cases. At the demand of the capacity and above it, up to two ejections in a run are tolerated.
 #[test]
-fn trial() {
-    for (instances, duration) in [(9, 14), (60, 10)] {
-        for seed in 1..=2 {
-            for (demand, burst, fail, slow) in [
-                (0.8, 0.8, false, false),
-                (1.0, 1.0, false, false),
-                (1.3, 1.3, false, false),
-                (2.0, 2.0, false, false),
-                (0.6, 0.6, true, false),
-                (0.8, 0.8, true, false),
-                (0.6, 1.3, true, false),
-                (0.6, 1.0, true, false),
-                (0.4, 0.4, false, true),
-                (0.4, 1.0, false, true),
-            ] {
-                let base = FleetConfig::new(instances, seed);
-                let mut capacity = Capacity::new(demand);
-                capacity.burst_demand = burst;
-                capacity.burst_duration = Duration::from_secs(10);
-                if fail {
-                    capacity.failing = (1..=base.upstreams).filter(|id| id % 7 == 0).collect();
-                }
-                if slow {
-                    capacity.slow = (1..=base.upstreams).filter(|id| id % 5 < 2).collect();
-                }
-                let config = FleetConfig {
-                    mean_response_secs: 0.055,
-                    flows: base.upstreams * 60,
-                    duration: Duration::from_secs(duration),
-                    requests_per_flow: 8,
-                    capacity: Some(capacity.clone()),
-                    ..base
-                };
-                let outcome = simulate(&config);
-                let c = &outcome.capacity;
-                let mut hit: Vec<_> = c.ejections.iter().filter(|(id, _)| capacity.failing.contains(id)).collect();
-                hit.sort_by_key(|(id, at)| (*id, *at));
-                hit.dedup_by_key(|(id, _)| *id);
-                let wrong: Vec<_> = c.ejections.iter().filter(|(id, _)| !capacity.failing.contains(id)).map(|(id,at)| (*id, at.as_millis())).collect();
-                let offered = outcome.requests as f64 / (config.duration.as_secs_f64() * config.upstreams as f64 * 2.0 / 0.055);
-                println!("{instances} seed {seed} {demand}->{burst} slow {slow}: offered {offered:.2} served {} refused {} failed {} resets {} silent {}; found {}/{} last {:?}; wrong {} {:?}",
-                    c.served, c.refused, c.failed, outcome.false_resets, outcome.false_detections, hit.len(), capacity.failing.len(), hit.iter().map(|(_, at)| at.as_millis()).max(), wrong.len(), &wrong[..wrong.len().min(6)]);
-            }
+fn an_overload_ejects_few_upstreams_of_a_small_fleet() {
+    for (demand, max_ejections) in [(0.8, 0), (1.0, 2), (1.3, 2)] {
+        for seed in 1..=8 {
+            let (outcome, _) = run(9, seed, demand, false);
+            let ejections = outcome.ejections;
+            assert!(ejections.len() <= max_ejections, "{demand}, seed {seed}: {ejections:?}");
         }
     }
 }
+
+fn assert_only_failing_are_ejected(instances: u64, seed: u64, demand: f64) {
+    let (outcome, failing) = run(instances, seed, demand, true);
+    for id in failing.iter().copied() {
+        let first = outcome.ejections.iter().find(|(ejected, _)| *ejected == id);
+        let is_soon = first.is_some_and(|(_, after)| *after <= MAX_DETECTION);
+        assert!(is_soon, "{demand}, seed {seed}: {id} {first:?}");
+    }
+    let others: Vec<_> = outcome
+        .ejections
+        .iter()
+        .filter(|(id, _)| !failing.contains(id))
+        .collect();
+    assert!(others.is_empty(), "{demand}, seed {seed}: {others:?}");
+}
+
+/// An upstream that fails 45% of its requests must not pass for one that is full, also while the others are full.
+#[test]
+fn failing_upstreams_of_a_large_fleet_are_ejected_and_no_others() {
+    for demand in [0.5, 0.8, 1.3] {
+        assert_only_failing_are_ejected(60, 1, demand);
+    }
+}
+
+#[test]
+fn failing_upstreams_of_a_small_fleet_are_ejected_and_no_others() {
+    for seed in 1..=3 {
+        assert_only_failing_are_ejected(9, seed, USUAL_DEMAND);
+        assert_only_failing_are_ejected(9, seed, 1.3);
+    }
+}
--- a/crates/flow/tests/silence.rs
+++ b/crates/flow/tests/silence.rs
@@ -5,6 +5,7 @@
 #[path = "../benches/support/mod.rs"]
 mod support;
 
+#[expect(dead_code, reason = "each program uses a part of it")]
 mod fleet;
 
 use std::time::Duration;
