Take ejected upstreams back while their service is short of capacity

An upstream that fails some of its requests still serves the others, and a service without a free slot needs them. While the joint view shows work for all slots of the remaining upstreams, the leader of an ejection ends it early, unless more than 0.6 of the attempts failed. It waits in proportion to that share, so the leaders of several upstreams take back the best one first without further messages, and at most one upstream of a service returns in 500 ms.

The evidence against an upstream is limited to twice the threshold: while an ejection isn't allowed, it would otherwise grow without bound and outlast the failure.

With a view, a request counts as overdue relative to the upstream's service time too, so the first requests of an instance to a slow upstream aren't taken for failures.

Without data in Loads none of this takes effect except the limit.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -23,6 +23,7 @@
 use units::ZoneName;
 
 pub use self::capacity::ServiceLoad;
+pub use self::capacity::returning;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
--- a/crates/flow/src/core/capacity.rs
+++ b/crates/flow/src/core/capacity.rs
@@ -1,9 +1,14 @@
 //! Capacity of a service: tells refusals for lack of it from failures, and limits ejections to what the remaining
 //! upstreams can carry.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
 use units::Time;
 
 use super::Core;
+use crate::decision::Decision;
 use crate::directory::Directory;
 use crate::load::Loads;
 use crate::upstream::UpstreamId;
@@ -15,6 +20,16 @@
 /// the remaining upstreams couldn't carry the load.
 const EJECTED_ONE_IN: usize = 2;
 
+/// Upstreams that fail more than this share of the attempts aren't taken back before they are probed: they add little
+/// capacity, and their failures cost the caller a retry.
+const MAX_RETURNING_SHARE: f64 = 0.6;
+/// How long a service has to be short of capacity before an upstream is taken back that fails all attempts. For others,
+/// the time is proportional to the share that fails. So the leaders of several upstreams take back the best one first,
+/// without messages.
+const RETURN_DELAY: Duration = Duration::from_secs(2);
+/// Minimum time between two upstreams of a service that are taken back. The view shows the effect after that.
+const RETURN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Work of a service and the slots of its usable upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -29,9 +44,72 @@
     pub fn allows_ejection(self) -> bool {
         f64::from(self.in_flight) <= f64::from(self.slots) * MAX_REMAINING_UTILIZATION
     }
+
+    /// Whether there is work for all slots, so that the service is short of capacity.
+    pub fn is_short(self) -> bool {
+        self.in_flight >= self.slots
+    }
+}
+
+/// Selects the ejected upstream to take back, given the share of attempts that fail at each, and for how long the
+/// service has been short of capacity.
+pub fn returning(ejected: &[(UpstreamId, f64)], short_for: Duration) -> Option<UpstreamId> {
+    let (id, share) = ejected.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)))?;
+    let is_due = *share <= MAX_RETURNING_SHARE && short_for >= RETURN_DELAY.mul_f64(*share);
+    is_due.then_some(*id)
 }
 
 impl Core {
+    /// Takes ejected upstreams back, one after another, while their service is short of capacity.
+    pub(super) fn readmit_if_short(&mut self, now: Time) {
+        let mut ejected: BTreeMap<CompactString, Vec<(UpstreamId, f64)>> = BTreeMap::new();
+        for (id, health) in &self.health {
+            let (Some(share), Some(listed)) = (health.ejection.failing_share(), self.directory.get(*id)) else {
+                continue;
+            };
+            ejected
+                .entry(listed.upstream().service.clone())
+                .or_default()
+                .push((*id, share));
+        }
+        for (service, ejected) in ejected {
+            let is_short = self.load(&service, None, now).is_some_and(ServiceLoad::is_short);
+            let typical = self.typical_services.entry(service.clone()).or_default();
+            typical.short_since = typical.short_since.or(Some(now)).filter(|_| is_short);
+            let Some(short_since) = typical.short_since else {
+                continue;
+            };
+            let Some(id) = returning(&ejected, now.since(short_since)) else {
+                continue;
+            };
+            if !self.has_returned_within(&service, RETURN_INTERVAL, now) {
+                self.readmit(id, now);
+            }
+        }
+    }
+
+    fn has_returned_within(&self, service: &str, span: Duration, now: Time) -> bool {
+        let ids = self.directory.service_ids(service).iter();
+        let mut known = ids.filter_map(|id| self.health.get(id));
+        known.any(|health| health.ejection.is_readmitted_within(span, now))
+    }
+
+    fn readmit(&mut self, id: UpstreamId, now: Time) {
+        if let Some(health) = self.health.get_mut(&id) {
+            health.ejection.end_early(now);
+        }
+        self.decisions.push(Decision::Readmitted(id));
+        self.announce_ejection(id);
+    }
+
+    /// Mean time in seconds that an upstream usually takes, as seen from here and by the joint view.
+    pub(super) fn usual_response(&self, id: UpstreamId, now: Time) -> Option<f64> {
+        let seen = self.health.get(&id).and_then(|health| health.response(now));
+        let service_time = self.loads.work(id, now).and_then(|work| work.service_time);
+        let joint = service_time.map(|time| time.as_secs_f64());
+        [seen, joint].into_iter().flatten().max_by(f64::total_cmp)
+    }
+
     /// Whether a short answer of an upstream is a refusal for lack of capacity: by the joint view of the load or,
     /// without a view, if its service seems to be short of capacity and it is one of the busier upstreams.
     pub(super) fn is_short_of_capacity(&self, id: UpstreamId, now: Time) -> bool {
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -110,12 +110,12 @@
         let Some(service) = self.directory.get(id).map(|listed| &listed.upstream().service) else {
             return;
         };
+        let response = self.usual_response(id, now);
         let service = match self.typical_services.get_mut(service) {
             Some(service) => service,
             None => self.typical_services.entry(service.clone()).or_default(),
         };
         if sign.is_request {
-            let response = self.health.get(&id).and_then(|health| health.response(now));
             let due = now + service.overdue_after(response);
             self.checks.add_request(*key, now, due);
         }
@@ -214,6 +214,7 @@
     /// Takes the reports of failures since the last call, for the aggregating instances.
     pub fn take_failures(&mut self, now: Time) -> Vec<FailureReport> {
         self.run_due_checks(now);
+        self.readmit_if_short(now);
         let mut reports = Vec::new();
         for (id, health) in &mut self.health {
             reports.extend(health.record.take_report(*id, now));
@@ -241,8 +242,8 @@
             return;
         }
         let health = self.health.entry(id).or_default();
+        health.ejection.eject(health.record.failing_share(), now);
         health.record.clear_evidence();
-        health.ejection.eject(now);
         let usual_percent = (usual * 100.0).round() as u32;
         self.decisions.push(Decision::Ejected {
             upstream: id,
--- a/crates/flow/src/ejection.rs
+++ b/crates/flow/src/ejection.rs
@@ -58,11 +58,14 @@
     round: u32,
     period: Duration,
     readmitted_at: Time,
+    /// The share of attempts that failed, if this instance is the leader.
+    failing_share: Option<f64>,
 }
 
 impl Ejection {
-    /// Ejects the upstream because this instance has detected that it is failing.
-    pub(crate) fn eject(&mut self, now: Time) {
+    /// Ejects the upstream because this instance has detected that this share of the attempts fails.
+    pub(crate) fn eject(&mut self, failing_share: f64, now: Time) {
+        self.failing_share = Some(failing_share);
         if now.since(self.readmitted_at) >= BACKOFF_RESET {
             self.period = Duration::ZERO;
         }
@@ -79,6 +82,23 @@
     fn readmit(&mut self, now: Time) {
         self.phase = Phase::Admitted;
         self.readmitted_at = now;
+        self.failing_share = None;
+    }
+
+    /// Readmits the upstream although it may still be failing.
+    pub(crate) fn end_early(&mut self, now: Time) {
+        self.round = self.round.saturating_add(1);
+        self.readmit(now);
+    }
+
+    /// The share of attempts that failed, if the upstream is ejected and this instance is the leader.
+    pub(crate) fn failing_share(&self) -> Option<f64> {
+        self.failing_share.filter(|_| self.is_ejected())
+    }
+
+    /// Whether the upstream was readmitted within the given time.
+    pub(crate) fn is_readmitted_within(&self, span: Duration, now: Time) -> bool {
+        !self.is_ejected() && self.round > 0 && now.since(self.readmitted_at) < span
     }
 
     /// Applies a report from another instance. Returns whether it was newer than the current state.
@@ -87,6 +107,7 @@
             return false;
         }
         self.round = round;
+        self.failing_share = None;
         if is_out {
             let until = now + FOLLOWER_EJECTION;
             self.phase = Phase::Ejected { until };
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -48,6 +48,7 @@
 pub use crate::core::Options;
 pub use crate::core::ServiceLoad;
 pub use crate::core::Stats;
+pub use crate::core::returning;
 pub use crate::decision::Decision;
 pub use crate::difference::Difference;
 pub use crate::documents::DocumentStep;
--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -6,6 +6,9 @@
 //! while its TCP stack still responds causes none: it resets connections, accepts requests but never answers them, or
 //! answers with an error. In the client's packets this appears as the first packet of a handshake with nothing after
 //! it, a request whose response the client never acknowledges, or a response far shorter than is usual for the route.
+//!
+//! A full upstream refuses requests in the same way. Such a refusal is counted as rejected, which is neither a failure nor
+//! a success.
 
 use std::time::Duration;
 
@@ -36,6 +39,9 @@
 /// ratio equals the baseline is detected at most once in a million attempts. At an actual failure ratio of half a
 /// percent, a sixth of `MIN_BASELINE`, none of fourteen upstreams was detected in a million attempts.
 const DETECTION_THRESHOLD: f64 = 13.8;
+/// The upper limit of the score. It matters while the upstream may not be ejected: without a limit, the evidence would
+/// outlast the failure for as long as that lasted.
+const MAX_SCORE: f64 = 2.0 * DETECTION_THRESHOLD;
 
 /// The window in which the number of short answers that count as evidence is limited. If many flows arrive at an
 /// upstream at once, it refuses most of them, and they are more than its usual attempts.
@@ -195,6 +201,11 @@
         self.evidence.score >= DETECTION_THRESHOLD
     }
 
+    /// The share of attempts that failed while the evidence grew.
+    pub(crate) fn failing_share(&self) -> f64 {
+        self.evidence.failures / self.evidence.attempts.max(1.0)
+    }
+
     /// Discards the evidence, when the upstream is ejected.
     pub(crate) fn clear_evidence(&mut self) {
         self.evidence = Evidence::default();
@@ -206,6 +217,9 @@
 #[derive(Debug, Default, Clone, Copy)]
 struct Evidence {
     score: f64,
+    /// The attempts since the score was last zero, and how many of them failed.
+    attempts: f64,
+    failures: f64,
     /// When the score was last updated.
     updated_at: Time,
     /// The start of the current window, and the short answers counted in it.
@@ -222,9 +236,15 @@
         let success_weight = ((1.0 - failing_ratio) / (1.0 - baseline)).ln();
         let estimated_attempts = rate * now.since(self.updated_at).as_secs_f64();
         let estimated_successes = (estimated_attempts - f64::from(report.failed)).max(0.0);
+        if self.score + estimated_successes * success_weight <= 0.0 {
+            (self.attempts, self.failures) = (0.0, 0.0);
+        }
+        self.attempts += estimated_successes + f64::from(report.failed);
+        self.failures += f64::from(report.failed);
         let long = report.failed.saturating_sub(report.short);
         let counted = f64::from(long) + self.count_short(report.short, rate, now);
         self.score = (self.score + estimated_successes * success_weight).max(0.0) + counted * failure_weight;
+        self.score = self.score.min(MAX_SCORE);
         self.updated_at = now;
     }
 
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -34,6 +34,8 @@
     pub(crate) recent_answers: RecentAnswers,
     /// Level of the response times, which shows whether requests wait.
     level: ResponseLevel,
+    /// Since when the joint view has shown work for all slots of its upstreams.
+    pub(crate) short_since: Option<Time>,
 }
 
 impl TypicalService {
--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -6,6 +6,7 @@
 use flow::ResponseLevel;
 use flow::ServiceLoad;
 use flow::UpstreamId;
+use flow::returning;
 use units::Time;
 
 const START: Time = Time(1_000_000_000);
@@ -103,3 +104,25 @@
     add_samples(&mut level, 80, 50 * 90, &mut now);
     assert!(!level.is_raised());
 }
+
+/// A service short of capacity took back upstreams that fail most of their requests, or all of them at once.
+#[test]
+fn the_best_ejected_upstream_returns_first() {
+    let ejected = [(UpstreamId(1), 0.9), (UpstreamId(2), 0.5), (UpstreamId(3), 0.4)];
+    let cases = [
+        // Ejected, time in which the service was short in milliseconds, the one that returns.
+        (&ejected[..], 0, None),
+        (&ejected[..], 799, None),
+        (&ejected[..], 800, Some(UpstreamId(3))),
+        (&ejected[..2], 800, None),
+        (&ejected[..2], 1_000, Some(UpstreamId(2))),
+        (&ejected[..1], 60_000, None),
+        (&ejected[..0], 60_000, None),
+    ];
+    for (ejected, short_for, expected) in cases {
+        let actual = returning(ejected, Duration::from_millis(short_for));
+        assert_eq!(actual, expected, "{ejected:?} {short_for}");
+    }
+    let load = |in_flight| ServiceLoad { in_flight, slots: 10 };
+    assert!(!load(9).is_short() && load(10).is_short());
+}
