--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -25,6 +25,7 @@
 use units::ZoneName;
 
 pub use self::capacity::ServiceLoad;
+pub use self::capacity::returning;
 use crate::admission::FullServices;
 use crate::admission::Policy;
 use crate::answer_log::AnswerLog;
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -110,12 +110,13 @@
         let Some(service) = self.directory.get(id).map(|listed| &listed.upstream().service) else {
             return;
         };
+        let response = self.usual_response(id, now);
         let service = match self.typical_services.get_mut(service) {
             Some(service) => service,
             None => self.typical_services.entry(service.clone()).or_default(),
         };
         if sign.is_request {
-            let due = now + service.overdue_after();
+            let due = now + service.overdue_after(response);
             self.checks.add_request(*key, now, due);
         }
     }
@@ -142,9 +143,10 @@
             return;
         };
         if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
-            service.record_response_time(waited);
-            let sample = waited.as_secs_f64().max(service.min_response_sample());
-            self.health.entry(id).or_default().record_response_time(sample, now);
+            service.record_response_time(waited, now);
+            let (sample, min_sample) = (waited.as_secs_f64(), service.min_response_sample());
+            let health = self.health.entry(id).or_default();
+            health.record_response_time(sample, min_sample, now);
         }
     }
 
@@ -212,6 +214,7 @@
     /// Takes the reports of failures since the last call, for the aggregating instances.
     pub fn take_failures(&mut self, now: Time) -> Vec<FailureReport> {
         self.run_due_checks(now);
+        self.readmit_if_short(now);
         let mut reports = Vec::new();
         for (id, health) in &mut self.health {
             reports.extend(health.record.take_report(*id, now));
@@ -239,8 +242,8 @@
             return;
         }
         let health = self.health.entry(id).or_default();
+        health.ejection.eject(health.record.failing_share(), now);
         health.record.clear_evidence();
-        health.ejection.eject(now);
         let usual_percent = (usual * 100.0).round() as u32;
         self.decisions.push(Decision::Ejected {
             upstream: id,
--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use flow::RecentAnswers;
+use flow::ResponseLevel;
 use flow::ServiceLoad;
 use flow::UpstreamId;
+use flow::returning;
 use units::Time;
 
 const START: Time = Time(1_000_000_000);
@@ -62,3 +64,65 @@
         assert_eq!(load.allows_ejection(), is_allowed, "{load:?}");
     }
 }
+
+/// Adds samples of one length, 20 ms apart.
+fn add_samples(level: &mut ResponseLevel, millis: u64, samples: u32, now: &mut Time) {
+    for _ in 0..samples {
+        *now = *now + Duration::from_millis(20);
+        level.add(Duration::from_millis(millis), *now);
+    }
+}
+
+/// A service without a known level at low load, or with a minority of slow upstreams, was taken for an overloaded one.
+#[test]
+fn response_times_are_raised_only_if_most_of_them_are() {
+    let mut level = ResponseLevel::default();
+    let mut now = START;
+    add_samples(&mut level, 40, 30, &mut now);
+    add_samples(&mut level, 400, 1, &mut now);
+    assert!(!level.is_raised());
+    add_samples(&mut level, 40, 100, &mut now);
+    for _ in 0..100 {
+        add_samples(&mut level, 240, 1, &mut now);
+        add_samples(&mut level, 40, 3, &mut now);
+    }
+    assert!(!level.is_raised());
+    add_samples(&mut level, 120, 100, &mut now);
+    assert!(level.is_raised());
+    add_samples(&mut level, 40, 100, &mut now);
+    assert!(!level.is_raised());
+}
+
+/// A service that has become slower for good must not count as overloaded for ever.
+#[test]
+fn a_raised_level_becomes_the_usual_one() {
+    let mut level = ResponseLevel::default();
+    let mut now = START;
+    add_samples(&mut level, 40, 100, &mut now);
+    add_samples(&mut level, 80, 100, &mut now);
+    assert!(level.is_raised());
+    add_samples(&mut level, 80, 50 * 90, &mut now);
+    assert!(!level.is_raised());
+}
+
+/// A service short of capacity took back upstreams that fail most of their requests, or all of them at once.
+#[test]
+fn the_best_ejected_upstream_returns_first() {
+    let ejected = [(UpstreamId(1), 0.9), (UpstreamId(2), 0.5), (UpstreamId(3), 0.4)];
+    let cases = [
+        // Ejected, time in which the service was short in milliseconds, the one that returns.
+        (&ejected[..], 0, None),
+        (&ejected[..], 799, None),
+        (&ejected[..], 800, Some(UpstreamId(3))),
+        (&ejected[..2], 800, None),
+        (&ejected[..2], 1_000, Some(UpstreamId(2))),
+        (&ejected[..1], 60_000, None),
+        (&ejected[..0], 60_000, None),
+    ];
+    for (ejected, short_for, expected) in cases {
+        let actual = returning(ejected, Duration::from_millis(short_for));
+        assert_eq!(actual, expected, "{ejected:?} {short_for}");
+    }
+    let load = |in_flight| ServiceLoad { in_flight, slots: 10 };
+    assert!(!load(9).is_short() && load(10).is_short());
+}
