Hold openings only while a shortage is likely to pass

Change: an opening is held only if not most openings of the last second found no free slot. Two tests added, for a lasting shortage and for one shorter than a retransmission; the first fails without the rule, the second if nothing is held.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -129,6 +129,7 @@
             let flow = opening.flow;
             self.shares.record(flow.route, *flow.client.ip(), now);
         }
+        state.record_room(room.has_free_slot, now);
         match admission {
             Admission::Admit => state.record_admission(rank, room.has_free_slot, now),
             Admission::Hold => state.hold(opening, rank, now),
@@ -151,7 +152,7 @@
         let is_in_time = opening.age() + expected <= opening.limit();
         let is_reserved = rank == opening.class.rank && state.is_reserved_for(opening.class, now);
         let service_time = room.service_time.unwrap_or(expected);
-        if is_in_time && (is_reserved || expected <= state.budget(opening, rank, service_time, now)) {
+        if is_in_time && (is_reserved || expected <= state.budget(opening, rank, now)) {
             return Admission::Admit;
         }
         if state.may_hold(opening, rank, service_time, now) {
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -21,14 +21,14 @@
 /// The number of openings that may be held whatever the rate of admissions. Packets arrive in bunches, and an instance
 /// that has not admitted anything yet has no rate.
 const MIN_HELD: usize = 4;
+/// Openings without a free slot, beyond as many with one, that don't yet show that a shortage lasts. Packets arrive in
+/// bunches.
+const TOLERATED_FULL: f64 = 2.0;
 /// The maximum number of openings of a service that are held.
 const MAX_HELD: usize = 256;
-/// Number of service times that an opening may wait for while others have precedence. Loads are known with a delay, and
-/// without any queue slots would be idle in the meantime.
-const MIN_QUEUE: u32 = 2;
 /// Maximum number of halvings of a budget.
 const MAX_HALVINGS: u8 = 16;
-/// Count below which the admissions of a service no longer matter.
+/// Count below which the openings of a service no longer matter.
 const NEGLIGIBLE: f64 = 0.01;
 
 /// State of one service.
@@ -37,6 +37,9 @@
     pub(super) held: Held,
     /// All admitted openings.
     admitted: DecayingCount,
+    /// Openings that found a free slot, and those that found none.
+    found_free: DecayingCount,
+    found_full: DecayingCount,
     /// Openings admitted while short of capacity, by rank.
     admitted_while_short: Vec<DecayingCount>,
 }
@@ -46,11 +49,11 @@
     ///
     /// Its limit is halved for each more urgent class. If an opening that goes before it is to return, half of what
     /// that one needs is left to it.
-    pub(super) fn budget(&self, opening: &Opening, rank: u8, service_time: Duration, now: Time) -> Duration {
+    pub(super) fn budget(&self, opening: &Opening, rank: u8, now: Time) -> Duration {
         let budget = halved(opening.limit(), rank);
         let since = now.before(opening.age());
         match self.held.ahead_of(&opening.flow, rank, since, now) {
-            Some(ahead) => budget.min((ahead.budget / 2).max(service_time * MIN_QUEUE)),
+            Some(ahead) => budget.min(ahead.budget / 2),
             None => budget,
         }
     }
@@ -69,22 +72,39 @@
         own < total * RESERVED_SHARE / f64::from(class.count - 1)
     }
 
-    /// Whether an opening may be held: it can still be served after its next retransmission, and no more are waiting
-    /// than are likely to be admitted until then.
+    /// Whether an opening may be held: it can still be served after its next retransmission, which is likely to find a
+    /// free slot, and no more are waiting than are likely to be admitted until then.
+    ///
+    /// While the shortage lasts, a retransmission would only take the place of a new opening that has more time left.
     pub(super) fn may_hold(&self, opening: &Opening, rank: u8, service_time: Duration, now: Time) -> bool {
         let Some(next_age) = opening.next_age() else {
             return false;
         };
-        if next_age + service_time > opening.limit() {
+        let delay = next_age.saturating_sub(opening.age());
+        if next_age + service_time > opening.limit() || self.is_shortage_lasting(now) {
             return false;
         }
-        let wait = next_age.saturating_sub(opening.age());
-        let likely = self.admitted.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64() * wait.as_secs_f64();
+        let likely = self.admitted.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64() * delay.as_secs_f64();
         let likely = likely / f64::from(1_u32 << rank.min(MAX_HALVINGS));
         let allowed = (likely as usize).clamp(MIN_HELD, MAX_HELD);
         self.held.count(&opening.flow, rank, now) < allowed
     }
 
+    /// Whether most openings of about the last second found no free slot.
+    fn is_shortage_lasting(&self, now: Time) -> bool {
+        self.found_full.value(RATE_SPAN, now) > self.found_free.value(RATE_SPAN, now) + TOLERATED_FULL
+    }
+
+    /// Records whether an opening found a free slot.
+    pub(super) fn record_room(&mut self, has_free_slot: bool, now: Time) {
+        let found = if has_free_slot {
+            &mut self.found_free
+        } else {
+            &mut self.found_full
+        };
+        found.add(1, RATE_SPAN, now);
+    }
+
     pub(super) fn record_admission(&mut self, rank: u8, has_free_slot: bool, now: Time) {
         self.admitted.add(1, RATE_SPAN, now);
         if has_free_slot {
@@ -114,10 +134,14 @@
 
     /// Whether anything that is remembered still matters.
     pub(super) fn is_active(&self, now: Time) -> bool {
-        let recent = |admitted: &DecayingCount| admitted.value(RESERVE_SPAN, now) > NEGLIGIBLE;
+        let is_recent = |count: &DecayingCount, span| count.value(span, now) > NEGLIGIBLE;
         self.held.is_any_expected(now)
-            || self.admitted.value(RATE_SPAN, now) > NEGLIGIBLE
-            || self.admitted_while_short.iter().any(recent)
+            || is_recent(&self.found_free, RATE_SPAN)
+            || is_recent(&self.found_full, RATE_SPAN)
+            || self
+                .admitted_while_short
+                .iter()
+                .any(|count| is_recent(count, RESERVE_SPAN))
     }
 }
 
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -281,6 +281,33 @@
     assert!(simulation.outcomes.iter().all(|outcome| outcome.late == 0));
 }
 
+/// Guards against openings being refused for a shortage that is over before their retransmissions arrive.
+#[test]
+fn a_burst_that_is_shorter_than_a_retransmission_takes() {
+    let burst = Load {
+        from: millis(4_000),
+        to: millis(4_050),
+        ..Load::new(LEAST_URGENT, 5.0)
+    };
+    let simulation = Simulation::run(vec![Load::new(MOST_URGENT, 0.5), burst]);
+    let [normal, burst] = simulation.outcomes[..] else {
+        panic!()
+    };
+    assert!(normal.held + burst.held > 0, "{normal:?} {burst:?}");
+    let in_time = normal.in_time + burst.in_time;
+    assert_eq!(in_time, normal.requests + burst.requests, "{normal:?} {burst:?}");
+}
+
+/// Guards against openings being held while the shortage lasts: their retransmissions would take the place of new
+/// openings that have more time left.
+#[test]
+fn a_shortage_that_lasts() {
+    let simulation = Simulation::run(vec![Load::new(ONLY, 0.8), Load::new(LEAST_URGENT, 3.0)]);
+    let held: u32 = simulation.outcomes.iter().map(|outcome| outcome.held).sum();
+    let requests: u32 = simulation.outcomes.iter().map(|outcome| outcome.requests).sum();
+    assert!(f64::from(held) < f64::from(requests) * 0.03, "{held} of {requests}");
+}
+
 /// Guards against a service without priorities wasting its capacity on answers that are too late.
 #[test]
 fn all_openings_of_one_class() {
