--- a/crates/jayquay/tests/flows.rs
+++ b/crates/jayquay/tests/flows.rs
@@ -99,7 +99,7 @@
     let (code, shown) = run(&["flows", "show", &holder]);
     assert_eq!(code, Some(0), "{shown}");
     assert!(
-        shown.contains("r-443: 198.18.0.1:443 to search:1, idempotent, aim 120 ms"),
+        shown.contains("r-443: 198.18.0.1:443 to search:1, idempotent, aim 120 ms, timeout 800 ms, priority 2"),
         "{shown}"
     );
     let (_, same) = run(&["flows", "show", &format!("store:{stored}")]);
@@ -109,9 +109,10 @@
     let newer = Store::start().await.unwrap();
     newer.put_document(5, &[(ROUTE, "photos"), (OTHER, "search")]);
     let (_, text) = run(&["flows", "diff", &holder, &format!("store:{}", newer.address())]);
-    let expected = "from revision 4 to revision 5\n  ~ r-443: 198.18.0.1:443 to search:1, idempotent, aim 120 ms, now \
-                    198.18.0.1:443 to photos:1, idempotent, aim 120 ms\n  + r-444: 198.18.0.1:444 to search:1, \
-                    idempotent, aim 120 ms\n";
+    let expected = "from revision 4 to revision 5\n  ~ r-443: 198.18.0.1:443 to search:1, idempotent, aim 120 ms, \
+                    timeout 800 ms, priority 2, now 198.18.0.1:443 to photos:1, idempotent, aim 120 ms, \
+                    timeout 800 ms, priority 2\n  + r-444: 198.18.0.1:444 to search:1, idempotent, aim 120 ms, \
+                    timeout 800 ms, priority 2\n";
     assert_eq!(text, expected);
     let (code, text) = run(&[
         "flows",
