Draw the other zone first, and only its upstreams then

An overloaded zone whose neighbours were all short got None from choose instead of its own upstream. With zones drawn by free slots alone, two zones alternated between full and empty, as the sums are older than a request. Change: choose takes the local contenders and a function that samples one zone; the zone is drawn first. What all upstreams of a zone share is computed once. Without a zone to spill over to, the local choice holds. A zone's room is counted up to 1.5 requests per slot.

--- a/crates/flow/benches/packet.rs
+++ b/crates/flow/benches/packet.rs
@@ -74,9 +74,9 @@
     });
 }
 
-/// Chooses among a sample of 8 upstreams of the local zone and 2 of each other zone, while the local zone is overloaded.
+/// Chooses among 8 upstreams of the local zone and 2 of another one, while the local zone is overloaded.
 #[divan::bench(args = [3, 10])]
-fn choose_by_load(bencher: Bencher, zone_count: u64) {
+fn choose_by_load(bencher: Bencher, zone_count: usize) {
     let names: Vec<ZoneName> = (0..zone_count)
         .map(|zone| format!("z{zone}").parse().unwrap())
         .collect();
@@ -86,15 +86,16 @@
         service_time: Some(Duration::from_millis(72)),
     };
     let zones: BTreeMap<_, _> = names.iter().cloned().zip((0..).map(load)).collect();
-    let contender = |index: u64| Contender {
-        id: UpstreamId(index),
-        zone: &names[index.saturating_sub(6) as usize / 2],
+    let contender = |index: u32| Contender {
+        id: UpstreamId(index.into()),
+        zone: &names[usize::from(index >= 8)],
         slots: 2,
-        in_flight: (index < 8).then_some(index as u32),
+        in_flight: (index < 8).then_some(index),
         service_time: None,
         warmth: Warmth::Warm,
     };
-    let contenders: Vec<Contender<'_>> = (0..6 + 2 * zone_count).map(contender).collect();
+    let near: Vec<Contender<'_>> = (0..8).map(contender).collect();
+    let far: Vec<Contender<'_>> = (8..10).map(contender).collect();
     let view = View {
         local: &names[0],
         zones: &zones,
@@ -103,6 +104,6 @@
     let mut now = START;
     bencher.bench_local(|| {
         now = Time(now.0 + 1_000);
-        black_box(choose(&contenders, view, &mut spillover, now, &mut rng))
+        black_box(choose(&near, |_, _| far.clone(), view, &mut spillover, now, &mut rng))
     });
 }
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
 use units::Time;
+use units::ZoneName;
 
 use super::Core;
 use crate::decision::Decision;
@@ -38,7 +40,10 @@
 /// Number of upstreams of the local zone that two are drawn from by their capacity.
 const NEAR_SAMPLE: usize = 8;
 /// Number of upstreams of the local zone that are examined at most to find these, if many are avoided.
-const MAX_NEAR_EXAMINED: usize = 24;
+const MAX_NEAR_EXAMINED: usize = 16;
+/// The same for another zone. One is drawn from these by its slots.
+const FAR_SAMPLE: usize = 2;
+const MAX_FAR_EXAMINED: usize = 8;
 
 impl Core {
     /// Places a new flow, or moves a retransmitted opening packet to another upstream.
@@ -199,18 +204,23 @@
         let pool = self.directory.pool(service)?;
         let mut spillover = pool.spillover;
         let mut rng = self.rng.clone();
-        let near = pool.draw(zone, MAX_NEAR_EXAMINED, &mut rng);
-        let mut examined = near.len();
-        let near = near.into_iter().filter_map(|id| self.contender(id, earlier, now));
-        let mut contenders: Vec<Contender<'_>> = near.take(NEAR_SAMPLE).collect();
-        if contenders.is_empty() || spillover.is_open(&view) {
-            let far = pool.draw_outside(zone, &mut rng);
-            examined += far.len();
-            contenders.extend(far.into_iter().filter_map(|id| self.contender(id, earlier, now)));
-        }
-        let choice = choose(&contenders, view, &mut spillover, now, &mut rng);
+        let mut examined = 0;
+        let mut sample = |zone: &ZoneName, most: usize, wanted: usize, rng: &mut SmallRng| {
+            let mut contenders = Vec::with_capacity(wanted);
+            for id in pool.draw(zone, most, rng) {
+                examined += 1;
+                contenders.extend(self.contender(id, earlier, now));
+                if contenders.len() == wanted {
+                    break;
+                }
+            }
+            contenders
+        };
+        let near = sample(zone, MAX_NEAR_EXAMINED, NEAR_SAMPLE, &mut rng);
+        let far = |zone: &ZoneName, rng: &mut SmallRng| sample(zone, MAX_FAR_EXAMINED, FAR_SAMPLE, rng);
+        let choice = choose(&near, far, view, &mut spillover, now, &mut rng);
         self.rng = rng;
-        self.stats.examined += examined as u64;
+        self.stats.examined += examined;
         self.directory.set_spillover(service, spillover);
         choice.map(Candidate::from)
     }
--- a/crates/flow/src/directory/pool.rs
+++ b/crates/flow/src/directory/pool.rs
@@ -1,6 +1,6 @@
 //! The upstreams of one service, and the rotation over subsets of them.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use rand::rngs::SmallRng;
 use rand::seq::index;
@@ -15,15 +15,12 @@
 /// The size of the subset from the own availability zone, and of the subset from all zones.
 const ZONE_SUBSET: usize = 24;
 const GLOBAL_SUBSET: usize = 8;
-/// The number of upstreams drawn from each zone other than the local one.
-const OTHER_ZONE_SAMPLE: usize = 2;
 
 /// The upstreams of one service, ordered by id.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Pool {
     all: Vec<UpstreamId>,
-    /// Ordered, so that draws only depend on the seed.
-    by_zone: BTreeMap<ZoneName, Vec<UpstreamId>>,
+    by_zone: HashMap<ZoneName, Vec<UpstreamId>>,
     /// The number of flows for which only a subset was considered.
     turns: usize,
     /// The share of new flows for which other zones are considered.
@@ -66,27 +63,12 @@
         Some(next)
     }
 
-    /// Draws up to `count` different upstreams of a zone.
+    /// Draws up to `count` different upstreams of a zone, in random order.
     pub(crate) fn draw(&self, zone: &ZoneName, count: usize, rng: &mut SmallRng) -> Vec<UpstreamId> {
         let ids = self.by_zone.get(zone).map(Vec::as_slice).unwrap_or_default();
-        sample(ids, count, rng).collect()
+        let indices = index::sample(rng, ids.len(), count.min(ids.len()));
+        indices.into_iter().map(|index| ids[index]).collect()
     }
-
-    /// Draws a few upstreams of each zone except one.
-    pub(crate) fn draw_outside(&self, zone: &ZoneName, rng: &mut SmallRng) -> Vec<UpstreamId> {
-        let others = self.by_zone.iter().filter(|(other, _)| *other != zone);
-        let mut drawn = Vec::new();
-        for (_, ids) in others {
-            drawn.extend(sample(ids, OTHER_ZONE_SAMPLE, rng));
-        }
-        drawn
-    }
-}
-
-/// Up to `count` different ids in random order.
-fn sample<'a>(ids: &'a [UpstreamId], count: usize, rng: &mut SmallRng) -> impl Iterator<Item = UpstreamId> + use<'a> {
-    let indices = index::sample(rng, ids.len(), count.min(ids.len()));
-    indices.into_iter().map(|index| ids[index])
 }
 
 /// The next `count` ids in the rotation, for a given turn.
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -29,6 +29,9 @@
 /// free slot at a slower one is still better than a long queue at a fast one, which may refuse the request.
 const MAX_SLOWNESS: f64 = 2.0;
 
+/// Number of other zones that are tried for an upstream if the local zone has none.
+const OTHER_ZONE_ATTEMPTS: usize = 3;
+
 /// Upstream that is ready for a new flow, with its load over all instances.
 #[derive(Debug, Clone, Copy)]
 pub struct Contender<'a> {
@@ -89,57 +92,73 @@
 impl View<'_> {
     /// Service time in a zone in seconds, with the longest one of any zone in place of an unknown one: an idle zone has
     /// finished no requests.
-    pub(super) fn service_time(&self, zone: &ZoneName) -> f64 {
-        let known = self.zones.get(zone).and_then(|zone| zone.service_time);
+    pub(super) fn service_time(&self, zone: Option<&ZoneLoad>) -> f64 {
+        let known = zone.and_then(|zone| zone.service_time);
         let longest = || self.zones.values().filter_map(|zone| zone.service_time).max();
         let time = known.or_else(longest).unwrap_or(UNKNOWN_SERVICE_TIME);
         time.as_secs_f64().max(MIN_SERVICE_TIME)
     }
 }
 
+/// Numbers that all upstreams of a zone share.
+#[derive(Debug, Clone, Copy)]
+struct ZoneEstimate {
+    /// Work in flight per slot, if known.
+    fill: Option<f64>,
+    /// Mean service time in seconds.
+    service_time: f64,
+    /// Network round trip in seconds.
+    round_trip: f64,
+}
+
+impl ZoneEstimate {
+    fn new(zone: &ZoneName, view: &View<'_>) -> Self {
+        let load = view.zones.get(zone);
+        let round_trip = if zone == view.local {
+            Duration::ZERO
+        } else {
+            OTHER_ZONE_ROUND_TRIP
+        };
+        Self {
+            fill: load.filter(|load| load.slots > 0).map(ZoneLoad::fill),
+            service_time: view.service_time(load),
+            round_trip: round_trip.as_secs_f64(),
+        }
+    }
+}
+
 /// Contender with the numbers that decide between it and others.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
     id: UpstreamId,
+    warmth: Warmth,
+    zone: ZoneEstimate,
     /// Requests per second that it can serve.
     capacity: f64,
     /// Requests per slot, the new one included.
     fill: f64,
     /// Seconds that a request occupies a slot.
     service_time: f64,
-    /// Mean of `service_time` in its zone.
-    zone_service_time: f64,
-    round_trip: f64,
 }
 
 impl Estimate {
-    fn new(contender: &Contender<'_>, view: &View<'_>) -> Option<Self> {
-        let zone = view.zones.get(contender.zone).filter(|zone| zone.slots > 0);
+    fn new(contender: &Contender<'_>, zone: ZoneEstimate) -> Option<Self> {
         let slots = f64::from(contender.slots.max(1));
-        let of_zone = || zone.map(|zone| zone.fill() * slots);
+        let of_zone = || zone.fill.map(|fill| fill * slots);
         let in_flight = contender.in_flight.map(f64::from).or_else(of_zone)?;
-        let zone_service_time = view.service_time(contender.zone);
-        let service_time = contender
-            .service_time
-            .map(|time| time.as_secs_f64().max(MIN_SERVICE_TIME));
-        let service_time = service_time.unwrap_or(zone_service_time);
-        let warmth = if contender.warmth == Warmth::Warm {
-            1.0
-        } else {
-            COLD_CAPACITY
-        };
-        let round_trip = if contender.zone == view.local {
-            Duration::ZERO
-        } else {
-            OTHER_ZONE_ROUND_TRIP
+        let service_time = contender.service_time.map(|time| time.as_secs_f64());
+        let service_time = service_time.unwrap_or(zone.service_time).max(MIN_SERVICE_TIME);
+        let slots = match contender.warmth {
+            Warmth::Warm => slots,
+            Warmth::Cold | Warmth::Permitted => slots * COLD_CAPACITY,
         };
         Some(Self {
             id: contender.id,
-            capacity: slots / service_time * warmth,
-            fill: (in_flight + 1.0) / (slots * warmth),
+            warmth: contender.warmth,
+            zone,
+            capacity: slots / service_time,
+            fill: (in_flight + 1.0) / slots,
             service_time,
-            zone_service_time,
-            round_trip: round_trip.as_secs_f64(),
         })
     }
 
@@ -150,13 +169,13 @@
 
     /// Expected response time in seconds.
     fn expected(&self) -> f64 {
-        self.wait() + self.service_time + self.round_trip
+        self.wait() + self.service_time + self.zone.round_trip
     }
 
     /// Expected response time in seconds, by which upstreams of one zone are compared. Work at an upstream that has a
     /// free slot counts too, so that idle ones are preferred.
     fn cost(&self) -> f64 {
-        let service_time = self.service_time.min(self.zone_service_time * MAX_SLOWNESS);
+        let service_time = self.service_time.min(self.zone.service_time * MAX_SLOWNESS);
         self.wait() + service_time * self.fill.min(1.0)
     }
 
@@ -168,31 +187,36 @@
     }
 }
 
-/// Chooses the upstream for a new flow among `contenders`, which are all upstreams of a service or a random sample.
+/// Chooses the upstream for a new flow among `near`, the contenders of the local zone, and some of one other zone.
 ///
-/// Returns `None` if their loads aren't known, or those of the local zone although it has contenders.
-pub fn choose(
-    contenders: &[Contender<'_>],
+/// `near` and what `sample` returns for another zone may be all upstreams there or a random sample. Returns `None` if
+/// their loads aren't known, or those of the local zone although it has contenders.
+pub fn choose<'a>(
+    near: &[Contender<'a>],
+    mut sample: impl FnMut(&ZoneName, &mut SmallRng) -> Vec<Contender<'a>>,
     view: View<'_>,
     spillover: &mut Spillover,
     now: Time,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    let near = contenders.iter().filter(|contender| contender.zone == view.local);
-    if near.clone().next().is_some() && !view.zones.contains_key(view.local) {
+    if !near.is_empty() && !view.zones.contains_key(view.local) {
         return None;
     }
-    let near = near.filter_map(|contender| Some((Estimate::new(contender, &view)?, contender.warmth)));
-    let near: Vec<(Estimate, Warmth)> = near.collect();
-    let local = best_of_two(&near, rng);
+    let local = best_of_two(near, &view, rng);
     let share = spillover.update(&view, now);
-    if local.is_none() || rng.random::<f64>() < share {
-        let far: Vec<&Contender<'_>> = contenders
-            .iter()
-            .filter(|contender| contender.zone != view.local)
-            .collect();
-        let other = draw_other(&far, &view, local.is_none(), rng);
-        if let Some(other) = other.filter(|other| is_better(other, local.as_ref())) {
+    let attempts = match local {
+        None => OTHER_ZONE_ATTEMPTS,
+        Some(_) => usize::from(share > 0.0 && rng.random::<f64>() < share),
+    };
+    for _ in 0..attempts {
+        let Some(zone) = draw_zone(&view, local.is_none(), rng) else {
+            break;
+        };
+        let far = sample(zone, rng);
+        let Some(other) = draw_other(&far, &view, local.is_none(), rng) else {
+            continue;
+        };
+        if is_better(&other, local.as_ref()) {
             return Some(other.choice());
         }
     }
@@ -202,49 +226,59 @@
 /// Whether an upstream of another zone is faster than one of the local zone by more than one service time. The margin
 /// keeps two zones from exchanging load.
 fn is_better(other: &Estimate, local: Option<&Estimate>) -> bool {
-    local.is_none_or(|local| other.expected() + other.zone_service_time < local.expected())
+    local.is_none_or(|local| other.expected() + other.zone.service_time < local.expected())
 }
 
 /// Draws two upstreams by capacity, and returns the better one. Cold upstreams whose rate permits a flow now are
 /// always compared, as few instances may use them.
-fn best_of_two(near: &[(Estimate, Warmth)], rng: &mut SmallRng) -> Option<Estimate> {
-    let weight = |(estimate, _): &(Estimate, Warmth)| estimate.capacity;
-    let first = draw(near, None, weight, rng);
-    let second = draw(near, first, weight, rng);
-    let permitted = near.iter().filter(|(_, warmth)| *warmth == Warmth::Permitted);
-    let drawn = [first, second].into_iter().flatten().map(|index| &near[index]);
-    let estimates = drawn.chain(permitted).map(|(estimate, _)| *estimate);
-    estimates.min_by(|a, b| a.cost().total_cmp(&b.cost()))
+fn best_of_two(near: &[Contender<'_>], view: &View<'_>, rng: &mut SmallRng) -> Option<Estimate> {
+    let zone = ZoneEstimate::new(view.local, view);
+    let mut estimates = Vec::with_capacity(near.len());
+    estimates.extend(near.iter().filter_map(|contender| Estimate::new(contender, zone)));
+    let first = draw(&estimates, None, |estimate| estimate.capacity, rng);
+    let second = draw(&estimates, first, |estimate| estimate.capacity, rng);
+    let permitted = estimates.iter().filter(|estimate| estimate.warmth == Warmth::Permitted);
+    let drawn = [first, second].into_iter().flatten().map(|index| &estimates[index]);
+    let best = drawn.chain(permitted).min_by(|a, b| a.cost().total_cmp(&b.cost()));
+    best.copied()
 }
 
-/// Draws an upstream of another zone: the zone by its free capacity, the upstream by its slots.
-///
-/// Without an upstream in the local zone (`is_required`), zones without free capacity are drawn from too.
-fn draw_other(far: &[&Contender<'_>], view: &View<'_>, is_required: bool, rng: &mut SmallRng) -> Option<Estimate> {
-    let far: Vec<&Contender<'_>> = far
-        .iter()
-        .copied()
-        .filter(|contender| is_required || contender.warmth != Warmth::Cold)
-        .collect();
-    let has_upstream = |zone: &ZoneName| far.iter().any(|contender| contender.zone == zone);
-    let zones: Vec<(&ZoneName, f64)> = view
-        .zones
-        .iter()
-        .filter(|(zone, load)| *zone != view.local && load.slots > 0 && has_upstream(zone))
-        .filter(|(_, load)| is_required || load.takes_from(view.zones.get(view.local)))
-        .map(|(zone, load)| (zone, load.free_capacity()))
-        .collect();
-    let zone = zones[draw(&zones, None, |(_, free)| *free, rng)?].0;
-    let in_zone: Vec<&Contender<'_>> = far.into_iter().filter(|contender| contender.zone == zone).collect();
-    let chosen = draw(&in_zone, None, |contender| f64::from(contender.slots.max(1)), rng)?;
-    Estimate::new(in_zone[chosen], view)
+/// Draws another zone by its room. Without an upstream in the local zone (`is_required`), zones without room
+/// capacity are drawn from too.
+fn draw_zone<'a>(view: &View<'a>, is_required: bool, rng: &mut SmallRng) -> Option<&'a ZoneName> {
+    let local = view.zones.get(view.local);
+    let mut others = Vec::with_capacity(view.zones.len());
+    for (zone, load) in view.zones {
+        if zone == view.local || load.slots == 0 {
+            continue;
+        }
+        if is_required || load.takes_from(local) {
+            others.push((zone, load.room()));
+        }
+    }
+    let index = draw(&others, None, |(_, room)| *room, rng)?;
+    Some(others[index].0)
+}
+
+/// Draws an upstream of another zone by its slots.
+fn draw_other(far: &[Contender<'_>], view: &View<'_>, is_required: bool, rng: &mut SmallRng) -> Option<Estimate> {
+    let weight = |contender: &Contender<'_>| {
+        let is_allowed = is_required || contender.warmth != Warmth::Cold;
+        if is_allowed {
+            f64::from(contender.slots.max(1))
+        } else {
+            0.0
+        }
+    };
+    let index = draw(far, None, weight, rng)?;
+    Estimate::new(&far[index], ZoneEstimate::new(far[index].zone, view))
 }
 
-/// Draws the index of an item with a probability proportional to its weight, leaving one item out.
+/// Draws the index of an item with a probability proportional to its weight, leaving one item out. Items of no weight aren't drawn.
 fn draw<T>(items: &[T], without: Option<usize>, weight: impl Fn(&T) -> f64, rng: &mut SmallRng) -> Option<usize> {
     let weights = || {
-        let kept = items.iter().enumerate().filter(|(index, _)| Some(*index) != without);
-        kept.map(|(index, item)| (index, weight(item)))
+        let weights = items.iter().map(&weight).enumerate();
+        weights.filter(|(index, weight)| Some(*index) != without && *weight > 0.0)
     };
     let total: f64 = weights().map(|(_, weight)| weight).sum();
     let mut point = rng.random::<f64>() * total;
--- a/crates/flow/src/place/spillover.rs
+++ b/crates/flow/src/place/spillover.rs
@@ -19,8 +19,11 @@
 const OTHER_FILL: f64 = 0.85;
 /// Difference in work per slot from which a zone takes flows of another although it is above [`OTHER_FILL`].
 const MIN_DIFFERENCE: f64 = 0.25;
-/// Smallest free capacity of a zone, per slot, so that zones without any remain ordered by size.
-const MIN_FREE: f64 = 0.01;
+/// Work in flight per slot up to which a zone counts as having room. With 1, the zones alternate between full and empty
+/// once flows from elsewhere take most of their free slots, as the sums are older than a request.
+const ROOM_LIMIT: f64 = 1.5;
+/// Least room of a zone per slot, so that zones without any are drawn by their size.
+const MIN_ROOM: f64 = 0.01;
 /// Time in which the share follows a change of load: not shorter than the age of the sums.
 const RESPONSE: Duration = Duration::from_millis(300);
 /// Longest interval between two flows that the share is adjusted for in one step.
@@ -32,9 +35,9 @@
         f64::from(self.in_flight) / f64::from(self.slots.max(1))
     }
 
-    /// Slots without work, at least a few.
-    pub(super) fn free_capacity(&self) -> f64 {
-        f64::from(self.slots) * (1.0 - self.fill()).max(MIN_FREE)
+    /// Room for flows from other zones, in requests.
+    pub(super) fn room(&self) -> f64 {
+        f64::from(self.slots) * (ROOM_LIMIT - self.fill()).max(MIN_ROOM)
     }
 
     /// Whether this zone takes flows from the callers of `local`.
@@ -52,12 +55,6 @@
 }
 
 impl Spillover {
-    /// Whether other zones may get flows now.
-    pub(crate) fn is_open(&self, view: &View<'_>) -> bool {
-        let local = view.zones.get(view.local);
-        self.share > 0.0 || local.is_none_or(|local| local.fill() > LOCAL_FILL)
-    }
-
     /// Returns the share adjusted to the current loads.
     pub(super) fn update(&mut self, view: &View<'_>, now: Time) -> f64 {
         let step = now.since(self.at).min(MAX_STEP).as_secs_f64() / RESPONSE.as_secs_f64();
@@ -79,14 +76,13 @@
     }
     let others = view.zones.iter().filter(|(zone, _)| *zone != view.local);
     let others = others.filter(|(_, load)| load.slots > 0 && load.takes_from(Some(local)));
-    let response = |zone, load: &ZoneLoad| view.service_time(zone) * load.fill().max(1.0);
-    let with_margin = |zone, load| response(zone, load) + view.service_time(zone) + OTHER_ZONE_ROUND_TRIP.as_secs_f64();
-    let Some(best) = others
-        .map(|(zone, load)| with_margin(zone, load))
-        .min_by(f64::total_cmp)
-    else {
+    let with_margin = others.map(|(_, load)| {
+        let service_time = view.service_time(Some(load));
+        service_time * (load.fill().max(1.0) + 1.0) + OTHER_ZONE_ROUND_TRIP.as_secs_f64()
+    });
+    let Some(best) = with_margin.min_by(f64::total_cmp) else {
         return -1.0;
     };
-    let here = response(view.local, local);
+    let here = view.service_time(Some(local)) * local.fill().max(1.0);
     (here - best) / here
 }
--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -162,7 +162,7 @@
 /// The callers of an evacuated zone. Guards against refusing them, and against flooding the smaller of the remaining
 /// zones.
 #[test]
-fn callers_of_an_evacuated_zone_are_spread_by_free_capacity() {
+fn callers_of_an_evacuated_zone_are_spread_by_room() {
     let mut service = Service::new(1);
     service.add("b", 40, 2, SERVICE_TIME);
     service.add("c", 20, 2, SERVICE_TIME);
@@ -206,11 +206,11 @@
         service_time: Some(SERVICE_TIME),
         warmth,
     };
-    let contenders = [
+    let near = [
         contender(0, &local, Warmth::Warm, Some(8)),
         contender(1, &local, second, Some(6)),
-        contender(2, &remote, other, None),
     ];
+    let far = [contender(2, &remote, other, None)];
     let load = |name: &&str| ZoneLoad {
         slots: 4,
         in_flight: if *name == "a" { 14 } else { 1 },
@@ -225,7 +225,7 @@
     let mut counts = [0; 3];
     for millis in 1..=1_000 {
         let now = Time(millis * 1_000);
-        if let Some(choice) = choose(&contenders, view, &mut spillover, now, &mut rng) {
+        if let Some(choice) = choose(&near, |_, _| far.to_vec(), view, &mut spillover, now, &mut rng) {
             counts[choice.id.0 as usize] += 1;
         }
     }
--- a/crates/flow/tests/placement/service.rs
+++ b/crates/flow/tests/placement/service.rs
@@ -35,6 +35,20 @@
     viewed: u32,
 }
 
+impl Server {
+    /// This upstream as a contender for a flow from its own zone or another one, which has no view of its load.
+    fn contender(&self, id: u64, is_local: bool) -> Contender<'_> {
+        Contender {
+            id: UpstreamId(id),
+            zone: &self.zone,
+            slots: self.slots,
+            in_flight: is_local.then_some(self.viewed),
+            service_time: is_local.then_some(self.service_time),
+            warmth: Warmth::Warm,
+        }
+    }
+}
+
 pub struct Service {
     pub servers: Vec<Server>,
     /// Requests per second by zone of their callers.
@@ -168,15 +182,12 @@
 
     /// Places a flow of a caller, and returns the number of its upstream.
     pub fn place(&mut self, from: &ZoneName) -> usize {
-        let contenders = (0..).zip(&self.servers).map(|(id, server)| Contender {
-            id: UpstreamId(id),
-            zone: &server.zone,
-            slots: server.slots,
-            in_flight: (server.zone == *from).then_some(server.viewed),
-            service_time: (server.zone == *from).then_some(server.service_time),
-            warmth: Warmth::Warm,
-        });
-        let contenders: Vec<_> = contenders.collect();
+        let servers = &self.servers;
+        let contenders = |zone: &ZoneName| {
+            let of_zone = (0..).zip(servers).filter(|(_, server)| server.zone == *zone);
+            let contenders = of_zone.map(|(id, server)| server.contender(id, zone == from));
+            contenders.collect::<Vec<_>>()
+        };
         let mut sums = self.sums.clone();
         let local = self.servers.iter().filter(|server| server.zone == *from);
         if let Some(load) = sums.get_mut(from) {
@@ -187,7 +198,8 @@
             zones: &sums,
         };
         let spillover = self.spillovers.entry(from.clone()).or_default();
-        let choice = choose(&contenders, view, spillover, self.now, &mut self.rng).unwrap();
+        let far = |zone: &ZoneName, _: &mut SmallRng| contenders(zone);
+        let choice = choose(&contenders(from), far, view, spillover, self.now, &mut self.rng).unwrap();
         let index = choice.id.0 as usize;
         self.record(from, index);
         index
