--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -105,6 +105,30 @@
     }
 }
 
+/// A zone's upstreams become four times as slow, and recover. Guards against queues in the slow zone, and against flows
+/// that stay away from it later.
+#[test]
+fn a_zone_that_becomes_slow_spills_over_within_a_second() {
+    let mut service = Service::tills(1, SERVICE_TIME);
+    for name in ["a", "b", "c"] {
+        service.set_demand(name, 0.55);
+    }
+    service.run(Duration::from_secs(2));
+    service.set_service_time("a", SERVICE_TIME * 4);
+    service.run(Duration::from_secs(1));
+    service.reset_counts();
+    service.run(Duration::from_secs(5));
+    let placed: u32 = service.flows.values().sum();
+    assert!(service.refused() * 100 < placed, "{} refused", service.refused());
+    let kept = service.share("a", "a") / (1.0 / (4.0 * 0.55));
+    assert!((0.6..1.05).contains(&kept), "{kept} of what the slow zone can serve");
+    service.set_service_time("a", SERVICE_TIME);
+    service.run(Duration::from_secs(1));
+    service.reset_counts();
+    service.run(Duration::from_secs(2));
+    assert!(service.share("a", "a") > 0.99);
+}
+
 /// The same load in all zones, below and above their capacity. Guards against two zones that exchange load.
 #[test]
 fn equally_loaded_zones_exchange_nothing() {
--- a/crates/flow/tests/placement/service.rs
+++ b/crates/flow/tests/placement/service.rs
@@ -117,6 +117,12 @@
         self.demand.insert(zone(name), demand);
     }
 
+    /// Changes the speed of a zone's upstreams.
+    pub fn set_service_time(&mut self, name: &str, service_time: Duration) {
+        let of_zone = self.servers.iter_mut().filter(|server| server.zone == zone(name));
+        of_zone.for_each(|server| server.service_time = service_time);
+    }
+
     /// Forgets the counts so far.
     pub fn reset_counts(&mut self) {
         self.flows.clear();
