Move the view of zones to a file of its own

Cause: directory, place, place::joint and place::spillover needed one another, which the test files_do_not_need_one_another_in_a_circle of crates/tidy refuses.

--- a/crates/flow/src/place.rs
+++ b/crates/flow/src/place.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod joint;
 pub(crate) mod spillover;
+pub(crate) mod view;
 
 use std::fmt;
 use std::time::Duration;
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -4,7 +4,6 @@
 //! upstream, all would choose the same one (herd behaviour). Drawing two at random and taking the better one bounds
 //! the share of any upstream to twice its share of the capacity.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -15,14 +14,12 @@
 use crate::load::ZoneLoad;
 use crate::place::Candidate;
 use crate::place::Tier;
-use crate::place::spillover::OTHER_ZONE_ROUND_TRIP;
 use crate::place::spillover::Spillover;
+use crate::place::view::MIN_SERVICE_TIME;
+use crate::place::view::OTHER_ZONE_ROUND_TRIP;
+use crate::place::view::View;
 use crate::upstream::UpstreamId;
 
-/// Service time of an upstream if no zone has finished enough requests. It cancels out between upstreams.
-const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
-/// Service times in seconds below this count as equal: they are shorter than a packet takes to an upstream.
-const MIN_SERVICE_TIME: f64 = 1e-4;
 /// Capacity of a cold upstream relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 /// Largest ratio between the service times of an upstream and its zone that counts in the comparison of upstreams. A
@@ -80,26 +77,6 @@
     }
 }
 
-/// Load of a service's zones as seen from one of them.
-#[derive(Debug, Clone, Copy)]
-pub struct View<'a> {
-    /// The zone of this instance.
-    pub local: &'a ZoneName,
-    /// The zones with a fresh view. A zone that is cut off has none.
-    pub zones: &'a BTreeMap<ZoneName, ZoneLoad>,
-}
-
-impl View<'_> {
-    /// Service time in a zone in seconds, with the longest one of any zone in place of an unknown one: an idle zone has
-    /// finished no requests.
-    pub(super) fn service_time(&self, zone: Option<&ZoneLoad>) -> f64 {
-        let known = zone.and_then(|zone| zone.service_time);
-        let longest = || self.zones.values().filter_map(|zone| zone.service_time).max();
-        let time = known.or_else(longest).unwrap_or(UNKNOWN_SERVICE_TIME);
-        time.as_secs_f64().max(MIN_SERVICE_TIME)
-    }
-}
-
 /// Numbers that all upstreams of a zone share.
 #[derive(Debug, Clone, Copy)]
 struct ZoneEstimate {
--- a/crates/flow/src/place/spillover.rs
+++ b/crates/flow/src/place/spillover.rs
@@ -7,46 +7,16 @@
 
 use units::Time;
 
-use crate::load::ZoneLoad;
-use crate::place::joint::View;
+use crate::place::view::OTHER_ZONE_ROUND_TRIP;
+use crate::place::view::View;
 
-/// Network round trip to another zone, beyond that within a zone. It isn't measured per zone; zones of one region are
-/// at most 5 ms apart.
-pub(super) const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Work in flight per slot up to which the local zone keeps its flows.
 const LOCAL_FILL: f64 = 0.7;
-/// Work in flight per slot up to which a zone takes flows of another.
-const OTHER_FILL: f64 = 0.85;
-/// Difference in work per slot from which a zone takes flows of another although it is above [`OTHER_FILL`].
-const MIN_DIFFERENCE: f64 = 0.25;
-/// Work in flight per slot up to which a zone counts as having room. With 1, the zones alternate between full and empty
-/// once flows from elsewhere take most of their free slots, as the sums are older than a request.
-const ROOM_LIMIT: f64 = 1.5;
-/// Least room of a zone per slot, so that zones without any are drawn by their size.
-const MIN_ROOM: f64 = 0.01;
 /// Time in which the share follows a change of load: not shorter than the age of the sums.
 const RESPONSE: Duration = Duration::from_millis(300);
 /// Longest interval between two flows that the share is adjusted for in one step.
 const MAX_STEP: Duration = Duration::from_millis(200);
 
-impl ZoneLoad {
-    /// Work in flight per slot.
-    pub(super) fn fill(&self) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.slots.max(1))
-    }
-
-    /// Room for flows from other zones, in requests.
-    pub(super) fn room(&self) -> f64 {
-        f64::from(self.slots) * (ROOM_LIMIT - self.fill()).max(MIN_ROOM)
-    }
-
-    /// Whether this zone takes flows from the callers of `local`.
-    pub(super) fn takes_from(&self, local: Option<&Self>) -> bool {
-        let is_free = self.fill() <= OTHER_FILL;
-        is_free || local.is_some_and(|local| local.fill() >= self.fill() + MIN_DIFFERENCE)
-    }
-}
-
 /// Share of the new flows of a service for which other zones are considered.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Spillover {
