--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -105,6 +105,30 @@
     }
 }
 
+/// A zone's upstreams become four times as slow, and recover. Guards against queues in the slow zone, and against flows
+/// that stay away from it later.
+#[test]
+fn a_zone_that_becomes_slow_spills_over_within_a_second() {
+    let mut service = Service::tills(1, SERVICE_TIME);
+    for name in ["a", "b", "c"] {
+        service.set_demand(name, 0.55);
+    }
+    service.run(Duration::from_secs(2));
+    service.set_service_time("a", SERVICE_TIME * 4);
+    service.run(Duration::from_secs(1));
+    service.reset_counts();
+    service.run(Duration::from_secs(5));
+    let placed: u32 = service.flows.values().sum();
+    assert!(service.refused() * 100 < placed, "{} refused", service.refused());
+    let kept = service.share("a", "a") / (1.0 / (4.0 * 0.55));
+    assert!((0.6..1.05).contains(&kept), "{kept} of what the slow zone can serve");
+    service.set_service_time("a", SERVICE_TIME);
+    service.run(Duration::from_secs(1));
+    service.reset_counts();
+    service.run(Duration::from_secs(2));
+    assert!(service.share("a", "a") > 0.99);
+}
+
 /// The same load in all zones, below and above their capacity. Guards against two zones that exchange load.
 #[test]
 fn equally_loaded_zones_exchange_nothing() {
@@ -162,7 +186,7 @@
 /// The callers of an evacuated zone. Guards against refusing them, and against flooding the smaller of the remaining
 /// zones.
 #[test]
-fn callers_of_an_evacuated_zone_are_spread_by_free_capacity() {
+fn callers_of_an_evacuated_zone_are_spread_by_room() {
     let mut service = Service::new(1);
     service.add("b", 40, 2, SERVICE_TIME);
     service.add("c", 20, 2, SERVICE_TIME);
@@ -206,11 +230,11 @@
         service_time: Some(SERVICE_TIME),
         warmth,
     };
-    let contenders = [
+    let near = [
         contender(0, &local, Warmth::Warm, Some(8)),
         contender(1, &local, second, Some(6)),
-        contender(2, &remote, other, None),
     ];
+    let far = [contender(2, &remote, other, None)];
     let load = |name: &&str| ZoneLoad {
         slots: 4,
         in_flight: if *name == "a" { 14 } else { 1 },
@@ -225,7 +249,7 @@
     let mut counts = [0; 3];
     for millis in 1..=1_000 {
         let now = Time(millis * 1_000);
-        if let Some(choice) = choose(&contenders, view, &mut spillover, now, &mut rng) {
+        if let Some(choice) = choose(&near, |_, _| far.to_vec(), view, &mut spillover, now, &mut rng) {
             counts[choice.id.0 as usize] += 1;
         }
     }
