--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,7 +1,6 @@
 //! The packet path of one instance: takes packets and control-plane updates, and returns verdicts.
 
 mod admission;
-mod capacity;
 mod cold;
 mod established;
 mod evacuation;
@@ -9,6 +8,7 @@
 mod load;
 mod opening;
 mod outliers;
+mod overload;
 mod silence;
 mod status_updates;
 
@@ -24,8 +24,8 @@
 use units::Time;
 use units::ZoneName;
 
-pub use self::capacity::ServiceLoad;
-pub use self::capacity::returning;
+pub use self::overload::ServiceLoad;
+pub use self::overload::returning;
 use crate::admission::FullServices;
 use crate::admission::Policy;
 use crate::answer_log::AnswerLog;
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -15,8 +15,8 @@
 use units::ZoneName;
 
 use super::Core;
-use super::capacity::is_full;
-use super::capacity::is_working_at_capacity;
+use super::overload::is_full;
+use super::overload::is_working_at_capacity;
 use crate::checks::Check;
 use crate::decision::Decision;
 use crate::ejection::Transition;
