--- a/crates/jayquayd/src/forward/check.rs
+++ b/crates/jayquayd/src/forward/check.rs
@@ -146,14 +146,13 @@
 }
 
 /// Runs this instance's checks until the process ends.
-pub(crate) async fn run(settings: watch::Receiver<Settings>, shared: Shared, mut channels: CheckChannels) {
-    let address = settings.borrow().store;
+pub(crate) async fn run(store: Store, settings: watch::Receiver<Settings>, shared: Shared, mut checks: CheckChannels) {
     let mut task = CheckTask {
-        store: Store::without_reuse(address),
+        store,
         settings,
         shared,
         state: CheckState::default(),
-        outgoing: channels.outgoing,
+        outgoing: checks.outgoing,
     };
     loop {
         let round = task.round();
@@ -163,7 +162,7 @@
                     task.handle(request).await;
                 }
             }
-            Some(request) = channels.incoming.recv() => task.handle(request).await,
+            Some(request) = checks.incoming.recv() => task.handle(request).await,
         }
     }
 }
@@ -270,7 +269,7 @@
     fn apply_settings(&mut self) {
         let address = self.settings.borrow().store;
         if self.store.address() != address {
-            self.store = Store::without_reuse(address);
+            self.store = self.store.at(address);
         }
     }
 
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use adapter::Store;
 use flow::Core;
 use flow::Options;
 use membership::Membership;
@@ -81,8 +82,10 @@
         listen.advertised.port(),
         peer_channels,
     );
-    tokio::spawn(store::run(current.clone(), shared.clone()));
-    tokio::spawn(check::run(current.clone(), shared.clone(), check_channels));
+    let store = Store::new(settings.store);
+    let checked = store.without_reuse();
+    tokio::spawn(store::run(store, current.clone(), shared.clone()));
+    tokio::spawn(check::run(checked, current.clone(), shared.clone(), check_channels));
     tokio::spawn(http::serve_ready(ready, shared.clone()));
     let context = Context {
         shared: shared.clone(),
--- a/crates/jayquayd/src/forward/store.rs
+++ b/crates/jayquayd/src/forward/store.rs
@@ -60,7 +60,7 @@
 }
 
 /// Keeps the knowledge of the platform up to date, and switches to another store when the settings change.
-pub(crate) async fn run(mut settings: watch::Receiver<Settings>, shared: Shared) {
+pub(crate) async fn run(store: Store, mut settings: watch::Receiver<Settings>, shared: Shared) {
     let is_seed = settings.borrow().is_seed();
     wait_for_peers(&shared, is_seed).await;
     loop {
@@ -68,7 +68,7 @@
             let settings = settings.borrow_and_update();
             (settings.store, settings.is_seed(), settings.evacuations)
         };
-        let store = Store::new(address);
+        let store = store.at(address);
         let schedule = WatchSchedule::default();
         let settings_changed = settings.wait_for(|new| new.store != address || new.evacuations != has_evacuations);
         tokio::select! {
