Report the capacity of services to operators

Operators can't see the load of services by zone, nor which openings were refused, held or placed in another zone.

- Core::capacities returns the load by zone, the demand and the state of each service that a route leads to and that there is a fresh view of.
- CapacityTracker derives the state (ordinary, spilling, short) from samples, once a second: for the worse at once, for the better after 3 s, and from short at 0.9 of the slots.
Changes are logged as "capacity: ...".
- Stats counts refused and held openings and flows placed in other zones, by cause and priority.
Routes have no priority yet, so all count as priority 9.
- /metrics has gauges by service and zone, at most 256 pairs as the document names the services, and the counters; /status and `jayquay flows status` show the same.

Without the joint view, no capacity is shown and no state changes.

The text of `jayquay flows status` has no test.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -1,5 +1,6 @@
 //! The packet path of one instance: takes packets and control-plane updates, and returns verdicts.
 
+mod capacity;
 mod cold;
 mod established;
 mod evacuation;
@@ -48,6 +49,9 @@
 use crate::verdict::Verdict;
 use crate::wait::Wait;
 use crate::warning::Warning;
+use capacity::Capacity;
+pub use capacity::ServiceCapacity;
+pub use capacity::SpillCause;
 
 /// Range of the seeded start offset for round-robin selection; far larger than any rotation.
 const START_OFFSETS: u64 = 1 << 20;
@@ -81,6 +85,12 @@
     pub resets: BTreeMap<ResetCause, u64>,
     /// Packets dropped, by cause.
     pub drops: BTreeMap<DropCause, u64>,
+    /// Opening packets answered by a reset, by cause and the route's priority.
+    pub refused: BTreeMap<(ResetCause, u8), u64>,
+    /// Opening packets dropped, so that their retransmission asks again, by cause and the route's priority.
+    pub held: BTreeMap<(DropCause, u8), u64>,
+    /// Flows placed in another zone, by cause and the route's priority.
+    pub spilled: BTreeMap<(SpillCause, u8), u64>,
     /// Results of connection attempts and requests at upstreams.
     pub outcomes: BTreeMap<Outcome, u64>,
 }
@@ -102,6 +112,8 @@
     baselines: HashMap<String, Baseline>,
     /// Joint view of the load of all upstreams.
     loads: Loads,
+    /// What is observed of the capacity of services, to be shown to operators.
+    capacity: Capacity,
     loss: Loss,
     answer_log: AnswerLog,
     flows: Flows,
@@ -143,6 +155,7 @@
             health: HashMap::new(),
             baselines: HashMap::new(),
             loads: Loads::default(),
+            capacity: Capacity::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
             flows: Flows::default(),
@@ -238,7 +251,10 @@
     pub fn handle_packet(&mut self, packet: &Packet, now: Time) -> Verdict {
         self.run_due_checks(now);
         let verdict = if packet.flags.contains(Flags::SYN) {
-            self.open_flow(packet, now)
+            let placed = self.stats.placed;
+            let verdict = self.open_flow(packet, now);
+            self.count_opening(packet, verdict, self.stats.placed > placed, now);
+            verdict
         } else {
             self.handle_established(packet, now)
         };
@@ -328,5 +344,6 @@
         }
         let then = now.before(self.options.max_flow * 2);
         self.learn(now, |knowledge| knowledge.end_grace(now) | knowledge.forget(then));
+        self.update_capacity(now);
     }
 }
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -1,9 +1,11 @@
 //! Record of decisions, to explain them to operators later.
 
+use compact_str::CompactString;
 use units::Position;
 use units::Revision;
 use units::ZoneName;
 
+use crate::capacity_state::CapacityState;
 use crate::evidence::SilenceEvidence;
 use crate::flows::FlowKey;
 use crate::packet::DropCause;
@@ -102,4 +104,16 @@
         /// The store position at which this was decided.
         at: Position,
     },
+    /// A service has become short of capacity, has begun to place flows in other zones because of load, or neither
+    /// any more.
+    CapacityChanged {
+        /// The service.
+        service: CompactString,
+        /// Its new state.
+        state: CapacityState,
+        /// Slots of its upstreams in all zones, zero without a fresh view.
+        slots: u32,
+        /// Work in flight there.
+        in_flight: u32,
+    },
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -10,6 +10,7 @@
 //! independent of the encoding of packets, routes and upstreams.
 
 mod answer_log;
+mod capacity_state;
 mod checks;
 mod compat;
 mod core;
@@ -42,8 +43,13 @@
 mod wait;
 mod warning;
 
+pub use crate::capacity_state::CapacitySample;
+pub use crate::capacity_state::CapacityState;
+pub use crate::capacity_state::CapacityTracker;
 pub use crate::core::Core;
 pub use crate::core::Options;
+pub use crate::core::ServiceCapacity;
+pub use crate::core::SpillCause;
 pub use crate::core::Stats;
 pub use crate::decision::Decision;
 pub use crate::difference::Difference;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -542,6 +542,9 @@
                     writeln!(out, "  {zone} is being evacuated, {flows} open flows").unwrap();
                 }
                 Decision::Restored { zone, .. } => writeln!(out, "  {zone} is no longer evacuated").unwrap(),
+                Decision::CapacityChanged { service, state, .. } => {
+                    writeln!(out, "  {service} is {state}").unwrap();
+                }
                 Decision::DocumentWarning { .. }
                 | Decision::Placed { .. }
                 | Decision::Reset { .. }
--- a/crates/jayquay/src/flows.rs
+++ b/crates/jayquay/src/flows.rs
@@ -3,6 +3,7 @@
 //! What is in force is read from the store through the adapter, and from instances by their peers' addresses. Nothing is
 //! written: on this platform the document is its operators' alone.
 
+mod capacity;
 mod diff;
 mod error;
 mod holder;
--- a/crates/jayquay/src/flows/status.rs
+++ b/crates/jayquay/src/flows/status.rs
@@ -20,6 +20,7 @@
 
 use crate::address::Addresses;
 use crate::exit::Report;
+use crate::flows::capacity;
 use crate::flows::error::Error;
 use crate::flows::holder::Holder;
 use crate::flows::read;
@@ -321,6 +322,11 @@
             open.len()
         );
     }
+    let statuses: Vec<&Status> = instances
+        .iter()
+        .filter_map(|asked| asked.answer.as_ref().ok())
+        .collect();
+    capacity::write(&mut text, &statuses);
     for finding in findings {
         let _infallible = writeln!(text, "! {finding}");
     }
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use flow::CapacityState;
 use flow::Decision;
 use flow::SilenceEvidence;
 use units::Position;
@@ -63,6 +64,7 @@
             | Decision::Evacuated { .. }
             | Decision::Restored { .. }
             | Decision::DocumentWarning { .. }
+            | Decision::CapacityChanged { .. }
     )
 }
 
@@ -152,6 +154,21 @@
             log::warn!("zones: evacuated zone={zone} at={at} open_flows={flows}");
         }
         Decision::DocumentWarning { document, warning } => log::warn!("routes: unread document={document} {warning}"),
+        Decision::CapacityChanged {
+            service,
+            state,
+            slots,
+            in_flight,
+        } => {
+            let level = match state {
+                CapacityState::Short => log::Level::Warn,
+                CapacityState::Ordinary | CapacityState::Spilling => log::Level::Info,
+            };
+            log::log!(
+                level,
+                "capacity: {state} service={service} slots={slots} in_flight={in_flight}"
+            );
+        }
         Decision::Restored { zone, at } => log::warn!("zones: restored zone={zone} at={at}"),
     }
 }
--- a/crates/jayquayd/src/forward/http.rs
+++ b/crates/jayquayd/src/forward/http.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use adapter::ready;
 use axum::Json;
@@ -22,6 +24,7 @@
 
 use super::exchange;
 use super::metric_update;
+use super::metric_update::CapacityGauges;
 use super::response_cache::ResponseCache;
 use super::shared::Shared;
 use super::status;
@@ -36,6 +39,7 @@
     pub(crate) shared: Shared,
     pub(crate) metrics: PrometheusHandle,
     pub(crate) responses: Arc<ResponseCache>,
+    pub(crate) gauges: Arc<Mutex<CapacityGauges>>,
 }
 
 /// Serves the readiness checks.
@@ -94,6 +98,7 @@
 }
 
 async fn metrics(State(context): State<Context>) -> String {
-    metric_update::update(&context.shared);
+    let mut gauges = context.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+    metric_update::update(&context.shared, &mut gauges);
     context.metrics.render()
 }
--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -1,5 +1,5 @@
 //! Names, units and descriptions of the flow mode's metrics. Label values come from fixed sets, as in the rest of the
-//! daemon.
+//! daemon, except for the services and zones of [`metric_update`](super::metric_update).
 //!
 //! The flow core keeps the packet counters itself to avoid a cost per packet; they are copied here when the metrics
 //! are read.
@@ -24,6 +24,27 @@
     counter resets(cause) "jayquay_flow_resets_total" Count "Flows reset: no-route, no-upstream, evacuated, cold, stalled or dead.";
     /// Packets dropped.
     counter drops(cause) "jayquay_flow_drops_total" Count "Packets dropped: not-ready, no-echo, unknown-echo or reset.";
+    /// Opening packets answered by a reset.
+    counter refused(cause, priority) "jayquay_flow_openings_refused_total" Count
+        "Opening packets answered by a reset, by its cause and the priority of the route.";
+    /// Opening packets dropped, to be retransmitted.
+    counter held(cause, priority) "jayquay_flow_openings_held_total" Count
+        "Opening packets dropped, so that their copies ask again: held or not-ready, by the priority of the route.";
+    /// Flows placed in another zone.
+    counter spilled(cause, priority) "jayquay_flow_openings_spilled_total" Count
+        "Flows placed in another zone: load, no-slots or no-view, by the priority of the route.";
+    /// Openings that ask for a service.
+    gauge demand(service, zone) "jayquay_flow_demand" Count
+        "First copies of opening packets for a service in the last second, at this instance in its zone.";
+    /// Slots of a service in a zone.
+    gauge slots(service, zone) "jayquay_flow_slots" Count
+        "Slots of a service's upstreams in a zone, over all instances; NaN without a fresh view.";
+    /// Work in flight of a service in a zone.
+    gauge in_flight(service, zone) "jayquay_flow_in_flight" Count
+        "Openings and requests without an answer yet in a zone, over all instances; NaN without a fresh view.";
+    /// Services by the state of their capacity.
+    gauge services(state) "jayquay_flow_services" Count
+        "Services with a fresh view of their load: ordinary, spilling or short.";
     /// Outcomes of tries at upstreams.
     counter outcomes(outcome) "jayquay_flow_tries_total" Count
         "Flows opened and requests sent to upstreams, by how they ended: good, refused, overdue or short.";
--- a/crates/jayquayd/src/forward/run.rs
+++ b/crates/jayquayd/src/forward/run.rs
@@ -91,6 +91,7 @@
         shared: shared.clone(),
         metrics,
         responses: Arc::default(),
+        gauges: Arc::default(),
     };
     tokio::spawn(http::serve_peers(peers_http, context));
     tokio::spawn(peers.run());
@@ -140,5 +141,7 @@
         interval.tick().await;
         let now = shared.now();
         shared.core().tick(now);
+        // A service may recover while no packet arrives that would lead to the decision being logged.
+        shared.note_decisions();
     }
 }
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -1,10 +1,15 @@
 //! Status of an instance for operators: what it holds and which members it knows.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use flow::CapacityState;
 use flow::Document;
+use flow::ServiceCapacity;
+use flow::Stats;
 use flow::UpstreamId;
 use flow::Warning;
+use flow::ZoneLoad;
 use serde::Deserialize;
 use serde::Serialize;
 use units::Incarnation;
@@ -62,12 +67,92 @@
     /// still open there.
     #[serde(default)]
     pub evacuated: BTreeMap<ZoneName, u32>,
+    /// Load of the services of which it has a fresh view. Earlier releases don't report it.
+    #[serde(default)]
+    pub capacity: BTreeMap<String, ServiceStatus>,
+    /// Openings that it refused, held or placed in another zone since its start.
+    #[serde(default)]
+    pub openings: Vec<OpeningCount>,
     /// Number of flows that it tracks.
     pub flows: usize,
     /// The members that it knows, itself first.
     pub members: Vec<Member>,
 }
 
+/// Load of a service over all instances, and the demand at one instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Whether the service has capacity for its callers.
+    pub state: CapacityState,
+    /// First copies of opening packets in the last second, at this instance.
+    pub demand: u64,
+    /// Load of its upstreams by availability zone.
+    pub zones: BTreeMap<ZoneName, ZoneStatus>,
+}
+
+impl From<ServiceCapacity> for ServiceStatus {
+    fn from(capacity: ServiceCapacity) -> Self {
+        let zones = capacity.zones.into_iter();
+        Self {
+            state: capacity.state,
+            demand: capacity.demand,
+            zones: zones.map(|(zone, load)| (zone, load.into())).collect(),
+        }
+    }
+}
+
+/// Load of a service's upstreams in an availability zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneStatus {
+    /// Slots of the upstreams that take new flows.
+    pub slots: u32,
+    /// Openings and requests without an answer yet.
+    pub in_flight: u32,
+    /// Mean time for which a request occupies a slot, in microseconds, if it is known.
+    pub service_time_us: Option<u64>,
+}
+
+impl From<ZoneLoad> for ZoneStatus {
+    fn from(load: ZoneLoad) -> Self {
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            slots: load.slots,
+            in_flight: load.in_flight,
+            service_time_us: load.service_time.map(micros),
+        }
+    }
+}
+
+/// Openings that were not placed in the local zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpeningCount {
+    /// What became of them: `refused`, `held` or `spilled`.
+    pub result: String,
+    /// The cause, as in the metrics.
+    pub cause: String,
+    /// The priority of their route.
+    pub priority: u8,
+    /// Their number.
+    pub count: u64,
+}
+
+fn opening_counts(stats: &Stats) -> Vec<OpeningCount> {
+    let refused = stats.refused.iter();
+    let refused = refused.map(|((cause, priority), count)| ("refused", cause.as_str(), *priority, *count));
+    let held = stats.held.iter();
+    let held = held.map(|((cause, priority), count)| ("held", cause.as_str(), *priority, *count));
+    let spilled = stats.spilled.iter();
+    let spilled = spilled.map(|((cause, priority), count)| ("spilled", cause.as_str(), *priority, *count));
+    let counts = refused.chain(held).chain(spilled);
+    let counts = counts.map(|(result, cause, priority, count)| OpeningCount {
+        result: result.to_owned(),
+        cause: cause.to_owned(),
+        priority,
+        count,
+    });
+    counts.collect()
+}
+
 impl Status {
     /// The status of this process.
     pub(crate) fn of(shared: &Shared) -> Self {
@@ -101,6 +186,12 @@
             upstreams,
             ejected: core.ejected(),
             evacuated: core.evacuated(),
+            capacity: core
+                .capacities(shared.now())
+                .into_iter()
+                .map(|(service, capacity)| (service, capacity.into()))
+                .collect(),
+            openings: opening_counts(core.stats()),
             flows: core.flow_count(),
             members: members.members().cloned().collect(),
         }
--- a/crates/jayquayd/src/metric.rs
+++ b/crates/jayquayd/src/metric.rs
@@ -1,6 +1,7 @@
 //! The names, units and labels of all metrics.
 //!
-//! No label value comes from the network: each label has a fixed set of values.
+//! No label value comes from the network. Each label has a fixed set of values, except for the services and zones of the
+//! flow mode, whose number is limited.
 
 use metrics::Counter;
 use metrics::Gauge;
@@ -18,8 +19,8 @@
 
 /// Defines a function for each metric, a function `describe` for all of them, and the constant `NAMES`.
 macro_rules! table {
-    ($($(#[$doc:meta])* $kind:ident $function:ident($($label:ident)?) $name:literal $unit:ident $help:literal;)*) => {
-        $(table!(@$kind $(#[$doc])* $function($($label)?) $name);)*
+    ($($(#[$doc:meta])* $kind:ident $function:ident($($label:ident),*) $name:literal $unit:ident $help:literal;)*) => {
+        $(table!(@$kind $(#[$doc])* $function($($label),*) $name);)*
 
         /// Registers the descriptions of all metrics with the installed recorder.
         pub fn describe() {
@@ -41,6 +42,12 @@
             metrics::counter!($name, stringify!($label) => $label)
         }
     };
+    (@counter $(#[$doc:meta])* $function:ident($first:ident, $second:ident) $name:literal) => {
+        $(#[$doc])*
+        pub fn $function($first: &str, $second: &str) -> Counter {
+            metrics::counter!($name, stringify!($first) => $first.to_owned(), stringify!($second) => $second.to_owned())
+        }
+    };
     (@gauge $(#[$doc:meta])* $function:ident() $name:literal) => {
         $(#[$doc])*
         pub fn $function() -> Gauge {
@@ -53,6 +60,12 @@
             metrics::gauge!($name, stringify!($label) => $label)
         }
     };
+    (@gauge $(#[$doc:meta])* $function:ident($first:ident, $second:ident) $name:literal) => {
+        $(#[$doc])*
+        pub fn $function($first: &str, $second: &str) -> Gauge {
+            metrics::gauge!($name, stringify!($first) => $first.to_owned(), stringify!($second) => $second.to_owned())
+        }
+    };
     (@histogram $(#[$doc:meta])* $function:ident() $name:literal) => {
         $(#[$doc])*
         pub fn $function() -> Histogram {
--- a/crates/jayquayd/tests/flows/observability.rs
+++ b/crates/jayquayd/tests/flows/observability.rs
@@ -55,6 +55,13 @@
     ] {
         assert_eq!(value(&metrics, line), Some(expected), "{line} in {metrics}");
     }
+    // The priority is that of the route.
+    let spilled = "jayquay_flow_openings_spilled_total{cause=\"no-view\",priority=\"";
+    let spilled: Vec<&str> = metrics.lines().filter(|line| line.starts_with(spilled)).collect();
+    assert!(
+        spilled.len() == 1 && spilled[0].ends_with("\"} 2"),
+        "{spilled:?} in {metrics}"
+    );
     for line in [
         "jayquay_flow_burst_seconds_count",
         "jayquay_store_read_seconds_count",
