--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 mod answer_log;
+mod capacity_state;
 mod checks;
 mod compat;
 mod core;
@@ -45,9 +46,14 @@
 mod wait;
 mod warning;
 
+pub use crate::capacity_state::CapacitySample;
+pub use crate::capacity_state::CapacityState;
+pub use crate::capacity_state::CapacityTracker;
 pub use crate::core::Core;
 pub use crate::core::Options;
+pub use crate::core::ServiceCapacity;
 pub use crate::core::ServiceLoad;
+pub use crate::core::SpillCause;
 pub use crate::core::Stats;
 pub use crate::core::returning;
 pub use crate::decision::Decision;
