--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -217,7 +217,8 @@
     /// The tier of an upstream, or `None` if it gets no new flow from here now.
     fn tier_of(&self, id: UpstreamId, listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
         let tier = tier(listed, health, now)?;
-        self.permits_new_flow(id, listed, health, now).then_some(tier)
+        let takes_flow = self.permits_new_flow(id, listed, health, now) && !self.is_at_connection_limit(id, listed, now);
+        takes_flow.then_some(tier)
     }
 
     /// Selects an upstream by the joint view of load, among a random sample of the service's upstreams.
