--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -244,6 +244,9 @@
         let health = self.health.entry(id).or_default();
         health.ejection.eject(health.record.failing_share(), now);
         health.record.clear_evidence();
+        if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
+            service.short_since = None;
+        }
         let usual_percent = (usual * 100.0).round() as u32;
         self.decisions.push(Decision::Ejected {
             upstream: id,
