--- a/crates/flow/tests/fleet/capacity.rs
+++ b/crates/flow/tests/fleet/capacity.rs
@@ -40,7 +40,7 @@
     pub failing: Vec<u64>,
     pub failing_after: Duration,
     pub failing_share: f64,
-    /// Upstreams that take several times as long, and how many times.
+    /// Upstreams that take several times as long from [`WARMUP`] on, and how many times.
     pub slow: Vec<u64>,
     pub slowdown: f64,
 }
@@ -129,7 +129,8 @@
     fn serve(&mut self, upstream: u64, job: Job) {
         self.servers[upstream as usize - 1].serving += 1;
         let mut mean = self.config.mean_response_secs;
-        if let Some(capacity) = &self.config.capacity
+        if self.has_fault_begun()
+            && let Some(capacity) = &self.config.capacity
             && capacity.slow.contains(&upstream)
         {
             mean *= capacity.slowdown;
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -21,35 +21,43 @@
 /// Time from the beginning of the failures to the last ejection.
 const MAX_DETECTION: Duration = Duration::from_secs(5);
 
-/// A fleet whose demand changes after the warm-up, and of which upstreams fail from then on.
-fn run(instances: u64, seed: u64, demand: f64, has_failing: bool) -> (CapacityOutcome, Vec<u64>) {
+/// Runs a fleet whose demand, failures and slowness change after the warm-up.
+fn run(instances: u64, seed: u64, change: Capacity) -> CapacityOutcome {
     let base = FleetConfig::new(instances, seed);
-    let failing = (1..=base.upstreams).filter(|id| has_failing && id.is_multiple_of(FAILING_EVERY));
-    let capacity = Capacity {
-        burst_demand: demand,
-        burst_duration: Duration::from_secs(10),
-        failing: failing.collect(),
-        ..Capacity::new(USUAL_DEMAND)
-    };
-    let failing = capacity.failing.clone();
     let outcome = simulate(&FleetConfig {
         mean_response_secs: 0.055,
         flows: base.upstreams * 60,
         duration: Duration::from_secs(14),
         requests_per_flow: 8,
-        capacity: Some(capacity),
+        capacity: Some(Capacity {
+            burst_duration: Duration::from_secs(10),
+            ..change
+        }),
         ..base
     });
-    (outcome.capacity, failing)
+    outcome.capacity
+}
+
+fn demand(burst_demand: f64) -> Capacity {
+    Capacity {
+        burst_demand,
+        ..Capacity::new(USUAL_DEMAND)
+    }
+}
+
+/// The upstreams of a fleet whose number leaves a remainder below `below` when divided by `divisor`.
+fn upstreams(instances: u64, divisor: u64, below: u64) -> Vec<u64> {
+    let count = FleetConfig::new(instances, 1).upstreams;
+    (1..=count).filter(|id| id % divisor < below).collect()
 }
 
 /// Refusals counted as failures: 41 to 81 ejections per second on overloaded days, each of which moved load to others.
 #[test]
 fn an_overload_ejects_no_upstream_of_a_large_fleet() {
-    for demand in [0.8, 1.0, 1.3] {
-        let (outcome, _) = run(60, 1, demand, false);
-        assert!(outcome.refused > 0, "{demand}: nothing is refused");
-        assert!(outcome.ejections.is_empty(), "{demand}: {:?}", outcome.ejections);
+    for burst in [0.8, 1.0, 1.3] {
+        let outcome = run(60, 1, demand(burst));
+        assert!(outcome.refused > 0, "{burst}: nothing is refused");
+        assert!(outcome.ejections.is_empty(), "{burst}: {:?}", outcome.ejections);
     }
 }
 
@@ -57,36 +65,43 @@
 /// all cases. At the demand of the capacity and above it, up to two ejections in a run are tolerated.
 #[test]
 fn an_overload_ejects_few_upstreams_of_a_small_fleet() {
-    for (demand, max_ejections) in [(0.8, 0), (1.0, 2), (1.3, 2)] {
+    for (burst, max_ejections) in [(0.8, 0), (1.0, 2), (1.3, 2)] {
         for seed in 1..=8 {
-            let (outcome, _) = run(9, seed, demand, false);
-            let ejections = outcome.ejections;
-            assert!(ejections.len() <= max_ejections, "{demand}, seed {seed}: {ejections:?}");
+            let ejections = run(9, seed, demand(burst)).ejections;
+            assert!(ejections.len() <= max_ejections, "{burst}, seed {seed}: {ejections:?}");
         }
     }
 }
 
 /// Checks that all failing upstreams are ejected soon, and at most `max_others` others.
-fn assert_failing_are_ejected(instances: u64, seed: u64, demand: f64, max_others: usize) {
-    let (outcome, failing) = run(instances, seed, demand, true);
+fn assert_failing_are_ejected(instances: u64, seed: u64, burst: f64, max_others: usize) {
+    let failing = upstreams(instances, FAILING_EVERY, 1);
+    let outcome = run(
+        instances,
+        seed,
+        Capacity {
+            failing: failing.clone(),
+            ..demand(burst)
+        },
+    );
     for id in failing.iter().copied() {
         let first = outcome.ejections.iter().find(|(ejected, _)| *ejected == id);
         let is_soon = first.is_some_and(|(_, after)| *after <= MAX_DETECTION);
-        assert!(is_soon, "{demand}, seed {seed}: {id} {first:?}");
+        assert!(is_soon, "{burst}, seed {seed}: {id} {first:?}");
     }
     let others: Vec<_> = outcome
         .ejections
         .iter()
         .filter(|(id, _)| !failing.contains(id))
         .collect();
-    assert!(others.len() <= max_others, "{demand}, seed {seed}: {others:?}");
+    assert!(others.len() <= max_others, "{burst}, seed {seed}: {others:?}");
 }
 
 /// An upstream that fails 45% of its requests must not pass for one that is full, also while the others are full.
 #[test]
 fn failing_upstreams_of_a_large_fleet_are_ejected_and_no_others() {
-    for demand in [0.5, 0.8, 1.3] {
-        assert_failing_are_ejected(60, 1, demand, 0);
+    for burst in [0.5, 0.8, 1.3] {
+        assert_failing_are_ejected(60, 1, burst, 0);
     }
 }
 
