--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -170,7 +170,6 @@
     fn record_response(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32, was_full: bool, now: Time) {
         let length = self.typical_lengths.entry(key.route).or_default();
         let is_short = length.is_short(bytes);
-        length.add_sample(bytes);
         if let Some(listed) = self.directory.get(id)
             && let Some(service) = self.typical_services.get_mut(&listed.upstream().service)
         {
@@ -183,6 +182,8 @@
         } else {
             Outcome::Short
         };
+        let length = self.typical_lengths.entry(key.route).or_default();
+        length.add_sample(bytes, outcome == Outcome::Rejected);
         self.record_outcome(id, outcome, now);
     }
 
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -84,12 +84,12 @@
 /// Minimum step of the median estimate per answer, relative to the median.
 const MIN_MEDIAN_STEP: f64 = 0.02;
 
-/// Factor on the step for a short answer. An overloaded service may refuse more than half of its requests for as long
+/// Factor on the step for a refusal. An overloaded service may refuse more than half of its requests for as long
 /// as the overload lasts, and a median that followed would let the refusals count as regular answers.
 const SHORT_STEP_FACTOR: f64 = 0.25;
 
-/// Running estimate of the median response length of a route. It moves in small steps, and in smaller ones for short
-/// answers, so errors can't shift it while they are fewer than four in five of the answers.
+/// Running estimate of the median response length of a route. It moves in small steps, so errors can't shift it while
+/// they are fewer than half of the answers, and refusals while they are fewer than four in five.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct TypicalLength {
     median: f64,
@@ -97,7 +97,7 @@
 }
 
 impl TypicalLength {
-    pub(crate) fn add_sample(&mut self, bytes: u32) {
+    pub(crate) fn add_sample(&mut self, bytes: u32, is_refusal: bool) {
         let bytes = f64::from(bytes);
         self.answers = self.answers.saturating_add(1);
         if self.answers == 1 {
@@ -105,7 +105,7 @@
             return;
         }
         let mut step = MIN_MEDIAN_STEP.max(1.0 / f64::from(self.answers));
-        if self.is_short_length(bytes) {
+        if is_refusal {
             step *= SHORT_STEP_FACTOR;
         }
         if bytes > self.median {
@@ -117,10 +117,6 @@
 
     /// Whether an answer is far shorter than usual.
     pub(crate) fn is_short(&self, bytes: u32) -> bool {
-        self.answers >= MIN_ANSWERS && self.is_short_length(f64::from(bytes))
-    }
-
-    fn is_short_length(&self, bytes: f64) -> bool {
-        bytes < self.median * SHORT_FRACTION
+        self.answers >= MIN_ANSWERS && f64::from(bytes) < self.median * SHORT_FRACTION
     }
 }
