Show bursts sooner, and keep message numbers growing over idle times

Cause: a burst showed only after the next sample of each instance and a second of warm-up. The record of an idle group was removed with the number of its latest message, so that for up to ten seconds new messages counted as late. Change: a service above a quarter of its slots is sampled every 250 ms; a collector that has only samples answers without a warm-up; numbers span the groups of a sender, and have 64 bits. OwnGroup has a file of its own.

--- a/crates/flow/benches/load.rs
+++ b/crates/flow/benches/load.rs
@@ -33,13 +33,13 @@
 }
 
 /// A report of changes at eight upstreams, or of all values.
-fn report(from: u64, seq: u32, is_all: bool) -> LoadReport {
+fn report(from: u64, seq: u64, is_all: bool) -> LoadReport {
     let count = if is_all { UPSTREAMS } else { 8 };
     let values = (1..=count).map(|id| {
         let counts = WorkCounts {
-            in_flight: seq % 3,
+            in_flight: (seq % 3) as u32,
             open_flows: 3,
-            completed: seq,
+            completed: seq as u32,
         };
         (UpstreamId((id * from) % UPSTREAMS + 1).echo(), counts)
     });
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -18,6 +18,7 @@
 use crate::load::LoadReport;
 use crate::load::Loads;
 use crate::load::Member;
+use crate::load::Pace;
 use crate::load::Purpose;
 use crate::load::UpstreamSum;
 use crate::load::WorkCounts;
@@ -159,10 +160,16 @@
         self.expire_work(now);
         self.regroup(now);
         let Loads { own, views, .. } = &mut self.loads;
-        // With few busy services, the other groups cost no look-up.
-        let is_any_busy = views.is_any_busy(now);
-        let is_busy = |service: &str| is_any_busy && views.is_busy(service, now);
-        own.take_reports(&self.options.zone, is_busy, now)
+        // While all services are quiet, groups cost no look-up.
+        let is_any_active = views.is_any_active(now);
+        let pace = |service: &str| {
+            if is_any_active {
+                views.pace(service, now)
+            } else {
+                Pace::Quiet
+            }
+        };
+        own.take_reports(&self.options.zone, pace, now)
     }
 
     /// Brings the groups of own work in line with the directory.
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -8,6 +8,7 @@
 mod group_sums;
 mod message;
 mod own;
+mod own_group;
 mod service_time;
 mod view;
 
@@ -44,6 +45,17 @@
 /// Maximum number of upstreams of a group, so that a digest fits a packet of 1,500 bytes.
 pub(crate) const GROUP_LEN: usize = 64;
 
+/// How often the load of a service is reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Pace {
+    /// Work in flight is sampled once a second.
+    Quiet,
+    /// Work in flight is sampled more often, so that a burst shows soon.
+    Rising,
+    /// Values are reported by upstream.
+    Busy,
+}
+
 /// Work at one upstream, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Work {
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -59,14 +59,13 @@
 struct CollectedGroup {
     sums: GroupSums,
     is_busy: bool,
-    digest_seq: u32,
     digest_due: Time,
     digest_sent: Time,
     exchange_due: Time,
     /// Sums by zone, and by group within the zone; `None` is the whole zone.
     known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
     /// The latest message of each collector.
-    latest: HashMap<ReporterId, (Incarnation, u32)>,
+    latest: HashMap<ReporterId, (Incarnation, u64)>,
 }
 
 /// The groups that this instance collects.
@@ -76,7 +75,8 @@
     pub(crate) budget: Budget,
     /// The first group whose digest was put off for lack of budget.
     next_group: Option<LoadGroup>,
-    exchange_seq: u32,
+    /// Number of the latest digest or message with sums. It grows over all groups, as those without reporters are removed.
+    seq: u64,
     called_at: Time,
 }
 
@@ -147,7 +147,8 @@
                     self.next_group.get_or_insert_with(|| key.clone());
                     break;
                 }
-                if let Some(digest) = group.take_digest(key, answers_only, now) {
+                if let Some(digest) = group.take_digest(key, answers_only, self.seq + 1, now) {
+                    self.seq += 1;
                     self.budget.spend(digest.recipients.len());
                     due.push(digest);
                 }
@@ -172,8 +173,8 @@
             }
             group.exchange_due = now + EXCHANGE_INTERVAL;
             for (to, zones) in group.exchange(key, &zones(&key.service), now) {
-                self.exchange_seq += 1;
-                let seq = self.exchange_seq;
+                self.seq += 1;
+                let seq = self.seq;
                 self.budget.spend(COLLECTOR_COUNT);
                 due.push(ZoneLoads { to, seq, zones });
             }
@@ -187,7 +188,6 @@
         Self {
             sums: GroupSums::new(now),
             is_busy: false,
-            digest_seq: 0,
             digest_due: now,
             digest_sent: Time::default(),
             exchange_due: now,
@@ -217,8 +217,8 @@
 
     /// Takes the digest, if it is due: while busy for all recent reporters, else for those that reported since the
     /// previous one.
-    fn take_digest(&mut self, key: &LoadGroup, answers_only: bool, now: Time) -> Option<DueDigest> {
-        if now < self.digest_due || !self.sums.is_warm(now) {
+    fn take_digest(&mut self, key: &LoadGroup, answers_only: bool, seq: u64, now: Time) -> Option<DueDigest> {
+        if now < self.digest_due || !self.sums.may_answer(now) {
             return None;
         }
         self.digest_due = now + if self.is_busy { BUSY_INTERVAL } else { QUIET_INTERVAL };
@@ -229,12 +229,11 @@
         if recipients.is_empty() {
             return None;
         }
-        self.digest_seq += 1;
         let upstreams = self.is_busy.then(|| self.sums.upstream_sums()).flatten();
         let zones = self.zones(key).into_iter();
         let digest = LoadDigest {
             group: key.clone(),
-            seq: self.digest_seq,
+            seq,
             included: 0,
             is_busy: self.is_busy,
             upstreams,
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -41,7 +41,7 @@
     /// The instance.
     pub name: ReporterId,
     /// Number of its latest report that the sums include, zero if they include none.
-    pub included: u32,
+    pub included: u64,
     /// Whether it is in another availability zone, and so gets only sums.
     pub is_in_other_zone: bool,
 }
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 struct Contribution {
     incarnation: Incarnation,
-    seq: u32,
+    seq: u64,
     at: Time,
     is_in_other_zone: bool,
     /// Work in flight that is known only as a sum.
@@ -114,6 +114,12 @@
         now.since(self.since) >= WARM_UP
     }
 
+    /// Whether the sums may be told to others: they are complete, or all of them are samples. Samples of a few instances are
+    /// too low, as a view without them would be, but values by upstream mean that another collector knows more.
+    pub(super) fn may_answer(&self, now: Time) -> bool {
+        self.is_warm(now) || !self.reporters.values().any(Contribution::is_detailed)
+    }
+
     pub(super) fn is_unused(&self) -> bool {
         self.reporters.is_empty()
     }
@@ -229,6 +235,11 @@
 }
 
 impl Contribution {
+    /// Whether it has values by upstream.
+    fn is_detailed(&self) -> bool {
+        self.is_complete || !self.by_upstream.is_empty()
+    }
+
     /// Whether the sums include any of it.
     fn is_counted(&self) -> bool {
         self.sum > 0 || !self.by_upstream.is_empty()
--- a/crates/flow/src/load/message.rs
+++ b/crates/flow/src/load/message.rs
@@ -85,9 +85,9 @@
     /// The upstreams.
     #[serde(rename = "g")]
     pub group: LoadGroup,
-    /// Number of the report, growing within the group and the incarnation of the sender.
+    /// Number of the report, growing within the incarnation of the sender.
     #[serde(rename = "n")]
-    pub seq: u32,
+    pub seq: u64,
     /// Whether the sender is in another availability zone than the upstreams.
     #[serde(rename = "o", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_from_other_zone: bool,
@@ -135,12 +135,12 @@
     /// The upstreams.
     #[serde(rename = "g")]
     pub group: LoadGroup,
-    /// Number of the digest, growing within the group and the incarnation of the sender.
+    /// Number of the digest, growing within the incarnation of the sender.
     #[serde(rename = "n")]
-    pub seq: u32,
+    pub seq: u64,
     /// Number of the latest report of the receiver that the sums include, zero if they include none.
     #[serde(rename = "i", default)]
-    pub included: u32,
+    pub included: u64,
     /// Whether the service is busy, so that reports and digests are sent in detail and more often.
     #[serde(rename = "b", default)]
     pub is_busy: bool,
@@ -161,7 +161,7 @@
     pub to: LoadGroup,
     /// Number of the message, growing within the incarnation of the sender.
     #[serde(rename = "n")]
-    pub seq: u32,
+    pub seq: u64,
     /// The sums.
     #[serde(rename = "z")]
     pub zones: Vec<ZoneSum>,
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -1,7 +1,6 @@
 //! This instance's own work at upstreams: the counts, what was reported of them, and which reports are due.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,8 +13,11 @@
 use super::COLLECTOR_COUNT;
 use super::LoadGroup;
 use super::LoadReport;
-use super::ReportedWork;
+use super::Pace;
 use super::WorkCounts;
+use super::own_group::OwnGroup;
+use super::own_group::OwnUpstream;
+use super::own_group::SentValues;
 use crate::flows::FlowKey;
 use crate::packet::Echo;
 use crate::upstream::UpstreamId;
@@ -24,15 +26,8 @@
 const MAX_OPENING: Duration = Duration::from_secs(1);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
-/// Interval at which work in flight is sampled while a service isn't busy.
-const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which all values are sent while a service is busy: at every tenth call, also if calls come a bit early.
-const FULL_INTERVAL: Duration = Duration::from_millis(980);
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
 const INTEREST: Duration = Duration::from_secs(5);
-/// Number of reported values kept for each upstream and group: a report every 100 milliseconds over the time for which
-/// a digest is valid.
-const MAX_SENT: usize = 12;
 
 /// Whether work is an opening or a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,71 +46,6 @@
     pub(crate) since: Time,
 }
 
-/// Values as they were reported, by the numbers of the reports.
-#[derive(Debug, Default, Clone)]
-struct SentValues<T>(VecDeque<(u32, T)>);
-
-impl<T: Copy + Default + PartialEq> SentValues<T> {
-    fn push(&mut self, seq: u32, value: T) {
-        if self.0.len() == MAX_SENT {
-            self.0.pop_front();
-        }
-        self.0.push_back((seq, value));
-    }
-
-    fn last(&self) -> T {
-        self.0.back().map(|(_, value)| *value).unwrap_or_default()
-    }
-
-    /// The value that a collector held after the report of this number.
-    fn as_of(&self, seq: u32) -> T {
-        let sent = self.0.iter().rev().find(|(sent, _)| *sent <= seq);
-        sent.map(|(_, value)| *value).unwrap_or_default()
-    }
-}
-
-/// Own work at one upstream.
-#[derive(Debug)]
-struct OwnUpstream {
-    echo: Echo,
-    group: LoadGroup,
-    counts: WorkCounts,
-    sent: SentValues<WorkCounts>,
-}
-
-/// Own work at the upstreams of a group.
-#[derive(Debug)]
-struct OwnGroup {
-    upstreams: BTreeSet<UpstreamId>,
-    /// Number of the latest report.
-    seq: u32,
-    /// Work in flight as it was reported.
-    sent: SentValues<u32>,
-    /// When work in flight is sampled next.
-    sample_due: Time,
-    /// When all values were last sent, if the latest report had values of upstreams.
-    all_at: Option<Time>,
-}
-
-impl OwnGroup {
-    fn new(sample_due: Time) -> Self {
-        Self {
-            upstreams: BTreeSet::new(),
-            seq: 0,
-            sent: SentValues::default(),
-            sample_due,
-            all_at: None,
-        }
-    }
-
-    /// Begins the next report, which gives this work in flight.
-    fn next_seq(&mut self, in_flight: u32) -> u32 {
-        self.seq += 1;
-        self.sent.push(self.seq, in_flight);
-        self.seq
-    }
-}
-
 /// This instance's own work.
 #[derive(Debug, Default)]
 pub(crate) struct OwnWork {
@@ -123,6 +53,8 @@
     groups: BTreeMap<LoadGroup, OwnGroup>,
     /// When work last began at each service.
     begun_at: HashMap<CompactString, Time>,
+    /// Number of the latest report. It grows over all groups, as the record of an idle group is removed.
+    seq: u64,
     pub(crate) budget: Budget,
     /// The first group whose report was put off for lack of budget.
     next_group: Option<LoadGroup>,
@@ -163,13 +95,13 @@
     }
 
     /// Own work at an upstream as the report of this number gave it.
-    pub(super) fn counts_as_of(&self, id: UpstreamId, seq: u32) -> WorkCounts {
+    pub(super) fn counts_as_of(&self, id: UpstreamId, seq: u64) -> WorkCounts {
         let own = self.upstreams.get(&id);
         own.map(|own| own.sent.as_of(seq)).unwrap_or_default()
     }
 
     /// Own work in flight at a group, now and as the report of this number gave it.
-    pub(super) fn group_in_flight(&self, group: &LoadGroup, seq: u32) -> (u32, u32) {
+    pub(super) fn group_in_flight(&self, group: &LoadGroup, seq: u64) -> (u32, u32) {
         let Some(own) = self.groups.get(group) else {
             return (0, 0);
         };
@@ -236,12 +168,11 @@
 }
 
 impl OwnWork {
-    /// Takes the reports that are due. Upstreams of a service that `is_busy` are reported in detail, otherwise only work
-    /// in flight is sampled. Reports that the budget has no room for are put off.
+    /// Takes the reports that are due at the pace of each service. Reports that the budget has no room for are put off.
     pub(crate) fn take_reports(
         &mut self,
         own_zone: &ZoneName,
-        is_busy: impl Fn(&str) -> bool,
+        pace: impl Fn(&str) -> Pace,
         now: Time,
     ) -> Vec<LoadReport> {
         let mut reports = Vec::new();
@@ -254,20 +185,25 @@
                     self.next_group.get_or_insert_with(|| key.clone());
                     break;
                 }
-                let work = if is_busy(&key.service) {
-                    let begun_at = self.begun_at.get(&key.service);
-                    let has_interest = begun_at.is_some_and(|at| now.since(*at) < INTEREST);
-                    group.detail(&mut self.upstreams, has_interest, now)
-                } else {
-                    group.sample(&mut self.upstreams, now)
+                let at = (self.seq + 1, now);
+                let work = match pace(&key.service) {
+                    Pace::Busy => {
+                        let begun_at = self.begun_at.get(&key.service);
+                        let has_interest = begun_at.is_some_and(|at| now.since(*at) < INTEREST);
+                        group.detail(&mut self.upstreams, has_interest, at)
+                    }
+                    // Where groups are many, there is no budget for more samples.
+                    Pace::Rising if !self.budget.has_many_groups() => group.sample_often(&mut self.upstreams, at),
+                    Pace::Rising | Pace::Quiet => group.sample(&mut self.upstreams, at),
                 };
                 let Some(work) = work else {
                     continue;
                 };
+                self.seq += 1;
                 self.budget.spend(COLLECTOR_COUNT);
                 reports.push(LoadReport {
                     group: key.clone(),
-                    seq: group.seq,
+                    seq: self.seq,
                     is_from_other_zone: key.zone != *own_zone,
                     work,
                 });
@@ -314,79 +250,3 @@
         groups.retain(|key, group| !group.upstreams.is_empty() || begun_at.contains_key(&key.service));
     }
 }
-
-impl OwnGroup {
-    /// The work in flight, if a sample is due and there is any.
-    fn sample(&mut self, upstreams: &mut HashMap<UpstreamId, OwnUpstream>, now: Time) -> Option<ReportedWork> {
-        self.all_at = None;
-        if now < self.sample_due {
-            return None;
-        }
-        // Keeps the phase, except after a pause of this process.
-        self.sample_due = (self.sample_due + SAMPLE_INTERVAL).max(now);
-        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
-        let in_flight = own.map(|own| own.counts.in_flight).sum();
-        self.remove_idle(upstreams, OwnUpstream::is_idle);
-        if in_flight == 0 {
-            return None;
-        }
-        self.next_seq(in_flight);
-        Some(ReportedWork::Sum(in_flight))
-    }
-
-    /// All values if they are due, or those that have changed since the previous report.
-    fn detail(
-        &mut self,
-        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
-        has_interest: bool,
-        now: Time,
-    ) -> Option<ReportedWork> {
-        let is_all = self.all_at.is_none_or(|at| now.since(at) >= FULL_INTERVAL);
-        if is_all {
-            // The collector learns from their absence that they are idle.
-            self.remove_idle(upstreams, |own| own.is_idle() && !own.has_changed());
-        }
-        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
-        let values = own.clone().filter(|own| is_all || own.has_changed());
-        let values: Vec<(Echo, WorkCounts)> = values.map(|own| (own.echo, own.counts)).collect();
-        if values.is_empty() && !(is_all && has_interest) {
-            return None;
-        }
-        let seq = self.next_seq(own.map(|own| own.counts.in_flight).sum());
-        for id in &self.upstreams {
-            if let Some(own) = upstreams.get_mut(id).filter(|own| own.has_changed()) {
-                own.sent.push(seq, own.counts);
-            }
-        }
-        if !is_all {
-            return Some(ReportedWork::Changed(values));
-        }
-        self.all_at = Some(now);
-        Some(ReportedWork::All(values))
-    }
-
-    fn remove_idle(
-        &mut self,
-        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
-        is_idle: impl Fn(&OwnUpstream) -> bool,
-    ) {
-        self.upstreams.retain(|id| {
-            let is_kept = upstreams.get(id).is_some_and(|own| !is_idle(own));
-            if !is_kept {
-                upstreams.remove(id);
-            }
-            is_kept
-        });
-    }
-}
-
-impl OwnUpstream {
-    fn is_idle(&self) -> bool {
-        self.counts.in_flight == 0 && self.counts.open_flows == 0
-    }
-
-    /// Whether the counts differ from those that were last reported.
-    fn has_changed(&self) -> bool {
-        self.counts != self.sent.last()
-    }
-}
--- /dev/null
+++ b/crates/flow/src/load/own_group.rs
@@ -0,0 +1,187 @@
+//! Own work at the upstreams of one group: what was reported of it, and what the next report says.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use units::Time;
+
+use super::LoadGroup;
+use super::ReportedWork;
+use super::WorkCounts;
+use crate::packet::Echo;
+use crate::upstream::UpstreamId;
+
+/// Interval at which work in flight is sampled while a service isn't busy.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while work in flight is above a quarter of the slots, and the age from which an unchanged sample is repeated,
+/// as samples count for a second.
+const RISING_INTERVAL: Duration = Duration::from_millis(250);
+const REPEAT_AFTER: Duration = Duration::from_millis(700);
+/// Interval at which all values are sent while a service is busy: at every tenth call, also if calls come a bit early.
+const FULL_INTERVAL: Duration = Duration::from_millis(980);
+/// Number of reported values kept for each upstream and group: a report every 100 milliseconds over the time for which
+/// a digest is valid.
+const MAX_SENT: usize = 12;
+
+/// Values as they were reported, by the numbers of the reports.
+#[derive(Debug, Default, Clone)]
+pub(super) struct SentValues<T>(VecDeque<(u64, T)>);
+
+impl<T: Copy + Default + PartialEq> SentValues<T> {
+    pub(super) fn push(&mut self, seq: u64, value: T) {
+        if self.0.len() == MAX_SENT {
+            self.0.pop_front();
+        }
+        self.0.push_back((seq, value));
+    }
+
+    pub(super) fn last(&self) -> T {
+        self.0.back().map(|(_, value)| *value).unwrap_or_default()
+    }
+
+    /// The value that a collector held after the report of this number.
+    pub(super) fn as_of(&self, seq: u64) -> T {
+        let sent = self.0.iter().rev().find(|(sent, _)| *sent <= seq);
+        sent.map(|(_, value)| *value).unwrap_or_default()
+    }
+}
+
+/// Own work at one upstream.
+#[derive(Debug)]
+pub(super) struct OwnUpstream {
+    pub(super) echo: Echo,
+    pub(super) group: LoadGroup,
+    pub(super) counts: WorkCounts,
+    pub(super) sent: SentValues<WorkCounts>,
+}
+
+/// Own work at the upstreams of a group.
+#[derive(Debug)]
+pub(super) struct OwnGroup {
+    pub(super) upstreams: BTreeSet<UpstreamId>,
+    /// Work in flight as it was reported.
+    pub(super) sent: SentValues<u32>,
+    /// When work in flight is sampled next.
+    sample_due: Time,
+    /// When a sample was last reported.
+    sampled_at: Time,
+    /// When all values were last sent, if the latest report had values of upstreams.
+    all_at: Option<Time>,
+}
+
+impl OwnGroup {
+    pub(super) fn new(sample_due: Time) -> Self {
+        Self {
+            upstreams: BTreeSet::new(),
+            sent: SentValues::default(),
+            sample_due,
+            sampled_at: Time::default(),
+            all_at: None,
+        }
+    }
+
+    /// The work in flight, if a sample is due and there is any.
+    pub(super) fn sample(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        (seq, now): (u64, Time),
+    ) -> Option<ReportedWork> {
+        let in_flight = self.take_sample(upstreams, SAMPLE_INTERVAL, now)?;
+        (in_flight > 0).then(|| self.report_sum(in_flight, seq, now))
+    }
+
+    /// The work in flight, if a sample is due and differs from the previous one, or that one is about to expire.
+    pub(super) fn sample_often(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        (seq, now): (u64, Time),
+    ) -> Option<ReportedWork> {
+        self.sample_due = self.sample_due.min(now + RISING_INTERVAL);
+        let in_flight = self.take_sample(upstreams, RISING_INTERVAL, now)?;
+        let is_repeated = in_flight > 0 && now.since(self.sampled_at) >= REPEAT_AFTER;
+        (in_flight != self.sent.last() || is_repeated).then(|| self.report_sum(in_flight, seq, now))
+    }
+
+    fn report_sum(&mut self, in_flight: u32, seq: u64, now: Time) -> ReportedWork {
+        self.sampled_at = now;
+        self.sent.push(seq, in_flight);
+        ReportedWork::Sum(in_flight)
+    }
+
+    /// The work in flight, if a sample is due.
+    fn take_sample(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        interval: Duration,
+        now: Time,
+    ) -> Option<u32> {
+        self.all_at = None;
+        if now < self.sample_due {
+            return None;
+        }
+        // Keeps the phase, except after a pause of this process.
+        self.sample_due = (self.sample_due + interval).max(now);
+        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
+        let in_flight = own.map(|own| own.counts.in_flight).sum();
+        self.remove_idle(upstreams, OwnUpstream::is_idle);
+        Some(in_flight)
+    }
+
+    /// All values if they are due, or those that have changed since the previous report.
+    pub(super) fn detail(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        has_interest: bool,
+        (seq, now): (u64, Time),
+    ) -> Option<ReportedWork> {
+        let is_all = self.all_at.is_none_or(|at| now.since(at) >= FULL_INTERVAL);
+        if is_all {
+            // The collector learns from their absence that they are idle.
+            self.remove_idle(upstreams, |own| own.is_idle() && !own.has_changed());
+        }
+        let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
+        let values = own.clone().filter(|own| is_all || own.has_changed());
+        let values: Vec<(Echo, WorkCounts)> = values.map(|own| (own.echo, own.counts)).collect();
+        if values.is_empty() && !(is_all && has_interest) {
+            return None;
+        }
+        self.sent.push(seq, own.map(|own| own.counts.in_flight).sum());
+        for id in &self.upstreams {
+            if let Some(own) = upstreams.get_mut(id).filter(|own| own.has_changed()) {
+                own.sent.push(seq, own.counts);
+            }
+        }
+        if !is_all {
+            return Some(ReportedWork::Changed(values));
+        }
+        self.all_at = Some(now);
+        Some(ReportedWork::All(values))
+    }
+
+    fn remove_idle(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        is_idle: impl Fn(&OwnUpstream) -> bool,
+    ) {
+        self.upstreams.retain(|id| {
+            let is_kept = upstreams.get(id).is_some_and(|own| !is_idle(own));
+            if !is_kept {
+                upstreams.remove(id);
+            }
+            is_kept
+        });
+    }
+}
+
+impl OwnUpstream {
+    pub(super) fn is_idle(&self) -> bool {
+        self.counts.in_flight == 0 && self.counts.open_flows == 0
+    }
+
+    /// Whether the counts differ from those that were last reported.
+    pub(super) fn has_changed(&self) -> bool {
+        self.counts != self.sent.last()
+    }
+}
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -12,6 +12,7 @@
 use super::LoadDigest;
 use super::LoadGroup;
 use super::OwnWork;
+use super::Pace;
 use super::Work;
 use super::ZoneLoad;
 use super::from_micros;
@@ -21,6 +22,10 @@
 
 /// Age from which a view counts as no view.
 const VALIDITY: Duration = Duration::from_secs(1);
+/// Work in flight per slot of a zone from which it is sampled more often, in percent, and for how long after a digest that
+/// shows this.
+const RISING_PERCENT: u32 = 25;
+const RISING_VALIDITY: Duration = Duration::from_millis(2_500);
 /// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one every
 /// 100 milliseconds.
 const BUSY_SUM_VALIDITY: Duration = Duration::from_millis(300);
@@ -50,6 +55,8 @@
     given_at: BTreeMap<ZoneName, Time>,
     /// When a collector last said that the service is busy.
     busy_at: Option<Time>,
+    /// When a digest last showed a zone above [`RISING_PERCENT`].
+    rising_at: Option<Time>,
     at: Time,
 }
 
@@ -57,7 +64,7 @@
 #[derive(Debug, Clone, Copy)]
 struct LatestDigest {
     incarnation: Incarnation,
-    seq: u32,
+    seq: u64,
     at: Time,
 }
 
@@ -95,15 +102,27 @@
             .fold(0, |sum, load| sum.saturating_add(load.in_flight))
     }
 
+    /// How often the load of a service is reported.
+    pub(crate) fn pace(&self, service: &str, now: Time) -> Pace {
+        if self.is_busy(service, now) {
+            return Pace::Busy;
+        }
+        let rising_at = self.services.get(service).and_then(|view| view.rising_at);
+        let is_rising = rising_at.is_some_and(|at| now.since(at) < RISING_VALIDITY);
+        if is_rising { Pace::Rising } else { Pace::Quiet }
+    }
+
     /// Whether a collector says that the service is busy.
     pub(crate) fn is_busy(&self, service: &str, now: Time) -> bool {
         let busy_at = self.service(service, now).and_then(|view| view.busy_at);
         busy_at.is_some_and(|at| now.since(at) < VALIDITY)
     }
 
-    /// Whether a collector says so of any service.
-    pub(crate) fn is_any_busy(&self, now: Time) -> bool {
-        self.services.keys().any(|service| self.is_busy(service, now))
+    /// Whether any service isn't quiet.
+    pub(crate) fn is_any_active(&self, now: Time) -> bool {
+        self.services
+            .keys()
+            .any(|service| self.pace(service, now) != Pace::Quiet)
     }
 
     /// Adds or subtracts one piece of own work.
@@ -152,6 +171,11 @@
         if digest.is_busy {
             view.busy_at = Some(now);
         }
+        let is_rising =
+            |load: &ZoneLoad| load.in_flight.saturating_mul(100) >= load.slots.saturating_mul(RISING_PERCENT);
+        if digest.zones.iter().any(|(_, load)| load.slots > 0 && is_rising(load)) {
+            view.rising_at = Some(now);
+        }
         for (zone, load) in &digest.zones {
             view.zones.insert(zone.clone(), *load);
             view.given_at.insert(zone.clone(), now);
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -70,7 +70,7 @@
 }
 
 /// A digest that gives each of these upstreams this work in flight.
-fn digest(seq: u32, upstreams: &[(u64, u32)]) -> LoadDigest {
+fn digest(seq: u64, upstreams: &[(u64, u32)]) -> LoadDigest {
     let sums = upstreams.iter().map(|(id, in_flight)| UpstreamSum {
         echo: UpstreamId(*id).echo(),
         in_flight: *in_flight,
@@ -447,3 +447,53 @@
     }
     assert_eq!(groups.len(), 13_000_usize.div_ceil(64));
 }
+
+/// Guards against a view that comes only when a burst is nearly over.
+#[test]
+fn a_burst_at_a_service_in_use_shows_within_half_a_second() {
+    let mut fleet = Fleet::new(&[0; 8], 10, 1);
+    for instance in 0..8 {
+        fleet.open(instance);
+    }
+    fleet.run(5_000, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_none(), "quiet");
+    for instance in [0, 1, 2, 3, 4, 5, 6, 7, 0, 1] {
+        fleet.open(instance);
+    }
+    fleet.run(500, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_some());
+    fleet.run(200, &Network::default());
+    fleet.assert_views_are_exact();
+}
+
+/// Guards against numbers that start anew with a group, so that messages count as late.
+#[test]
+fn a_service_that_was_idle_for_a_while_gets_a_view_again() {
+    for idle_ms in [3_000, 4_500, 6_000, 7_500] {
+        let mut fleet = Fleet::new(&[0; 8], 2, 1);
+        for instance in 0..8 {
+            fleet.open(instance);
+        }
+        fleet.run(6_000, &Network::default());
+        fleet.close_all();
+        fleet.run(idle_ms, &Network::default());
+        for instance in 0..8 {
+            fleet.open(instance);
+        }
+        fleet.run(3_000, &Network::default());
+        fleet.assert_views_are_exact();
+    }
+}
+
+#[test]
+fn a_burst_at_an_idle_service_shows_within_little_more_than_a_second() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    fleet.run(3_000, &Network::default());
+    for instance in [0, 1, 2, 3, 4, 5, 6, 7, 0, 1, 2, 3, 4, 5, 6, 7] {
+        fleet.open(instance);
+    }
+    fleet.run(1_300, &Network::default());
+    assert!(fleet.cores[5].joint_work(UpstreamId(1), fleet.now).is_some());
+    fleet.run(1_000, &Network::default());
+    fleet.assert_views_are_exact();
+}
--- a/crates/flow/tests/load_fleet/mod.rs
+++ b/crates/flow/tests/load_fleet/mod.rs
@@ -102,6 +102,18 @@
         });
     }
 
+    /// Closes all flows.
+    pub fn close_all(&mut self) {
+        for flow in self.flows.drain(..) {
+            let fin = Packet {
+                flags: Flags::FIN | Flags::ACK,
+                len: 0,
+                ..flow.packet
+            };
+            self.cores[flow.instance].handle_packet(&fin, self.now);
+        }
+    }
+
     /// Ends an instance and its flows.
     pub fn kill(&mut self, instance: usize) {
         self.is_killed[instance] = true;
