Count work with fewer look-ups

Cause: each opening and request looked its flow up again, and its service by name. Change: the flow itself says which work a packet ends and begins; a service is noted at most twice a second for each upstream; zones are adjusted only where there is a view.

--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -49,14 +49,14 @@
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
             self.close(key);
             self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
-            self.count_flow(key, now);
+            self.count_flow(id, now);
             self.health.entry(id).or_default().flows += 1;
         }
         let Some(flow) = self.flows.get_mut(key) else {
             return Observation::default();
         };
-        let was_working = flow.working_since.is_some();
         let sign = flow.observe(packet, now);
+        let work = flow.update_work(sign, now);
         let health = self.health.entry(id).or_default();
         let progress = if sign.is_progress {
             health.record_progress(now)
@@ -79,9 +79,7 @@
         if progress.is_revived {
             self.handle_revival(id, now, now);
         }
-        if sign.is_request || (sign.is_progress && was_working) {
-            self.count_work(key, sign, now);
-        }
+        self.count_work(key, id, work, now);
         if let Some(bytes) = sign.answer_len {
             self.count_completion(key, id, bytes);
         }
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -10,7 +10,7 @@
 use super::Core;
 use crate::flows::Flow;
 use crate::flows::FlowKey;
-use crate::flows::Observation;
+use crate::flows::WorkChange;
 use crate::load::DueDigest;
 use crate::load::ListedSlots;
 use crate::load::LoadDigest;
@@ -44,23 +44,23 @@
 }
 
 impl Core {
-    /// Counts a flow that was inserted into the flow table, and its opening if this instance has placed it.
-    pub(super) fn count_flow(&mut self, key: &FlowKey, now: Time) {
-        let Some(flow) = self.flows.get_mut(key) else {
+    /// Counts a flow that was inserted into the flow table.
+    pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
+        if self.loads.own.open(id) {
             return;
-        };
-        let (id, is_opening) = (flow.upstream, flow.is_opening());
-        if !self.loads.own.contains(id) {
-            let Some((group, echo)) = self.directory.load_group(id) else {
-                return;
-            };
-            let phase = sample_phase(self.options.seed, echo);
-            self.loads.own.insert(id, echo, group, phase, now);
         }
+        let Some((group, echo)) = self.directory.load_group(id) else {
+            return;
+        };
+        let phase = sample_phase(self.options.seed, echo);
+        self.loads.own.insert(id, echo, group, phase, now);
         self.loads.own.open(id);
-        if is_opening {
-            self.begin_work(key, WorkKind::Opening, now);
-        }
+    }
+
+    /// Counts a flow that this instance has placed and inserted into the flow table, and its opening.
+    pub(super) fn count_opening(&mut self, key: &FlowKey, id: UpstreamId, now: Time) {
+        self.count_flow(id, now);
+        self.begin_work(key, id, WorkKind::Opening, now);
     }
 
     /// Counts the end of a flow that was removed from the flow table.
@@ -71,13 +71,13 @@
         self.loads.own.close(flow.upstream);
     }
 
-    /// Counts the work that a packet of an established flow begins and ends.
-    pub(super) fn count_work(&mut self, key: &FlowKey, sign: Observation, now: Time) {
-        if sign.is_progress {
-            self.finish_work(key);
+    /// Counts the work that a packet of an established flow ends and begins.
+    pub(super) fn count_work(&mut self, key: &FlowKey, id: UpstreamId, work: WorkChange, now: Time) {
+        if work.has_ended {
+            self.end_work(id);
         }
-        if sign.is_request {
-            self.begin_work(key, WorkKind::Request, now);
+        if work.has_begun {
+            self.begin_work(key, id, WorkKind::Request, now);
         }
     }
 
@@ -111,36 +111,20 @@
             let is_opening = work.kind == WorkKind::Opening;
             let flow = self.flows.get_mut(&work.key);
             let flow = flow.filter(|flow| flow.working_since == Some(work.since) && flow.is_opening() == is_opening);
-            if flow.is_some() {
-                self.finish_work(&work.key);
-            }
+            let Some(flow) = flow else {
+                continue;
+            };
+            flow.working_since = None;
+            let id = flow.upstream;
+            self.end_work(id);
         }
     }
 
-    fn begin_work(&mut self, key: &FlowKey, kind: WorkKind, now: Time) {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return;
-        };
-        if flow.working_since.is_some() {
-            return;
-        }
-        flow.working_since = Some(now);
-        let id = flow.upstream;
+    fn begin_work(&mut self, key: &FlowKey, id: UpstreamId, kind: WorkKind, now: Time) {
         self.loads.own.begin(id, *key, kind, now);
         self.adjust_zone(id, 1);
     }
 
-    /// Ends the work of a flow.
-    fn finish_work(&mut self, key: &FlowKey) {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return;
-        };
-        let id = flow.upstream;
-        if flow.working_since.take().is_some() {
-            self.end_work(id);
-        }
-    }
-
     fn end_work(&mut self, id: UpstreamId) {
         if self.loads.own.end(id) {
             self.adjust_zone(id, -1);
@@ -148,6 +132,9 @@
     }
 
     fn adjust_zone(&mut self, id: UpstreamId, by: i32) {
+        if self.loads.views.is_empty() {
+            return;
+        }
         if let Some(listed) = self.directory.get(id) {
             let upstream = listed.upstream();
             self.loads.views.adjust(&upstream.service, &upstream.zone, by);
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -64,7 +64,7 @@
         self.record_cold_flow(id, now);
         self.loss.note_attempt(now);
         self.flows.insert(key, flow);
-        self.count_flow(&key, now);
+        self.count_opening(&key, id, now);
         self.checks.add_opening(key, now);
         self.forward(id)
     }
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -130,7 +130,7 @@
             pending: None,
             counted_in_stall: 0,
             request: None,
-            working_since: None,
+            working_since: (stage == Stage::Opening).then_some(now),
         }
     }
 
@@ -191,7 +191,24 @@
     }
 }
 
+/// Work in flight that a packet ends and begins.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct WorkChange {
+    pub(crate) has_ended: bool,
+    pub(crate) has_begun: bool,
+}
+
 impl Flow {
+    /// Updates the work in flight after a packet.
+    pub(crate) fn update_work(&mut self, sign: Observation, now: Time) -> WorkChange {
+        let has_ended = sign.is_progress && self.working_since.take().is_some();
+        let has_begun = sign.is_request && self.working_since.is_none();
+        if has_begun {
+            self.working_since = Some(now);
+        }
+        WorkChange { has_ended, has_begun }
+    }
+
     /// Starts a new request. Returns the length of the response to the previous one.
     fn begin_request(&mut self, now: Time) -> Option<u32> {
         let answer_len = self.answer_len();
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -29,6 +29,9 @@
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
 const INTEREST: Duration = Duration::from_secs(5);
 
+/// Interval at which each upstream's work is noted for its service, which takes a look-up by name.
+const NOTE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Whether work is an opening or a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WorkKind {
@@ -64,11 +67,6 @@
 }
 
 impl OwnWork {
-    /// Whether there is a record of an upstream.
-    pub(crate) fn contains(&self, id: UpstreamId) -> bool {
-        self.upstreams.contains_key(&id)
-    }
-
     /// Adds a record of an upstream. `phase` is the time until the first sample of its group, random within a second,
     /// so that samples are independent of when work begins.
     pub(crate) fn insert(&mut self, id: UpstreamId, echo: Echo, group: LoadGroup, phase: Duration, now: Time) {
@@ -79,6 +77,7 @@
             echo,
             group,
             counts: WorkCounts::default(),
+            noted_at: Time::default(),
             sent: SentValues::default(),
         };
         self.upstreams.insert(id, upstream);
@@ -109,11 +108,13 @@
         (now, own.sent.as_of(seq))
     }
 
-    /// Counts an open flow.
-    pub(crate) fn open(&mut self, id: UpstreamId) {
-        if let Some(own) = self.upstreams.get_mut(&id) {
-            own.counts.open_flows += 1;
-        }
+    /// Counts an open flow. Returns whether there is a record of its upstream.
+    pub(crate) fn open(&mut self, id: UpstreamId) -> bool {
+        let Some(own) = self.upstreams.get_mut(&id) else {
+            return false;
+        };
+        own.counts.open_flows += 1;
+        true
     }
 
     /// Counts the end of a flow.
@@ -129,11 +130,9 @@
             return;
         };
         own.counts.in_flight += 1;
-        match self.begun_at.get_mut(&own.group.service) {
-            Some(at) => *at = now,
-            None => {
-                self.begun_at.insert(own.group.service.clone(), now);
-            }
+        if now.since(own.noted_at) >= NOTE_INTERVAL {
+            own.noted_at = now;
+            self.begun_at.insert(own.group.service.clone(), now);
         }
         let (queue, lasts) = match kind {
             WorkKind::Opening => (&mut self.openings, MAX_OPENING),
@@ -186,15 +185,15 @@
                     break;
                 }
                 let at = (self.seq + 1, now);
+                let upstreams = &mut self.upstreams;
                 let work = match pace(&key.service) {
                     Pace::Busy => {
-                        let begun_at = self.begun_at.get(&key.service);
-                        let has_interest = begun_at.is_some_and(|at| now.since(*at) < INTEREST);
-                        group.detail(&mut self.upstreams, has_interest, at)
+                        let has_interest = has_interest(self.begun_at.get(&key.service), now);
+                        group.detail(upstreams, has_interest, at)
                     }
                     // Where groups are many, there is no budget for more samples.
-                    Pace::Rising if !self.budget.has_many_groups() => group.sample_often(&mut self.upstreams, at),
-                    Pace::Rising | Pace::Quiet => group.sample(&mut self.upstreams, at),
+                    Pace::Rising if !self.budget.has_many_groups() => group.sample_often(upstreams, at),
+                    Pace::Rising | Pace::Quiet => group.sample(upstreams, at),
                 };
                 let Some(work) = work else {
                     continue;
@@ -250,3 +249,8 @@
         groups.retain(|key, group| !group.upstreams.is_empty() || begun_at.contains_key(&key.service));
     }
 }
+
+/// Whether an instance at which work last began then still asks for digests.
+fn has_interest(begun_at: Option<&Time>, now: Time) -> bool {
+    begun_at.is_some_and(|at| now.since(*at) < INTEREST)
+}
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -54,6 +54,8 @@
     pub(super) echo: Echo,
     pub(super) group: LoadGroup,
     pub(super) counts: WorkCounts,
+    /// When work there was last noted for its service.
+    pub(super) noted_at: Time,
     pub(super) sent: SentValues<WorkCounts>,
 }
 
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -125,6 +125,11 @@
             .any(|service| self.pace(service, now) != Pace::Quiet)
     }
 
+    /// Whether there is no view of any service.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Adds or subtracts one piece of own work.
     pub(crate) fn adjust(&mut self, service: &str, zone: &ZoneName, by: i32) {
         let Some(view) = self.services.get_mut(service) else {
