--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -49,14 +49,18 @@
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
             self.close(key);
             self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
-            self.count_flow(key, now);
+            self.count_flow(id, now);
             self.health.entry(id).or_default().flows += 1;
         }
         let Some(flow) = self.flows.get_mut(key) else {
             return Observation::default();
         };
-        let was_working = flow.working_since.is_some();
         let sign = flow.observe(packet, now);
+        let work = flow.update_work(sign, now);
+        let is_complete = super::load::is_complete(work.answer_len, self.typical_lengths.get(&key.route));
+        if is_complete && !sign.is_request {
+            flow.is_incomplete = false;
+        }
         let health = self.health.entry(id).or_default();
         let progress = if sign.is_progress {
             health.record_progress(now)
@@ -79,11 +83,9 @@
         if progress.is_revived {
             self.handle_revival(id, now, now);
         }
-        if sign.is_request || (sign.is_progress && was_working) {
-            self.count_work(key, sign, now);
-        }
-        if let Some(bytes) = sign.answer_len {
-            self.count_completion(key, id, bytes);
+        self.count_work(key, id, work, now);
+        if is_complete {
+            self.loads.own.complete(id);
         }
         self.record_waits(id, sign);
         self.record_attempts(key, id, sign, now);
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -10,7 +10,7 @@
 use super::Core;
 use crate::flows::Flow;
 use crate::flows::FlowKey;
-use crate::flows::Observation;
+use crate::flows::WorkChange;
 use crate::load::DueDigest;
 use crate::load::ListedSlots;
 use crate::load::LoadDigest;
@@ -18,6 +18,7 @@
 use crate::load::LoadReport;
 use crate::load::Loads;
 use crate::load::Member;
+use crate::load::Pace;
 use crate::load::Purpose;
 use crate::load::UpstreamSum;
 use crate::load::WorkCounts;
@@ -29,6 +30,7 @@
 use crate::packet::Flags;
 use crate::packet::Packet;
 use crate::report::ReporterId;
+use crate::typical::TypicalLength;
 use crate::upstream::UpstreamId;
 
 /// Interval at which the groups of own work are compared with the directory.
@@ -42,24 +44,30 @@
     Duration::from_micros(mixed >> 44)
 }
 
+/// Whether the answer so far is long enough for its request to count as completed. Answers that are far shorter than usual
+/// don't count: upstreams without capacity refuse with them, and would look fast.
+pub(super) fn is_complete(answer_len: Option<u32>, typical: Option<&TypicalLength>) -> bool {
+    answer_len.is_some_and(|bytes| !typical.is_some_and(|typical| typical.is_short(bytes)))
+}
+
 impl Core {
-    /// Counts a flow that was inserted into the flow table, and its opening if this instance has placed it.
-    pub(super) fn count_flow(&mut self, key: &FlowKey, now: Time) {
-        let Some(flow) = self.flows.get_mut(key) else {
+    /// Counts a flow that was inserted into the flow table.
+    pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
+        if self.loads.own.open(id) {
             return;
-        };
-        let (id, is_opening) = (flow.upstream, flow.is_opening());
-        if !self.loads.own.contains(id) {
-            let Some((group, echo)) = self.directory.load_group(id) else {
-                return;
-            };
-            let phase = sample_phase(self.options.seed, echo);
-            self.loads.own.insert(id, echo, group, phase, now);
         }
+        let Some((group, echo)) = self.directory.load_group(id) else {
+            return;
+        };
+        let phase = sample_phase(self.options.seed, echo);
+        self.loads.own.insert(id, echo, group, phase, now);
         self.loads.own.open(id);
-        if is_opening {
-            self.begin_work(key, WorkKind::Opening, now);
-        }
+    }
+
+    /// Counts a flow that this instance has placed and inserted into the flow table, and its opening.
+    pub(super) fn count_opening(&mut self, key: &FlowKey, id: UpstreamId, now: Time) {
+        self.count_flow(id, now);
+        self.begin_work(key, id, WorkKind::Opening, now);
     }
 
     /// Counts the end of a flow that was removed from the flow table.
@@ -70,22 +78,13 @@
         self.loads.own.close(flow.upstream);
     }
 
-    /// Counts the work that a packet of an established flow begins and ends.
-    pub(super) fn count_work(&mut self, key: &FlowKey, sign: Observation, now: Time) {
-        if sign.is_progress {
-            self.finish_work(key);
-        }
-        if sign.is_request {
-            self.begin_work(key, WorkKind::Request, now);
+    /// Counts the work that a packet of an established flow ends and begins.
+    pub(super) fn count_work(&mut self, key: &FlowKey, id: UpstreamId, work: WorkChange, now: Time) {
+        if work.has_ended {
+            self.end_work(id);
         }
-    }
-
-    /// Counts an answered request, unless the answer is far shorter than usual: upstreams without capacity refuse with
-    /// short answers, and these would make them look fast.
-    pub(super) fn count_completion(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32) {
-        let typical = self.typical_lengths.get(&key.route);
-        if !typical.is_some_and(|typical| typical.is_short(bytes)) {
-            self.loads.own.complete(id);
+        if work.has_begun {
+            self.begin_work(key, id, WorkKind::Request, now);
         }
     }
 
@@ -94,12 +93,12 @@
         if !packet.flags.contains(Flags::FIN) {
             return;
         }
-        let answered = self
-            .flows
-            .get_mut(key)
-            .and_then(|flow| Some((flow.upstream, flow.answer_len()?)));
-        if let Some((id, bytes)) = answered {
-            self.count_completion(key, id, bytes);
+        let Some(flow) = self.flows.get_mut(key).filter(|flow| flow.is_incomplete) else {
+            return;
+        };
+        let id = flow.upstream;
+        if is_complete(flow.answer_len(), self.typical_lengths.get(&key.route)) {
+            self.loads.own.complete(id);
         }
     }
 
@@ -110,36 +109,20 @@
             let is_opening = work.kind == WorkKind::Opening;
             let flow = self.flows.get_mut(&work.key);
             let flow = flow.filter(|flow| flow.working_since == Some(work.since) && flow.is_opening() == is_opening);
-            if flow.is_some() {
-                self.finish_work(&work.key);
-            }
+            let Some(flow) = flow else {
+                continue;
+            };
+            flow.working_since = None;
+            let id = flow.upstream;
+            self.end_work(id);
         }
     }
 
-    fn begin_work(&mut self, key: &FlowKey, kind: WorkKind, now: Time) {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return;
-        };
-        if flow.working_since.is_some() {
-            return;
-        }
-        flow.working_since = Some(now);
-        let id = flow.upstream;
+    fn begin_work(&mut self, key: &FlowKey, id: UpstreamId, kind: WorkKind, now: Time) {
         self.loads.own.begin(id, *key, kind, now);
         self.adjust_zone(id, 1);
     }
 
-    /// Ends the work of a flow.
-    fn finish_work(&mut self, key: &FlowKey) {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return;
-        };
-        let id = flow.upstream;
-        if flow.working_since.take().is_some() {
-            self.end_work(id);
-        }
-    }
-
     fn end_work(&mut self, id: UpstreamId) {
         if self.loads.own.end(id) {
             self.adjust_zone(id, -1);
@@ -147,6 +130,9 @@
     }
 
     fn adjust_zone(&mut self, id: UpstreamId, by: i32) {
+        if self.loads.views.is_empty() {
+            return;
+        }
         if let Some(listed) = self.directory.get(id) {
             let upstream = listed.upstream();
             self.loads.views.adjust(&upstream.service, &upstream.zone, by);
@@ -159,10 +145,16 @@
         self.expire_work(now);
         self.regroup(now);
         let Loads { own, views, .. } = &mut self.loads;
-        // With few busy services, the other groups cost no look-up.
-        let is_any_busy = views.is_any_busy(now);
-        let is_busy = |service: &str| is_any_busy && views.is_busy(service, now);
-        own.take_reports(&self.options.zone, is_busy, now)
+        // While all services are quiet, groups cost no look-up.
+        let is_any_active = views.is_any_active(now);
+        let pace = |service: &str| {
+            if is_any_active {
+                views.pace(service, now)
+            } else {
+                Pace::Quiet
+            }
+        };
+        own.take_reports(&self.options.zone, pace, now)
     }
 
     /// Brings the groups of own work in line with the directory.
