Add bursts, full and slow upstreams to the soak

The soak had upstreams that answer each request at once, so nothing of what happens short of capacity was covered.

- The stand-in of an upstream takes limits: slots, queue places and a service time.
Clients end their flows by a FIN.
- After the last fault, a burst in calm is judged: no refusal while an upstream of the service has had a free slot since 3 s before the opening, no larger share of refusals on the urgent route, no upstream over max_conns by its clients' count.
Open flows of living upstreams that are reset were a violation before, and are one in bursts as well.

--- a/crates/jayquay/src/soak.rs
+++ b/crates/jayquay/src/soak.rs
@@ -51,6 +51,8 @@
     no_cuts: bool,
     /// Let the store come back from older copies of itself
     returns: bool,
+    /// Let upstreams have few slots, be slow at times, and get bursts of requests
+    bursts: bool,
     /// The daemon; without this, the one beside this program
     #[bpaf(argument("FILE"))]
     daemon: Option<PathBuf>,
@@ -90,6 +92,7 @@
             instances: args.instances.max(1),
             cuts: !args.no_cuts,
             returns: args.returns,
+            bursts: args.bursts,
             clients: args.clients,
             binary: binary.clone(),
             folder: args.logs.join(format!("seed-{seed}")),
@@ -97,9 +100,10 @@
         let outcome = soak::run(&options).await?;
         let _infallible = writeln!(
             text,
-            "seed {seed}: {} faults, {} requests answered, {} not, {} flows lost with their upstream, {} promises broken",
+            "seed {seed}: {} faults, {} requests answered, {} rejected, {} not answered, {} flows lost with their upstream, {} promises broken",
             outcome.faults,
             outcome.answered,
+            outcome.rejected,
             outcome.unanswered,
             outcome.lost,
             outcome.violations.len()
--- a/crates/jayquayd/tests/soak.rs
+++ b/crates/jayquayd/tests/soak.rs
@@ -13,6 +13,7 @@
     clients: usize,
     cuts: bool,
     returns: bool,
+    bursts: bool,
 }
 
 const CASES: [Case; 10] = [
@@ -23,6 +24,7 @@
         clients: 6,
         cuts: false,
         returns: false,
+        bursts: false,
     },
     Case {
         seed: 2,
@@ -31,6 +33,7 @@
         clients: 6,
         cuts: false,
         returns: false,
+        bursts: false,
     },
     Case {
         seed: 3,
@@ -39,6 +42,7 @@
         clients: 6,
         cuts: true,
         returns: false,
+        bursts: false,
     },
     Case {
         seed: 4,
@@ -47,6 +51,7 @@
         clients: 6,
         cuts: true,
         returns: false,
+        bursts: false,
     },
     Case {
         seed: 5,
@@ -55,6 +60,7 @@
         clients: 6,
         cuts: false,
         returns: true,
+        bursts: false,
     },
     Case {
         seed: 6,
@@ -63,6 +69,7 @@
         clients: 6,
         cuts: true,
         returns: true,
+        bursts: false,
     },
     // Guards against a fault in which all instances are killed twice while the store rejects calls: opening packets
     // that had queued together in the sockets of two instances were counted as upstreams not answering, and open flows
@@ -74,6 +81,7 @@
         clients: 12,
         cuts: false,
         returns: false,
+        bursts: false,
     },
     // The same fault, at an instance that was paused for three seconds right after all had been killed.
     Case {
@@ -83,6 +91,7 @@
         clients: 12,
         cuts: false,
         returns: false,
+        bursts: false,
     },
     // Guards against a fault in which watches on connections that were up but delivered nothing waited for up to 8 s,
     // at all watchers at once, so a leaving upstream received a flow after the time limit.
@@ -93,6 +102,7 @@
         clients: 12,
         cuts: true,
         returns: false,
+        bursts: false,
     },
     // Guards against a fault in which the store was restored from a backup and assigned revisions a second time. Data
     // written then was taken for older than what was held, so all instances kept an old document, and a leaving
@@ -104,6 +114,30 @@
         clients: 12,
         cuts: true,
         returns: true,
+        bursts: false,
+    },
+];
+
+/// Bursts and slow upstreams, alone and with all other faults. Guards against upstreams that get more flows than their
+/// limit, refusals while a slot is free, and refusals of the more urgent first.
+const BURST_CASES: [Case; 2] = [
+    Case {
+        seed: 11,
+        seconds: 6,
+        instances: 2,
+        clients: 6,
+        cuts: false,
+        returns: false,
+        bursts: true,
+    },
+    Case {
+        seed: 12,
+        seconds: 6,
+        instances: 3,
+        clients: 6,
+        cuts: true,
+        returns: true,
+        bursts: true,
     },
 ];
 
@@ -116,6 +150,7 @@
         clients: case.clients,
         cuts: case.cuts,
         returns: case.returns,
+        bursts: case.bursts,
         binary: PathBuf::from(env!("CARGO_BIN_EXE_jayquayd")),
         folder,
     }
@@ -123,7 +158,16 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn fixed_seeds_cause_no_violations() {
-    for case in &CASES {
+    run_all(&CASES).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bursts_cause_no_violations() {
+    run_all(&BURST_CASES).await;
+}
+
+async fn run_all(cases: &[Case]) {
+    for case in cases {
         let seed = case.seed;
         let outcome = soak::run(&options(case)).await.unwrap();
         assert_eq!(outcome.violations, [], "seed {seed}");
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use adapter_standin::Client;
+use adapter_standin::REJECTED;
 use adapter_standin::Reply;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -22,8 +23,27 @@
 
 /// How often a client sends the same thing, 200 milliseconds apart, before it gives up.
 const TRIES: u32 = 8;
-/// How many requests a flow is kept for.
-const REQUESTS: u32 = 12;
+/// How a client uses its flows.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Manner {
+    /// How many requests a flow is kept for.
+    requests: u32,
+    /// The longest pause after a request, in milliseconds.
+    longest_pause: u64,
+}
+
+impl Manner {
+    /// A flow is kept for many requests, with pauses.
+    const KEPT: Self = Self {
+        requests: 12,
+        longest_pause: 400,
+    };
+    /// A flow is opened for one request.
+    pub(crate) const ONCE: Self = Self {
+        requests: 1,
+        longest_pause: 50,
+    };
+}
 
 /// The instances that routers lead packets to.
 #[derive(Debug, Clone, Default)]
@@ -49,7 +69,9 @@
 pub(crate) struct Tally {
     /// Requests that were answered.
     pub(crate) answered: AtomicU64,
-    /// Requests that were not.
+    /// Requests that their upstream rejected, as it was full.
+    pub(crate) rejected: AtomicU64,
+    /// Requests that were not answered.
     pub(crate) unanswered: AtomicU64,
     /// Flows that were reset because their upstream had died.
     pub(crate) lost: AtomicU64,
@@ -73,7 +95,7 @@
     loop {
         let router = || context.router.pick(number);
         match client.open_via(context.route, router).await? {
-            Reply::Opened => keep(&mut client, number, &mut rng, &context).await?,
+            Reply::Opened => keep(&mut client, number, &mut rng, &context, Manner::KEPT).await?,
             Reply::Response(_) | Reply::Reset | Reply::Timeout => {
                 context.tally.unanswered.fetch_add(1, Ordering::Relaxed);
                 tokio::time::sleep(Duration::from_millis(100)).await;
@@ -82,8 +104,29 @@
     }
 }
 
-/// Keeps a flow for some requests.
-async fn keep(client: &mut Client, number: usize, rng: &mut StdRng, context: &Context) -> io::Result<()> {
+/// Keeps a flow for some requests, and ends it.
+pub(crate) async fn keep(
+    client: &mut Client,
+    number: usize,
+    rng: &mut StdRng,
+    context: &Context,
+    manner: Manner,
+) -> io::Result<()> {
+    let echo = client.echo();
+    context.living.note_open(echo);
+    let result = ask(client, number, rng, context, manner).await;
+    context.living.note_closed(echo);
+    client.close(context.router.pick(number)).await?;
+    result
+}
+
+async fn ask(
+    client: &mut Client,
+    number: usize,
+    rng: &mut StdRng,
+    context: &Context,
+    manner: Manner,
+) -> io::Result<()> {
     let Some(life) = context.living.find(client.echo()) else {
         let text = format!("client {number} got the echo {}", client.echo());
         context.book.add(Violation::Mixed(text));
@@ -96,13 +139,16 @@
         );
         context.book.add(Violation::WrongService(text));
     }
-    for request in 0..REQUESTS {
+    for request in 0..manner.requests {
         let text = format!("{number}-{request}-{}", rng.random::<u32>());
         let router = || context.router.pick(number);
         match client.ask_via(text.as_bytes(), router).await? {
             Reply::Response(answer) if answer == format!("{}: {text}", life.id).as_bytes() => {
                 context.tally.answered.fetch_add(1, Ordering::Relaxed);
             }
+            Reply::Response(answer) if answer == REJECTED => {
+                context.tally.rejected.fetch_add(1, Ordering::Relaxed);
+            }
             Reply::Response(answer) => {
                 let answer = String::from_utf8_lossy(&answer).into_owned();
                 let text = format!("client {number} asked {} for {text} and got {answer}", life.id);
@@ -122,7 +168,7 @@
                 return Ok(());
             }
         }
-        let pause = rng.random_range(0..400);
+        let pause = rng.random_range(0..=manner.longest_pause);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     Ok(())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! Faults come in series and overlap: processes are stopped, killed, paused and restarted by signals; the way between an
 //! instance and the store is delayed, cut, silenced one way or reset by a proxy, and so are the ways between instances; the
-//! store refuses; upstreams crash, leave and give their address to the next one; documents follow each other. Clocks and
+//! store refuses; upstreams crash, leave, become slow and give their address to the next one; clients come in bursts that
+//! upstreams can't serve; documents follow each other. Clocks and
 //! disks are left out, as the daemon reads the time of day once and has no disk. Only processes that the soak started are
 //! ended, by their ids.
 
+mod burst;
 mod clients;
 mod instance;
 mod mesh;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -16,6 +16,8 @@
     pub cuts: bool,
     /// Whether the store comes back from older copies.
     pub returns: bool,
+    /// Whether upstreams have few slots, become slow, and get bursts of requests.
+    pub bursts: bool,
     /// Clients of each of two services.
     pub clients: usize,
     /// The daemon's program.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -35,6 +35,10 @@
     Leave(usize),
     /// The next document is written.
     Document,
+    /// An upstream is slow for a while.
+    Slow(usize, Duration),
+    /// Clients ask for more than the upstreams can serve for a while.
+    Burst(Duration),
 }
 
 /// How the way between an instance and the store fails.
@@ -121,6 +125,25 @@
         self
     }
 
+    /// Adds bursts and slow upstreams, one about every other second. They are drawn by themselves as well.
+    #[must_use]
+    pub fn with_bursts(mut self, seed: u64, length: Duration, upstreams: usize) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(2));
+        let mut at = Duration::from_millis(1_100);
+        while at < length {
+            let span = rng.random_range(Duration::from_millis(500)..LONGEST);
+            let fault = if rng.random() {
+                Fault::Burst(span)
+            } else {
+                Fault::Slow(rng.random_range(0..upstreams), span)
+            };
+            self.faults.push((at, fault));
+            at += Duration::from_millis(rng.random_range(500..3_000));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Adds returns of the store from older copies, one about every three seconds. They are drawn by themselves as well.
     #[must_use]
     pub fn with_returns(mut self, seed: u64, length: Duration) -> Self {
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -8,6 +8,7 @@
 use adapter_standin::Client;
 use adapter_standin::Reply;
 
+use crate::burst;
 use crate::upstreams::LEAVES_AFTER;
 use crate::violation::Violation;
 use crate::world::STEP;
@@ -18,6 +19,14 @@
 /// How long everything may take to come back after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// How long the last burst takes, after a pause in which all instances come to know the upstreams.
+const LAST_BURST: Duration = Duration::from_secs(4);
+const PAUSE: Duration = Duration::from_secs(4);
+/// With fewer refusals than this, their shares say nothing about priorities.
+const MIN_REFUSALS: u64 = 30;
+/// How much larger the share of refusals of the urgent route may be by chance.
+const SHARE_MARGIN: f64 = 0.1;
+
 /// The zone that is emptied then. The services have upstreams in another one as well.
 const EMPTIED: &str = ZONES[0];
 /// How long after that is asked for its upstreams still accept flows without a fault being found.
@@ -31,6 +40,7 @@
             .book
             .add(Violation::Unserved("an instance is not ready".to_owned()));
     }
+    last_burst(world).await?;
     world.write_document();
     world.upstreams.leave(0, &world.store).await?;
     world.store.evacuate(EMPTIED);
@@ -56,6 +66,40 @@
     Ok(())
 }
 
+/// A burst in calm keeps the limits of upstreams, and refuses the less urgent first.
+async fn last_burst(world: &mut World) -> io::Result<()> {
+    let Some(burst) = world.burst.clone() else {
+        return Ok(());
+    };
+    wait(world, PAUSE).await?;
+    world.upstreams.living.restart_count();
+    burst.take_openings();
+    burst.set(true);
+    wait(world, LAST_BURST).await?;
+    burst.set(false);
+    let (urgent, other) = burst.take_openings();
+    log::info!("soak: last burst: urgent {urgent:?}, other {other:?}");
+    let is_unfair = urgent.refused_share() > other.refused_share() + SHARE_MARGIN;
+    if urgent.refused + other.refused >= MIN_REFUSALS && is_unfair {
+        let text = format!("urgent {urgent:?}, other {other:?}");
+        world.book.add(Violation::Priority(text));
+    }
+    for (id, count) in world.upstreams.living.above(burst::MAX_CONNS) {
+        let text = format!("upstream {id} had {count} flows open of {}", burst::MAX_CONNS);
+        world.book.add(Violation::Connections(text));
+    }
+    Ok(())
+}
+
+async fn wait(world: &mut World, time: Duration) -> io::Result<()> {
+    let begin = Instant::now();
+    while begin.elapsed() < time {
+        world.tend().await?;
+        tokio::time::sleep(STEP).await;
+    }
+    Ok(())
+}
+
 /// What a flow to a document's own route meets. Lost datagrams are sent again.
 async fn see(world: &mut World, prober: &mut Client, version: u64, through: SocketAddr) -> io::Result<Reply> {
     for _ in 0..10 {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use adapter_standin::Client;
 use tokio::task::JoinSet;
 
+use crate::burst;
 use crate::clients;
 use crate::clients::Context;
 use crate::clients::Tally;
@@ -23,6 +24,7 @@
 use crate::world::SERVICES;
 use crate::world::World;
 use crate::world::route;
+use crate::world::urgent_route;
 
 /// How a soak went.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,6 +35,8 @@
     pub faults: usize,
     /// Requests that were answered.
     pub answered: u64,
+    /// Requests that were rejected by a full upstream.
+    pub rejected: u64,
     /// Requests that were not answered in time, during faults.
     pub unanswered: u64,
     /// Flows that ended because their upstream had died.
@@ -69,6 +73,22 @@
             tasks.spawn(clients::run(client, number, options.seed ^ number as u64, context));
         }
     }
+    if let Some(burst) = world.burst.clone() {
+        for number in 0..burst::CLIENTS {
+            let client = Client::new(SocketAddrV4::new(ip(6, number), 20_000), ports.packets).await?;
+            let is_urgent = number % 2 == 0;
+            let context = Context {
+                router: world.router.clone(),
+                living: world.upstreams.living.clone(),
+                book: world.book.clone(),
+                tally: Arc::clone(&tally),
+                route: if is_urgent { urgent_route() } else { route(0) },
+                service: SERVICES[0],
+            };
+            let seed = options.seed ^ (1_000 + number as u64);
+            tasks.spawn(burst::run(client, number, seed, context, burst.clone(), is_urgent));
+        }
+    }
     let mut prober = Client::new(SocketAddrV4::new(ip(4, 0), 20_000), ports.packets).await?;
     prober.set_attempts(1);
     let instances = world.instances.len();
@@ -79,6 +99,9 @@
     if options.returns {
         plan = plan.with_returns(options.seed, options.length);
     }
+    if options.bursts {
+        plan = plan.with_bursts(options.seed, options.length, world.upstreams.count());
+    }
     world.play(&plan).await?;
     recovery::check(&mut world, &mut prober).await?;
     drop(tasks);
@@ -86,6 +109,7 @@
         violations: world.book.take(),
         faults: plan.faults.len(),
         answered: tally.answered.load(Ordering::Relaxed),
+        rejected: tally.rejected.load(Ordering::Relaxed),
         unanswered: tally.unanswered.load(Ordering::Relaxed),
         lost: tally.lost.load(Ordering::Relaxed),
     })
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -13,6 +13,7 @@
 
 use adapter_standin::Store;
 use adapter_standin::Upstream;
+use adapter_standin::WorkLimits;
 use flow::Echo;
 use flow::UpstreamId;
 
@@ -57,6 +58,9 @@
     pub(crate) id: UpstreamId,
     pub(crate) service: &'static str,
     pub(crate) is_alive: bool,
+    /// Flows that clients have open there, and the largest number of them at a time.
+    open: u32,
+    most_open: u32,
 }
 
 impl Living {
@@ -69,6 +73,35 @@
         self.lives().get(&echo).copied()
     }
 
+    /// Notes that a client has opened a flow.
+    pub(crate) fn note_open(&self, echo: Echo) {
+        if let Some(life) = self.lives().get_mut(&echo) {
+            life.open += 1;
+            life.most_open = life.most_open.max(life.open);
+        }
+    }
+
+    /// Notes that a client has ended a flow.
+    pub(crate) fn note_closed(&self, echo: Echo) {
+        if let Some(life) = self.lives().get_mut(&echo) {
+            life.open = life.open.saturating_sub(1);
+        }
+    }
+
+    /// Counts the largest numbers of open flows from now on.
+    pub(crate) fn restart_count(&self) {
+        for life in self.lives().values_mut() {
+            life.most_open = life.open;
+        }
+    }
+
+    /// The living upstreams that had more flows open than a limit, each with the largest number of them.
+    pub(crate) fn above(&self, limit: u32) -> Vec<(UpstreamId, u32)> {
+        let lives = self.lives();
+        let above = lives.values().filter(|life| life.is_alive && life.most_open > limit);
+        above.map(|life| (life.id, life.most_open)).collect()
+    }
+
     fn end(&self, id: UpstreamId) {
         if let Some(life) = self.lives().get_mut(&id.echo()) {
             life.is_alive = false;
@@ -82,6 +115,8 @@
     ip: Ipv4Addr,
     port: u16,
     next: u64,
+    /// The work that each upstream does at a time.
+    limits: Option<WorkLimits>,
     seats: Vec<Seat>,
     leaving: Vec<Leaving>,
     /// Those that have ended.
@@ -90,11 +125,12 @@
 }
 
 impl Upstreams {
-    pub(crate) fn new(ip: Ipv4Addr, port: u16) -> Self {
+    pub(crate) fn new(ip: Ipv4Addr, port: u16, limits: Option<WorkLimits>) -> Self {
         Self {
             ip,
             port,
             next: 0x10,
+            limits,
             seats: Vec::new(),
             leaving: Vec::new(),
             ended: Vec::new(),
@@ -120,10 +156,13 @@
         self.next += 1;
         let id = UpstreamId(self.next);
         let upstream = Upstream::start(id, &id.to_string(), address, self.port).await?;
+        upstream.set_limits(self.limits);
         let life = Life {
             id,
             service,
             is_alive: true,
+            open: 0,
+            most_open: 0,
         };
         self.living.lives().insert(id.echo(), life);
         store.put_upstream(id, service, upstream.address(), zone, "ready");
@@ -207,6 +246,22 @@
         late.map(|seat| seat.id).collect()
     }
 
+    /// Sets how long a request takes at an upstream, or ends that.
+    pub(crate) fn set_service_time(&self, index: usize, time: Option<Duration>) {
+        let limits = self.limits.map(|limits| WorkLimits {
+            service_time: time.unwrap_or(limits.service_time),
+            ..limits
+        });
+        self.seats[index].upstream.set_limits(limits);
+    }
+
+    /// An upstream of a service that has had a free slot since before some time.
+    pub(crate) fn free_since(&self, service: &str, then: Instant) -> Option<UpstreamId> {
+        let mut seats = self.seats.iter().filter(|seat| seat.service == service);
+        let free = seats.find(|seat| seat.upstream.free_since().is_some_and(|since| since <= then));
+        free.map(|seat| seat.id)
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.seats.len()
     }
--- a/crates/soak/src/violation.rs
+++ b/crates/soak/src/violation.rs
@@ -24,6 +24,12 @@
     Document(String),
     /// A process ended by itself, or not in time, or not well.
     Ended(String),
+    /// An opening was refused although an upstream of its service had a free slot.
+    Refused(String),
+    /// More urgent requests were refused where less urgent ones were served.
+    Priority(String),
+    /// An upstream had more open flows than its limit.
+    Connections(String),
     /// Requests were not answered after all faults had ended.
     Unserved(String),
 }
@@ -38,6 +44,9 @@
             Self::Evacuated(text) => write!(f, "new flow in a zone that is emptied: {text}"),
             Self::Document(text) => write!(f, "document: {text}"),
             Self::Ended(text) => write!(f, "process: {text}"),
+            Self::Refused(text) => write!(f, "refused with capacity free: {text}"),
+            Self::Priority(text) => write!(f, "priority: {text}"),
+            Self::Connections(text) => write!(f, "connections over the limit: {text}"),
             Self::Unserved(text) => write!(f, "not served: {text}"),
         }
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -13,6 +13,8 @@
 use adapter_standin::Store;
 use tokio::task::JoinSet;
 
+use crate::burst;
+use crate::burst::Burst;
 use crate::clients::Router;
 use crate::instance;
 use crate::instance::Instance;
@@ -29,6 +31,7 @@
 use crate::proxy::Proxy;
 use crate::upstreams::Upstreams;
 use crate::violation::Book;
+use crate::violation::Violation;
 
 /// The zones, each with instances and upstreams.
 pub(crate) const ZONES: [&str; 2] = ["zone-a", "zone-b"];
@@ -46,6 +49,10 @@
 /// How long it takes until what a store has lost is written again.
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
 
+/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: the bound for a change
+/// of upstreams to take effect.
+const KNOWN_AFTER: Duration = Duration::from_secs(3);
+
 /// The part of the loopback network where instances' proxies are.
 const PROXIES: u8 = 5;
 
@@ -55,6 +62,10 @@
     Resume(usize),
     Open(usize),
     Heal(Cut),
+    /// An upstream is as fast as before.
+    Hurry(usize),
+    /// A burst is over.
+    Calm,
     Serve,
     /// The store comes back from a copy of so long ago.
     Return(Duration),
@@ -70,6 +81,8 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) router: Router,
     pub(crate) book: Book,
+    /// The bursts, if there are any.
+    pub(crate) burst: Option<Burst>,
     ends: Vec<(Instant, End)>,
     /// Copies of the store, the oldest first.
     copies: VecDeque<(Instant, Snapshot)>,
@@ -88,6 +101,11 @@
     )
 }
 
+/// The urgent route to the first service, in a soak with bursts.
+pub(crate) fn urgent_route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 440)
+}
+
 /// The route that only this document has.
 pub(crate) fn own_route(version: u64) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), u16::try_from(version).unwrap_or(u16::MAX))
@@ -100,7 +118,7 @@
         ports: Ports,
     ) -> io::Result<Self> {
         let store = Store::start().await?;
-        let mut upstreams = Upstreams::new(ip(3, 0), ports.packets);
+        let mut upstreams = Upstreams::new(ip(3, 0), ports.packets, options.bursts.then_some(burst::LIMITS));
         for service in SERVICES {
             for zone in ZONES {
                 upstreams.add(&store, service, zone).await?;
@@ -144,6 +162,7 @@
             upstreams,
             router: Router::default(),
             book: Book::new(),
+            burst: options.bursts.then(Burst::default),
             ends: Vec::new(),
             copies: VecDeque::new(),
             version: 0,
@@ -165,10 +184,17 @@
 
     fn put_document(&self) {
         let own = own_route(self.version);
-        self.store.put_document(
-            self.version,
-            &[(route(0), SERVICES[0]), (route(1), SERVICES[1]), (own, SERVICES[0])],
-        );
+        let mut routes = vec![
+            (route(0), SERVICES[0], 2),
+            (route(1), SERVICES[1], 2),
+            (own, SERVICES[0], 2),
+        ];
+        let mut limits = Vec::new();
+        if self.burst.is_some() {
+            routes.push((urgent_route(), SERVICES[0], 0));
+            limits.extend(SERVICES.map(|service| (service, burst::MAX_CONNS)));
+        }
+        self.store.put_limited_document(self.version, &routes, &limits);
     }
 
     pub(crate) async fn until_all_ready(&mut self, within: Duration) -> io::Result<bool> {
@@ -244,6 +270,14 @@
             Fault::Crash(index) => self.upstreams.crash(index, &self.store).await?,
             Fault::Leave(index) => self.upstreams.leave(index, &self.store).await?,
             Fault::Document => self.write_document(),
+            Fault::Slow(index, span) => {
+                self.upstreams.set_service_time(index, Some(burst::SLOW_SERVICE_TIME));
+                self.ends.push((now + span, End::Hurry(index)));
+            }
+            Fault::Burst(span) => {
+                self.burst.iter().for_each(|burst| burst.set(true));
+                self.ends.push((now + span, End::Calm));
+            }
         }
         self.calm_since = Instant::now();
         Ok(())
@@ -282,6 +316,8 @@
                 End::Resume(index) => self.instances[index].signal("CONT").await,
                 End::Open(index) => self.proxies[index].set(Way::Open),
                 End::Heal(cut) => self.mesh.end(cut),
+                End::Hurry(index) => self.upstreams.set_service_time(index, None),
+                End::Calm => self.burst.iter().for_each(|burst| burst.set(false)),
                 End::Serve => self.store.set_fault(StoreFault::None),
                 End::Return(age) => {
                     self.come_back(now, age);
@@ -304,6 +340,7 @@
             self.calm_since = now;
         }
         self.upstreams.tend(&self.store, self.calm_since, &self.book);
+        self.judge_refusals();
         if now >= self.next_probe {
             self.next_probe = now + PROBE;
             self.probe().await;
@@ -311,6 +348,21 @@
         Ok(())
     }
 
+    /// Notes refusals in calm while an upstream had a free slot.
+    fn judge_refusals(&self) {
+        let refusals = self.burst.as_ref().map(Burst::take_refusals).unwrap_or_default();
+        for refusal in refusals {
+            let then = refusal.began.checked_sub(KNOWN_AFTER);
+            let Some(then) = then.filter(|then| *then > self.calm_since) else {
+                continue;
+            };
+            if let Some(id) = self.upstreams.free_since(refusal.service, then) {
+                self.book
+                    .add(Violation::Refused(format!("upstream {id} of {}", refusal.service)));
+            }
+        }
+    }
+
     /// Takes instances out of rotation after two misses. With none left, all are used.
     async fn probe(&mut self) {
         let mut probes = JoinSet::new();
