Judge refusals in the soak by the last second

A slot had to be free since 3 s before a refused opening. In a burst the slots of every upstream are all in use for a moment within that time, so a daemon that refused a quarter of the urgent openings was only found by the check of priorities. Instances use no view older than 1 s, so that is the bound now; that upstreams are known stays at 3 s of calm.

--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -49,9 +49,12 @@
 /// How long it takes until what a store has lost is written again.
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
 
-/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: the bound for a change
-/// of upstreams to take effect.
+/// How long all must have been calm before an opening, for a refusal to be a fault: the bound for a change of upstreams
+/// to take effect.
 const KNOWN_AFTER: Duration = Duration::from_secs(3);
+/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: instances use no view of
+/// the load that is older.
+const FREE_FOR: Duration = Duration::from_secs(1);
 
 /// The part of the loopback network where instances' proxies are.
 const PROXIES: u8 = 5;
@@ -352,11 +355,11 @@
     fn judge_refusals(&self) {
         let refusals = self.burst.as_ref().map(Burst::take_refusals).unwrap_or_default();
         for refusal in refusals {
-            let then = refusal.began.checked_sub(KNOWN_AFTER);
-            let Some(then) = then.filter(|then| *then > self.calm_since) else {
+            let free_since = refusal.began.checked_sub(FREE_FOR);
+            let Some(free_since) = free_since.filter(|_| refusal.began > self.calm_since + KNOWN_AFTER) else {
                 continue;
             };
-            if let Some(id) = self.upstreams.free_since(refusal.service, then) {
+            if let Some(id) = self.upstreams.free_since(refusal.service, free_since) {
                 self.book
                     .add(Violation::Refused(format!("upstream {id} of {}", refusal.service)));
             }
