Test what operators are shown of the load of services

Two stand-ins of instances report different views of the same zones; the metrics test reads the openings from /status as well.

--- a/crates/jayquayd/tests/flows/observability.rs
+++ b/crates/jayquayd/tests/flows/observability.rs
@@ -5,6 +5,8 @@
 use adapter_standin::Fault;
 use adapter_standin::Reply;
 use flow::UpstreamId;
+use jayquayd::forward::status;
+use jayquayd::forward::status::Status;
 
 use crate::cluster::Cluster;
 use crate::cluster::ROUTE;
@@ -62,6 +64,10 @@
         spilled.len() == 1 && spilled[0].ends_with("\"} 2"),
         "{spilled:?} in {metrics}"
     );
+    let status: Status = serde_json::from_slice(&cluster.page(1, status::PATH).await).unwrap();
+    let openings = status.openings.iter();
+    let openings = openings.map(|opening| (opening.result.as_str(), opening.cause.as_str(), opening.count));
+    assert_eq!(openings.collect::<Vec<_>>(), [("spilled", "no-view", 2)]);
     for line in [
         "jayquay_flow_burst_seconds_count",
         "jayquay_store_read_seconds_count",
