Count openings by the priority of their route, and allow ejections up to a full service

Cause: the counters took every route for the least urgent. Change: flow::Priority in the counters and the status; MAX_REMAINING_UTILIZATION is 1.0.

--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -48,6 +48,7 @@
 use crate::packet::Reset;
 use crate::packet::ResetCause;
 use crate::place::Baseline;
+use crate::route::Priority;
 use crate::route::Routes;
 use crate::status_update::StatusUpdate;
 use crate::typical::TypicalLength;
@@ -93,11 +94,11 @@
     /// Packets dropped, by cause.
     pub drops: BTreeMap<DropCause, u64>,
     /// Opening packets answered by a reset, by cause and the route's priority.
-    pub refused: BTreeMap<(ResetCause, u8), u64>,
+    pub refused: BTreeMap<(ResetCause, Priority), u64>,
     /// Opening packets dropped, so that their retransmission asks again, by cause and the route's priority.
-    pub held: BTreeMap<(DropCause, u8), u64>,
+    pub held: BTreeMap<(DropCause, Priority), u64>,
     /// Flows placed in another zone, by cause and the route's priority.
-    pub spilled: BTreeMap<(SpillCause, u8), u64>,
+    pub spilled: BTreeMap<(SpillCause, Priority), u64>,
     /// Results of connection attempts and requests at upstreams.
     pub outcomes: BTreeMap<Outcome, u64>,
 }
@@ -269,7 +270,7 @@
         let verdict = if packet.flags.contains(Flags::SYN) {
             let placed = self.stats.placed;
             let verdict = self.open_flow(packet, now);
-            self.count_opening(packet, verdict, self.stats.placed > placed, now);
+            self.record_opening(packet, verdict, self.stats.placed > placed, now);
             verdict
         } else {
             self.handle_established(packet, now)
--- a/crates/flow/src/core/capacity.rs
+++ b/crates/flow/src/core/capacity.rs
@@ -18,11 +18,10 @@
 use crate::decision::Decision;
 use crate::load::ZoneLoad;
 use crate::packet::Packet;
+use crate::route::Priority;
 use crate::upstream::UpstreamId;
 use crate::verdict::Verdict;
 
-/// The priority of a route without one: the least urgent. Documents don't carry priorities yet.
-const LEAST_URGENT: u8 = 9;
 /// Period over which openings are counted as demand.
 const DEMAND_PERIOD: Duration = Duration::from_secs(1);
 
@@ -112,7 +111,7 @@
 
     /// Counts an opening packet by what became of it. `is_placed` tells whether it was placed rather than forwarded to
     /// the upstream of an earlier copy.
-    pub(super) fn count_opening(&mut self, packet: &Packet, verdict: Verdict, is_placed: bool, now: Time) {
+    pub(super) fn record_opening(&mut self, packet: &Packet, verdict: Verdict, is_placed: bool, now: Time) {
         let service = self
             .routes
             .to(packet.route)
@@ -121,7 +120,8 @@
         if let Some(service) = service.as_ref().filter(|_| packet.ack == 0) {
             self.observed(service).openings += 1;
         }
-        let priority = LEAST_URGENT;
+        let route = self.routes.to(packet.route);
+        let priority = route.map(|route| route.priority).unwrap_or_default();
         match (verdict, service) {
             (Verdict::Reset(reset), _) => *self.stats.refused.entry((reset.cause, priority)).or_default() += 1,
             (Verdict::Drop(cause), _) => *self.stats.held.entry((cause, priority)).or_default() += 1,
@@ -137,7 +137,7 @@
     }
 
     /// Counts a flow that was placed in another zone.
-    fn count_spill(&mut self, service: &CompactString, upstream: UpstreamId, priority: u8, now: Time) {
+    fn count_spill(&mut self, service: &CompactString, upstream: UpstreamId, priority: Priority, now: Time) {
         let zone = &self.options.zone;
         let listed = self.directory.get(upstream);
         if listed.is_none_or(|listed| listed.upstream().zone == *zone) {
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -217,7 +217,8 @@
     /// The tier of an upstream, or `None` if it gets no new flow from here now.
     fn tier_of(&self, id: UpstreamId, listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
         let tier = tier(listed, health, now)?;
-        let takes_flow = self.permits_new_flow(id, listed, health, now) && !self.is_at_connection_limit(id, listed, now);
+        let takes_flow =
+            self.permits_new_flow(id, listed, health, now) && !self.is_at_connection_limit(id, listed, now);
         takes_flow.then_some(tier)
     }
 
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -13,9 +13,9 @@
 use crate::load::Loads;
 use crate::upstream::UpstreamId;
 
-/// Work in flight per remaining slot up to which an upstream may be ejected. Beyond it, the others would soon refuse
-/// requests that this one may still serve.
-const MAX_REMAINING_UTILIZATION: f64 = 0.8;
+/// Work in flight per remaining slot up to which an upstream may be ejected. Beyond it, the others would queue its work.
+/// Work in flight includes the network round trip, so some slots are still free at this limit.
+const MAX_REMAINING_UTILIZATION: f64 = 1.0;
 /// At most one in this many upstreams of a service may be ejected. If more fail, the cause usually lies elsewhere, and
 /// the remaining upstreams couldn't carry the load.
 const EJECTED_ONE_IN: usize = 2;
--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -13,6 +13,7 @@
 use flow::CapacityState;
 use flow::CapacityTracker;
 use flow::Packet;
+use flow::Priority;
 use flow::ResetCause;
 use flow::SpillCause;
 use units::Time;
@@ -139,10 +140,13 @@
         core.handle_packet(&opening, at(1));
         core.handle_packet(&unknown, at(2));
     }
-    let refused = BTreeMap::from([((ResetCause::NoRoute, 9), 1)]);
+    let refused = BTreeMap::from([((ResetCause::NoRoute, Priority::LEAST_URGENT), 1)]);
     assert_eq!(away.stats().refused, refused);
     assert_eq!(home.stats().refused, refused);
-    assert_eq!(away.stats().spilled, BTreeMap::from([((SpillCause::NoView, 9), 1)]));
+    assert_eq!(
+        away.stats().spilled,
+        BTreeMap::from([((SpillCause::NoView, Priority::LEAST_URGENT), 1)])
+    );
     assert_eq!(home.stats().spilled, BTreeMap::new());
     assert_eq!(away.stats().held, BTreeMap::new());
 }
--- a/crates/jayquay/src/flows/capacity.rs
+++ b/crates/jayquay/src/flows/capacity.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 
 use flow::CapacityState;
+use flow::Priority;
 use jayquayd::forward::status::ServiceStatus;
 use jayquayd::forward::status::Status;
 use jayquayd::forward::status::ZoneStatus;
@@ -71,7 +72,7 @@
 }
 
 /// The openings of all instances by result, cause and priority.
-fn openings<'a>(statuses: &[&'a Status]) -> BTreeMap<(&'a str, &'a str, u8), u64> {
+fn openings<'a>(statuses: &[&'a Status]) -> BTreeMap<(&'a str, &'a str, Priority), u64> {
     let mut openings = BTreeMap::new();
     for opening in statuses.iter().flat_map(|status| &status.openings) {
         let key = (opening.result.as_str(), opening.cause.as_str(), opening.priority);
--- a/crates/jayquay/tests/capacity.rs
+++ b/crates/jayquay/tests/capacity.rs
@@ -14,6 +14,7 @@
 use adapter_standin::Store;
 use fleet::jayquay;
 use flow::CapacityState;
+use flow::Priority;
 use jayquayd::forward::status::OpeningCount;
 use jayquayd::forward::status::ServiceStatus;
 use jayquayd::forward::status::Status;
@@ -75,7 +76,7 @@
         openings: vec![OpeningCount {
             result: "refused".to_owned(),
             cause: "overload".to_owned(),
-            priority: 2,
+            priority: Priority::new(2).expect("2 is a priority"),
             count: refused,
         }],
         flows: 0,
--- a/crates/jayquayd/src/forward/status.rs
+++ b/crates/jayquayd/src/forward/status.rs
@@ -5,6 +5,7 @@
 
 use flow::CapacityState;
 use flow::Document;
+use flow::Priority;
 use flow::ServiceCapacity;
 use flow::Stats;
 use flow::UpstreamId;
@@ -131,7 +132,7 @@
     /// The cause, as in the metrics.
     pub cause: String,
     /// The priority of their route.
-    pub priority: u8,
+    pub priority: Priority,
     /// Their number.
     pub count: u64,
 }
