Count a request as completed once enough of its answer is acknowledged

Cause: a completion was counted with the next request of the flow, unless the check of overdue requests ran before, which takes the request; then it was never counted, and service times were too long.

--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -57,6 +57,10 @@
         };
         let sign = flow.observe(packet, now);
         let work = flow.update_work(sign, now);
+        let is_complete = super::load::is_complete(work.answer_len, self.typical_lengths.get(&key.route));
+        if is_complete && !sign.is_request {
+            flow.is_incomplete = false;
+        }
         let health = self.health.entry(id).or_default();
         let progress = if sign.is_progress {
             health.record_progress(now)
@@ -80,8 +84,8 @@
             self.handle_revival(id, now, now);
         }
         self.count_work(key, id, work, now);
-        if let Some(bytes) = sign.answer_len {
-            self.count_completion(key, id, bytes);
+        if is_complete {
+            self.loads.own.complete(id);
         }
         self.record_waits(id, sign);
         self.record_attempts(key, id, sign, now);
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -30,6 +30,7 @@
 use crate::packet::Flags;
 use crate::packet::Packet;
 use crate::report::ReporterId;
+use crate::typical::TypicalLength;
 use crate::upstream::UpstreamId;
 
 /// Interval at which the groups of own work are compared with the directory.
@@ -43,6 +44,12 @@
     Duration::from_micros(mixed >> 44)
 }
 
+/// Whether the answer so far is long enough for its request to count as completed. Answers that are far shorter than usual
+/// don't count: upstreams without capacity refuse with them, and would look fast.
+pub(super) fn is_complete(answer_len: Option<u32>, typical: Option<&TypicalLength>) -> bool {
+    answer_len.is_some_and(|bytes| !typical.is_some_and(|typical| typical.is_short(bytes)))
+}
+
 impl Core {
     /// Counts a flow that was inserted into the flow table.
     pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
@@ -81,26 +88,17 @@
         }
     }
 
-    /// Counts an answered request, unless the answer is far shorter than usual: upstreams without capacity refuse with
-    /// short answers, and these would make them look fast.
-    pub(super) fn count_completion(&mut self, key: &FlowKey, id: UpstreamId, bytes: u32) {
-        let typical = self.typical_lengths.get(&key.route);
-        if !typical.is_some_and(|typical| typical.is_short(bytes)) {
-            self.loads.own.complete(id);
-        }
-    }
-
     /// Counts the last request of a flow, whose answer is complete when the client closes the flow.
     pub(super) fn count_last_completion(&mut self, key: &FlowKey, packet: &Packet) {
         if !packet.flags.contains(Flags::FIN) {
             return;
         }
-        let answered = self
-            .flows
-            .get_mut(key)
-            .and_then(|flow| Some((flow.upstream, flow.answer_len()?)));
-        if let Some((id, bytes)) = answered {
-            self.count_completion(key, id, bytes);
+        let Some(flow) = self.flows.get_mut(key).filter(|flow| flow.is_incomplete) else {
+            return;
+        };
+        let id = flow.upstream;
+        if is_complete(flow.answer_len(), self.typical_lengths.get(&key.route)) {
+            self.loads.own.complete(id);
         }
     }
 
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -71,6 +71,8 @@
     pub(crate) request: Option<OpenRequest>,
     /// When its opening or its latest request began, while that counts as work in flight.
     pub(crate) working_since: Option<Time>,
+    /// Whether its latest request doesn't count as completed yet.
+    pub(crate) is_incomplete: bool,
 }
 
 /// A request whose outcome is not known yet.
@@ -130,6 +132,7 @@
             pending: None,
             counted_in_stall: 0,
             request: None,
+            is_incomplete: false,
             working_since: (stage == Stage::Opening).then_some(now),
         }
     }
@@ -191,22 +194,35 @@
     }
 }
 
-/// Work in flight that a packet ends and begins.
+/// Work that a packet ends and begins.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct WorkChange {
     pub(crate) has_ended: bool,
     pub(crate) has_begun: bool,
+    /// The length of the answer so far to a request that doesn't count as completed yet.
+    pub(crate) answer_len: Option<u32>,
 }
 
 impl Flow {
     /// Updates the work in flight after a packet.
     pub(crate) fn update_work(&mut self, sign: Observation, now: Time) -> WorkChange {
+        let answer_len = match sign {
+            Observation { is_request: true, .. } => sign.answer_len,
+            Observation { is_progress: true, .. } => self.answer_len(),
+            _ => None,
+        };
+        let answer_len = answer_len.filter(|_| self.is_incomplete);
+        self.is_incomplete |= sign.is_request;
         let has_ended = sign.is_progress && self.working_since.take().is_some();
         let has_begun = sign.is_request && self.working_since.is_none();
         if has_begun {
             self.working_since = Some(now);
         }
-        WorkChange { has_ended, has_begun }
+        WorkChange {
+            has_ended,
+            has_begun,
+            answer_len,
+        }
     }
 
     /// Starts a new request. Returns the length of the response to the previous one.
