--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -47,20 +47,13 @@
     /// Updates the state of a flow and its upstream from a packet.
     fn observe(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Observation {
         if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
-            self.close(key);
-            self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
-            self.count_flow(id, now);
-            self.health.entry(id).or_default().flows += 1;
+            self.adopt(key, id, packet, now);
         }
         let Some(flow) = self.flows.get_mut(key) else {
             return Observation::default();
         };
         let sign = flow.observe(packet, now);
-        let work = flow.update_work(sign, now);
-        let is_complete = super::load::is_complete(work.answer_len, self.typical_lengths.get(&key.route));
-        if is_complete && !sign.is_request {
-            flow.is_incomplete = false;
-        }
+        let work = flow.update_work(sign, self.typical_lengths.get(&key.route), now);
         let health = self.health.entry(id).or_default();
         let progress = if sign.is_progress {
             health.record_progress(now)
@@ -84,14 +77,19 @@
             self.handle_revival(id, now, now);
         }
         self.count_work(key, id, work, now);
-        if is_complete {
-            self.loads.own.complete(id);
-        }
         self.record_waits(id, sign);
         self.record_attempts(key, id, sign, now);
         sign
     }
 
+    /// Adds a flow that another instance handled before.
+    fn adopt(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) {
+        self.close(key);
+        self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
+        self.count_flow(id, now);
+        self.health.entry(id).or_default().flows += 1;
+    }
+
     /// Records the client waits that a packet ends, for metrics.
     fn record_waits(&mut self, id: UpstreamId, sign: Observation) {
         let Some(listed) = self.directory.get(id) else {
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -11,6 +11,7 @@
 use crate::flows::Flow;
 use crate::flows::FlowKey;
 use crate::flows::WorkChange;
+use crate::flows::is_complete;
 use crate::load::DueDigest;
 use crate::load::ListedSlots;
 use crate::load::LoadDigest;
@@ -30,7 +31,6 @@
 use crate::packet::Flags;
 use crate::packet::Packet;
 use crate::report::ReporterId;
-use crate::typical::TypicalLength;
 use crate::upstream::UpstreamId;
 
 /// Interval at which the groups of own work are compared with the directory.
@@ -44,12 +44,6 @@
     Duration::from_micros(mixed >> 44)
 }
 
-/// Whether the answer so far is long enough for its request to count as completed. Answers that are far shorter than usual
-/// don't count: upstreams without capacity refuse with them, and would look fast.
-pub(super) fn is_complete(answer_len: Option<u32>, typical: Option<&TypicalLength>) -> bool {
-    answer_len.is_some_and(|bytes| !typical.is_some_and(|typical| typical.is_short(bytes)))
-}
-
 impl Core {
     /// Counts a flow that was inserted into the flow table.
     pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
@@ -80,6 +74,9 @@
 
     /// Counts the work that a packet of an established flow ends and begins.
     pub(super) fn count_work(&mut self, key: &FlowKey, id: UpstreamId, work: WorkChange, now: Time) {
+        if work.has_completed {
+            self.loads.own.complete(id);
+        }
         if work.has_ended {
             self.end_work(id);
         }
@@ -97,7 +94,8 @@
             return;
         };
         let id = flow.upstream;
-        if is_complete(flow.answer_len(), self.typical_lengths.get(&key.route)) {
+        let typical = self.typical_lengths.get(&key.route);
+        if flow.answer_len().is_some_and(|bytes| is_complete(bytes, typical)) {
             self.loads.own.complete(id);
         }
     }
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -9,6 +9,7 @@
 use units::Time;
 
 use crate::packet::Packet;
+use crate::typical::TypicalLength;
 use crate::upstream::UpstreamId;
 
 /// The minimum interval between two retransmissions that both count. A sender waits 200 milliseconds before the first
@@ -199,20 +200,26 @@
 pub(crate) struct WorkChange {
     pub(crate) has_ended: bool,
     pub(crate) has_begun: bool,
-    /// The length of the answer so far to a request that doesn't count as completed yet.
-    pub(crate) answer_len: Option<u32>,
+    /// Whether a request now counts as completed.
+    pub(crate) has_completed: bool,
+}
+
+/// Whether an answer is long enough for its request to count as completed. Answers that are far shorter than usual don't
+/// count: upstreams without capacity refuse with them, and would look fast.
+pub(crate) fn is_complete(answer_len: u32, typical: Option<&TypicalLength>) -> bool {
+    !typical.is_some_and(|typical| typical.is_short(answer_len))
 }
 
 impl Flow {
-    /// Updates the work in flight after a packet.
-    pub(crate) fn update_work(&mut self, sign: Observation, now: Time) -> WorkChange {
+    /// Updates the work in flight after a packet. `typical` is the usual length of an answer.
+    pub(crate) fn update_work(&mut self, sign: Observation, typical: Option<&TypicalLength>, now: Time) -> WorkChange {
         let answer_len = match sign {
             Observation { is_request: true, .. } => sign.answer_len,
             Observation { is_progress: true, .. } => self.answer_len(),
             _ => None,
         };
-        let answer_len = answer_len.filter(|_| self.is_incomplete);
-        self.is_incomplete |= sign.is_request;
+        let has_completed = self.is_incomplete && answer_len.is_some_and(|bytes| is_complete(bytes, typical));
+        self.is_incomplete = sign.is_request || (self.is_incomplete && !has_completed);
         let has_ended = sign.is_progress && self.working_since.take().is_some();
         let has_begun = sign.is_request && self.working_since.is_none();
         if has_begun {
@@ -221,7 +228,7 @@
         WorkChange {
             has_ended,
             has_begun,
-            answer_len,
+            has_completed,
         }
     }
 
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -218,7 +218,8 @@
         let mut sums: Vec<UpstreamSum> = sums.collect();
         sums.sort_unstable_by_key(|sum| sum.echo);
         let undetailed = self.undetailed();
-        let detailed: u32 = sums.iter().map(|sum| sum.in_flight).sum();
+        let detailed = sums.iter().map(|sum| sum.in_flight);
+        let detailed = detailed.fold(0, u32::saturating_add);
         (undetailed.saturating_mul(MAX_UNDETAILED_ONE_IN) <= detailed.saturating_add(undetailed)).then_some(sums)
     }
 
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -184,17 +184,13 @@
                     self.next_group.get_or_insert_with(|| key.clone());
                     break;
                 }
-                let at = (self.seq + 1, now);
-                let upstreams = &mut self.upstreams;
-                let work = match pace(&key.service) {
-                    Pace::Busy => {
-                        let has_interest = has_interest(self.begun_at.get(&key.service), now);
-                        group.detail(upstreams, has_interest, at)
-                    }
-                    // Where groups are many, there is no budget for more samples.
-                    Pace::Rising if !self.budget.has_many_groups() => group.sample_often(upstreams, at),
-                    Pace::Rising | Pace::Quiet => group.sample(upstreams, at),
-                };
+                let mut pace = pace(&key.service);
+                // Where groups are many, there is no budget for more samples.
+                if pace == Pace::Rising && self.budget.has_many_groups() {
+                    pace = Pace::Quiet;
+                }
+                let has_interest = pace == Pace::Busy && has_interest(self.begun_at.get(&key.service), now);
+                let work = group.report(&mut self.upstreams, pace, has_interest, (self.seq + 1, now));
                 let Some(work) = work else {
                     continue;
                 };
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -8,6 +8,7 @@
 use units::Time;
 
 use super::LoadGroup;
+use super::Pace;
 use super::ReportedWork;
 use super::WorkCounts;
 use crate::packet::Echo;
@@ -84,8 +85,23 @@
         }
     }
 
+    /// What the report of this number says, if one is due. An instance that `has_interest` reports even that it has no work.
+    pub(super) fn report(
+        &mut self,
+        upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        pace: Pace,
+        has_interest: bool,
+        at: (u64, Time),
+    ) -> Option<ReportedWork> {
+        match pace {
+            Pace::Busy => self.detail(upstreams, has_interest, at),
+            Pace::Rising => self.sample_often(upstreams, at),
+            Pace::Quiet => self.sample(upstreams, at),
+        }
+    }
+
     /// The work in flight, if a sample is due and there is any.
-    pub(super) fn sample(
+    fn sample(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
         (seq, now): (u64, Time),
@@ -95,7 +111,7 @@
     }
 
     /// The work in flight, if a sample is due and differs from the previous one, or that one is about to expire.
-    pub(super) fn sample_often(
+    fn sample_often(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
         (seq, now): (u64, Time),
@@ -132,7 +148,7 @@
     }
 
     /// All values if they are due, or those that have changed since the previous report.
-    pub(super) fn detail(
+    fn detail(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
         has_interest: bool,
