--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -1,5 +1,5 @@
 //! Names, units and descriptions of the flow mode's metrics. Label values come from fixed sets, as in the rest of the
-//! daemon, except for the services and zones of [`metric_update`](super::metric_update).
+//! daemon, except for the services and zones of the load, whose number is limited.
 //!
 //! The flow core keeps the packet counters itself to avoid a cost per packet; they are copied here when the metrics
 //! are read.
