--- a/crates/flow/src/admission/full_services.rs
+++ b/crates/flow/src/admission/full_services.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FullServices {
     rooms: HashMap<CompactString, (Time, Room)>,
+    /// When free slots were last searched for.
+    searched_at: HashMap<CompactString, Time>,
 }
 
 impl FullServices {
@@ -23,6 +25,12 @@
         self.rooms.insert(service.into(), (now, room));
     }
 
+    /// Records a search for free slots. Returns the time since the previous one.
+    pub(crate) fn record_search(&mut self, service: &str, now: Time) -> Duration {
+        let previous = self.searched_at.insert(service.into(), now);
+        previous.map_or(Duration::MAX, |previous| now.since(previous))
+    }
+
     /// The room of a service without free slots, if a search was recent enough.
     pub(crate) fn room(&self, service: &str, now: Time) -> Option<Room> {
         let (at, room) = self.rooms.get(service)?;
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -2,6 +2,7 @@
 //! for one opening packet.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand::RngExt;
 use units::Time;
@@ -31,9 +32,10 @@
 /// of load shows them.
 const CONNECTION_MARGIN: u32 = 32;
 
-/// How many openings a free slot may get, on average, until the view of load shows that it is in use. A view is about
-/// as old as a request takes.
-const FREE_SLOT_USES: f64 = 2.0;
+/// Service time of a zone that has finished too few requests.
+const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Shortest service time that counts, so that a share of it is defined.
+const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
 
 /// Upstreams of a zone that were searched.
 #[derive(Debug, Default)]
@@ -54,8 +56,6 @@
 #[derive(Debug, Default)]
 struct FreeSlots {
     slots: u32,
-    /// All slots of the zone that can be used.
-    of_slots: u32,
     upstreams: Vec<UpstreamId>,
 }
 
@@ -170,8 +170,8 @@
     /// Finds an upstream with a free slot: in the local zone, or in a zone that must have one by its sums.
     ///
     /// All instances have the same view. If each sent all openings that have no room elsewhere to the few free slots,
-    /// these upstreams would get many times what they can serve. So an opening gets a free slot with a probability
-    /// that grows with the share of free slots.
+    /// these upstreams would get many times what they can serve. So each instance uses free slots at its share of the
+    /// rate at which they can serve requests.
     fn find_free_upstream(&mut self, service: &str, now: Time) -> FreeUpstream {
         let ids = self.directory.service_ids(service);
         let first = self.rng.random_range(0..ids.len().max(1));
@@ -202,14 +202,30 @@
         if free.upstreams.is_empty() {
             return FreeUpstream::None;
         }
-        let chance = f64::from(free.slots) / f64::from(free.of_slots.max(1)) * FREE_SLOT_USES;
-        if self.rng.random::<f64>() >= chance {
+        let due = self.free_slots_due(service, free.slots, now);
+        if self.rng.random::<f64>() >= due {
             return FreeUpstream::Contended;
         }
         let chosen = self.rng.random_range(0..free.upstreams.len());
         FreeUpstream::Found(free.upstreams[chosen])
     }
 
+    /// How many of the requests that free slots can serve are due to this instance since its last search: its share is
+    /// that of the work in flight in its zone.
+    fn free_slots_due(&mut self, service: &str, slots: u32, now: Time) -> f64 {
+        let since = self.full_services.record_search(service, now);
+        let zones = self.loads.zones(service, now);
+        let Some(zone) = zones.and_then(|zones| zones.get(&self.options.zone)) else {
+            return f64::from(slots);
+        };
+        let service_time = zone.service_time.unwrap_or(UNKNOWN_SERVICE_TIME);
+        let requests = since.div_duration_f64(service_time.max(MIN_SERVICE_TIME)).min(1.0);
+        let ids = self.directory.service_ids(service).iter();
+        let own: u32 = ids.map(|id| self.loads.own.counts(*id).in_flight).sum();
+        let share = f64::from(own.max(1)) / f64::from(zone.in_flight.max(1));
+        f64::from(slots) * requests * share.min(1.0)
+    }
+
     /// The free slots of the local zone or, if it has none, those of the zone with the most by its sums.
     ///
     /// The sums include upstreams that can't be used now, so only the usable part of the slots counts.
@@ -219,7 +235,6 @@
             if !zone.free.is_empty() && *name == self.options.zone {
                 return FreeSlots {
                     slots: zone.free_slots,
-                    of_slots: zone.usable_slots,
                     upstreams: zone.free,
                 };
             }
@@ -235,7 +250,6 @@
             if free > best.slots {
                 best = FreeSlots {
                     slots: free,
-                    of_slots: usable as u32,
                     upstreams: zone.usable,
                 };
             }
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -22,8 +22,9 @@
 use crate::packet::Echo;
 use crate::upstream::UpstreamId;
 
-/// How long an opening counts as in flight: clients that give up send nothing that ends it.
-const MAX_OPENING: Duration = Duration::from_secs(1);
+/// How long an opening counts as in flight. A client that gets no answer retransmits after 200 milliseconds; one that
+/// sends nothing more by then was refused or has gone.
+const MAX_OPENING: Duration = Duration::from_millis(300);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
