--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -25,8 +25,6 @@
 use units::Time;
 use units::ZoneName;
 
-pub use self::overload::ServiceLoad;
-pub use self::overload::returning;
 use crate::admission::FullServices;
 use crate::admission::Policy;
 use crate::answer_log::AnswerLog;
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -9,7 +9,6 @@
 use units::ZoneName;
 
 use super::Core;
-use super::opening::tier;
 use crate::admission::Admission;
 use crate::admission::Opening;
 use crate::admission::Room;
@@ -260,8 +259,6 @@
     /// Whether an upstream that is listed as accepting flows can get one now.
     fn is_usable(&self, id: UpstreamId, listed: &DirectoryEntry, now: Time) -> bool {
         let health = self.health.get(&id);
-        tier(listed, health, now) == Some(Tier::Ready)
-            && self.permits_new_flow(id, listed, health, now)
-            && !self.is_at_connection_limit(id, listed, now)
+        self.tier_of(id, listed, health, now) == Some(Tier::Ready)
     }
 }
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -215,7 +215,13 @@
     }
 
     /// The tier of an upstream, or `None` if it gets no new flow from here now.
-    fn tier_of(&self, id: UpstreamId, listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
+    pub(super) fn tier_of(
+        &self,
+        id: UpstreamId,
+        listed: &DirectoryEntry,
+        health: Option<&Health>,
+        now: Time,
+    ) -> Option<Tier> {
         let tier = tier(listed, health, now)?;
         let takes_flow =
             self.permits_new_flow(id, listed, health, now) && !self.is_at_connection_limit(id, listed, now);
@@ -279,7 +285,7 @@
 }
 
 /// The tier of an upstream, or `None` if it gets no new flows.
-pub(super) fn tier(listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
+fn tier(listed: &DirectoryEntry, health: Option<&Health>, now: Time) -> Option<Tier> {
     if !listed.accepts_flows() {
         return None;
     }
