Look for free slots in another zone also where the local zone has one left

The search for a free slot returned the local zone's as soon as there was one. With 1 of 120 local slots free, an opening got it with a probability of 2/60 and was refused otherwise, although another zone had 108 of 120 slots free.

--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use units::Time;
 use units::ZoneName;
 
@@ -50,15 +51,23 @@
     free: Vec<UpstreamId>,
 }
 
-/// Upstreams with free slots.
+/// Upstreams of a zone with free slots.
 #[derive(Debug, Default)]
 struct FreeSlots {
-    slots: u32,
-    /// All slots of the zone that can be used.
-    of_slots: u32,
+    /// Share of the usable slots of the zone that is free.
+    share: f64,
     upstreams: Vec<UpstreamId>,
 }
 
+impl FreeSlots {
+    fn new(free: u32, usable: u32, upstreams: Vec<UpstreamId>) -> Self {
+        Self {
+            share: f64::from(free) / f64::from(usable.max(1)),
+            upstreams,
+        }
+    }
+}
+
 /// Result of the search for a free slot.
 #[derive(Debug, Clone, Copy)]
 enum FreeUpstream {
@@ -168,12 +177,35 @@
     ///
     /// All instances have the same view. If each sent all openings that have no room elsewhere to the few free slots,
     /// these upstreams would get many times what they can serve. So an opening gets a free slot with a probability
-    /// that grows with the share of free slots.
+    /// that grows with the share of free slots. Another zone gets openings by how much larger its share is than the
+    /// local one, so that zones with equal shares exchange nothing.
     fn find_free_upstream(&mut self, service: &str, now: Time) -> FreeUpstream {
-        let ids = self.directory.service_ids(service);
-        let first = self.rng.random_range(0..ids.len().max(1));
+        let first = self
+            .rng
+            .random_range(0..self.directory.service_ids(service).len().max(1));
+        let mut zones = self.search(service, first, now);
+        let local = zones.remove(&self.options.zone).unwrap_or_default();
+        let local = FreeSlots::new(local.free_slots, local.usable_slots, local.free);
+        let other = self.free_slots_elsewhere(service, zones, now);
+        if local.upstreams.is_empty() && other.upstreams.is_empty() {
+            return FreeUpstream::None;
+        }
+        let extra = other.share - local.share;
+        for (share, upstreams) in [(local.share, local.upstreams), (extra, other.upstreams)] {
+            if self.rng.random::<f64>() >= share * FREE_SLOT_USES {
+                continue;
+            }
+            if let Some(id) = upstreams.choose(&mut self.rng) {
+                return FreeUpstream::Found(*id);
+            }
+        }
+        FreeUpstream::Contended
+    }
+
+    /// Searches upstreams of a service, from the one at index `first` on, for free slots.
+    fn search(&self, service: &str, first: usize, now: Time) -> BTreeMap<&ZoneName, SearchedZone> {
         let mut zones: BTreeMap<&ZoneName, SearchedZone> = BTreeMap::new();
-        let (before, after) = ids.split_at(first);
+        let (before, after) = self.directory.service_ids(service).split_at(first);
         for id in after.iter().chain(before).take(MAX_SEARCHED) {
             let Some((id, listed)) = self.directory.reachable(*id) else {
                 continue;
@@ -195,46 +227,25 @@
                 zone.free.push(id);
             }
         }
-        let free = self.free_slots(service, zones, now);
-        if free.upstreams.is_empty() {
-            return FreeUpstream::None;
-        }
-        let chance = f64::from(free.slots) / f64::from(free.of_slots.max(1)) * FREE_SLOT_USES;
-        if self.rng.random::<f64>() >= chance {
-            return FreeUpstream::Contended;
-        }
-        let chosen = self.rng.random_range(0..free.upstreams.len());
-        FreeUpstream::Found(free.upstreams[chosen])
+        zones
     }
 
-    /// The free slots of the local zone or, if it has none, those of the zone with the most by its sums.
+    /// The free slots of the other zone with the most by its sums.
     ///
     /// The sums include upstreams that can't be used now, so only the usable part of the slots counts.
-    fn free_slots(&self, service: &str, searched: BTreeMap<&ZoneName, SearchedZone>, now: Time) -> FreeSlots {
+    fn free_slots_elsewhere(&self, service: &str, others: BTreeMap<&ZoneName, SearchedZone>, now: Time) -> FreeSlots {
+        let mut most = 0;
         let mut best = FreeSlots::default();
-        for (name, zone) in searched {
-            if !zone.free.is_empty() && *name == self.options.zone {
-                return FreeSlots {
-                    slots: zone.free_slots,
-                    of_slots: zone.usable_slots,
-                    upstreams: zone.free,
-                };
-            }
+        for (name, zone) in others {
             let loads = self.loads.zones(service, now);
-            let Some(load) = loads
-                .and_then(|loads| loads.get(name))
-                .filter(|_| *name != self.options.zone)
-            else {
+            let Some(load) = loads.and_then(|loads| loads.get(name)) else {
                 continue;
             };
             let usable = u64::from(load.slots) * u64::from(zone.usable_slots) / u64::from(zone.slots.max(1));
             let free = usable.saturating_sub(load.in_flight.into()) as u32;
-            if free > best.slots {
-                best = FreeSlots {
-                    slots: free,
-                    of_slots: usable as u32,
-                    upstreams: zone.usable,
-                };
+            if free > most {
+                most = free;
+                best = FreeSlots::new(free, usable as u32, zone.usable);
             }
         }
         best
