Reuse the result of a search for free slots for 20 ms

Only a search without success was kept. While a service had a few free slots, each opening that was then refused or held cost a search through up to 256 upstreams, so refusing cost more than placing, just under load. Results with free slots are now kept too; the upstream drawn from them is checked again.

Searches now count as examined upstreams; the test bounds these and fails without the reuse.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -9,8 +9,8 @@
 //! Everything here is a function of plain values, so that it can be tested without a network.
 
 mod fair_shares;
-mod full_services;
 mod held;
+mod searches;
 mod service;
 
 use std::collections::BTreeMap;
@@ -21,7 +21,9 @@
 
 use crate::flows::FlowKey;
 use fair_shares::FairShares;
-pub(crate) use full_services::FullServices;
+pub(crate) use searches::FreeSlots;
+pub(crate) use searches::Search;
+pub(crate) use searches::Searches;
 use service::Service;
 
 /// Times of a client's retransmissions of an opening packet, after its first transmission.
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -27,8 +27,8 @@
 
 pub use self::overload::ServiceLoad;
 pub use self::overload::returning;
-use crate::admission::FullServices;
 use crate::admission::Policy;
+use crate::admission::Searches;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
@@ -121,7 +121,7 @@
     /// Joint view of the load of all upstreams.
     loads: Loads,
     admission: Policy,
-    full_services: FullServices,
+    searches: Searches,
     /// What is observed of the capacity of services, to be shown to operators.
     capacity: Capacity,
     loss: Loss,
@@ -166,7 +166,7 @@
             baselines: HashMap::new(),
             loads: Loads::default(),
             admission: Policy::default(),
-            full_services: FullServices::default(),
+            searches: Searches::default(),
             capacity: Capacity::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -11,8 +11,10 @@
 use super::Core;
 use super::opening::tier;
 use crate::admission::Admission;
+use crate::admission::FreeSlots;
 use crate::admission::Opening;
 use crate::admission::Room;
+use crate::admission::Search;
 use crate::directory::DirectoryEntry;
 use crate::flows::FlowKey;
 use crate::packet::DropCause;
@@ -51,34 +53,6 @@
     free: Vec<UpstreamId>,
 }
 
-/// Upstreams of a zone with free slots.
-#[derive(Debug, Default)]
-struct FreeSlots {
-    /// Share of the usable slots of the zone that is free.
-    share: f64,
-    upstreams: Vec<UpstreamId>,
-}
-
-impl FreeSlots {
-    fn new(free: u32, usable: u32, upstreams: Vec<UpstreamId>) -> Self {
-        Self {
-            share: f64::from(free) / f64::from(usable.max(1)),
-            upstreams,
-        }
-    }
-}
-
-/// Result of the search for a free slot.
-#[derive(Debug, Clone, Copy)]
-enum FreeUpstream {
-    /// No upstream has one.
-    None,
-    /// Some have, but too few for all openings that look for one.
-    Contended,
-    /// An upstream with a free slot.
-    Found(UpstreamId),
-}
-
 /// Describes an opening packet for admission control.
 pub(super) fn opening(packet: &Packet, route: &Route, routes: &Routes, service: &str) -> Opening {
     Opening {
@@ -109,7 +83,7 @@
         opening: &Opening,
         now: Time,
     ) -> Option<Verdict> {
-        let room = self.full_services.room(service, now)?;
+        let room = self.searches.full_room(service, now)?;
         if self.admission.assess(service, opening, room, now) == Admission::Admit {
             return None;
         }
@@ -128,16 +102,12 @@
         now: Time,
     ) -> Result<Candidate, Verdict> {
         let mut room = self.room(service, &candidate, now);
-        if self.admission.assess(service, opening, room, now) != Admission::Admit {
-            match self.find_free_upstream(service, now) {
-                FreeUpstream::Found(id) => {
-                    candidate.id = id;
-                    candidate.tier = Tier::Ready;
-                    room.has_free_slot = true;
-                }
-                FreeUpstream::Contended => {}
-                FreeUpstream::None => self.full_services.insert(service, room, now),
-            }
+        if self.admission.assess(service, opening, room, now) != Admission::Admit
+            && let Some(id) = self.find_free_upstream(service, room, now)
+        {
+            candidate.id = id;
+            candidate.tier = Tier::Ready;
+            room.has_free_slot = true;
         }
         let admission = self.admission.decide(service, opening, room, now);
         verdict(admission, packet).map_or(Ok(candidate), Err)
@@ -179,31 +149,52 @@
     /// these upstreams would get many times what they can serve. So an opening gets a free slot with a probability
     /// that grows with the share of free slots. Another zone gets openings by how much larger its share is than the
     /// local one, so that zones with equal shares exchange nothing.
-    fn find_free_upstream(&mut self, service: &str, now: Time) -> FreeUpstream {
-        let first = self
-            .rng
-            .random_range(0..self.directory.service_ids(service).len().max(1));
-        let mut zones = self.search(service, first, now);
-        let local = zones.remove(&self.options.zone).unwrap_or_default();
-        let local = FreeSlots::new(local.free_slots, local.usable_slots, local.free);
-        let other = self.free_slots_elsewhere(service, zones, now);
-        if local.upstreams.is_empty() && other.upstreams.is_empty() {
-            return FreeUpstream::None;
+    fn find_free_upstream(&mut self, service: &str, room: Room, now: Time) -> Option<UpstreamId> {
+        if self.searches.recent(service, now).is_none() {
+            let search = self.search(service, room, now);
+            self.searches.insert(service, search);
         }
+        let Search { local, other, .. } = self.searches.recent(service, now)?;
         let extra = other.share - local.share;
-        for (share, upstreams) in [(local.share, local.upstreams), (extra, other.upstreams)] {
+        for (share, upstreams) in [(local.share, &local.upstreams), (extra, &other.upstreams)] {
             if self.rng.random::<f64>() >= share * FREE_SLOT_USES {
                 continue;
             }
-            if let Some(id) = upstreams.choose(&mut self.rng) {
-                return FreeUpstream::Found(*id);
+            let chosen = upstreams.choose(&mut self.rng).copied();
+            if let Some(id) = chosen.filter(|id| self.still_has_free_slot(*id, now)) {
+                return Some(id);
             }
         }
-        FreeUpstream::Contended
+        None
+    }
+
+    /// Whether an upstream that a recent search has found can get a flow now and isn't known to be full.
+    fn still_has_free_slot(&self, id: UpstreamId, now: Time) -> bool {
+        let Some((_, listed)) = self.directory.reachable(id) else {
+            return false;
+        };
+        let slots = u32::from(listed.upstream().slots.0);
+        let work = self.loads.work(id, now);
+        listed.gone_since.is_none() && work.is_none_or(|work| work.in_flight < slots) && self.is_usable(id, listed, now)
+    }
+
+    /// Searches a service for free slots.
+    fn search(&mut self, service: &str, room: Room, now: Time) -> Search {
+        let count = self.directory.service_ids(service).len();
+        self.stats.examined += count.min(MAX_SEARCHED) as u64;
+        let first = self.rng.random_range(0..count.max(1));
+        let mut zones = self.search_zones(service, first, now);
+        let local = zones.remove(&self.options.zone).unwrap_or_default();
+        Search {
+            at: now,
+            room,
+            local: FreeSlots::new(local.free_slots, local.usable_slots, local.free),
+            other: self.free_slots_elsewhere(service, zones, now),
+        }
     }
 
     /// Searches upstreams of a service, from the one at index `first` on, for free slots.
-    fn search(&self, service: &str, first: usize, now: Time) -> BTreeMap<&ZoneName, SearchedZone> {
+    fn search_zones(&self, service: &str, first: usize, now: Time) -> BTreeMap<&ZoneName, SearchedZone> {
         let mut zones: BTreeMap<&ZoneName, SearchedZone> = BTreeMap::new();
         let (before, after) = self.directory.service_ids(service).split_at(first);
         for id in after.iter().chain(before).take(MAX_SEARCHED) {
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -142,6 +142,19 @@
     assert_eq!(outcome.refused, 200 - at_free);
 }
 
+/// Guards against a search through the whole service for each opening of a flood.
+#[test]
+fn a_flood_at_a_few_free_slots_costs_few_searches() {
+    let mut core = core_with_zones(60, 1, 1);
+    receive(&mut core, &digest(1, &near(1, 3), None), START);
+    for number in 0..200 {
+        core.handle_packet(&opening_packet(number), after(u64::from(number) / 2));
+    }
+    // Placement examines 8 upstreams for each opening, and there is a search each 20 ms.
+    let examined = core.stats().examined;
+    assert!(examined <= 200 * 8 + 5 * 60, "{examined}");
+}
+
 /// Guards against refusals while slots are free, where placement happens to draw upstreams without any.
 #[test]
 fn many_free_slots_beside_long_queues() {
