Don't refuse a late copy of an opening packet of an established flow

Only a flow that was still opening kept its admission. A retransmission that the network had reordered with the client's first acknowledgement, or a duplicate, was decided on anew, and its refusal reset a living flow. Copies that say that they are retransmissions of a flow known here, and those within the minimum retransmission interval, now keep its admission.

The test sends three such copies while the service is full: three resets before, none now. A new opening from the same port is still decided on.

--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -8,6 +8,7 @@
 
 use super::Core;
 use super::admission;
+use crate::admission::Opening;
 use crate::decision::Decision;
 use crate::directory::DirectoryEntry;
 use crate::flows::Flow;
@@ -64,9 +65,7 @@
         if let Some(id) = self.delayed_duplicate(&key, now) {
             return self.forward(id);
         }
-        // A flow that was admitted keeps its admission when its opening packet is retransmitted.
-        let earlier = self.flows.get_mut(&key);
-        let is_admitted = earlier.is_some_and(|flow| flow.stage == Stage::Opening);
+        let is_admitted = self.is_admitted(&opening, now);
         if !is_admitted && let Some(verdict) = self.reject_early(packet, &service, &opening, now) {
             return verdict;
         }
@@ -116,6 +115,17 @@
         (is_held_up && takes_flows).then_some(id)
     }
 
+    /// Whether an opening packet is a further copy of one that was admitted. Its flow may be established already, if
+    /// the network has reordered the copy with the client's first acknowledgement.
+    fn is_admitted(&mut self, opening: &Opening, now: Time) -> bool {
+        let Some(flow) = self.flows.get_mut(&opening.flow) else {
+            return false;
+        };
+        flow.stage == Stage::Opening
+            || opening.retransmissions > 0
+            || now.since(flow.first_seen) < MIN_RETRANSMISSION_INTERVAL
+    }
+
     /// Reason why a service has no upstream for a new flow.
     fn no_upstream_cause(&self, service: &str, now: Time) -> ResetCause {
         let listed = || {
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -12,6 +12,7 @@
 
 use flow::Core;
 use flow::Document;
+use flow::Flags;
 use flow::LoadDigest;
 use flow::LoadGroup;
 use flow::Packet;
@@ -277,3 +278,34 @@
     let most = later.placed.values().max();
     assert!(most <= Some(&4), "{most:?} of 50 openings at one upstream");
 }
+
+/// Guards against the reset of an established flow, by a copy of its opening packet that arrives after the handshake.
+#[test]
+fn late_copies_of_an_opening_packet() {
+    let mut core = core_with_zones(60, 1, 1);
+    let syn = opening_packet(1);
+    let Verdict::Forward { echo, .. } = core.handle_packet(&syn, START) else {
+        panic!("admitted without a view");
+    };
+    let ack = Packet {
+        flags: Flags::ACK,
+        echo,
+        seq: 2,
+        ack: 1,
+        ..syn
+    };
+    receive(&mut core, &digest(1, &near(1, 0), None), after(1));
+    let mut outcome = Outcome::default();
+    for (at, retransmissions) in [(10, 0), (205, 1), (610, 2)] {
+        core.handle_packet(&ack, after(at - 1));
+        let copy = Packet {
+            ack: retransmissions,
+            ..syn
+        };
+        outcome.record(&mut core, &copy, after(at));
+    }
+    assert_eq!(outcome.refused, 0);
+    core.handle_packet(&ack, after(611));
+    outcome.record(&mut core, &syn, after(900));
+    assert_eq!(outcome.refused, 1, "a new flow from the same port");
+}
