Draw upstreams with free slots by the number of these

The search drew uniformly among upstreams with a free slot, so one with a single free slot got as many openings as one with ten. They are now drawn by their free slots, and those of another zone, of which only sums are known, by their slots.

--- a/crates/flow/src/admission/searches.rs
+++ b/crates/flow/src/admission/searches.rs
@@ -19,11 +19,13 @@
 pub(crate) struct FreeSlots {
     /// Share of the usable slots of the zone that is free.
     pub(crate) share: f64,
-    pub(crate) upstreams: Vec<UpstreamId>,
+    /// Upstreams with the weights that one of them is drawn by: their free slots, or all their slots if only sums are
+    /// known.
+    pub(crate) upstreams: Vec<(UpstreamId, u32)>,
 }
 
 impl FreeSlots {
-    pub(crate) fn new(free: u32, usable: u32, upstreams: Vec<UpstreamId>) -> Self {
+    pub(crate) fn new(free: u32, usable: u32, upstreams: Vec<(UpstreamId, u32)>) -> Self {
         Self {
             share: f64::from(free) / f64::from(usable.max(1)),
             upstreams,
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -45,12 +45,12 @@
     slots: u32,
     /// Slots of those that can get a flow now.
     usable_slots: u32,
-    /// Those that can get a flow now.
-    usable: Vec<UpstreamId>,
+    /// Those that can get a flow now, with their slots.
+    usable: Vec<(UpstreamId, u32)>,
     /// Free slots of those whose load is known.
     free_slots: u32,
-    /// Those known to have a free slot.
-    free: Vec<UpstreamId>,
+    /// Those known to have a free slot, with the number of these.
+    free: Vec<(UpstreamId, u32)>,
 }
 
 /// Describes an opening packet for admission control.
@@ -160,8 +160,11 @@
             if self.rng.random::<f64>() >= share * FREE_SLOT_USES {
                 continue;
             }
-            let chosen = upstreams.choose(&mut self.rng).copied();
-            if let Some(id) = chosen.filter(|id| self.still_has_free_slot(*id, now)) {
+            let Ok((id, _)) = upstreams.choose_weighted(&mut self.rng, |(_, weight)| *weight) else {
+                continue;
+            };
+            let id = *id;
+            if self.still_has_free_slot(id, now) {
                 return Some(id);
             }
         }
@@ -211,11 +214,11 @@
                 continue;
             }
             zone.usable_slots += slots;
-            zone.usable.push(id);
+            zone.usable.push((id, slots));
             let in_flight = self.loads.work(id, now).map(|work| work.in_flight);
             if let Some(free) = in_flight.and_then(|in_flight| slots.checked_sub(in_flight).filter(|free| *free > 0)) {
                 zone.free_slots += free;
-                zone.free.push(id);
+                zone.free.push((id, free));
             }
         }
         zones
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -21,6 +21,7 @@
 use flow::ResetCause;
 use flow::Route;
 use flow::Share;
+use flow::Upstream;
 use flow::UpstreamId;
 use flow::UpstreamSum;
 use flow::Verdict;
@@ -29,8 +30,10 @@
 use support::core_with_zones;
 use support::opening_packet;
 use support::route;
+use support::upstream;
 use units::Incarnation;
 use units::Revision;
+use units::Slots;
 use units::Time;
 use units::Weight;
 
@@ -168,6 +171,41 @@
     assert_eq!(outcome.at(|id| near[&id] == QUEUED), 0, "too late there");
 }
 
+/// Guards against flooding upstreams with one free slot beside some with many.
+#[test]
+fn free_slots_at_small_and_large_upstreams() {
+    let near: BTreeMap<u64, u32> = near(1, 10)
+        .into_iter()
+        .map(|(id, in_flight)| (61 - id, in_flight))
+        .collect();
+    let mut outcome = Outcome::default();
+    for instance in 0..5 * INSTANCES {
+        let mut core = core_with_zones(60, 1, u64::from(instance) + 1);
+        // Upstream 1 has ten free slots of twenty, 51 to 60 have one of two, the others none.
+        let list = (1..=60).map(|id| {
+            let slots = if id == 1 { 20 } else { 2 };
+            let upstream = Upstream {
+                slots: Slots(slots),
+                ..upstream(id, 1)
+            };
+            (UpstreamId(id), Revision(3), upstream)
+        });
+        let list = list.collect();
+        core.learn(START, |knowledge| knowledge.apply_list(Revision(3), list, START));
+        receive(&mut core, &digest(1, &near, None), START);
+        for number in 0..5 {
+            let packet = opening_packet(instance * 5 + number);
+            outcome.record(&mut core, &packet, after(1 + u64::from(number)));
+        }
+    }
+    let (large, small) = (outcome.at(|id| id == 1), outcome.at(|id| id > 50));
+    // Each has half of the free slots. Placement draws its sample without regard to slots.
+    assert!(
+        2 * large > small,
+        "{large} at the large upstream, {small} at the small ones"
+    );
+}
+
 /// Guards against refusals in a full zone while another one is free, also where a last slot of the full zone is free.
 #[test]
 fn a_free_zone_beside_a_full_one() {
