Compare response times without overflow in admission

An upstream whose expected response time isn't expressible is given as Duration::MAX (place::joint), and adding the age of a retransmitted opening to it panics. The view's service times are at most 4,295 s, so no instance has been seen to do this. The sums now saturate; the test panicked before.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -151,7 +151,7 @@
         let unused = Service::default();
         let state = self.services.get(service).unwrap_or(&unused);
         let rank = self.rank(opening, now);
-        let is_in_time = opening.age() + expected <= opening.limit();
+        let is_in_time = opening.age().saturating_add(expected) <= opening.limit();
         let is_reserved = rank == opening.class.rank && state.is_reserved_for(opening.class, now);
         let service_time = room.service_time.unwrap_or(expected);
         if is_in_time && (is_reserved || expected <= state.budget(opening, rank, now)) {
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -81,7 +81,7 @@
             return false;
         };
         let delay = next_age.saturating_sub(opening.age());
-        if next_age + service_time > opening.limit() || self.is_shortage_lasting(now) {
+        if next_age.saturating_add(service_time) > opening.limit() || self.is_shortage_lasting(now) {
             return false;
         }
         let likely = self.admitted.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64() * delay.as_secs_f64();
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -380,3 +380,17 @@
     opening.timeout = None;
     assert_eq!(policy.decide("search", &opening, room, Time(1)), Admission::Admit);
 }
+
+/// Guards against an overflow for an upstream so slow that its response time can't be expressed.
+#[test]
+fn an_opening_is_refused_where_the_expected_response_time_has_no_bound() {
+    let mut policy = Policy::default();
+    for retransmissions in 0..=3 {
+        let opening = opening(ONLY, 1, retransmissions, retransmissions);
+        let room = Room {
+            service_time: None,
+            ..full(Duration::MAX)
+        };
+        assert_eq!(policy.decide("search", &opening, room, Time(1)), Admission::Refuse);
+    }
+}
