Say what MAX_HELD and the draw of a zone do

MAX_HELD bounds the held openings that are at least as urgent as a further one, not all of a service. draw_zone also draws zones that take no flows from the local one, and its comment had lost a word. Comments only.

--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -24,7 +24,7 @@
 /// Openings without a free slot, beyond as many with one, that don't yet show that a shortage lasts. Packets arrive in
 /// bunches.
 const TOLERATED_FULL: f64 = 2.0;
-/// The maximum number of openings of a service that are held.
+/// The maximum number of held openings of a service beyond which no less urgent one is held.
 const MAX_HELD: usize = 256;
 /// Maximum number of halvings of a budget.
 const MAX_HALVINGS: u8 = 16;
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -220,8 +220,8 @@
     best.copied()
 }
 
-/// Draws another zone by its room. Without an upstream in the local zone (`is_required`), zones without room
-/// capacity are drawn from too.
+/// Draws another zone by its room. Without an upstream in the local zone (`is_required`), zones that take no flows from
+/// it are drawn too.
 fn draw_zone<'a>(view: &View<'a>, is_required: bool, rng: &mut SmallRng) -> Option<&'a ZoneName> {
     let local = view.zones.get(view.local);
     let mut others = Vec::with_capacity(view.zones.len());
@@ -251,7 +251,8 @@
     Estimate::new(&far[index], ZoneEstimate::new(far[index].zone, view))
 }
 
-/// Draws the index of an item with a probability proportional to its weight, leaving one item out. Items of no weight aren't drawn.
+/// Draws the index of an item with a probability proportional to its weight, leaving one item out. Items of no weight
+/// aren't drawn.
 fn draw<T>(items: &[T], without: Option<usize>, weight: impl Fn(&T) -> f64, rng: &mut SmallRng) -> Option<usize> {
     let weights = || {
         let weights = items.iter().map(&weight).enumerate();
