--- a/crates/flow/src/draft.rs
+++ b/crates/flow/src/draft.rs
@@ -196,14 +196,7 @@
             let first = first.unwrap_or_else(|| Warning::new(Subject::Document, "routes", "", Fallback::LeftOut));
             return Err(NoRouteError { first });
         }
-        let mut cold_starts = BTreeMap::new();
-        let mut connection_limits = BTreeMap::new();
-        for service in draft.services {
-            let name = service.name.clone();
-            let (cold_start, connection_limit) = read_service(service, &mut warnings);
-            connection_limits.extend(connection_limit.map(|limit| (name.clone(), limit)));
-            cold_starts.insert(name, cold_start);
-        }
+        let (cold_starts, connection_limits) = read_services(draft.services, &mut warnings);
         let idle_timeout = draft.idle_timeout.required().unwrap_or_else(|text| {
             let reading = Fallback::LongestIdle;
             warnings.push(Warning::new(Subject::Document, "idle timeout", &text, reading));
@@ -270,6 +263,22 @@
     })
 }
 
+/// Validates services. Returns their cold start limits and connection limits by name.
+fn read_services(
+    services: Vec<Service>,
+    warnings: &mut Vec<Warning>,
+) -> (BTreeMap<String, ColdStart>, BTreeMap<String, NonZeroU32>) {
+    let mut cold_starts = BTreeMap::new();
+    let mut connection_limits = BTreeMap::new();
+    for service in services {
+        let name = service.name.clone();
+        let (cold_start, connection_limit) = read_service(service, warnings);
+        connection_limits.extend(connection_limit.map(|limit| (name.clone(), limit)));
+        cold_starts.insert(name, cold_start);
+    }
+    (cold_starts, connection_limits)
+}
+
 /// Validates a service. Returns its cold start limit and its connection limit.
 fn read_service(draft: Service, warnings: &mut Vec<Warning>) -> (ColdStart, Option<NonZeroU32>) {
     let mut collector = WarningCollector {
