Admit openings at the rate that upstreams have room for

Cause: while many openings are refused, all that compare an upstream with room go there, and the view shows it only afterwards: up to 18 new flows reached one upstream within 50 ms on tenders x7. Change: an instance estimates the openings of its zone from its own and the number of instances there, and admits them at a candidate, or at a free slot, with the probability that its room allows.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -9,8 +9,8 @@
 //! Everything here is a function of plain values, so that it can be tested without a network.
 
 mod fair_shares;
-mod full_services;
 mod held;
+mod searches;
 mod service;
 
 use std::collections::BTreeMap;
@@ -21,7 +21,9 @@
 
 use crate::flows::FlowKey;
 use fair_shares::FairShares;
-pub(crate) use full_services::FullServices;
+pub(crate) use searches::FreeSlots;
+pub(crate) use searches::Search;
+pub(crate) use searches::Searches;
 use service::Service;
 
 /// Times of a client's retransmissions of an opening packet, after its first transmission.
@@ -129,6 +131,7 @@
             let flow = opening.flow;
             self.shares.record(flow.route, *flow.client.ip(), now);
         }
+        state.record_opening(now);
         state.record_room(room.has_free_slot, now);
         match admission {
             Admission::Admit => state.record_admission(rank, room.has_free_slot, now),
@@ -149,7 +152,7 @@
         let unused = Service::default();
         let state = self.services.get(service).unwrap_or(&unused);
         let rank = self.rank(opening, now);
-        let is_in_time = opening.age() + expected <= opening.limit();
+        let is_in_time = opening.age().saturating_add(expected) <= opening.limit();
         let is_reserved = rank == opening.class.rank && state.is_reserved_for(opening.class, now);
         let service_time = room.service_time.unwrap_or(expected);
         if is_in_time && (is_reserved || expected <= state.budget(opening, rank, now)) {
@@ -170,6 +173,18 @@
         opening.class.rank
     }
 
+    /// The number of openings per second that ask for a service here, retries included.
+    pub fn opening_rate(&self, service: &str, now: Time) -> f64 {
+        self.services.get(service).map_or(0.0, |state| state.opening_rate(now))
+    }
+
+    /// The longest expected response time at which an opening is admitted while the service is short of capacity.
+    pub fn budget(&self, service: &str, opening: &Opening, now: Time) -> Duration {
+        let unused = Service::default();
+        let state = self.services.get(service).unwrap_or(&unused);
+        state.budget(opening, self.rank(opening, now), now)
+    }
+
     /// The number of openings that are held.
     pub fn held_count(&self) -> usize {
         self.services.values().map(|service| service.held.len()).sum()
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -24,7 +24,7 @@
 /// Openings without a free slot, beyond as many with one, that don't yet show that a shortage lasts. Packets arrive in
 /// bunches.
 const TOLERATED_FULL: f64 = 2.0;
-/// The maximum number of openings of a service that are held.
+/// The maximum number of held openings of a service beyond which no less urgent one is held.
 const MAX_HELD: usize = 256;
 /// Maximum number of halvings of a budget.
 const MAX_HALVINGS: u8 = 16;
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Service {
     pub(super) held: Held,
+    /// All openings.
+    asked: DecayingCount,
     /// All admitted openings.
     admitted: DecayingCount,
     /// Openings that found a free slot, and those that found none.
@@ -81,7 +83,7 @@
             return false;
         };
         let delay = next_age.saturating_sub(opening.age());
-        if next_age + service_time > opening.limit() || self.is_shortage_lasting(now) {
+        if next_age.saturating_add(service_time) > opening.limit() || self.is_shortage_lasting(now) {
             return false;
         }
         let likely = self.admitted.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64() * delay.as_secs_f64();
@@ -105,6 +107,15 @@
         found.add(1, RATE_SPAN, now);
     }
 
+    pub(super) fn record_opening(&mut self, now: Time) {
+        self.asked.add(1, RATE_SPAN, now);
+    }
+
+    /// Openings per second.
+    pub(super) fn opening_rate(&self, now: Time) -> f64 {
+        self.asked.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64()
+    }
+
     pub(super) fn record_admission(&mut self, rank: u8, has_free_slot: bool, now: Time) {
         self.admitted.add(1, RATE_SPAN, now);
         if has_free_slot {
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -25,8 +25,8 @@
 use units::Time;
 use units::ZoneName;
 
-use crate::admission::FullServices;
 use crate::admission::Policy;
+use crate::admission::Searches;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
 use crate::decision::Decision;
@@ -119,7 +119,9 @@
     /// Joint view of the load of all upstreams.
     loads: Loads,
     admission: Policy,
-    full_services: FullServices,
+    /// Number of instances in the instance's availability zone.
+    zone_instances: u32,
+    searches: Searches,
     /// What is observed of the capacity of services, to be shown to operators.
     capacity: Capacity,
     loss: Loss,
@@ -164,7 +166,8 @@
             baselines: HashMap::new(),
             loads: Loads::default(),
             admission: Policy::default(),
-            full_services: FullServices::default(),
+            zone_instances: 1,
+            searches: Searches::default(),
             capacity: Capacity::default(),
             loss: Loss::default(),
             answer_log: AnswerLog::default(),
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use units::Time;
 use units::ZoneName;
 
 use super::Core;
 use crate::admission::Admission;
+use crate::admission::FreeSlots;
 use crate::admission::Opening;
 use crate::admission::Room;
+use crate::admission::Search;
 use crate::directory::DirectoryEntry;
 use crate::flows::FlowKey;
 use crate::packet::DropCause;
@@ -31,10 +34,13 @@
 /// of load shows them.
 const CONNECTION_MARGIN: u32 = 32;
 
-/// Service time of a zone that has finished too few requests.
-const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
-/// Shortest service time that counts, so that a share of it is defined.
-const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
+/// How many openings a free slot may get, on average, until the view of load shows that it is in use. A view is about
+/// as old as a request takes.
+const FREE_SLOT_USES: f64 = 2.0;
+/// How long it takes until the view of load shows an opening: the interval of reports, and half of that of digests.
+const VIEW_DELAY: Duration = Duration::from_millis(150);
+/// Number of upstreams that are compared for an opening.
+const COMPARED: f64 = 2.0;
 
 /// Upstreams of a zone that were searched.
 #[derive(Debug, Default)]
@@ -43,30 +49,12 @@
     slots: u32,
     /// Slots of those that can get a flow now.
     usable_slots: u32,
-    /// Those that can get a flow now.
-    usable: Vec<UpstreamId>,
+    /// Those that can get a flow now, with their slots.
+    usable: Vec<(UpstreamId, u32)>,
     /// Free slots of those whose load is known.
     free_slots: u32,
-    /// Those known to have a free slot.
-    free: Vec<UpstreamId>,
-}
-
-/// Upstreams with free slots.
-#[derive(Debug, Default)]
-struct FreeSlots {
-    slots: u32,
-    upstreams: Vec<UpstreamId>,
-}
-
-/// Result of the search for a free slot.
-#[derive(Debug, Clone, Copy)]
-enum FreeUpstream {
-    /// No upstream has one.
-    None,
-    /// Some have, but too few for all openings that look for one.
-    Contended,
-    /// An upstream with a free slot.
-    Found(UpstreamId),
+    /// Those known to have a free slot, with the number of these.
+    free: Vec<(UpstreamId, u32)>,
 }
 
 /// Describes an opening packet for admission control.
@@ -99,7 +87,7 @@
         opening: &Opening,
         now: Time,
     ) -> Option<Verdict> {
-        let room = self.full_services.room(service, now)?;
+        let room = self.searches.full_room(service, now)?;
         if self.admission.assess(service, opening, room, now) == Admission::Admit {
             return None;
         }
@@ -117,25 +105,67 @@
         mut candidate: Candidate,
         now: Time,
     ) -> Result<Candidate, Verdict> {
-        if candidate.expected.is_none() {
-            return Ok(candidate);
-        }
         let mut room = self.room(service, &candidate, now);
-        if self.admission.assess(service, opening, room, now) != Admission::Admit {
-            match self.find_free_upstream(service, now) {
-                FreeUpstream::Found(id) => {
-                    candidate.id = id;
-                    candidate.tier = Tier::Ready;
-                    room.has_free_slot = true;
-                }
-                FreeUpstream::Contended => {}
-                FreeUpstream::None => self.full_services.insert(service, room, now),
-            }
+        if !self.is_within_share(service, opening, &candidate, room, now) {
+            room.has_free_slot = false;
+            room.expected = Some(Duration::MAX);
+        }
+        if self.admission.assess(service, opening, room, now) != Admission::Admit
+            && let Some(id) = self.find_free_upstream(service, room, now)
+        {
+            candidate.id = id;
+            candidate.tier = Tier::Ready;
+            room.has_free_slot = true;
         }
         let admission = self.admission.decide(service, opening, room, now);
         verdict(admission, packet).map_or(Ok(candidate), Err)
     }
 
+    /// Sets the number of instances in this instance's availability zone.
+    pub fn set_zone_instances(&mut self, instances: u32) {
+        self.zone_instances = instances.max(1);
+    }
+
+    /// The number of openings in this zone that ask for a service until the view of load shows them. Routers spread
+    /// clients' flows evenly over the instances of a zone.
+    fn demand(&self, service: &str, now: Time) -> f64 {
+        let rate = self.admission.opening_rate(service, now) * f64::from(self.zone_instances);
+        rate * VIEW_DELAY.as_secs_f64()
+    }
+
+    /// Whether an opening may go to a candidate, drawn so that the instances of the zone together send it no more than
+    /// it has room for.
+    ///
+    /// While many openings are refused, the few upstreams with room attract all openings that compare them, and the
+    /// view shows that only afterwards.
+    fn is_within_share(
+        &mut self,
+        service: &str,
+        opening: &Opening,
+        candidate: &Candidate,
+        room: Room,
+        now: Time,
+    ) -> bool {
+        let (Some(expected), Some(service_time)) = (room.expected, room.service_time) else {
+            return true;
+        };
+        let Some(listed) = self.directory.get(candidate.id) else {
+            return true;
+        };
+        let zones = self.loads.zones(service, now);
+        let zone = zones.and_then(|zones| zones.get(&listed.upstream().zone));
+        // Another zone gets few flows from here, and they follow its sums gradually.
+        let Some(zone) = zone.filter(|_| listed.upstream().zone == self.options.zone) else {
+            return true;
+        };
+        let slots = f64::from(listed.upstream().slots.0.max(1));
+        let arrivals = self.demand(service, now) * COMPARED * slots / f64::from(zone.slots.max(1));
+        let budget = self.admission.budget(service, opening, now);
+        let wait = budget.saturating_sub(expected) + VIEW_DELAY;
+        let space = slots * wait.as_secs_f64() / service_time.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.rng.random::<f64>() * arrivals < space
+    }
+
     /// Whether an upstream has as many open flows as its service's connection limit permits, over all instances.
     pub(super) fn is_at_connection_limit(&self, id: UpstreamId, listed: &DirectoryEntry, now: Time) -> bool {
         let Some(limit) = self.routes.connection_limit(&listed.upstream().service) else {
@@ -169,13 +199,61 @@
     /// Finds an upstream with a free slot: in the local zone, or in a zone that must have one by its sums.
     ///
     /// All instances have the same view. If each sent all openings that have no room elsewhere to the few free slots,
-    /// these upstreams would get many times what they can serve. So each instance uses free slots at its share of the
-    /// rate at which they can serve requests.
-    fn find_free_upstream(&mut self, service: &str, now: Time) -> FreeUpstream {
-        let ids = self.directory.service_ids(service);
-        let first = self.rng.random_range(0..ids.len().max(1));
+    /// these upstreams would get many times what they can serve. So an opening gets a free slot with a probability
+    /// that follows from the number of free slots and of openings that ask for one. Another zone gets openings by how
+    /// much larger its share of free slots is than the local one, so that zones with equal shares exchange nothing.
+    fn find_free_upstream(&mut self, service: &str, room: Room, now: Time) -> Option<UpstreamId> {
+        if self.searches.recent(service, now).is_none() {
+            let search = self.search(service, room, now);
+            self.searches.insert(service, search);
+        }
+        let Search { local, other, .. } = self.searches.recent(service, now)?;
+        let extra = f64::from(other.slots) * (1.0 - local.share / other.share.max(f64::MIN_POSITIVE)).max(0.0);
+        let demand = self.demand(service, now).max(1.0);
+        for (slots, upstreams) in [(f64::from(local.slots), &local.upstreams), (extra, &other.upstreams)] {
+            if self.rng.random::<f64>() >= slots * FREE_SLOT_USES / demand {
+                continue;
+            }
+            let Ok((id, _)) = upstreams.choose_weighted(&mut self.rng, |(_, weight)| *weight) else {
+                continue;
+            };
+            let id = *id;
+            if self.still_has_free_slot(id, now) {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Whether an upstream that a recent search has found can get a flow now and isn't known to be full.
+    fn still_has_free_slot(&self, id: UpstreamId, now: Time) -> bool {
+        let Some((_, listed)) = self.directory.reachable(id) else {
+            return false;
+        };
+        let slots = u32::from(listed.upstream().slots.0);
+        let work = self.loads.work(id, now);
+        listed.gone_since.is_none() && work.is_none_or(|work| work.in_flight < slots) && self.is_usable(id, listed, now)
+    }
+
+    /// Searches a service for free slots.
+    fn search(&mut self, service: &str, room: Room, now: Time) -> Search {
+        let count = self.directory.service_ids(service).len();
+        self.stats.examined += count.min(MAX_SEARCHED) as u64;
+        let first = self.rng.random_range(0..count.max(1));
+        let mut zones = self.search_zones(service, first, now);
+        let local = zones.remove(&self.options.zone).unwrap_or_default();
+        Search {
+            at: now,
+            room,
+            local: FreeSlots::new(local.free_slots, local.usable_slots, local.free),
+            other: self.free_slots_elsewhere(service, zones, now),
+        }
+    }
+
+    /// Searches upstreams of a service, from the one at index `first` on, for free slots.
+    fn search_zones(&self, service: &str, first: usize, now: Time) -> BTreeMap<&ZoneName, SearchedZone> {
         let mut zones: BTreeMap<&ZoneName, SearchedZone> = BTreeMap::new();
-        let (before, after) = ids.split_at(first);
+        let (before, after) = self.directory.service_ids(service).split_at(first);
         for id in after.iter().chain(before).take(MAX_SEARCHED) {
             let Some((id, listed)) = self.directory.reachable(*id) else {
                 continue;
@@ -190,67 +268,32 @@
                 continue;
             }
             zone.usable_slots += slots;
-            zone.usable.push(id);
+            zone.usable.push((id, slots));
             let in_flight = self.loads.work(id, now).map(|work| work.in_flight);
             if let Some(free) = in_flight.and_then(|in_flight| slots.checked_sub(in_flight).filter(|free| *free > 0)) {
                 zone.free_slots += free;
-                zone.free.push(id);
+                zone.free.push((id, free));
             }
         }
-        let free = self.free_slots(service, zones, now);
-        if free.upstreams.is_empty() {
-            return FreeUpstream::None;
-        }
-        let due = self.free_slots_due(service, free.slots, now);
-        if self.rng.random::<f64>() >= due {
-            return FreeUpstream::Contended;
-        }
-        let chosen = self.rng.random_range(0..free.upstreams.len());
-        FreeUpstream::Found(free.upstreams[chosen])
-    }
-
-    /// How many of the requests that free slots can serve are due to this instance since its last search: its share is
-    /// that of the work in flight in its zone.
-    fn free_slots_due(&mut self, service: &str, slots: u32, now: Time) -> f64 {
-        let since = self.full_services.record_search(service, now);
-        let zones = self.loads.zones(service, now);
-        let Some(zone) = zones.and_then(|zones| zones.get(&self.options.zone)) else {
-            return f64::from(slots);
-        };
-        let service_time = zone.service_time.unwrap_or(UNKNOWN_SERVICE_TIME);
-        let requests = since.div_duration_f64(service_time.max(MIN_SERVICE_TIME)).min(1.0);
-        let ids = self.directory.service_ids(service).iter();
-        let own: u32 = ids.map(|id| self.loads.own.counts(*id).in_flight).sum();
-        let share = f64::from(own.max(1)) / f64::from(zone.in_flight.max(1));
-        f64::from(slots) * requests * share.min(1.0)
+        zones
     }
 
-    /// The free slots of the local zone or, if it has none, those of the zone with the most by its sums.
+    /// The free slots of the other zone with the most by its sums.
     ///
     /// The sums include upstreams that can't be used now, so only the usable part of the slots counts.
-    fn free_slots(&self, service: &str, searched: BTreeMap<&ZoneName, SearchedZone>, now: Time) -> FreeSlots {
+    fn free_slots_elsewhere(&self, service: &str, others: BTreeMap<&ZoneName, SearchedZone>, now: Time) -> FreeSlots {
+        let mut most = 0;
         let mut best = FreeSlots::default();
-        for (name, zone) in searched {
-            if !zone.free.is_empty() && *name == self.options.zone {
-                return FreeSlots {
-                    slots: zone.free_slots,
-                    upstreams: zone.free,
-                };
-            }
+        for (name, zone) in others {
             let loads = self.loads.zones(service, now);
-            let Some(load) = loads
-                .and_then(|loads| loads.get(name))
-                .filter(|_| *name != self.options.zone)
-            else {
+            let Some(load) = loads.and_then(|loads| loads.get(name)) else {
                 continue;
             };
             let usable = u64::from(load.slots) * u64::from(zone.usable_slots) / u64::from(zone.slots.max(1));
             let free = usable.saturating_sub(load.in_flight.into()) as u32;
-            if free > best.slots {
-                best = FreeSlots {
-                    slots: free,
-                    upstreams: zone.usable,
-                };
+            if free > most {
+                most = free;
+                best = FreeSlots::new(free, usable as u32, zone.usable);
             }
         }
         best
--- a/crates/jayquayd/src/forward/gossip.rs
+++ b/crates/jayquayd/src/forward/gossip.rs
@@ -33,6 +33,7 @@
 use units::InstanceName;
 use wire::Frame;
 use wire::Member;
+use wire::MemberState;
 
 use super::check::CheckRequest;
 use super::check::PeerChannels;
@@ -183,6 +184,7 @@
                     self.publish_status_updates();
                     self.exchange_loads();
                     cold_assignment::update(&self.shared);
+                    self.count_zone_instances();
                     let now = self.shared.now();
                     if now >= next_seed_contact && self.is_alone() {
                         next_seed_contact = now + SEED_INTERVAL;
@@ -223,6 +225,18 @@
         self.process_outputs(out);
     }
 
+    /// Tells the flow core how many instances share the flows of its zone.
+    fn count_zone_instances(&self) {
+        let instances = {
+            let members = self.shared.members();
+            let zone = &members.me().zone;
+            let in_zone = members.members().filter(|member| member.zone == *zone);
+            in_zone.filter(|member| member.state == MemberState::Alive).count()
+        };
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        self.shared.core().set_zone_instances(instances);
+    }
+
     /// Whether an instance is in another zone.
     fn is_in_other_zone(&self, name: &InstanceName) -> bool {
         let members = self.shared.members();
