Give the test of doubly counted work an upstream with a free slot

own_work_that_a_digest_includes_is_not_counted_twice failed since admission control was merged: its fourth opening found three requests at the two slots of the only upstream, and was refused, which is right. The instances now have two upstreams. The same four checks hold for the work at both, and the views of all instances must be exact in the end.

--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -404,15 +404,19 @@
     assert_eq!(due[0].recipients[0].included, 1);
 }
 
+/// Guards against own work that a digest includes being counted twice, and own work since then being missed.
 #[test]
 fn own_work_that_a_digest_includes_is_not_counted_twice() {
-    let mut fleet = Fleet::new(&[0; 3], 1, 1);
+    let mut fleet = Fleet::new(&[0; 3], 2, 1);
     for instance in 0..3 {
         fleet.open(instance);
     }
     fleet.run(3_000, &Network::default());
     fleet.open(2);
-    let in_flight = |fleet: &Fleet, instance: usize| in_flight(&fleet.cores[instance], 1, fleet.now);
+    let in_flight = |fleet: &Fleet, instance: usize| {
+        let by_upstream = [1, 2].map(|id| in_flight(&fleet.cores[instance], id, fleet.now));
+        Some(by_upstream[0]? + by_upstream[1]?)
+    };
     assert_eq!(in_flight(&fleet, 2), Some(4), "begun since the digest");
     assert_eq!(in_flight(&fleet, 1), Some(3));
     let zone = "z0".parse().unwrap();
@@ -427,6 +431,7 @@
         fleet.cores[2].zone_loads("quotes", fleet.now).unwrap()[&zone].in_flight,
         4
     );
+    fleet.assert_views_are_exact();
 }
 
 /// Guards against a burst of messages, and against groups that are never reported, where groups are many.
