Keep the connection limit where flows are idle

Loads::work had no values while few slots of a service were in use, so max_conns was not kept for idle flows. Samples of a service with a limit now also give each instance's largest number of open flows at one upstream, and collectors count the service as busy once the sum of these is half of the limit. Zones of one service may now be busy on their own, so the sums of a quiet zone are kept until its next digest.

--- a/crates/flow/benches/support/mod.rs
+++ b/crates/flow/benches/support/mod.rs
@@ -52,6 +52,15 @@
         (UpstreamId(id), Revision(1), upstream)
     });
     let list = list.collect();
+    let document = document();
+    core.learn(START, |knowledge| {
+        knowledge.apply_list(Revision(2), list, START) | knowledge.apply_document(Revision(1), document)
+    });
+    core
+}
+
+/// The document with the only route.
+pub fn document() -> Document {
     let share = Share {
         service: "quotes".into(),
         weight: Weight(1),
@@ -64,18 +73,14 @@
         priority: Priority::LEAST_URGENT,
         timeout: None,
     };
-    let document = Document {
+    Document {
         revision: Revision(1),
         routes: BTreeMap::from([("r".to_owned(), route)]),
         idle_timeout: Duration::from_secs(15),
         cold_starts: BTreeMap::new(),
         connection_limits: BTreeMap::new(),
         warnings: Vec::new(),
-    };
-    core.learn(START, |knowledge| {
-        knowledge.apply_list(Revision(2), list, START) | knowledge.apply_document(Revision(1), document)
-    });
-    core
+    }
 }
 
 /// An upstream of the only service. Its zone follows from its id.
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -152,7 +152,8 @@
                 Pace::Quiet
             }
         };
-        own.take_reports(&self.options.zone, pace, now)
+        let has_connection_limit = |service: &str| self.routes.connection_limit(service).is_some();
+        own.take_reports(&self.options.zone, pace, has_connection_limit, now)
     }
 
     /// Brings the groups of own work in line with the directory.
@@ -201,7 +202,8 @@
             });
             slots.collect()
         };
-        self.loads.collector.take_digests(listed, now)
+        let connection_limit = |service: &str| self.routes.connection_limit(service);
+        self.loads.collector.take_digests(listed, connection_limit, now)
     }
 
     /// Takes the sums that are due for other collectors of the same services, as a collector. To be called before the
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -52,7 +52,7 @@
     Quiet,
     /// Work in flight is sampled more often, so that a burst shows soon.
     Rising,
-    /// Values are reported by upstream.
+    /// Values are reported by upstream, as many slots are in use, or connections of the connection limit.
     Busy,
 }
 
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -34,7 +34,8 @@
 /// Longest interval between two calls after which the sums still hold. After a longer one this process was paused, and
 /// reports were lost.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// Work in flight per slot from which a service is busy, in percent, and below which it no longer is.
+/// Work in flight per slot, or open flows per connection limit of an upstream, from which a service is busy, in percent,
+/// and below which it no longer is.
 const BUSY_PERCENT: u32 = 50;
 const QUIET_PERCENT: u32 = 40;
 
@@ -123,10 +124,12 @@
         self.groups.get_mut(key).expect("the group was inserted above")
     }
 
-    /// Takes the digests that are due. `listed` gives the upstreams of a group.
+    /// Takes the digests that are due. `listed` gives the upstreams of a group, and `connection_limit` the limit for each
+    /// upstream of a service.
     pub(crate) fn take_digests(
         &mut self,
         listed: impl Fn(&LoadGroup) -> Vec<ListedSlots>,
+        connection_limit: impl Fn(&str) -> Option<u32>,
         now: Time,
     ) -> Vec<DueDigest> {
         let was_paused = now.since(std::mem::replace(&mut self.called_at, now)) > MAX_PAUSE;
@@ -134,7 +137,7 @@
             if was_paused {
                 group.sums.restart(now);
             }
-            group.update(key, &listed(key), now);
+            group.update(key, &listed(key), connection_limit(&key.service), now);
         }
         let mut due = Vec::new();
         self.budget.refill(now);
@@ -158,7 +161,8 @@
         due
     }
 
-    /// Takes the sums to send to other collectors, before the digests use up the budget. `zones` gives the zones of a service, each with its number of groups.
+    /// Takes the sums to send to other collectors, before the digests use up the budget. `zones` gives the zones of a
+    /// service, each with its number of groups.
     pub(crate) fn take_zone_loads(
         &mut self,
         zones: impl Fn(&str) -> Vec<(ZoneName, u16)>,
@@ -197,19 +201,23 @@
     }
 
     /// Recomputes the sums, and whether the service is busy.
-    fn update(&mut self, key: &LoadGroup, listed: &[ListedSlots], now: Time) {
+    fn update(&mut self, key: &LoadGroup, listed: &[ListedSlots], connection_limit: Option<u32>, now: Time) {
         self.sums.expire(now);
         self.known.retain(|_, sum| now.since(sum.as_of) < SUM_VALIDITY);
         let load = self.sums.load(listed, now);
         let own = (key.zone.clone(), Some(key.number));
         self.known.insert(own, KnownSum { load, as_of: now });
-        let limit = if self.is_busy { QUIET_PERCENT } else { BUSY_PERCENT };
+        let percent = if self.is_busy { QUIET_PERCENT } else { BUSY_PERCENT };
         let is_above = |sum: &KnownSum| {
             let ZoneLoad { slots, in_flight, .. } = sum.load;
-            slots > 0 && in_flight.saturating_mul(100) >= slots.saturating_mul(limit)
+            slots > 0 && in_flight.saturating_mul(100) >= slots.saturating_mul(percent)
         };
         let was_busy = self.is_busy;
-        self.is_busy = self.known.values().any(is_above);
+        let most_flows = self.sums.most_flows();
+        // Without values by upstream, the limit could not be kept for flows that are idle.
+        let is_near_limit =
+            connection_limit.is_some_and(|limit| most_flows.saturating_mul(100) >= limit.saturating_mul(percent));
+        self.is_busy = is_near_limit || self.known.values().any(is_above);
         if self.is_busy && !was_busy {
             self.digest_due = now;
         }
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -55,6 +55,8 @@
     is_in_other_zone: bool,
     /// Work in flight that is known only as a sum.
     sum: u32,
+    /// Largest number of open flows at one upstream.
+    most_flows: u32,
     by_upstream: HashMap<Echo, WorkCounts>,
     /// Whether all values were received once, so that an upstream without a value had none.
     is_complete: bool,
@@ -147,6 +149,7 @@
             at: now,
             is_in_other_zone: report.is_from_other_zone,
             sum: 0,
+            most_flows: 0,
             by_upstream: HashMap::new(),
             is_complete: false,
         });
@@ -186,6 +189,13 @@
         sums.fold(0, u32::saturating_add)
     }
 
+    /// Upper bound of the open flows at any upstream: each instance's largest number, added up. It is the same from samples
+    /// as from values by upstream, so a service doesn't alternate between the two.
+    pub(super) fn most_flows(&self) -> u32 {
+        let most = self.reporters.values().map(|held| held.most_flows);
+        most.fold(0, u32::saturating_add)
+    }
+
     /// Load of the group.
     pub(super) fn load(&mut self, listed: &[ListedSlots], now: Time) -> ZoneLoad {
         let mut load = ZoneLoad {
@@ -252,8 +262,14 @@
                 self.clear(upstreams, now);
                 self.sum = *in_flight;
             }
+            ReportedWork::SumWithFlows(in_flight, most_flows) => {
+                self.clear(upstreams, now);
+                self.sum = *in_flight;
+                self.most_flows = *most_flows;
+            }
             ReportedWork::All(values) => {
                 self.sum = 0;
+                self.most_flows = 0;
                 let kept: HashMap<Echo, WorkCounts> = values.iter().copied().collect();
                 let by_upstream = self.by_upstream.iter();
                 let gone = by_upstream.filter(|(echo, _)| !kept.contains_key(echo));
@@ -271,6 +287,7 @@
 
     fn set(&mut self, values: &[(Echo, WorkCounts)], upstreams: &mut HashMap<Echo, UpstreamTotals>, now: Time) {
         for (echo, new) in values {
+            self.most_flows = self.most_flows.max(new.open_flows);
             let old = self.by_upstream.insert(*echo, *new);
             // The first count of a sender that was not known before includes requests of long ago.
             let earlier = match old {
@@ -287,6 +304,7 @@
     /// Removes it from the sums.
     fn clear(&mut self, upstreams: &mut HashMap<Echo, UpstreamTotals>, now: Time) {
         self.sum = 0;
+        self.most_flows = 0;
         self.is_complete = false;
         for (echo, old) in self.by_upstream.drain() {
             let totals = upstreams.entry(echo).or_default();
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -167,11 +167,13 @@
 }
 
 impl OwnWork {
-    /// Takes the reports that are due at the pace of each service. Reports that the budget has no room for are put off.
+    /// Takes the reports that are due at the pace of each service. Open flows are sampled where `has_connection_limit`,
+    /// unless groups are many: there is no budget for samples of groups without work in flight. Reports that the budget has no room for are put off.
     pub(crate) fn take_reports(
         &mut self,
         own_zone: &ZoneName,
         pace: impl Fn(&str) -> Pace,
+        has_connection_limit: impl Fn(&str) -> bool,
         now: Time,
     ) -> Vec<LoadReport> {
         let mut reports = Vec::new();
@@ -190,7 +192,9 @@
                     pace = Pace::Quiet;
                 }
                 let has_interest = pace == Pace::Busy && has_interest(self.begun_at.get(&key.service), now);
-                let work = group.report(&mut self.upstreams, pace, has_interest, (self.seq + 1, now));
+                let samples_flows = || !self.budget.has_many_groups() && has_connection_limit(&key.service);
+                let at = (self.seq + 1, now);
+                let work = group.report(&mut self.upstreams, pace, has_interest, samples_flows, at);
                 let Some(work) = work else {
                     continue;
                 };
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -60,6 +60,14 @@
     pub(super) sent: SentValues<WorkCounts>,
 }
 
+/// Own work at the upstreams of a group at one time.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Sample {
+    in_flight: u32,
+    /// Largest number of open flows at one upstream, zero if it isn't sampled.
+    most_flows: u32,
+}
+
 /// Own work at the upstreams of a group.
 #[derive(Debug)]
 pub(super) struct OwnGroup {
@@ -86,55 +94,63 @@
     }
 
     /// What the report of this number says, if one is due. An instance that `has_interest` reports even that it has no work.
+    /// Samples include the open flows if `samples_flows`.
     pub(super) fn report(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
         pace: Pace,
         has_interest: bool,
+        samples_flows: impl FnOnce() -> bool,
         at: (u64, Time),
     ) -> Option<ReportedWork> {
         match pace {
             Pace::Busy => self.detail(upstreams, has_interest, at),
-            Pace::Rising => self.sample_often(upstreams, at),
-            Pace::Quiet => self.sample(upstreams, at),
+            Pace::Rising => self.sample_often(upstreams, samples_flows, at),
+            Pace::Quiet => self.sample(upstreams, samples_flows, at),
         }
     }
 
-    /// The work in flight, if a sample is due and there is any.
+    /// A sample, if one is due and shows any work or flows.
     fn sample(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        samples_flows: impl FnOnce() -> bool,
         (seq, now): (u64, Time),
     ) -> Option<ReportedWork> {
-        let in_flight = self.take_sample(upstreams, SAMPLE_INTERVAL, now)?;
-        (in_flight > 0).then(|| self.report_sum(in_flight, seq, now))
+        let sample = self.take_sample(upstreams, SAMPLE_INTERVAL, samples_flows, now)?;
+        (sample != Sample::default()).then(|| self.report_sample(sample, seq, now))
     }
 
-    /// The work in flight, if a sample is due and differs from the previous one, or that one is about to expire.
+    /// A sample, if one is due and its work in flight differs from the previous one, or that one is about to expire.
     fn sample_often(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
+        samples_flows: impl FnOnce() -> bool,
         (seq, now): (u64, Time),
     ) -> Option<ReportedWork> {
         self.sample_due = self.sample_due.min(now + RISING_INTERVAL);
-        let in_flight = self.take_sample(upstreams, RISING_INTERVAL, now)?;
-        let is_repeated = in_flight > 0 && now.since(self.sampled_at) >= REPEAT_AFTER;
-        (in_flight != self.sent.last() || is_repeated).then(|| self.report_sum(in_flight, seq, now))
+        let sample = self.take_sample(upstreams, RISING_INTERVAL, samples_flows, now)?;
+        let is_repeated = sample != Sample::default() && now.since(self.sampled_at) >= REPEAT_AFTER;
+        (sample.in_flight != self.sent.last() || is_repeated).then(|| self.report_sample(sample, seq, now))
     }
 
-    fn report_sum(&mut self, in_flight: u32, seq: u64, now: Time) -> ReportedWork {
+    fn report_sample(&mut self, sample: Sample, seq: u64, now: Time) -> ReportedWork {
         self.sampled_at = now;
-        self.sent.push(seq, in_flight);
-        ReportedWork::Sum(in_flight)
+        self.sent.push(seq, sample.in_flight);
+        match sample.most_flows {
+            0 => ReportedWork::Sum(sample.in_flight),
+            most_flows => ReportedWork::SumWithFlows(sample.in_flight, most_flows),
+        }
     }
 
-    /// The work in flight, if a sample is due.
+    /// A sample, if one is due.
     fn take_sample(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
         interval: Duration,
+        samples_flows: impl FnOnce() -> bool,
         now: Time,
-    ) -> Option<u32> {
+    ) -> Option<Sample> {
         self.all_at = None;
         if now < self.sample_due {
             return None;
@@ -142,9 +158,13 @@
         // Keeps the phase, except after a pause of this process.
         self.sample_due = (self.sample_due + interval).max(now);
         let own = self.upstreams.iter().filter_map(|id| upstreams.get(id));
-        let in_flight = own.map(|own| own.counts.in_flight).sum();
+        let in_flight = own.clone().map(|own| own.counts.in_flight).sum();
+        let most_flows = own.map(|own| own.counts.open_flows).max().filter(|_| samples_flows());
         self.remove_idle(upstreams, OwnUpstream::is_idle);
-        Some(in_flight)
+        Some(Sample {
+            in_flight,
+            most_flows: most_flows.unwrap_or_default(),
+        })
     }
 
     /// All values if they are due, or those that have changed since the previous report.
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -27,7 +27,7 @@
 const RISING_PERCENT: u32 = 25;
 const RISING_VALIDITY: Duration = Duration::from_millis(2_500);
 /// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one every
-/// 100 milliseconds.
+/// 100 milliseconds. A zone that isn't busy itself gives its own sums once a second.
 const BUSY_SUM_VALIDITY: Duration = Duration::from_millis(300);
 /// Interval at which stale views are removed, and the age from which they are.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
@@ -51,8 +51,8 @@
 struct ServiceView {
     /// By availability zone, with this instance's latest changes.
     zones: BTreeMap<ZoneName, ZoneLoad>,
-    /// When a digest last gave the load of each of these zones.
-    given_at: BTreeMap<ZoneName, Time>,
+    /// Until when the load of each of these zones is kept unless a digest gives it again.
+    valid_until: BTreeMap<ZoneName, Time>,
     /// When a collector last said that the service is busy.
     busy_at: Option<Time>,
     /// When a digest last showed a zone above [`RISING_PERCENT`].
@@ -183,12 +183,13 @@
         }
         for (zone, load) in &digest.zones {
             view.zones.insert(zone.clone(), *load);
-            view.given_at.insert(zone.clone(), now);
+            let is_quiet = !digest.is_busy && *zone == digest.group.zone;
+            let validity = if is_quiet { VALIDITY } else { BUSY_SUM_VALIDITY };
+            view.valid_until.insert(zone.clone(), now + validity);
         }
-        let validity = if digest.is_busy { BUSY_SUM_VALIDITY } else { VALIDITY };
-        view.given_at.retain(|_, at| now.since(*at) < validity);
-        let given_at = &view.given_at;
-        view.zones.retain(|zone, _| given_at.contains_key(zone));
+        view.valid_until.retain(|_, until| now < *until);
+        let valid_until = &view.valid_until;
+        view.zones.retain(|zone, _| valid_until.contains_key(zone));
         if let Some(load) = view.zones.get_mut(&digest.group.zone) {
             let (current, included) = own.group_in_flight(&digest.group, digest.included);
             load.in_flight = load.in_flight.saturating_sub(included).saturating_add(current);
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -5,7 +5,9 @@
 #[path = "../benches/support/mod.rs"]
 mod support;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use flow::Core;
@@ -525,3 +527,45 @@
     }
     assert_eq!(core.own_work(id), counts(0, 1, 30));
 }
+
+/// Guards against a connection limit that isn't kept where flows are idle, so that few slots are in use.
+#[test]
+fn idle_flows_count_towards_the_connection_limit_while_no_slot_is_in_use() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    fleet.limit_connections(NonZeroU32::new(20).unwrap());
+    fleet.run(1_000, &Network::default());
+    let mut open_flows: BTreeMap<UpstreamId, u32> = BTreeMap::new();
+    for attempt in 0..50 {
+        if let Some(id) = fleet.open_idle(attempt % 8) {
+            *open_flows.entry(id).or_default() += 1;
+        }
+        fleet.run(200, &Network::default());
+    }
+    let at_limit = BTreeMap::from([(UpstreamId(1), 20), (UpstreamId(2), 20)]);
+    assert_eq!(open_flows, at_limit);
+}
+
+/// Guards against sums that vanish between the digests of a zone that is not busy, while another zone is.
+#[test]
+fn the_sums_of_a_quiet_zone_are_kept_while_another_zone_is_near_its_connection_limit() {
+    let mut fleet = Fleet::new(&[0, 0, 0, 1, 1, 1], 20, 2);
+    fleet.limit_connections(NonZeroU32::new(4).unwrap());
+    fleet.open(4);
+    for _ in 0..20 {
+        fleet.open_idle(1);
+    }
+    // A flow of the first zone, which makes the instance get the digests of that zone as well.
+    let adopted = Packet {
+        flags: Flags::ACK,
+        echo: UpstreamId(2).echo(),
+        ..opening_packet(1_000)
+    };
+    let now = fleet.now;
+    fleet.cores[4].handle_packet(&adopted, now);
+    fleet.run(3_000, &Network::default());
+    for _ in 0..15 {
+        fleet.run(100, &Network::default());
+        let zones = fleet.cores[4].zone_loads("quotes", fleet.now).unwrap();
+        assert!(zones.contains_key(&"z1".parse().unwrap()), "{zones:?}");
+    }
+}
--- a/crates/flow/tests/load_fleet/mod.rs
+++ b/crates/flow/tests/load_fleet/mod.rs
@@ -1,8 +1,11 @@
 //! Instances that share the load of one service's upstreams, over a simulated network.
 
+use std::collections::BTreeMap;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use flow::Core;
+use flow::Document;
 use flow::Flags;
 use flow::LoadGroup;
 use flow::Packet;
@@ -10,6 +13,7 @@
 use flow::UpstreamId;
 use flow::Verdict;
 use units::Incarnation;
+use units::Revision;
 use units::Time;
 
 use crate::support;
@@ -102,6 +106,38 @@
         });
     }
 
+    /// Sets the connection limit of the only service at all instances.
+    pub fn limit_connections(&mut self, limit: NonZeroU32) {
+        let document = Document {
+            revision: Revision(2),
+            connection_limits: BTreeMap::from([("quotes".to_owned(), limit)]),
+            ..support::document()
+        };
+        for core in &mut self.cores {
+            core.learn(self.now, |knowledge| {
+                knowledge.apply_document(Revision(3), document.clone())
+            });
+        }
+    }
+
+    /// Opens a flow that stays idle. Returns its upstream, or `None` if it is not placed.
+    pub fn open_idle(&mut self, instance: usize) -> Option<UpstreamId> {
+        self.clients += 1;
+        let syn = support::opening_packet(self.clients);
+        let Verdict::Forward { upstream, echo, .. } = self.cores[instance].handle_packet(&syn, self.now) else {
+            return None;
+        };
+        let packet = Packet {
+            flags: Flags::ACK,
+            echo,
+            seq: 2,
+            ack: 1,
+            ..syn
+        };
+        self.cores[instance].handle_packet(&packet, self.now);
+        Some(upstream)
+    }
+
     /// Closes all flows.
     pub fn close_all(&mut self) {
         for flow in self.flows.drain(..) {
--- a/crates/jayquayd/tests/flows/loads.rs
+++ b/crates/jayquayd/tests/flows/loads.rs
@@ -152,6 +152,11 @@
         work: ReportedWork::Sum(1),
     };
     assert!(encoded_len(&quiet) <= 50, "{}", encoded_len(&quiet));
+    let limited = LoadReport {
+        work: ReportedWork::SumWithFlows(1, 2_000),
+        ..quiet
+    };
+    assert!(encoded_len(&limited) <= 50, "{}", encoded_len(&limited));
     let load = ZoneLoad {
         slots: 300,
         in_flight: 300,
