Refill the budget of load messages by the time passed

The daemon reads the clock once for the sums and once for the digests of a call, and each reading granted the whole budget again. A collector in a fleet of many groups that had overspent could send up to twice its digests. The budget now grows with the time since the last refill.

--- a/crates/flow/src/load/budget.rs
+++ b/crates/flow/src/load/budget.rs
@@ -1,7 +1,11 @@
 //! Limits the messages about load that an instance sends.
 
+use std::time::Duration;
+
 use units::Time;
 
+/// Interval of the calls that the budgets are given for.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// Messages at each call, every 100 milliseconds, in a fleet with few groups. A collector then answers each of some
 /// hundred instances at each call.
 const MAX_PER_CALL: f64 = 400.0;
@@ -59,13 +63,15 @@
         self.has_many_groups
     }
 
-    /// Begins the calls at this time. Of earlier ones, no more than two messages are kept.
+    /// Adds what the time since the last refill allows, however many calls there were. At most the budget of one call is
+    /// kept, or two messages.
     pub(super) fn refill(&mut self, now: Time) {
         if now <= self.refilled_at {
             return;
         }
+        let calls = now.since(self.refilled_at).div_duration_f64(CALL_INTERVAL);
         self.refilled_at = now;
-        self.left = (self.left + self.per_call).min(self.per_call.max(2.0));
+        self.left = (self.left + self.per_call * calls).min(self.per_call.max(2.0));
     }
 
     pub(super) fn is_used_up(&self) -> bool {
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -569,3 +569,33 @@
         assert!(zones.contains_key(&"z1".parse().unwrap()), "{zones:?}");
     }
 }
+
+/// Guards against a budget that is granted once for the sums and once more for the digests of the same call, as the daemon
+/// reads the clock for each.
+#[test]
+fn digests_of_many_groups_keep_to_the_budget() {
+    let mut core = core_with_zones(13_000, 1, 1);
+    let mut sent = 0;
+    // The service is quiet, so that no sums are due, which come out of the same budget.
+    for step in 1..=100 {
+        let now = after(step * 100);
+        core.take_load_reports(now);
+        for from in 0..300 {
+            for number in 0..4 {
+                let report = LoadReport {
+                    group: LoadGroup { number, ..group() },
+                    seq: step,
+                    is_from_other_zone: false,
+                    work: ReportedWork::Sum(0),
+                };
+                core.receive_load_report(ReporterId(from), Incarnation(1), &report, now);
+            }
+        }
+        core.take_zone_loads(now);
+        let due = core.take_load_digests(now + Duration::from_micros(50));
+        sent += due.iter().map(|due| due.recipients.len()).sum::<usize>();
+    }
+    // 204 groups: 6,400 / 204 messages at each call, and one digest to all reporters that may exceed it.
+    let most = 100 * 6_400 / 204 + 300;
+    assert!(sent > most / 2 && sent <= most, "{sent} of {most}");
+}
