--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -168,7 +168,8 @@
 
 impl OwnWork {
     /// Takes the reports that are due at the pace of each service. Open flows are sampled where `has_connection_limit`,
-    /// unless groups are many: there is no budget for samples of groups without work in flight. Reports that the budget has no room for are put off.
+    /// unless groups are many: there is no budget for samples of groups without work in flight. Reports that the budget
+    /// has no room for are put off.
     pub(crate) fn take_reports(
         &mut self,
         own_zone: &ZoneName,
@@ -186,11 +187,11 @@
                     self.next_group.get_or_insert_with(|| key.clone());
                     break;
                 }
-                let mut pace = pace(&key.service);
                 // Where groups are many, there is no budget for more samples.
-                if pace == Pace::Rising && self.budget.has_many_groups() {
-                    pace = Pace::Quiet;
-                }
+                let pace = match pace(&key.service) {
+                    Pace::Rising if self.budget.has_many_groups() => Pace::Quiet,
+                    pace => pace,
+                };
                 let has_interest = pace == Pace::Busy && has_interest(self.begun_at.get(&key.service), now);
                 let samples_flows = || !self.budget.has_many_groups() && has_connection_limit(&key.service);
                 let at = (self.seq + 1, now);
