Don't count a closed flow as open again by a late acknowledgement

An empty packet that arrives after the end of its flow was taken for a flow of another instance, and counted towards the connection limit until the idle timeout. Such a flow now counts from its first packet with data. Health and progress are derived from its packets as before.

--- a/crates/flow/src/core/established.rs
+++ b/crates/flow/src/core/established.rs
@@ -46,9 +46,7 @@
 
     /// Updates the state of a flow and its upstream from a packet.
     fn observe(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) -> Observation {
-        if self.flows.get_mut(key).is_none_or(|flow| flow.upstream != id) {
-            self.adopt(key, id, packet, now);
-        }
+        self.track(key, id, packet, now);
         let Some(flow) = self.flows.get_mut(key) else {
             return Observation::default();
         };
@@ -82,11 +80,27 @@
         sign
     }
 
+    /// Adds a flow that is not known, and counts it as open from its first packet with data.
+    fn track(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) {
+        let flow = self.flows.get_mut(key).filter(|flow| flow.upstream == id);
+        let Some(flow) = flow else {
+            self.adopt(key, id, packet, now);
+            return;
+        };
+        if packet.len > 0 && !flow.is_counted {
+            flow.is_counted = true;
+            self.count_flow(id, now);
+        }
+    }
+
     /// Adds a flow that another instance handled before.
     fn adopt(&mut self, key: &FlowKey, id: UpstreamId, packet: &Packet, now: Time) {
         self.close(key);
-        self.flows.insert(*key, Flow::new(id, Stage::Adopted, packet, now));
-        self.count_flow(id, now);
+        let flow = Flow::new(id, Stage::Adopted, packet, now);
+        if flow.is_counted {
+            self.count_flow(id, now);
+        }
+        self.flows.insert(*key, flow);
         self.health.entry(id).or_default().flows += 1;
     }
 
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -45,7 +45,7 @@
 }
 
 impl Core {
-    /// Counts a flow that was inserted into the flow table.
+    /// Counts an open flow of the flow table.
     pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
         if self.loads.own.open(id) {
             return;
@@ -69,7 +69,9 @@
         if flow.working_since.is_some() {
             self.end_work(flow.upstream);
         }
-        self.loads.own.close(flow.upstream);
+        if flow.is_counted {
+            self.loads.own.close(flow.upstream);
+        }
     }
 
     /// Counts the work that a packet of an established flow ends and begins.
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -74,6 +74,9 @@
     pub(crate) working_since: Option<Time>,
     /// Whether its latest request doesn't count as completed yet.
     pub(crate) is_incomplete: bool,
+    /// Whether it counts as an open flow. A flow of which only empty packets were seen doesn't, as an acknowledgement may
+    /// arrive after the flow was closed.
+    pub(crate) is_counted: bool,
 }
 
 /// A request whose outcome is not known yet.
@@ -138,6 +141,7 @@
             counted_in_stall: 0,
             request: None,
             is_incomplete: false,
+            is_counted: stage == Stage::Opening || packet.len > 0,
             working_since: (stage == Stage::Opening).then_some(now),
         }
     }
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -123,6 +123,27 @@
     assert_eq!(core.own_work(id), counts(0, 0, 1), "closed");
 }
 
+/// Guards against closed flows that count towards the connection limit until they would have been idle for too long.
+#[test]
+fn an_acknowledgement_that_arrives_after_the_end_of_its_flow_opens_none() {
+    let mut core = core_with_zones(1, 1, 1);
+    let (id, ack) = open(&mut core, 1, START);
+    core.handle_packet(&ack, after(3));
+    let fin = Flags::FIN | Flags::ACK;
+    core.handle_packet(&Packet { flags: fin, ..ack }, after(4));
+    core.handle_packet(&ack, after(5));
+    assert_eq!(core.own_work(id), counts(0, 0, 0), "late");
+    let request = Packet { len: 100, ..ack };
+    core.handle_packet(&request, after(6));
+    assert_eq!(
+        core.own_work(id),
+        counts(1, 1, 0),
+        "a request shows that the flow is open"
+    );
+    core.handle_packet(&Packet { flags: fin, ..ack }, after(7));
+    assert_eq!(core.own_work(id), counts(0, 0, 0), "closed");
+}
+
 #[test]
 fn work_that_never_ends_stops_counting() {
     let mut core = core_with_zones(1, 1, 1);
@@ -558,6 +579,7 @@
     let adopted = Packet {
         flags: Flags::ACK,
         echo: UpstreamId(2).echo(),
+        len: 100,
         ..opening_packet(1_000)
     };
     let now = fleet.now;
