--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -74,8 +74,8 @@
     pub(crate) working_since: Option<Time>,
     /// Whether its latest request doesn't count as completed yet.
     pub(crate) is_incomplete: bool,
-    /// Whether it counts as an open flow. A flow of which only empty packets were seen doesn't, as an acknowledgement may
-    /// arrive after the flow was closed.
+    /// Whether it counts as an open flow. A flow of which only empty packets were seen doesn't, as an acknowledgement
+    /// may arrive after the flow was closed.
     pub(crate) is_counted: bool,
 }
 
@@ -212,8 +212,8 @@
     pub(crate) has_completed: bool,
 }
 
-/// Whether an answer is long enough for its request to count as completed. Answers that are far shorter than usual don't
-/// count: upstreams without capacity refuse with them, and would look fast.
+/// Whether an answer is long enough for its request to count as completed. Answers that are far shorter than usual
+/// don't count: upstreams without capacity refuse with them, and would look fast.
 pub(crate) fn is_complete(answer_len: u32, typical: Option<&TypicalLength>) -> bool {
     !typical.is_some_and(|typical| typical.is_short(answer_len))
 }
--- a/crates/flow/src/load/budget.rs
+++ b/crates/flow/src/load/budget.rs
@@ -63,8 +63,8 @@
         self.has_many_groups
     }
 
-    /// Adds what the time since the last refill allows, however many calls there were. At most the budget of one call is
-    /// kept, or two messages.
+    /// Adds what the time since the last refill allows, however many calls there were. At most the budget of one call
+    /// is kept, or two messages.
     pub(super) fn refill(&mut self, now: Time) {
         if now <= self.refilled_at {
             return;
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -34,8 +34,8 @@
 /// Longest interval between two calls after which the sums still hold. After a longer one this process was paused, and
 /// reports were lost.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// Work in flight per slot, or open flows per connection limit of an upstream, from which a service is busy, in percent,
-/// and below which it no longer is.
+/// Work in flight per slot, or open flows per connection limit of an upstream, from which a service is busy, in
+/// percent, and below which it no longer is.
 const BUSY_PERCENT: u32 = 50;
 const QUIET_PERCENT: u32 = 40;
 
@@ -76,7 +76,8 @@
     pub(crate) budget: Budget,
     /// The first group whose digest was put off for lack of budget.
     next_group: Option<LoadGroup>,
-    /// Number of the latest digest or message with sums. It grows over all groups, as those without reporters are removed.
+    /// Number of the latest digest or message with sums. It grows over all groups, as those without reporters are
+    /// removed.
     seq: u64,
     called_at: Time,
 }
@@ -124,8 +125,8 @@
         self.groups.get_mut(key).expect("the group was inserted above")
     }
 
-    /// Takes the digests that are due. `listed` gives the upstreams of a group, and `connection_limit` the limit for each
-    /// upstream of a service.
+    /// Takes the digests that are due. `listed` gives the upstreams of a group, and `connection_limit` the limit for
+    /// each upstream of a service.
     pub(crate) fn take_digests(
         &mut self,
         listed: impl Fn(&LoadGroup) -> Vec<ListedSlots>,
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -116,8 +116,9 @@
         now.since(self.since) >= WARM_UP
     }
 
-    /// Whether the sums may be told to others: they are complete, or all of them are samples. Samples of a few instances are
-    /// too low, as a view without them would be, but values by upstream mean that another collector knows more.
+    /// Whether the sums may be told to others: they are complete, or all of them are samples. Samples of a few
+    /// instances are too low, as a view without them would be, but values by upstream mean that another collector knows
+    /// more.
     pub(super) fn may_answer(&self, now: Time) -> bool {
         self.is_warm(now) || !self.reporters.values().any(Contribution::is_detailed)
     }
@@ -189,8 +190,8 @@
         sums.fold(0, u32::saturating_add)
     }
 
-    /// Upper bound of the open flows at any upstream: each instance's largest number, added up. It is the same from samples
-    /// as from values by upstream, so a service doesn't alternate between the two.
+    /// Upper bound of the open flows at any upstream: each instance's largest number, added up. It is the same from
+    /// samples as from values by upstream, so a service doesn't alternate between the two.
     pub(super) fn most_flows(&self) -> u32 {
         let most = self.reporters.values().map(|held| held.most_flows);
         most.fold(0, u32::saturating_add)
--- a/crates/flow/src/load/message.rs
+++ b/crates/flow/src/load/message.rs
@@ -71,7 +71,8 @@
     /// Work in flight at all upstreams of the group, sent while the service is not busy.
     #[serde(rename = "s")]
     Sum(u32),
-    /// The same for a service with a connection limit, and the largest number of open flows at an upstream of the group.
+    /// The same for a service with a connection limit, and the largest number of open flows at an upstream of the
+    /// group.
     #[serde(rename = "f")]
     SumWithFlows(u32, u32),
     /// The values of all upstreams with open flows or work in flight.
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -16,8 +16,8 @@
 
 /// Interval at which work in flight is sampled while a service isn't busy.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
-/// The same while work in flight is above a quarter of the slots, and the age from which an unchanged sample is repeated,
-/// as samples count for a second.
+/// The same while work in flight is above a quarter of the slots, and the age from which an unchanged sample is
+/// repeated, as samples count for a second.
 const RISING_INTERVAL: Duration = Duration::from_millis(250);
 const REPEAT_AFTER: Duration = Duration::from_millis(700);
 /// Interval at which all values are sent while a service is busy: at every tenth call, also if calls come a bit early.
@@ -93,8 +93,8 @@
         }
     }
 
-    /// What the report of this number says, if one is due. An instance that `has_interest` reports even that it has no work.
-    /// Samples include the open flows if `samples_flows`.
+    /// What the report of this number says, if one is due. An instance that `has_interest` reports even that it has no
+    /// work. Samples include the open flows if `samples_flows`.
     pub(super) fn report(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -22,12 +22,12 @@
 
 /// Age from which a view counts as no view.
 const VALIDITY: Duration = Duration::from_secs(1);
-/// Work in flight per slot of a zone from which it is sampled more often, in percent, and for how long after a digest that
-/// shows this.
+/// Work in flight per slot of a zone from which it is sampled more often, in percent, and for how long after a digest
+/// that shows this.
 const RISING_PERCENT: u32 = 25;
 const RISING_VALIDITY: Duration = Duration::from_millis(2_500);
-/// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one every
-/// 100 milliseconds. A zone that isn't busy itself gives its own sums once a second.
+/// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one
+/// every 100 milliseconds. A zone that isn't busy itself gives its own sums once a second.
 const BUSY_SUM_VALIDITY: Duration = Duration::from_millis(300);
 /// Interval at which stale views are removed, and the age from which they are.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -384,8 +384,8 @@
         fleet.open(instance);
     }
     fleet.run(4_000, &Network::default());
-    // Each of two slots is busy all the time, and each flow ends a request every 100 milliseconds. The completions of the
-    // last 100 milliseconds are still to be reported, a tenth of those that count.
+    // Each of two slots is busy all the time, and each flow ends a request every 100 milliseconds. The completions of
+    // the last 100 milliseconds are still to be reported, a tenth of those that count.
     for id in [1, 2] {
         let sum = fleet.cores[5].joint_work(UpstreamId(id), fleet.now).unwrap();
         let expected = 1_000_000 * sum.in_flight.min(2) / (sum.in_flight * 10);
@@ -592,8 +592,8 @@
     }
 }
 
-/// Guards against a budget that is granted once for the sums and once more for the digests of the same call, as the daemon
-/// reads the clock for each.
+/// Guards against a budget that is granted once for the sums and once more for the digests of the same call, as the
+/// daemon reads the clock for each.
 #[test]
 fn digests_of_many_groups_keep_to_the_budget() {
     let mut core = core_with_zones(13_000, 1, 1);
