--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -45,7 +45,7 @@
 }
 
 impl Core {
-    /// Counts a flow that was inserted into the flow table.
+    /// Counts an open flow of the flow table.
     pub(super) fn count_flow(&mut self, id: UpstreamId, now: Time) {
         if self.loads.own.open(id) {
             return;
@@ -69,7 +69,9 @@
         if flow.working_since.is_some() {
             self.end_work(flow.upstream);
         }
-        self.loads.own.close(flow.upstream);
+        if flow.is_counted {
+            self.loads.own.close(flow.upstream);
+        }
     }
 
     /// Counts the work that a packet of an established flow ends and begins.
@@ -152,7 +154,8 @@
                 Pace::Quiet
             }
         };
-        own.take_reports(&self.options.zone, pace, now)
+        let has_connection_limit = |service: &str| self.routes.connection_limit(service).is_some();
+        own.take_reports(&self.options.zone, pace, has_connection_limit, now)
     }
 
     /// Brings the groups of own work in line with the directory.
@@ -201,7 +204,8 @@
             });
             slots.collect()
         };
-        self.loads.collector.take_digests(listed, now)
+        let connection_limit = |service: &str| self.routes.connection_limit(service);
+        self.loads.collector.take_digests(listed, connection_limit, now)
     }
 
     /// Takes the sums that are due for other collectors of the same services, as a collector. To be called before the
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -5,7 +5,9 @@
 #[path = "../benches/support/mod.rs"]
 mod support;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use flow::Core;
@@ -121,6 +123,27 @@
     assert_eq!(core.own_work(id), counts(0, 0, 1), "closed");
 }
 
+/// Guards against closed flows that count towards the connection limit until they would have been idle for too long.
+#[test]
+fn an_acknowledgement_that_arrives_after_the_end_of_its_flow_opens_none() {
+    let mut core = core_with_zones(1, 1, 1);
+    let (id, ack) = open(&mut core, 1, START);
+    core.handle_packet(&ack, after(3));
+    let fin = Flags::FIN | Flags::ACK;
+    core.handle_packet(&Packet { flags: fin, ..ack }, after(4));
+    core.handle_packet(&ack, after(5));
+    assert_eq!(core.own_work(id), counts(0, 0, 0), "late");
+    let request = Packet { len: 100, ..ack };
+    core.handle_packet(&request, after(6));
+    assert_eq!(
+        core.own_work(id),
+        counts(1, 1, 0),
+        "a request shows that the flow is open"
+    );
+    core.handle_packet(&Packet { flags: fin, ..ack }, after(7));
+    assert_eq!(core.own_work(id), counts(0, 0, 0), "closed");
+}
+
 #[test]
 fn work_that_never_ends_stops_counting() {
     let mut core = core_with_zones(1, 1, 1);
@@ -361,8 +384,8 @@
         fleet.open(instance);
     }
     fleet.run(4_000, &Network::default());
-    // Each of two slots is busy all the time, and each flow ends a request every 100 milliseconds. The completions of the
-    // last 100 milliseconds are still to be reported, a tenth of those that count.
+    // Each of two slots is busy all the time, and each flow ends a request every 100 milliseconds. The completions of
+    // the last 100 milliseconds are still to be reported, a tenth of those that count.
     for id in [1, 2] {
         let sum = fleet.cores[5].joint_work(UpstreamId(id), fleet.now).unwrap();
         let expected = 1_000_000 * sum.in_flight.min(2) / (sum.in_flight * 10);
@@ -404,15 +427,19 @@
     assert_eq!(due[0].recipients[0].included, 1);
 }
 
+/// Guards against own work that a digest includes being counted twice, and own work since then being missed.
 #[test]
 fn own_work_that_a_digest_includes_is_not_counted_twice() {
-    let mut fleet = Fleet::new(&[0; 3], 1, 1);
+    let mut fleet = Fleet::new(&[0; 3], 2, 1);
     for instance in 0..3 {
         fleet.open(instance);
     }
     fleet.run(3_000, &Network::default());
     fleet.open(2);
-    let in_flight = |fleet: &Fleet, instance: usize| in_flight(&fleet.cores[instance], 1, fleet.now);
+    let in_flight = |fleet: &Fleet, instance: usize| {
+        let by_upstream = [1, 2].map(|id| in_flight(&fleet.cores[instance], id, fleet.now));
+        Some(by_upstream[0]? + by_upstream[1]?)
+    };
     assert_eq!(in_flight(&fleet, 2), Some(4), "begun since the digest");
     assert_eq!(in_flight(&fleet, 1), Some(3));
     let zone = "z0".parse().unwrap();
@@ -427,6 +454,7 @@
         fleet.cores[2].zone_loads("quotes", fleet.now).unwrap()[&zone].in_flight,
         4
     );
+    fleet.assert_views_are_exact();
 }
 
 /// Guards against a burst of messages, and against groups that are never reported, where groups are many.
@@ -520,3 +548,76 @@
     }
     assert_eq!(core.own_work(id), counts(0, 1, 30));
 }
+
+/// Guards against a connection limit that isn't kept where flows are idle, so that few slots are in use.
+#[test]
+fn idle_flows_count_towards_the_connection_limit_while_no_slot_is_in_use() {
+    let mut fleet = Fleet::new(&[0; 8], 2, 1);
+    fleet.limit_connections(NonZeroU32::new(20).unwrap());
+    fleet.run(1_000, &Network::default());
+    let mut open_flows: BTreeMap<UpstreamId, u32> = BTreeMap::new();
+    for attempt in 0..50 {
+        if let Some(id) = fleet.open_idle(attempt % 8) {
+            *open_flows.entry(id).or_default() += 1;
+        }
+        fleet.run(200, &Network::default());
+    }
+    let at_limit = BTreeMap::from([(UpstreamId(1), 20), (UpstreamId(2), 20)]);
+    assert_eq!(open_flows, at_limit);
+}
+
+/// Guards against sums that vanish between the digests of a zone that is not busy, while another zone is.
+#[test]
+fn the_sums_of_a_quiet_zone_are_kept_while_another_zone_is_near_its_connection_limit() {
+    let mut fleet = Fleet::new(&[0, 0, 0, 1, 1, 1], 20, 2);
+    fleet.limit_connections(NonZeroU32::new(4).unwrap());
+    fleet.open(4);
+    for _ in 0..20 {
+        fleet.open_idle(1);
+    }
+    // A flow of the first zone, which makes the instance get the digests of that zone as well.
+    let adopted = Packet {
+        flags: Flags::ACK,
+        echo: UpstreamId(2).echo(),
+        len: 100,
+        ..opening_packet(1_000)
+    };
+    let now = fleet.now;
+    fleet.cores[4].handle_packet(&adopted, now);
+    fleet.run(3_000, &Network::default());
+    for _ in 0..15 {
+        fleet.run(100, &Network::default());
+        let zones = fleet.cores[4].zone_loads("quotes", fleet.now).unwrap();
+        assert!(zones.contains_key(&"z1".parse().unwrap()), "{zones:?}");
+    }
+}
+
+/// Guards against a budget that is granted once for the sums and once more for the digests of the same call, as the
+/// daemon reads the clock for each.
+#[test]
+fn digests_of_many_groups_keep_to_the_budget() {
+    let mut core = core_with_zones(13_000, 1, 1);
+    let mut sent = 0;
+    // The service is quiet, so that no sums are due, which come out of the same budget.
+    for step in 1..=100 {
+        let now = after(step * 100);
+        core.take_load_reports(now);
+        for from in 0..300 {
+            for number in 0..4 {
+                let report = LoadReport {
+                    group: LoadGroup { number, ..group() },
+                    seq: step,
+                    is_from_other_zone: false,
+                    work: ReportedWork::Sum(0),
+                };
+                core.receive_load_report(ReporterId(from), Incarnation(1), &report, now);
+            }
+        }
+        core.take_zone_loads(now);
+        let due = core.take_load_digests(now + Duration::from_micros(50));
+        sent += due.iter().map(|due| due.recipients.len()).sum::<usize>();
+    }
+    // 204 groups: 6,400 / 204 messages at each call, and one digest to all reporters that may exceed it.
+    let most = 100 * 6_400 / 204 + 300;
+    assert!(sent > most / 2 && sent <= most, "{sent} of {most}");
+}
