--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -159,7 +159,10 @@
             return true;
         };
         let slots = f64::from(listed.upstream().slots.0.max(1));
-        let arrivals = self.demand(service, now) * COMPARED * slots / f64::from(zone.slots.max(1));
+        let work = self.loads.work(candidate.id, now).map_or(0, |work| work.in_flight);
+        let relative_fill = f64::from(work) / slots * f64::from(zone.slots) / f64::from(zone.in_flight.max(1));
+        let wins = COMPARED * (-relative_fill).exp();
+        let arrivals = self.demand(service, now) * wins * slots / f64::from(zone.slots.max(1));
         let budget = self.admission.budget(service, opening, now);
         let wait = budget.saturating_sub(expected) + VIEW_DELAY;
         let space = slots * wait.as_secs_f64() / service_time.as_secs_f64().max(f64::MIN_POSITIVE);
