List rejected among the outcomes of tries

Cause: the counter has the label value rejected since refusals are told from failures, but its descriptions lacked it. No code changes.

--- a/crates/jayquayd/src/forward/metric.rs
+++ b/crates/jayquayd/src/forward/metric.rs
@@ -47,7 +47,7 @@
         "Services with a fresh view of their load: ordinary, spilling or short.";
     /// Outcomes of tries at upstreams.
     counter outcomes(outcome) "jayquay_flow_tries_total" Count
-        "Flows opened and requests sent to upstreams, by how they ended: good, refused, overdue or short.";
+        "Flows opened and requests sent to upstreams, by how they ended: good, refused, overdue, short or rejected.";
     /// Upstreams ejected because of failed tries.
     gauge ejected() "jayquay_flow_ejected" Count
         "Upstreams that get no new flows, or single ones on trial, as tries at them end badly.";
