Count short answers as refusals while response times are raised

Cause: the view of a service that isn't busy may be a second old, so at the beginning of a burst refusals counted as failures by a view from before it. Change: a service is at low load only while its median response time isn't raised.

--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -15,7 +15,6 @@
 use units::ZoneName;
 
 use super::Core;
-use super::overload::has_spare_capacity;
 use super::overload::is_full;
 use super::overload::is_working_at_capacity;
 use crate::checks::Check;
@@ -236,7 +235,7 @@
             return;
         };
         let mut report = *report;
-        if has_spare_capacity(&self.loads, listed.upstream(), now) {
+        if self.is_at_low_load(listed.upstream(), now) {
             // None of the short answers is a refusal for lack of capacity, so their number isn't limited.
             report.short = 0;
         }
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -11,6 +11,7 @@
 use crate::decision::Decision;
 use crate::directory::Directory;
 use crate::load::Loads;
+use crate::typical::TypicalService;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamId;
 
@@ -125,10 +126,21 @@
         let Some(service) = self.typical_services.get(&listed.upstream().service) else {
             return false;
         };
+        if self.is_at_low_load(listed.upstream(), now) {
+            return false;
+        }
         let response = self.health.get(&id).and_then(|health| health.unbounded_response(now));
         service.is_short_of_capacity(id, now) && service.is_busy(response)
     }
 
+    /// Whether an upstream's service is known to be at low load, so that a short answer is no refusal. The view of a service
+    /// that isn't busy may be a second old, so a burst may show in the response times first.
+    pub(super) fn is_at_low_load(&self, upstream: &Upstream, now: Time) -> bool {
+        let service = self.typical_services.get(&upstream.service);
+        let is_raised = service.is_some_and(TypicalService::are_responses_raised);
+        !is_raised && has_spare_capacity(&self.loads, upstream, now)
+    }
+
     /// Whether another upstream of the same service may be ejected: at most half of the service's upstreams are, and
     /// the remaining ones can carry its work, if that is known.
     pub(super) fn may_eject(&self, id: UpstreamId, now: Time) -> bool {
@@ -179,18 +191,14 @@
     }
 }
 
-/// Whether all slots of an upstream are in use, or `None` without a fresh view. While its service has spare capacity, it
-/// doesn't count as full, and its view needs no values by upstream.
+/// Whether all slots of an upstream are in use, or `None` without a fresh view of it.
 pub(super) fn is_full(directory: &Directory, loads: &Loads, id: UpstreamId, now: Time) -> Option<bool> {
-    let upstream = directory.get(id)?.upstream();
-    if has_spare_capacity(loads, upstream, now) {
-        return Some(false);
-    }
-    Some(loads.work(id, now)?.in_flight >= u32::from(upstream.slots.0.max(1)))
+    let slots = u32::from(directory.get(id)?.upstream().slots.0.max(1));
+    Some(loads.work(id, now)?.in_flight >= slots)
 }
 
 /// Whether the joint view shows that the service of an upstream, and its zone, use less than half of their slots.
-pub(super) fn has_spare_capacity(loads: &Loads, upstream: &Upstream, now: Time) -> bool {
+fn has_spare_capacity(loads: &Loads, upstream: &Upstream, now: Time) -> bool {
     let zones = loads.zones(&upstream.service, now);
     let Some(zone) = zones.and_then(|zones| zones.get(&upstream.zone)) else {
         return false;
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -61,6 +61,11 @@
         self.level.is_raised() || self.recent_answers.are_widely_short(except, now)
     }
 
+    /// Whether the service's response times are so long that requests wait.
+    pub(crate) fn are_responses_raised(&self) -> bool {
+        self.level.is_raised()
+    }
+
     /// Whether an upstream with this mean response time, if one is known, is among the busier ones of the service.
     /// Requests wait in the queue of an upstream that refuses others for lack of capacity, while one that fails answers
     /// the rest of its requests as usual.
