--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -16,6 +16,8 @@
 /// Span of the counts that the reserved share is measured by. An instance of a large fleet admits only some openings
 /// per second.
 const RESERVE_SPAN: Duration = Duration::from_secs(10);
+/// Span of the rate of openings. It is short, as the first second of a burst sends upstreams the most.
+const DEMAND_SPAN: Duration = Duration::from_millis(250);
 /// Span of the rate of admissions.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// The number of openings that may be held whatever the rate of admissions. Packets arrive in bunches, and an instance
@@ -108,12 +110,12 @@
     }
 
     pub(super) fn record_opening(&mut self, now: Time) {
-        self.asked.add(1, RATE_SPAN, now);
+        self.asked.add(1, DEMAND_SPAN, now);
     }
 
     /// Openings per second.
     pub(super) fn opening_rate(&self, now: Time) -> f64 {
-        self.asked.value(RATE_SPAN, now) / RATE_SPAN.as_secs_f64()
+        self.asked.value(DEMAND_SPAN, now) / DEMAND_SPAN.as_secs_f64()
     }
 
     pub(super) fn record_admission(&mut self, rank: u8, has_free_slot: bool, now: Time) {
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -16,6 +16,7 @@
 use crate::flows::MIN_RETRANSMISSION_INTERVAL;
 use crate::flows::Stage;
 use crate::health::Health;
+use crate::load::BUSY;
 use crate::packet::DropCause;
 use crate::packet::Packet;
 use crate::packet::ResetCause;
@@ -37,8 +38,6 @@
 /// expired along with the platform's store; such entries are back within about two seconds.
 const LAPSED_GRACE: Duration = Duration::from_secs(2);
 
-/// Work in flight per slot of a service from which placement goes by the joint view of load.
-const BUSY: f64 = 0.5;
 /// Number of upstreams of the local zone that two are drawn from by their capacity.
 const NEAR_SAMPLE: usize = 8;
 /// Number of upstreams of the local zone that are examined at most to find these, if many are avoided.
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -56,6 +56,9 @@
     Busy,
 }
 
+/// Work in flight per slot from which a service is busy: decisions go by the joint view of load.
+pub(crate) const BUSY: f64 = 0.5;
+
 /// Work at one upstream, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Work {
@@ -134,8 +137,10 @@
     /// Returns the work in flight per slot of a service, over all availability zones, or `None` without a fresh view.
     pub(crate) fn utilization(&self, service: &str, now: Time) -> Option<f64> {
         let zones = self.zones(service, now)?;
-        let slots: u32 = zones.values().map(|zone| zone.slots).sum();
-        let in_flight: u32 = zones.values().map(|zone| zone.in_flight).sum();
+        let slots: u32 = zones.values().fold(0_u32, |sum, zone| sum.saturating_add(zone.slots));
+        let in_flight: u32 = zones
+            .values()
+            .fold(0_u32, |sum, zone| sum.saturating_add(zone.in_flight));
         (slots > 0).then(|| f64::from(in_flight) / f64::from(slots))
     }
 }
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -123,6 +123,7 @@
     let mut outcome = Outcome::default();
     for instance in 0..INSTANCES {
         let mut core = core_with_zones(60 * zones, zones, u64::from(instance) + 1);
+        core.set_zone_instances(INSTANCES);
         receive(&mut core, &digest(1, near, other), START);
         for number in 0..5 {
             let packet = opening_packet(instance * 5 + number);
