--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -160,8 +160,8 @@
         };
         let slots = f64::from(listed.upstream().slots.0.max(1));
         let work = self.loads.work(candidate.id, now).map_or(0, |work| work.in_flight);
-        let relative_fill = f64::from(work) / slots * f64::from(zone.slots) / f64::from(zone.in_flight.max(1));
-        let wins = COMPARED * (-relative_fill).exp();
+        let relative_utilization = f64::from(work) / slots * f64::from(zone.slots) / f64::from(zone.in_flight.max(1));
+        let wins = COMPARED * (-relative_utilization).exp();
         let arrivals = self.demand(service, now) * wins * slots / f64::from(zone.slots.max(1));
         let budget = self.admission.budget(service, opening, now);
         let wait = budget.saturating_sub(expected) + VIEW_DELAY;
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -81,7 +81,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ZoneEstimate {
     /// Work in flight per slot, if known.
-    fill: Option<f64>,
+    utilization: Option<f64>,
     /// Mean service time in seconds.
     service_time: f64,
     /// Network round trip in seconds.
@@ -97,7 +97,7 @@
             OTHER_ZONE_ROUND_TRIP
         };
         Self {
-            fill: load.filter(|load| load.slots > 0).map(ZoneLoad::fill),
+            utilization: load.filter(|load| load.slots > 0).map(ZoneLoad::utilization),
             service_time: view.service_time(load),
             round_trip: round_trip.as_secs_f64(),
         }
@@ -112,8 +112,8 @@
     zone: ZoneEstimate,
     /// Requests per second that it can serve.
     capacity: f64,
-    /// Requests per slot, the new one included.
-    fill: f64,
+    /// Work in flight per slot, the new request included.
+    utilization: f64,
     /// Seconds that a request occupies a slot.
     service_time: f64,
 }
@@ -121,7 +121,7 @@
 impl Estimate {
     fn new(contender: &Contender<'_>, zone: ZoneEstimate) -> Option<Self> {
         let slots = f64::from(contender.slots.max(1));
-        let of_zone = || zone.fill.map(|fill| fill * slots);
+        let of_zone = || zone.utilization.map(|utilization| utilization * slots);
         let in_flight = contender.in_flight.map(f64::from).or_else(of_zone)?;
         let service_time = contender.service_time.map(|time| time.as_secs_f64());
         let service_time = service_time.unwrap_or(zone.service_time).max(MIN_SERVICE_TIME);
@@ -134,14 +134,14 @@
             warmth: contender.warmth,
             zone,
             capacity: slots / service_time,
-            fill: (in_flight + 1.0) / slots,
+            utilization: (in_flight + 1.0) / slots,
             service_time,
         })
     }
 
     /// Seconds that a new request waits for a slot.
     fn wait(&self) -> f64 {
-        (self.fill - 1.0).max(0.0) * self.service_time
+        (self.utilization - 1.0).max(0.0) * self.service_time
     }
 
     /// Expected response time in seconds.
@@ -153,7 +153,7 @@
     /// free slot counts too, so that idle ones are preferred.
     fn cost(&self) -> f64 {
         let service_time = self.service_time.min(self.zone.service_time * MAX_SLOWNESS);
-        self.wait() + service_time * self.fill.min(1.0)
+        self.wait() + service_time * self.utilization.min(1.0)
     }
 
     fn choice(&self) -> Choice {
--- a/crates/flow/src/place/spillover.rs
+++ b/crates/flow/src/place/spillover.rs
@@ -11,7 +11,7 @@
 use crate::place::view::View;
 
 /// Work in flight per slot up to which the local zone keeps its flows.
-const LOCAL_FILL: f64 = 0.7;
+const MAX_LOCAL_UTILIZATION: f64 = 0.7;
 /// Time in which the share follows a change of load: not shorter than the age of the sums.
 const RESPONSE: Duration = Duration::from_millis(300);
 /// Longest interval between two flows that the share is adjusted for in one step.
@@ -41,18 +41,18 @@
     let Some(local) = view.zones.get(view.local) else {
         return 1.0;
     };
-    if local.fill() <= LOCAL_FILL {
-        return local.fill() / LOCAL_FILL - 1.0;
+    if local.utilization() <= MAX_LOCAL_UTILIZATION {
+        return local.utilization() / MAX_LOCAL_UTILIZATION - 1.0;
     }
     let others = view.zones.iter().filter(|(zone, _)| *zone != view.local);
     let others = others.filter(|(_, load)| load.slots > 0 && load.takes_from(Some(local)));
     let with_margin = others.map(|(_, load)| {
         let service_time = view.service_time(Some(load));
-        service_time * (load.fill().max(1.0) + 1.0) + OTHER_ZONE_ROUND_TRIP.as_secs_f64()
+        service_time * (load.utilization().max(1.0) + 1.0) + OTHER_ZONE_ROUND_TRIP.as_secs_f64()
     });
     let Some(best) = with_margin.min_by(f64::total_cmp) else {
         return -1.0;
     };
-    let here = view.service_time(Some(local)) * local.fill().max(1.0);
+    let here = view.service_time(Some(local)) * local.utilization().max(1.0);
     (here - best) / here
 }
--- a/crates/flow/src/place/view.rs
+++ b/crates/flow/src/place/view.rs
@@ -15,13 +15,13 @@
 /// at most 5 ms apart.
 pub(super) const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Work in flight per slot up to which a zone takes flows of another.
-const OTHER_FILL: f64 = 0.85;
-/// Difference in work per slot from which a zone takes flows of another although it is above [`OTHER_FILL`].
-const MIN_DIFFERENCE: f64 = 0.25;
+const MAX_OTHER_UTILIZATION: f64 = 0.85;
+/// Difference in work in flight per slot from which a zone takes flows of another although it is above [`MAX_OTHER_UTILIZATION`].
+const MIN_UTILIZATION_DIFFERENCE: f64 = 0.25;
 /// Work in flight per slot up to which a zone counts as having room. With 1, the zones alternate between full and empty
 /// once flows from elsewhere take most of their free slots, as the sums are older than a request.
 const ROOM_LIMIT: f64 = 1.5;
-/// Least room of a zone per slot, so that zones without any are drawn by their size.
+/// Minimum room of a zone per slot, in requests, so that zones without any are drawn by their size.
 const MIN_ROOM: f64 = 0.01;
 
 /// Load of a service's zones as seen from one of them.
@@ -46,18 +46,18 @@
 
 impl ZoneLoad {
     /// Work in flight per slot.
-    pub(super) fn fill(&self) -> f64 {
+    pub(super) fn utilization(&self) -> f64 {
         f64::from(self.in_flight) / f64::from(self.slots.max(1))
     }
 
     /// Room for flows from other zones, in requests.
     pub(super) fn room(&self) -> f64 {
-        f64::from(self.slots) * (ROOM_LIMIT - self.fill()).max(MIN_ROOM)
+        f64::from(self.slots) * (ROOM_LIMIT - self.utilization()).max(MIN_ROOM)
     }
 
     /// Whether this zone takes flows from the callers of `local`.
     pub(super) fn takes_from(&self, local: Option<&Self>) -> bool {
-        let is_free = self.fill() <= OTHER_FILL;
-        is_free || local.is_some_and(|local| local.fill() >= self.fill() + MIN_DIFFERENCE)
+        let is_free = self.utilization() <= MAX_OTHER_UTILIZATION;
+        is_free || local.is_some_and(|local| local.utilization() >= self.utilization() + MIN_UTILIZATION_DIFFERENCE)
     }
 }
