--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -11,7 +11,7 @@
 use crate::decision::Decision;
 use crate::directory::Directory;
 use crate::ejection_limit::ServiceLoad;
-use crate::ejection_limit::returning;
+use crate::ejection_limit::select_readmission;
 use crate::load::BUSY;
 use crate::load::Loads;
 use crate::typical::TypicalService;
@@ -22,11 +22,11 @@
 /// the remaining upstreams couldn't carry the load.
 const EJECTED_ONE_IN: usize = 2;
 
-/// Minimum time between two upstreams of a service that are taken back. The view shows the effect after that.
-const RETURN_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two readmissions in a service. The view shows the effect of the first after that.
+const READMISSION_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Core {
-    /// Takes ejected upstreams back, one after another, while their service is short of capacity.
+    /// Readmits ejected upstreams, one after another, while their service is short of capacity.
     pub(super) fn readmit_if_short(&mut self, now: Time) {
         let mut ejected: BTreeMap<CompactString, Vec<(UpstreamId, f64)>> = BTreeMap::new();
         for (id, health) in &self.health {
@@ -45,16 +45,16 @@
             let Some(short_since) = typical.short_since else {
                 continue;
             };
-            let Some(id) = returning(&ejected, now.since(short_since)) else {
+            let Some(id) = select_readmission(&ejected, now.since(short_since)) else {
                 continue;
             };
-            if !self.has_returned_within(&service, RETURN_INTERVAL, now) {
+            if !self.has_readmitted_within(&service, READMISSION_INTERVAL, now) {
                 self.readmit(id, now);
             }
         }
     }
 
-    fn has_returned_within(&self, service: &str, span: Duration, now: Time) -> bool {
+    fn has_readmitted_within(&self, service: &str, span: Duration, now: Time) -> bool {
         let ids = self.directory.service_ids(service).iter();
         let mut known = ids.filter_map(|id| self.health.get(id));
         known.any(|health| health.ejection.is_readmitted_within(span, now))
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -60,7 +60,7 @@
 pub use crate::documents::DocumentStep;
 pub use crate::documents::Update;
 pub use crate::ejection_limit::ServiceLoad;
-pub use crate::ejection_limit::returning;
+pub use crate::ejection_limit::select_readmission;
 pub use crate::entries::Entry;
 pub use crate::evacuations::Evacuations;
 pub use crate::evidence::SilenceEvidence;
--- a/crates/flow/tests/ejection_limit.rs
+++ b/crates/flow/tests/ejection_limit.rs
@@ -6,7 +6,7 @@
 use flow::ResponseLevel;
 use flow::ServiceLoad;
 use flow::UpstreamId;
-use flow::returning;
+use flow::select_readmission;
 use units::Time;
 
 const START: Time = Time(1_000_000_000);
@@ -120,7 +120,7 @@
         (&ejected[..0], 60_000, None),
     ];
     for (ejected, short_for, expected) in cases {
-        let actual = returning(ejected, Duration::from_millis(short_for));
+        let actual = select_readmission(ejected, Duration::from_millis(short_for));
         assert_eq!(actual, expected, "{ejected:?} {short_for}");
     }
     let load = |in_flight| ServiceLoad { in_flight, slots: 10 };
