Explain how openings are limited, and keep demand for one count

Demand was both the first copies in the last second, which operators see, and an estimate of openings within the delay of the view. The estimate and its factors now have names of their own, and the time constants say what they are.

--- a/crates/flow/src/admission/fair_shares.rs
+++ b/crates/flow/src/admission/fair_shares.rs
@@ -11,7 +11,7 @@
 
 use crate::decaying_count::DecayingCount;
 
-/// Span of the counts. An instance of a large fleet sees only some openings of each address.
+/// Time constant of the counts. An instance of a large fleet sees only some openings of each address.
 const SPAN: Duration = Duration::from_secs(10);
 /// How many times the mean of the other addresses an address may open.
 const TOLERATED_MULTIPLE: f64 = 2.0;
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -1,4 +1,4 @@
-//! What admission control remembers of one service.
+//! The state of admission control for one service.
 
 use std::time::Duration;
 
@@ -13,12 +13,12 @@
 /// Share of the openings admitted while short of capacity that is reserved for all classes but the most urgent, so that
 /// they are not starved.
 const RESERVED_SHARE: f64 = 0.1;
-/// Span of the counts that the reserved share is measured by. An instance of a large fleet admits only some openings
+/// Time constant of the counts that the reserved share is measured by. An instance of a large fleet admits only some openings
 /// per second.
 const RESERVE_SPAN: Duration = Duration::from_secs(10);
-/// Span of the rate of openings. It is short, as the first second of a burst sends upstreams the most.
-const DEMAND_SPAN: Duration = Duration::from_millis(250);
-/// Span of the rate of admissions.
+/// Time constant of the rate of openings. It is short, as the first second of a burst sends upstreams the most.
+const OPENING_SPAN: Duration = Duration::from_millis(250);
+/// Time constant of the rate of admissions, and of the counts by which a shortage is told.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// The number of openings that may be held whatever the rate of admissions. Packets arrive in bunches, and an instance
 /// that has not admitted anything yet has no rate.
@@ -33,16 +33,17 @@
 /// Count below which the openings of a service no longer matter.
 const NEGLIGIBLE: f64 = 0.01;
 
-/// State of one service.
+/// The openings of one service, and what was decided on them.
 #[derive(Debug, Default)]
 pub(super) struct Service {
     pub(super) held: Held,
     /// All openings.
-    asked: DecayingCount,
+    openings: DecayingCount,
     /// All admitted openings.
     admitted: DecayingCount,
-    /// Openings that found a free slot, and those that found none.
+    /// Openings that found a free slot.
     found_free: DecayingCount,
+    /// Openings that found none.
     found_full: DecayingCount,
     /// Openings admitted while short of capacity, by rank.
     admitted_while_short: Vec<DecayingCount>,
@@ -110,12 +111,12 @@
     }
 
     pub(super) fn record_opening(&mut self, now: Time) {
-        self.asked.add(1, DEMAND_SPAN, now);
+        self.openings.add(1, OPENING_SPAN, now);
     }
 
     /// Openings per second, one more than recorded included: the one that is being decided on.
     pub(super) fn opening_rate(&self, now: Time) -> f64 {
-        (self.asked.value(DEMAND_SPAN, now) + 1.0) / DEMAND_SPAN.as_secs_f64()
+        (self.openings.value(OPENING_SPAN, now) + 1.0) / OPENING_SPAN.as_secs_f64()
     }
 
     pub(super) fn record_admission(&mut self, rank: u8, has_free_slot: bool, now: Time) {
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -34,15 +34,15 @@
 /// of load shows them.
 const CONNECTION_MARGIN: u32 = 32;
 
-/// How many openings a free slot may get, on average, until the view of load shows that it is in use. A view is about
+/// Maximum mean number of openings that a free slot gets until the view of load shows that it is in use. A view is about
 /// as old as a request takes.
-const FREE_SLOT_USES: f64 = 2.0;
+const OPENINGS_PER_FREE_SLOT: f64 = 2.0;
 /// How long it takes until the view of load shows an opening: the interval of reports, and half of that of digests.
 const VIEW_DELAY: Duration = Duration::from_millis(150);
 /// Number of upstreams that are compared for an opening.
-const COMPARED: f64 = 2.0;
+const COMPARED_UPSTREAMS: f64 = 2.0;
 
-/// Upstreams of a zone that were searched.
+/// Upstreams of a zone that were searched for a free slot.
 #[derive(Debug, Default)]
 struct SearchedZone {
     /// Slots of those that are listed as accepting flows.
@@ -53,7 +53,7 @@
     usable: Vec<(UpstreamId, u32)>,
     /// Free slots of those whose load is known.
     free_slots: u32,
-    /// Those known to have a free slot, with the number of these.
+    /// Those known to have a free slot, with their free slots.
     free: Vec<(UpstreamId, u32)>,
 }
 
@@ -126,9 +126,9 @@
         self.zone_instances = instances.max(1);
     }
 
-    /// The number of openings in this zone that ask for a service until the view of load shows them. Routers spread
-    /// clients' flows evenly over the instances of a zone.
-    fn demand(&self, service: &str, now: Time) -> f64 {
+    /// The number of openings that all instances of this zone receive for a service within [`VIEW_DELAY`]. It is
+    /// estimated from those of this instance, as routers spread clients' flows evenly over the instances of a zone.
+    fn openings_per_view(&self, service: &str, now: Time) -> f64 {
         let rate = self.admission.opening_rate(service, now) * f64::from(self.zone_instances);
         rate * VIEW_DELAY.as_secs_f64()
     }
@@ -161,8 +161,10 @@
         let slots = f64::from(listed.upstream().slots.0.max(1));
         let work = self.loads.work(candidate.id, now).map_or(0, |work| work.in_flight);
         let relative_utilization = f64::from(work) / slots * f64::from(zone.slots) / f64::from(zone.in_flight.max(1));
-        let wins = COMPARED * (-relative_utilization).exp();
-        let arrivals = self.demand(service, now) * wins * slots / f64::from(zone.slots.max(1));
+        // How often the candidate wins a comparison, as a multiple of the zone's mean: an idle upstream wins all that it
+        // is drawn for, a busier one fewer.
+        let wins = COMPARED_UPSTREAMS * (-relative_utilization).exp();
+        let arrivals = self.openings_per_view(service, now) * wins * slots / f64::from(zone.slots.max(1));
         let budget = self.admission.budget(service, opening, now);
         let wait = budget.saturating_sub(expected) + VIEW_DELAY;
         let space = slots * wait.as_secs_f64() / service_time.as_secs_f64().max(f64::MIN_POSITIVE);
@@ -212,9 +214,9 @@
         }
         let Search { local, other, .. } = self.searches.recent(service, now)?;
         let extra = f64::from(other.slots) * (1.0 - local.share / other.share.max(f64::MIN_POSITIVE)).max(0.0);
-        let demand = self.demand(service, now).max(1.0);
+        let openings = self.openings_per_view(service, now).max(1.0);
         for (slots, upstreams) in [(f64::from(local.slots), &local.upstreams), (extra, &other.upstreams)] {
-            if self.rng.random::<f64>() >= slots * FREE_SLOT_USES / demand {
+            if self.rng.random::<f64>() >= slots * OPENINGS_PER_FREE_SLOT / openings {
                 continue;
             }
             let Ok((id, _)) = upstreams.choose_weighted(&mut self.rng, |(_, weight)| *weight) else {
--- a/crates/flow/src/place/view.rs
+++ b/crates/flow/src/place/view.rs
@@ -16,7 +16,8 @@
 pub(super) const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Work in flight per slot up to which a zone takes flows of another.
 const MAX_OTHER_UTILIZATION: f64 = 0.85;
-/// Difference in work in flight per slot from which a zone takes flows of another although it is above [`MAX_OTHER_UTILIZATION`].
+/// Difference in work in flight per slot from which a zone takes flows of another although it is above
+/// [`MAX_OTHER_UTILIZATION`].
 const MIN_UTILIZATION_DIFFERENCE: f64 = 0.25;
 /// Work in flight per slot up to which a zone counts as having room. With 1, the zones alternate between full and empty
 /// once flows from elsewhere take most of their free slots, as the sums are older than a request.
