Give each constant and field of the load its own doc comment

Where one comment stood for two constants, the second one had no text in the generated documentation, and some units were missing. Collectors' zones and exchange become zone_totals and sums_to_send, usual_response becomes expected_response, as it is an estimate from two means.

--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -13,8 +13,8 @@
 /// Share of the openings admitted while short of capacity that is reserved for all classes but the most urgent, so that
 /// they are not starved.
 const RESERVED_SHARE: f64 = 0.1;
-/// Time constant of the counts that the reserved share is measured by. An instance of a large fleet admits only some openings
-/// per second.
+/// Time constant of the counts that the reserved share is measured by. An instance of a large fleet admits only some
+/// openings per second.
 const RESERVE_SPAN: Duration = Duration::from_secs(10);
 /// Time constant of the rate of openings. It is short, as the first second of a burst sends upstreams the most.
 const OPENING_SPAN: Duration = Duration::from_millis(250);
--- a/crates/flow/src/capacity_state.rs
+++ b/crates/flow/src/capacity_state.rs
@@ -7,9 +7,10 @@
 use serde::Serialize;
 use units::Time;
 
-/// Work in flight per slot from which on a service is short of capacity, and below which it no longer is. The distance
-/// keeps a service at its limit from changing state with each request.
+/// Work in flight per slot from which on a service is short of capacity.
 const SHORT_FROM: f64 = 1.0;
+/// Work in flight per slot below which it no longer is. The distance keeps a service at its limit from changing state
+/// with each request.
 const SHORT_UNTIL: f64 = 0.9;
 /// Minimum time between two changes of state.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -34,8 +34,8 @@
 /// of load shows them.
 const CONNECTION_MARGIN: u32 = 32;
 
-/// Maximum mean number of openings that a free slot gets until the view of load shows that it is in use. A view is about
-/// as old as a request takes.
+/// Maximum mean number of openings that a free slot gets until the view of load shows that it is in use. A view is
+/// about as old as a request takes.
 const OPENINGS_PER_FREE_SLOT: f64 = 2.0;
 /// How long it takes until the view of load shows an opening: the interval of reports, and half of that of digests.
 const VIEW_DELAY: Duration = Duration::from_millis(150);
@@ -161,8 +161,8 @@
         let slots = f64::from(listed.upstream().slots.0.max(1));
         let work = self.loads.work(candidate.id, now).map_or(0, |work| work.in_flight);
         let relative_utilization = f64::from(work) / slots * f64::from(zone.slots) / f64::from(zone.in_flight.max(1));
-        // How often the candidate wins a comparison, as a multiple of the zone's mean: an idle upstream wins all that it
-        // is drawn for, a busier one fewer.
+        // How often the candidate wins a comparison, as a multiple of the zone's mean: an idle upstream wins all that
+        // it is drawn for, a busier one fewer.
         let wins = COMPARED_UPSTREAMS * (-relative_utilization).exp();
         let arrivals = self.openings_per_view(service, now) * wins * slots / f64::from(zone.slots.max(1));
         let budget = self.admission.budget(service, opening, now);
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -36,8 +36,8 @@
 /// Interval at which the groups of own work are compared with the directory.
 const REGROUP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time until the first sample of a group, below about a second. It depends on the instance and the group, but not on
-/// when work begins, which would make samples too high.
+/// Time until the first sample of a group, 0 to 1.05 seconds. It depends on the instance and the group, but not on when
+/// work begins: samples taken at such times would be too high.
 fn sample_phase(seed: u64, echo: Echo) -> Duration {
     const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
     let mixed = (seed ^ u64::from(echo.0)).wrapping_mul(MULTIPLIER);
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -42,8 +42,9 @@
 const NEAR_SAMPLE: usize = 8;
 /// Number of upstreams of the local zone that are examined at most to find these, if many are avoided.
 const MAX_NEAR_EXAMINED: usize = 16;
-/// The same for another zone. One is drawn from these by its slots.
+/// Number of upstreams of another zone that one is drawn from by its slots.
 const FAR_SAMPLE: usize = 2;
+/// Number of upstreams of another zone that are examined at most to find these.
 const MAX_FAR_EXAMINED: usize = 8;
 
 impl Core {
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -110,7 +110,7 @@
         let Some(service) = self.directory.get(id).map(|listed| &listed.upstream().service) else {
             return;
         };
-        let response = self.usual_response(id, now);
+        let response = self.expected_response(id, now);
         let service = match self.typical_services.get_mut(service) {
             Some(service) => service,
             None => self.typical_services.entry(service.clone()).or_default(),
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -68,8 +68,9 @@
         self.announce_ejection(id);
     }
 
-    /// Mean time in seconds that an upstream usually takes, as seen from here and by the joint view.
-    pub(super) fn usual_response(&self, id: UpstreamId, now: Time) -> Option<f64> {
+    /// Expected response time of an upstream in seconds: the longer one of the mean response time seen from here and
+    /// the mean service time by the joint view.
+    pub(super) fn expected_response(&self, id: UpstreamId, now: Time) -> Option<f64> {
         let seen = self.health.get(&id).and_then(|health| health.response(now));
         let service_time = self.loads.work(id, now).and_then(|work| work.service_time);
         let joint = service_time.map(|time| time.as_secs_f64());
@@ -95,8 +96,8 @@
         service.is_short_of_capacity(id, now) && service.is_busy(response)
     }
 
-    /// Whether an upstream's service is known to be at low load, so that a short answer is no refusal. The view of a service
-    /// that isn't busy may be a second old, so a burst may show in the response times first.
+    /// Whether an upstream's service is known to be at low load, so that a short answer is no refusal. The view of a
+    /// service that isn't busy may be a second old, so a burst may show in the response times first.
     pub(super) fn is_at_low_load(&self, upstream: &Upstream, now: Time) -> bool {
         let service = self.typical_services.get(&upstream.service);
         let is_raised = service.is_some_and(TypicalService::are_responses_raised);
--- a/crates/flow/src/ejection_limit.rs
+++ b/crates/flow/src/ejection_limit.rs
@@ -4,8 +4,8 @@
 
 use crate::upstream::UpstreamId;
 
-/// Work in flight per remaining slot up to which an upstream may be ejected. Beyond it, the others would queue its work.
-/// Work in flight includes the network round trip, so some slots are still free at this limit.
+/// Work in flight per remaining slot up to which an upstream may be ejected. Beyond it, the others would queue its
+/// work. Work in flight includes the network round trip, so some slots are still free at this limit.
 const MAX_REMAINING_UTILIZATION: f64 = 1.0;
 /// Upstreams that fail more than this share of the attempts aren't readmitted before they are probed: they add little
 /// capacity, and their failures cost the caller a retry.
--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -23,8 +23,8 @@
 /// Weight of a new response time sample. One instance sends an upstream about ten requests a second, so a change shows
 /// within a second or two.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Weight of a new sample in the mean that is compared with the service's typical response time. Of a large service, one
-/// instance sends an upstream one or two requests a second, and the mean has to follow a burst within seconds.
+/// Weight of a new sample in the mean that is compared with the service's typical response time. Of a large service,
+/// one instance sends an upstream one or two requests a second, and the mean has to follow a burst within seconds.
 const UNBOUNDED_SAMPLE_WEIGHT: f64 = 0.2;
 /// How long the mean remains valid after the last sample. After that, a slow upstream is tried again.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(4);
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -21,9 +21,10 @@
 use super::group_sums::GroupSums;
 use crate::report::ReporterId;
 
-/// Intervals of digests while the service is busy, and otherwise. Calls come every 100 milliseconds or a bit earlier or
-/// later, so intervals end a bit before the call that they last to.
+/// Interval of digests while the service is busy. Calls come every 100 milliseconds or a bit earlier or later, so the
+/// intervals here end shortly before the call at which a message is due.
 const BUSY_INTERVAL: Duration = Duration::from_millis(80);
+/// Interval of digests while the service isn't busy.
 const QUIET_INTERVAL: Duration = Duration::from_millis(980);
 /// Interval at which collectors exchange sums while the service is busy.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(180);
@@ -31,12 +32,13 @@
 /// passed two collectors. Together with the time for which an instance keeps them, a zone that is cut off is no longer
 /// shown within a second.
 const SUM_VALIDITY: Duration = Duration::from_millis(700);
-/// Longest interval between two calls after which the sums still hold. After a longer one this process was paused, and
-/// reports were lost.
+/// Longest interval between two calls for which the sums still hold. A longer one means that this process was paused
+/// and that reports may be lost.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// Work in flight per slot, or open flows per connection limit of an upstream, from which a service is busy, in
-/// percent, and below which it no longer is.
+/// Work in flight in percent of the slots, or open flows in percent of the connection limit of an upstream, from which
+/// a service is busy.
 const BUSY_PERCENT: u32 = 50;
+/// The same below which a busy service no longer is. The distance keeps a service at the limit from alternating.
 const QUIET_PERCENT: u32 = 40;
 
 /// A digest and the instances that get it.
@@ -60,8 +62,11 @@
 struct CollectedGroup {
     sums: GroupSums,
     is_busy: bool,
+    /// When the next digest is due.
     digest_due: Time,
+    /// When digests were last sent.
     digest_sent: Time,
+    /// When the sums are next sent to other collectors.
     exchange_due: Time,
     /// Sums by zone, and by group within the zone; `None` is the whole zone.
     known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
@@ -79,6 +84,7 @@
     /// Number of the latest digest or message with sums. It grows over all groups, as those without reporters are
     /// removed.
     seq: u64,
+    /// When digests were last asked for, to detect that this process was paused.
     called_at: Time,
 }
 
@@ -177,7 +183,7 @@
                 continue;
             }
             group.exchange_due = now + EXCHANGE_INTERVAL;
-            for (to, zones) in group.exchange(key, &zones(&key.service), now) {
+            for (to, zones) in group.sums_to_send(key, &zones(&key.service), now) {
                 self.seq += 1;
                 let seq = self.seq;
                 self.budget.spend(COLLECTOR_COUNT);
@@ -239,7 +245,7 @@
             return None;
         }
         let upstreams = self.is_busy.then(|| self.sums.upstream_sums()).flatten();
-        let zones = self.zones(key).into_iter();
+        let zones = self.zone_totals(key).into_iter();
         let digest = LoadDigest {
             group: key.clone(),
             seq,
@@ -251,8 +257,9 @@
         Some(DueDigest { digest, recipients })
     }
 
-    /// Sums of whole zones. The first group of a zone adds up all groups; the others are told by its collectors.
-    fn zones(&self, key: &LoadGroup) -> BTreeMap<ZoneName, KnownSum> {
+    /// Sums of whole zones. The collectors of a zone's first group add up all groups and send the total to the others,
+    /// which add up the groups that they know until they have it.
+    fn zone_totals(&self, key: &LoadGroup) -> BTreeMap<ZoneName, KnownSum> {
         let whole = self.known.iter().filter(|((_, group), _)| group.is_none());
         let mut zones: BTreeMap<ZoneName, KnownSum> = whole.map(|((zone, _), sum)| (zone.clone(), *sum)).collect();
         if key.number == 0 || !zones.contains_key(&key.zone) {
@@ -267,8 +274,9 @@
         zones
     }
 
-    /// Sums to send, each with the group whose collectors they are for.
-    fn exchange(&self, key: &LoadGroup, all: &[(ZoneName, u16)], now: Time) -> Vec<(LoadGroup, Vec<ZoneSum>)> {
+    /// The sums to send to other collectors, by the group whose collectors get them. `all` lists the zones of the
+    /// service with their numbers of groups.
+    fn sums_to_send(&self, key: &LoadGroup, all: &[(ZoneName, u16)], now: Time) -> Vec<(LoadGroup, Vec<ZoneSum>)> {
         let to = |zone: &ZoneName, number| LoadGroup {
             service: key.service.clone(),
             zone: zone.clone(),
@@ -285,7 +293,7 @@
             let own = own.map(|sum| zone_sum(&key.zone, Some(key.number), sum));
             return own.map(|sum| (to(&key.zone, 0), vec![sum])).into_iter().collect();
         }
-        let zones = self.zones(key);
+        let zones = self.zone_totals(key);
         let sums = zones.iter().map(|(zone, sum)| zone_sum(zone, None, sum));
         let sums: Vec<ZoneSum> = sums.collect();
         let own: Vec<ZoneSum> = sums.iter().filter(|sum| sum.zone == key.zone).cloned().collect();
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -17,9 +17,9 @@
 use crate::packet::Echo;
 use crate::report::ReporterId;
 
-/// How long an instance without a message counts, and gets digests.
+/// How long an instance counts as a reporter, and gets digests, after its latest report.
 const REPORTER_VALIDITY: Duration = Duration::from_secs(2);
-/// How long a sum counts: until the next sample of a service that isn't busy.
+/// How long a reported sum counts: the interval of samples of a service that isn't busy.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(1);
 /// How long reports are collected before the first digest. By then, every instance has sent all of its values.
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -53,7 +53,7 @@
     seq: u64,
     at: Time,
     is_in_other_zone: bool,
-    /// Work in flight that is known only as a sum.
+    /// Work in flight that is known only as a sum over the group.
     sum: u32,
     /// Largest number of open flows at one upstream.
     most_flows: u32,
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -16,11 +16,12 @@
 
 /// Interval at which work in flight is sampled while a service isn't busy.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
-/// The same while work in flight is above a quarter of the slots, and the age from which an unchanged sample is
-/// repeated, as samples count for a second.
+/// The same while work in flight is above a quarter of the slots.
 const RISING_INTERVAL: Duration = Duration::from_millis(250);
+/// Age from which an unchanged sample is repeated, as collectors count a sample for one second.
 const REPEAT_AFTER: Duration = Duration::from_millis(700);
-/// Interval at which all values are sent while a service is busy: at every tenth call, also if calls come a bit early.
+/// Interval at which all values are sent while a service is busy. It is below one second, so that it is over at every
+/// tenth call also if calls, 100 milliseconds apart, come a bit early.
 const FULL_INTERVAL: Duration = Duration::from_millis(980);
 /// Number of reported values kept for each upstream and group: a report every 100 milliseconds over the time for which
 /// a digest is valid.
@@ -78,7 +79,7 @@
     sample_due: Time,
     /// When a sample was last reported.
     sampled_at: Time,
-    /// When all values were last sent, if the latest report had values of upstreams.
+    /// When all values were last sent; `None` unless the service has been busy since.
     all_at: Option<Time>,
 }
 
--- a/crates/flow/src/load/view.rs
+++ b/crates/flow/src/load/view.rs
@@ -22,9 +22,9 @@
 
 /// Age from which a view counts as no view.
 const VALIDITY: Duration = Duration::from_secs(1);
-/// Work in flight per slot of a zone from which it is sampled more often, in percent, and for how long after a digest
-/// that shows this.
+/// Work in flight in percent of a zone's slots from which it is sampled more often.
 const RISING_PERCENT: u32 = 25;
+/// How long a zone is sampled more often after a digest that shows this.
 const RISING_VALIDITY: Duration = Duration::from_millis(2_500);
 /// How long the sums of a zone are kept that the digests of a busy service no longer give. Both collectors send one
 /// every 100 milliseconds. A zone that isn't busy itself gives its own sums once a second.
--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -7,8 +7,8 @@
 //! answers with an error. In the client's packets this appears as the first packet of a handshake with nothing after
 //! it, a request whose response the client never acknowledges, or a response far shorter than is usual for the route.
 //!
-//! A full upstream refuses requests in the same way. Such a refusal is counted as rejected, which is neither a failure nor
-//! a success.
+//! A full upstream refuses requests in the same way. Such a refusal is counted as rejected, which is neither a failure
+//! nor a success.
 
 use std::time::Duration;
 
@@ -46,8 +46,9 @@
 /// The window in which the number of short answers that count as evidence is limited. If many flows arrive at an
 /// upstream at once, it refuses most of them, and they are more than its usual attempts.
 const SHORT_WINDOW: Duration = Duration::from_millis(300);
-/// The limit, as a share of the attempts that are usual in such a window, and its minimum.
+/// The limit, as a share of the attempts that are usual in such a window.
 const MAX_SHORT_SHARE: f64 = 0.35;
+/// The minimum of the limit, in short answers.
 const MIN_SHORT_LIMIT: f64 = 1.0;
 
 /// The time constant of the exponential decay in the rate of attempts at an upstream.
@@ -142,8 +143,9 @@
     /// The attempts at this upstream that are included in the tally of its service: all but those made while the
     /// upstream was ejected. The caller updates it together with the service's tally.
     pub(crate) tally: Tally,
-    /// Failures that have not been reported yet, and how many of them were short answers.
+    /// Failures that have not been reported yet.
     unreported: u16,
+    /// How many of these were short answers.
     unreported_short: u16,
     evidence: Evidence,
 }
@@ -217,13 +219,15 @@
 #[derive(Debug, Default, Clone, Copy)]
 struct Evidence {
     score: f64,
-    /// The attempts since the score was last zero, and how many of them failed.
+    /// The attempts since the score was last zero.
     attempts: f64,
+    /// How many of these failed.
     failures: f64,
     /// When the score was last updated.
     updated_at: Time,
-    /// The start of the current window, and the short answers counted in it.
+    /// The start of the current window.
     window_start: Time,
+    /// The short answers counted in it.
     short_in_window: f64,
 }
 
@@ -248,7 +252,8 @@
         self.updated_at = now;
     }
 
-    /// Returns how many of the reported short answers count within the limit of the current window.
+    /// Counts reported short answers up to the limit of the current window, and returns how many were counted. `rate`
+    /// is in attempts per second.
     fn count_short(&mut self, short: u16, rate: f64, now: Time) -> f64 {
         if now.since(self.window_start) >= SHORT_WINDOW {
             self.window_start = now;
--- a/crates/flow/src/response_level.rs
+++ b/crates/flow/src/response_level.rs
@@ -23,16 +23,18 @@
 #[derive(Debug, Default, Clone, Copy)]
 pub struct ResponseLevel {
     samples: u32,
-    /// In seconds, as is the level at low load.
+    /// Running median of the response times, in seconds.
     median: f64,
+    /// Level at low load, in seconds.
     low: f64,
+    /// When the latest sample was added.
     at: Time,
 }
 
 impl ResponseLevel {
     /// Records the response time of a regular answer.
-    pub fn add(&mut self, waited: Duration, now: Time) {
-        let sample = waited.as_secs_f64();
+    pub fn add(&mut self, response_time: Duration, now: Time) {
+        let sample = response_time.as_secs_f64();
         self.samples = self.samples.saturating_add(1);
         let step = 1.0 + MIN_STEP.max(1.0 / f64::from(self.samples));
         if self.samples == 1 {
