--- a/crates/jayquay/src/flows/capacity.rs
+++ b/crates/jayquay/src/flows/capacity.rs
@@ -11,8 +11,8 @@
 use jayquayd::forward::status::ZoneStatus;
 use units::ZoneName;
 
-/// Adds the load of each service that an instance has a fresh view of, and the openings that were not placed in the zone
-/// of their instance.
+/// Adds the load of each service that an instance has a fresh view of, and the openings that were not placed in the
+/// zone of their instance.
 pub(super) fn write(text: &mut String, statuses: &[&Status]) {
     let services: BTreeSet<&String> = statuses.iter().flat_map(|status| status.capacity.keys()).collect();
     for service in services {
--- a/crates/jayquayd/src/forward/metric_update.rs
+++ b/crates/jayquayd/src/forward/metric_update.rs
@@ -16,8 +16,8 @@
 use super::shared::Shared;
 use crate::metric::MEMBER_STATES;
 
-/// Maximum number of pairs of a service and a zone that get gauges: the document names the services, and a fleet may have
-/// thousands.
+/// Maximum number of pairs of a service and a zone that get gauges: the document names the services, and a fleet may
+/// have thousands.
 const MAX_CAPACITY_SERIES: usize = 256;
 
 /// Updates all metrics.
--- a/crates/jayquayd/src/metric.rs
+++ b/crates/jayquayd/src/metric.rs
@@ -1,7 +1,7 @@
 //! The names, units and labels of all metrics.
 //!
-//! No label value comes from the network. Each label has a fixed set of values, except for the services and zones of the
-//! flow mode, whose number is limited.
+//! No label value comes from the network. Each label has a fixed set of values, except for the services and zones of
+//! the flow mode, whose number is limited.
 
 use metrics::Counter;
 use metrics::Gauge;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -52,8 +52,8 @@
 /// How long all must have been calm before an opening, for a refusal to be a fault: the bound for a change of upstreams
 /// to take effect.
 const KNOWN_AFTER: Duration = Duration::from_secs(3);
-/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: instances use no view of
-/// the load that is older.
+/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: instances use no view
+/// of the load that is older.
 const FREE_FOR: Duration = Duration::from_secs(1);
 
 /// The part of the loopback network where instances' proxies are.
