--- a/crates/soak/src/burst.rs
+++ b/crates/soak/src/burst.rs
@@ -18,7 +18,7 @@
 
 use crate::clients;
 use crate::clients::Context;
-use crate::clients::Manner;
+use crate::clients::FlowUse;
 
 /// The work that each upstream does at a time in a soak with bursts.
 pub(crate) const LIMITS: WorkLimits = WorkLimits {
@@ -28,13 +28,14 @@
 };
 /// The time that a request takes at a slow upstream.
 pub(crate) const SLOW_SERVICE_TIME: Duration = Duration::from_millis(120);
-/// Clients of a burst, half of them on the urgent route: more than the slots and queue places of their service.
+/// Number of clients of a burst, half of them on the urgent route: more than the slots and queue places of their
+/// service.
 pub(crate) const CLIENTS: usize = 60;
 /// Largest number of flows that may be open at a time at an upstream.
 pub(crate) const MAX_CONNS: u32 = 40;
 /// Pause of a client after a refusal.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// How often a client sends its opening packet.
+/// Number of times that a client sends its opening packet.
 const ATTEMPTS: u32 = 3;
 
 /// An opening that was answered by a reset.
@@ -93,7 +94,8 @@
         (std::mem::take(&mut shared.urgent), std::mem::take(&mut shared.other))
     }
 
-    fn note(&self, is_urgent: bool, refusal: Option<Refusal>) {
+    /// Counts an opening, refused if there is a `refusal`.
+    fn record(&self, is_urgent: bool, refusal: Option<Refusal>) {
         let mut shared = self.lock();
         let openings = if is_urgent {
             &mut shared.urgent
@@ -133,11 +135,11 @@
         };
         match client.open_via(context.route, router).await? {
             Reply::Opened => {
-                burst.note(is_urgent, None);
-                clients::keep(&mut client, number, &mut rng, &context, Manner::ONCE).await?;
+                burst.record(is_urgent, None);
+                clients::keep(&mut client, number, &mut rng, &context, FlowUse::ONE_REQUEST).await?;
             }
             Reply::Reset => {
-                burst.note(is_urgent, Some(refusal));
+                burst.record(is_urgent, Some(refusal));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
             Reply::Response(_) | Reply::Timeout => {
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -25,23 +25,23 @@
 const TRIES: u32 = 8;
 /// How a client uses its flows.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Manner {
-    /// How many requests a flow is kept for.
+pub(crate) struct FlowUse {
+    /// Number of requests on a flow.
     requests: u32,
-    /// The longest pause after a request, in milliseconds.
-    longest_pause: u64,
+    /// Maximum pause after a request, in milliseconds.
+    max_pause_ms: u64,
 }
 
-impl Manner {
+impl FlowUse {
     /// A flow is kept for many requests, with pauses.
-    const KEPT: Self = Self {
+    const LONG: Self = Self {
         requests: 12,
-        longest_pause: 400,
+        max_pause_ms: 400,
     };
     /// A flow is opened for one request.
-    pub(crate) const ONCE: Self = Self {
+    pub(crate) const ONE_REQUEST: Self = Self {
         requests: 1,
-        longest_pause: 50,
+        max_pause_ms: 50,
     };
 }
 
@@ -95,7 +95,7 @@
     loop {
         let router = || context.router.pick(number);
         match client.open_via(context.route, router).await? {
-            Reply::Opened => keep(&mut client, number, &mut rng, &context, Manner::KEPT).await?,
+            Reply::Opened => keep(&mut client, number, &mut rng, &context, FlowUse::LONG).await?,
             Reply::Response(_) | Reply::Reset | Reply::Timeout => {
                 context.tally.unanswered.fetch_add(1, Ordering::Relaxed);
                 tokio::time::sleep(Duration::from_millis(100)).await;
@@ -110,11 +110,11 @@
     number: usize,
     rng: &mut StdRng,
     context: &Context,
-    manner: Manner,
+    flow_use: FlowUse,
 ) -> io::Result<()> {
     let echo = client.echo();
     context.living.note_open(echo);
-    let result = ask(client, number, rng, context, manner).await;
+    let result = ask(client, number, rng, context, flow_use).await;
     context.living.note_closed(echo);
     client.close(context.router.pick(number)).await?;
     result
@@ -125,7 +125,7 @@
     number: usize,
     rng: &mut StdRng,
     context: &Context,
-    manner: Manner,
+    flow_use: FlowUse,
 ) -> io::Result<()> {
     let Some(life) = context.living.find(client.echo()) else {
         let text = format!("client {number} got the echo {}", client.echo());
@@ -139,7 +139,7 @@
         );
         context.book.add(Violation::WrongService(text));
     }
-    for request in 0..manner.requests {
+    for request in 0..flow_use.requests {
         let text = format!("{number}-{request}-{}", rng.random::<u32>());
         let router = || context.router.pick(number);
         match client.ask_via(text.as_bytes(), router).await? {
@@ -168,7 +168,7 @@
                 return Ok(());
             }
         }
-        let pause = rng.random_range(0..=manner.longest_pause);
+        let pause = rng.random_range(0..=flow_use.max_pause_ms);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
     Ok(())
--- a/crates/soak/src/recovery.rs
+++ b/crates/soak/src/recovery.rs
@@ -19,9 +19,10 @@
 /// How long everything may take to come back after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 
-/// How long the last burst takes, after a pause in which all instances come to know the upstreams.
+/// Duration of the last burst.
 const LAST_BURST: Duration = Duration::from_secs(4);
-const PAUSE: Duration = Duration::from_secs(4);
+/// Time without faults before it, in which all instances get to know the upstreams.
+const PAUSE_BEFORE_BURST: Duration = Duration::from_secs(4);
 /// With fewer refusals than this, their shares say nothing about priorities.
 const MIN_REFUSALS: u64 = 30;
 /// How much larger the share of refusals of the urgent route may be by chance.
@@ -66,12 +67,13 @@
     Ok(())
 }
 
-/// A burst in calm keeps the limits of upstreams, and refuses the less urgent first.
+/// Runs a burst without faults, and records as violations more open flows than an upstream's limit, and a larger
+/// share of refusals on the urgent route than on the other one beyond chance.
 async fn last_burst(world: &mut World) -> io::Result<()> {
     let Some(burst) = world.burst.clone() else {
         return Ok(());
     };
-    wait(world, PAUSE).await?;
+    wait(world, PAUSE_BEFORE_BURST).await?;
     world.upstreams.living.restart_count();
     burst.take_openings();
     burst.set(true);
@@ -91,6 +93,7 @@
     Ok(())
 }
 
+/// Waits, and maintains the world meanwhile.
 async fn wait(world: &mut World, time: Duration) -> io::Result<()> {
     let begin = Instant::now();
     while begin.elapsed() < time {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -49,10 +49,10 @@
 /// How long it takes until what a store has lost is written again.
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
 
-/// How long all must have been calm before an opening, for a refusal to be a fault: the bound for a change of upstreams
-/// to take effect.
-const KNOWN_AFTER: Duration = Duration::from_secs(3);
-/// How long an upstream must have had a free slot before an opening, for a refusal to be a fault: instances use no view
+/// Time without faults before an opening from which on a refusal is a violation: the bound for a change of upstreams to
+/// take effect.
+const SETTLED_AFTER: Duration = Duration::from_secs(3);
+/// Time with a free slot at an upstream before an opening from which on a refusal is a violation: instances use no view
 /// of the load that is older.
 const FREE_FOR: Duration = Duration::from_secs(1);
 
@@ -65,10 +65,10 @@
     Resume(usize),
     Open(usize),
     Heal(Cut),
-    /// An upstream is as fast as before.
-    Hurry(usize),
-    /// A burst is over.
-    Calm,
+    /// An upstream's service time is set back.
+    RestoreSpeed(usize),
+    /// A burst ends.
+    StopBurst,
     Serve,
     /// The store comes back from a copy of so long ago.
     Return(Duration),
@@ -275,11 +275,11 @@
             Fault::Document => self.write_document(),
             Fault::Slow(index, span) => {
                 self.upstreams.set_service_time(index, Some(burst::SLOW_SERVICE_TIME));
-                self.ends.push((now + span, End::Hurry(index)));
+                self.ends.push((now + span, End::RestoreSpeed(index)));
             }
             Fault::Burst(span) => {
                 self.burst.iter().for_each(|burst| burst.set(true));
-                self.ends.push((now + span, End::Calm));
+                self.ends.push((now + span, End::StopBurst));
             }
         }
         self.calm_since = Instant::now();
@@ -319,8 +319,8 @@
                 End::Resume(index) => self.instances[index].signal("CONT").await,
                 End::Open(index) => self.proxies[index].set(Way::Open),
                 End::Heal(cut) => self.mesh.end(cut),
-                End::Hurry(index) => self.upstreams.set_service_time(index, None),
-                End::Calm => self.burst.iter().for_each(|burst| burst.set(false)),
+                End::RestoreSpeed(index) => self.upstreams.set_service_time(index, None),
+                End::StopBurst => self.burst.iter().for_each(|burst| burst.set(false)),
                 End::Serve => self.store.set_fault(StoreFault::None),
                 End::Return(age) => {
                     self.come_back(now, age);
@@ -343,7 +343,7 @@
             self.calm_since = now;
         }
         self.upstreams.tend(&self.store, self.calm_since, &self.book);
-        self.judge_refusals();
+        self.check_refusals();
         if now >= self.next_probe {
             self.next_probe = now + PROBE;
             self.probe().await;
@@ -351,12 +351,12 @@
         Ok(())
     }
 
-    /// Notes refusals in calm while an upstream had a free slot.
-    fn judge_refusals(&self) {
+    /// Records as violations the refusals without a recent fault while an upstream had a free slot.
+    fn check_refusals(&self) {
         let refusals = self.burst.as_ref().map(Burst::take_refusals).unwrap_or_default();
         for refusal in refusals {
             let free_since = refusal.began.checked_sub(FREE_FOR);
-            let Some(free_since) = free_since.filter(|_| refusal.began > self.calm_since + KNOWN_AFTER) else {
+            let Some(free_since) = free_since.filter(|_| refusal.began > self.calm_since + SETTLED_AFTER) else {
                 continue;
             };
             if let Some(id) = self.upstreams.free_since(refusal.service, free_since) {
