Tell a short answer from a shortage of capacity in names

is_short stood for both, and is_short_of_capacity for a refused attempt and for a service. Response times that were called waited get their usual name.

--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -126,7 +126,7 @@
     /// A short response is usually an error or a refusal, which takes no work: as a sample, it would make its upstream
     /// look fast, and a service that refuses many requests would have a low typical response time.
     fn record_response_time(&mut self, key: &FlowKey, id: UpstreamId, measured: Option<Duration>, now: Time) {
-        let mut waited = measured;
+        let mut response_time = measured;
         if let Some(flow) = self.flows.get_mut(key)
             && let answered = flow.answer_len()
             && let Some(request) = &mut flow.request
@@ -137,14 +137,14 @@
                 request.was_full |= is_full(&self.directory, &self.loads, id, now) == Some(true);
                 return;
             }
-            waited = request.response_time.take();
+            response_time = request.response_time.take();
         }
-        let (Some(waited), Some(listed)) = (waited, self.directory.get(id)) else {
+        let (Some(response_time), Some(listed)) = (response_time, self.directory.get(id)) else {
             return;
         };
         if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
-            service.record_response_time(waited, now);
-            let (sample, min_sample) = (waited.as_secs_f64(), service.min_response_sample());
+            service.record_response_time(response_time, now);
+            let (sample, min_sample) = (response_time.as_secs_f64(), service.min_response_sample());
             let health = self.health.entry(id).or_default();
             health.record_response_time(sample, min_sample, now);
         }
@@ -177,7 +177,7 @@
         }
         let outcome = if !is_short {
             Outcome::Good
-        } else if was_full || self.is_short_of_capacity(id, now) {
+        } else if was_full || self.is_capacity_refusal(id, now) {
             Outcome::Rejected
         } else {
             Outcome::Short
@@ -251,7 +251,7 @@
         health.ejection.eject(health.record.failing_share(), now);
         health.record.clear_evidence();
         if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
-            service.short_since = None;
+            service.short_of_capacity_since = None;
         }
         let usual_percent = (usual * 100.0).round() as u32;
         self.decisions.push(Decision::Ejected {
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -39,13 +39,18 @@
                 .push((*id, share));
         }
         for (service, ejected) in ejected {
-            let is_short = self.load(&service, None, now).is_some_and(ServiceLoad::is_short);
+            let is_short_of_capacity = self
+                .load(&service, None, now)
+                .is_some_and(ServiceLoad::is_short_of_capacity);
             let typical = self.typical_services.entry(service.clone()).or_default();
-            typical.short_since = typical.short_since.or(Some(now)).filter(|_| is_short);
-            let Some(short_since) = typical.short_since else {
+            typical.short_of_capacity_since = typical
+                .short_of_capacity_since
+                .or(Some(now))
+                .filter(|_| is_short_of_capacity);
+            let Some(since) = typical.short_of_capacity_since else {
                 continue;
             };
-            let Some(id) = select_readmission(&ejected, now.since(short_since)) else {
+            let Some(id) = select_readmission(&ejected, now.since(since)) else {
                 continue;
             };
             if !self.has_readmitted_within(&service, READMISSION_INTERVAL, now) {
@@ -79,7 +84,7 @@
 
     /// Whether a short answer of an upstream is a refusal for lack of capacity: by the joint view of the load or,
     /// without a view, if its service seems to be short of capacity and it is one of the busier upstreams.
-    pub(super) fn is_short_of_capacity(&self, id: UpstreamId, now: Time) -> bool {
+    pub(super) fn is_capacity_refusal(&self, id: UpstreamId, now: Time) -> bool {
         if let Some(is_full) = is_full(&self.directory, &self.loads, id, now) {
             return is_full;
         }
--- a/crates/flow/src/ejection_limit.rs
+++ b/crates/flow/src/ejection_limit.rs
@@ -31,7 +31,7 @@
     }
 
     /// Whether there is work for all slots, so that the service is short of capacity.
-    pub fn is_short(self) -> bool {
+    pub fn is_short_of_capacity(self) -> bool {
         self.in_flight >= self.slots
     }
 }
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -35,19 +35,19 @@
     /// Level of the response times, which shows whether requests wait.
     level: ResponseLevel,
     /// Since when the joint view has shown work for all slots of its upstreams.
-    pub(crate) short_since: Option<Time>,
+    pub(crate) short_of_capacity_since: Option<Time>,
 }
 
 impl TypicalService {
-    pub(crate) fn record_response_time(&mut self, waited: Duration, now: Time) {
-        self.level.add(waited, now);
-        let sample = waited.as_secs_f64();
+    pub(crate) fn record_response_time(&mut self, response_time: Duration, now: Time) {
+        self.level.add(response_time, now);
+        let sample = response_time.as_secs_f64();
         let mean = self.response.unwrap_or(sample);
         self.response = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
     }
 
-    /// Time after which an unanswered request counts as overdue at an upstream with this mean response time, if one is
-    /// known. A slow upstream, or one whose queue is full, takes longer than others without failing.
+    /// Time after which an unanswered request counts as overdue at an upstream with this mean response time in
+    /// seconds, if one is known. A slow upstream, or one whose queue is full, takes longer than others without failing.
     pub(crate) fn overdue_after(&self, response: Option<f64>) -> Duration {
         let expected = self.response.unwrap_or_default().max(response.unwrap_or_default());
         Duration::from_secs_f64(expected)
@@ -66,7 +66,7 @@
         self.level.is_raised()
     }
 
-    /// Whether an upstream with this mean response time, if one is known, is among the busier ones of the service.
+    /// Whether an upstream with this mean response time in seconds, if one is known, is among the busier ones of the service.
     /// Requests wait in the queue of an upstream that refuses others for lack of capacity, while one that fails answers
     /// the rest of its requests as usual.
     pub(crate) fn is_busy(&self, response: Option<f64>) -> bool {
--- a/crates/flow/tests/ejection_limit.rs
+++ b/crates/flow/tests/ejection_limit.rs
@@ -124,5 +124,5 @@
         assert_eq!(actual, expected, "{ejected:?} {short_for}");
     }
     let load = |in_flight| ServiceLoad { in_flight, slots: 10 };
-    assert!(!load(9).is_short() && load(10).is_short());
+    assert!(!load(9).is_short_of_capacity() && load(10).is_short_of_capacity());
 }
