--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// What the upstreams of a service have to offer to an opening.
+/// The capacity that the upstreams of a service have for an opening.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Room {
     /// Whether an upstream has a free slot.
--- a/crates/flow/src/admission/held.rs
+++ b/crates/flow/src/admission/held.rs
@@ -34,11 +34,11 @@
 
 /// The held openings of a service. There are few, as no more are held than can be served when they return.
 #[derive(Debug, Default)]
-pub(super) struct Held {
+pub(super) struct HeldOpenings {
     openings: Vec<HeldOpening>,
 }
 
-impl Held {
+impl HeldOpenings {
     pub(super) fn len(&self) -> usize {
         self.openings.len()
     }
--- a/crates/flow/src/admission/searches.rs
+++ b/crates/flow/src/admission/searches.rs
@@ -19,6 +19,7 @@
 pub(crate) struct FreeSlots {
     /// Share of the usable slots of the zone that is free.
     pub(crate) share: f64,
+    /// Number of free slots.
     pub(crate) slots: u32,
     /// Upstreams with the weights that one of them is drawn by: their free slots, or all their slots if only sums are
     /// known.
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) struct Search {
     pub(crate) at: Time,
-    /// What the service has to offer beside free slots.
+    /// The room at the candidate that the search was made for.
     pub(crate) room: Room,
     /// Free slots of the local zone.
     pub(crate) local: FreeSlots,
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -6,8 +6,8 @@
 
 use super::Class;
 use super::Opening;
-use super::held::Held;
 use super::held::HeldOpening;
+use super::held::HeldOpenings;
 use crate::decaying_count::DecayingCount;
 
 /// Share of the openings admitted while short of capacity that is reserved for all classes but the most urgent, so that
@@ -36,7 +36,7 @@
 /// The openings of one service, and what was decided on them.
 #[derive(Debug, Default)]
 pub(super) struct Service {
-    pub(super) held: Held,
+    pub(super) held: HeldOpenings,
     /// All openings.
     openings: DecayingCount,
     /// All admitted openings.
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -21,7 +21,7 @@
 use units::ZoneName;
 
 use crate::upstream::UpstreamId;
-pub(crate) use budget::Budget;
+pub(crate) use budget::MessageBudget;
 pub(crate) use budget::Purpose;
 pub(crate) use collector::Collector;
 pub use collector::DueDigest;
--- a/crates/flow/src/load/budget.rs
+++ b/crates/flow/src/load/budget.rs
@@ -27,16 +27,18 @@
     Digests,
 }
 
-/// The messages that may be sent. What isn't sent at one call is sent at one of the next.
+/// Number of messages that may be sent. What isn't sent at one call is sent at one of the next.
 #[derive(Debug)]
-pub(crate) struct Budget {
+pub(crate) struct MessageBudget {
+    /// Messages added per call.
     per_call: f64,
+    /// Messages that may still be sent, negative after more were.
     left: f64,
     refilled_at: Time,
     has_many_groups: bool,
 }
 
-impl Default for Budget {
+impl Default for MessageBudget {
     fn default() -> Self {
         Self {
             per_call: MAX_PER_CALL,
@@ -47,7 +49,7 @@
     }
 }
 
-impl Budget {
+impl MessageBudget {
     /// Sets the number of groups in the fleet.
     pub(crate) fn set_groups(&mut self, count: usize, purpose: Purpose) {
         let min = match purpose {
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -8,13 +8,13 @@
 use units::Time;
 use units::ZoneName;
 
-use super::Budget;
 use super::COLLECTOR_COUNT;
 use super::ListedSlots;
 use super::LoadDigest;
 use super::LoadGroup;
 use super::LoadRecipient;
 use super::LoadReport;
+use super::MessageBudget;
 use super::ZoneLoad;
 use super::ZoneLoads;
 use super::ZoneSum;
@@ -78,7 +78,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Collector {
     groups: BTreeMap<LoadGroup, CollectedGroup>,
-    pub(crate) budget: Budget,
+    pub(crate) budget: MessageBudget,
     /// The first group whose digest was put off for lack of budget.
     next_group: Option<LoadGroup>,
     /// Number of the latest digest or message with sums. It grows over all groups, as those without reporters are
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -9,10 +9,10 @@
 use units::Time;
 use units::ZoneName;
 
-use super::Budget;
 use super::COLLECTOR_COUNT;
 use super::LoadGroup;
 use super::LoadReport;
+use super::MessageBudget;
 use super::Pace;
 use super::WorkCounts;
 use super::own_group::OwnGroup;
@@ -59,7 +59,7 @@
     begun_at: HashMap<CompactString, Time>,
     /// Number of the latest report. It grows over all groups, as the record of an idle group is removed.
     seq: u64,
-    pub(crate) budget: Budget,
+    pub(crate) budget: MessageBudget,
     /// The first group whose report was put off for lack of budget.
     next_group: Option<LoadGroup>,
     /// Deadlines of work in flight, ordered by due time, with one queue for each kind.
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -66,9 +66,9 @@
         self.level.is_raised()
     }
 
-    /// Whether an upstream with this mean response time in seconds, if one is known, is among the busier ones of the service.
-    /// Requests wait in the queue of an upstream that refuses others for lack of capacity, while one that fails answers
-    /// the rest of its requests as usual.
+    /// Whether an upstream with this mean response time in seconds, if one is known, is among the busier ones of the
+    /// service. Requests wait in the queue of an upstream that refuses others for lack of capacity, while one that fails
+    /// answers the rest of its requests as usual.
     pub(crate) fn is_busy(&self, response: Option<f64>) -> bool {
         let typical = self.response.unwrap_or_default();
         response.is_none_or(|response| response >= typical * BUSY_FRACTION)
