Correct the doc comment of overload, and name the admission policy

A reset for overload is also sent while upstreams are at their connection limit. Policy and record_opening each had a namesake; noted_at and NOTE_INTERVAL become recorded_at and RECORD_INTERVAL.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -105,13 +105,13 @@
 
 /// Admission control of one instance.
 #[derive(Debug, Default)]
-pub struct Policy {
+pub struct AdmissionPolicy {
     services: BTreeMap<CompactString, Service>,
     shares: FairShares,
     next_sweep_at: Time,
 }
 
-impl Policy {
+impl AdmissionPolicy {
     /// Decides on an opening and records the decision.
     pub fn decide(&mut self, service: &str, opening: &Opening, room: Room, now: Time) -> Admission {
         if room.expected.is_none() {
@@ -141,7 +141,7 @@
         admission
     }
 
-    /// Returns the decision that [`Policy::decide`] would take, without recording it.
+    /// Returns the decision that [`AdmissionPolicy::decide`] would take, without recording it.
     pub fn assess(&self, service: &str, opening: &Opening, room: Room, now: Time) -> Admission {
         let Some(expected) = room.expected else {
             return Admission::Admit;
--- a/crates/flow/src/core.rs
+++ b/crates/flow/src/core.rs
@@ -25,7 +25,7 @@
 use units::Time;
 use units::ZoneName;
 
-use crate::admission::Policy;
+use crate::admission::AdmissionPolicy;
 use crate::admission::Searches;
 use crate::answer_log::AnswerLog;
 use crate::checks::Checks;
@@ -118,7 +118,7 @@
     baselines: HashMap<String, Baseline>,
     /// Joint view of the load of all upstreams.
     loads: Loads,
-    admission: Policy,
+    admission: AdmissionPolicy,
     /// Number of instances in the instance's availability zone.
     zone_instances: u32,
     searches: Searches,
@@ -165,7 +165,7 @@
             health: HashMap::new(),
             baselines: HashMap::new(),
             loads: Loads::default(),
-            admission: Policy::default(),
+            admission: AdmissionPolicy::default(),
             zone_instances: 1,
             searches: Searches::default(),
             capacity: Capacity::default(),
@@ -271,7 +271,7 @@
         let verdict = if packet.flags.contains(Flags::SYN) {
             let placed = self.stats.placed;
             let verdict = self.open_flow(packet, now);
-            self.record_opening(packet, verdict, self.stats.placed > placed, now);
+            self.count_verdict(packet, verdict, self.stats.placed > placed, now);
             verdict
         } else {
             self.handle_established(packet, now)
--- a/crates/flow/src/core/capacity.rs
+++ b/crates/flow/src/core/capacity.rs
@@ -111,7 +111,7 @@
 
     /// Counts an opening packet by what became of it. `is_placed` tells whether it was placed rather than forwarded to
     /// the upstream of an earlier copy.
-    pub(super) fn record_opening(&mut self, packet: &Packet, verdict: Verdict, is_placed: bool, now: Time) {
+    pub(super) fn count_verdict(&mut self, packet: &Packet, verdict: Verdict, is_placed: bool, now: Time) {
         let service = self
             .routes
             .to(packet.route)
--- a/crates/flow/src/directory/pool.rs
+++ b/crates/flow/src/directory/pool.rs
@@ -23,7 +23,7 @@
     by_zone: HashMap<ZoneName, Vec<UpstreamId>>,
     /// The number of flows for which only a subset was considered.
     turns: usize,
-    /// The share of new flows for which other zones are considered.
+    /// The share of new flows for which other zones are considered, with the time of its last update.
     pub(crate) spillover: Spillover,
 }
 
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -30,8 +30,8 @@
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
 const INTEREST: Duration = Duration::from_secs(5);
 
-/// Interval at which each upstream's work is noted for its service, which takes a look-up by name.
-const NOTE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the beginning of work at an upstream is recorded for its service, which takes a look-up by name.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Whether work is an opening or a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,8 +68,8 @@
 }
 
 impl OwnWork {
-    /// Adds a record of an upstream. `phase` is the time until the first sample of its group, random within a second,
-    /// so that samples are independent of when work begins.
+    /// Adds a record of an upstream. `phase` is the time until the first sample of its group. It must not depend on
+    /// when work begins: samples taken at such times would be too high.
     pub(crate) fn insert(&mut self, id: UpstreamId, echo: Echo, group: LoadGroup, phase: Duration, now: Time) {
         let own = self.groups.entry(group.clone());
         let own = own.or_insert_with(|| OwnGroup::new(now + phase));
@@ -78,7 +78,7 @@
             echo,
             group,
             counts: WorkCounts::default(),
-            noted_at: Time::default(),
+            recorded_at: Time::default(),
             sent: SentValues::default(),
         };
         self.upstreams.insert(id, upstream);
@@ -131,8 +131,8 @@
             return;
         };
         own.counts.in_flight += 1;
-        if now.since(own.noted_at) >= NOTE_INTERVAL {
-            own.noted_at = now;
+        if now.since(own.recorded_at) >= RECORD_INTERVAL {
+            own.recorded_at = now;
             self.begun_at.insert(own.group.service.clone(), now);
         }
         let (queue, lasts) = match kind {
--- a/crates/flow/src/load/own_group.rs
+++ b/crates/flow/src/load/own_group.rs
@@ -27,7 +27,7 @@
 /// a digest is valid.
 const MAX_SENT: usize = 12;
 
-/// Values as they were reported, by the numbers of the reports.
+/// The latest reported values, by the numbers of the reports.
 #[derive(Debug, Default, Clone)]
 pub(super) struct SentValues<T>(VecDeque<(u64, T)>);
 
@@ -56,8 +56,8 @@
     pub(super) echo: Echo,
     pub(super) group: LoadGroup,
     pub(super) counts: WorkCounts,
-    /// When work there was last noted for its service.
-    pub(super) noted_at: Time,
+    /// When the beginning of work there was last recorded for its service.
+    pub(super) recorded_at: Time,
     pub(super) sent: SentValues<WorkCounts>,
 }
 
@@ -95,7 +95,7 @@
     }
 
     /// What the report of this number says, if one is due. An instance that `has_interest` reports even that it has no
-    /// work. Samples include the open flows if `samples_flows`.
+    /// work. Samples include the open flows if `samples_flows`. `at` is the number and the time of the report.
     pub(super) fn report(
         &mut self,
         upstreams: &mut HashMap<UpstreamId, OwnUpstream>,
--- a/crates/flow/src/packet.rs
+++ b/crates/flow/src/packet.rs
@@ -84,7 +84,8 @@
     /// No upstream of the service can accept a flow, and some of them are cold and already at their rate limit for new
     /// flows.
     Cold,
-    /// The service is short of capacity, and the flow can't be served in time.
+    /// The service is short of capacity and the flow can't be served in time, or no upstream can get it while some are
+    /// at their connection limit.
     Overload,
     /// The flow is waiting for an upstream that responds to no flow.
     Stalled,
--- a/crates/flow/src/place/joint.rs
+++ b/crates/flow/src/place/joint.rs
@@ -26,7 +26,7 @@
 /// free slot at a slower one is still better than a long queue at a fast one, which may refuse the request.
 const MAX_SLOWNESS: f64 = 2.0;
 
-/// Number of other zones that are tried for an upstream if the local zone has none.
+/// Number of draws of another zone that are made if the local zone has no upstream for the flow.
 const OTHER_ZONE_ATTEMPTS: usize = 3;
 
 /// Upstream that is ready for a new flow, with its load over all instances.
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -7,9 +7,9 @@
 
 use flow::FlowKey;
 use flow::admission::Admission;
+use flow::admission::AdmissionPolicy;
 use flow::admission::Class;
 use flow::admission::Opening;
-use flow::admission::Policy;
 use flow::admission::Room;
 use units::Time;
 
@@ -86,7 +86,7 @@
 /// A service with a queue, in front of which openings are admitted.
 struct Simulation {
     loads: Vec<Load>,
-    policy: Policy,
+    policy: AdmissionPolicy,
     free_at: [Time; SLOTS],
     packets: BTreeMap<(Time, u32), Packet>,
     outcomes: Vec<Outcome>,
@@ -102,7 +102,7 @@
         let mut simulation = Self {
             outcomes: vec![Outcome::default(); loads.len()],
             loads,
-            policy: Policy::default(),
+            policy: AdmissionPolicy::default(),
             free_at: [Time(0); SLOTS],
             packets: BTreeMap::new(),
             refused_at: Vec::new(),
@@ -320,7 +320,7 @@
 /// Guards against openings failing that could be served after their retransmission, and against newer ones going first.
 #[test]
 fn openings_that_are_retransmitted() {
-    let mut policy = Policy::default();
+    let mut policy = AdmissionPolicy::default();
     let start = Time(1_000_000);
     let late = full(TARGET + millis(1));
     let first = opening(ONLY, 1, 1, 0);
@@ -355,7 +355,7 @@
 /// Guards against refusals while capacity is free or unknown.
 #[test]
 fn any_opening_is_admitted_while_a_slot_is_free_or_the_load_is_unknown() {
-    let mut policy = Policy::default();
+    let mut policy = AdmissionPolicy::default();
     let free = Room {
         has_free_slot: true,
         ..full(TARGET * 4)
@@ -372,7 +372,7 @@
 /// Guards against an answer being computed for a client that has given up, also where the target is longer than that.
 #[test]
 fn an_opening_that_its_client_gives_up_before_the_answer_is_refused() {
-    let mut policy = Policy::default();
+    let mut policy = AdmissionPolicy::default();
     let mut opening = opening(ONLY, 1, 1, 0);
     opening.timeout = Some(millis(210));
     let room = full(millis(220));
@@ -384,7 +384,7 @@
 /// Guards against an overflow for an upstream so slow that its response time can't be expressed.
 #[test]
 fn an_opening_is_refused_where_the_expected_response_time_has_no_bound() {
-    let mut policy = Policy::default();
+    let mut policy = AdmissionPolicy::default();
     for retransmissions in 0..=3 {
         let opening = opening(ONLY, 1, retransmissions, retransmissions);
         let room = Room {
