--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! A service is short of capacity for an opening if the joint view of its load is fresh and no upstream that the
 //! opening can get has a free slot. What is left to distribute then are places in the queues of upstreams, measured by
-//! the response time that an opening would see. The most urgent class of a service may use them up to its response-time
-//! target, each further class up to half as much as the class before. An opening that gets no place is held, if its
+//! the response time that an opening would see. A class may use them up to its response-time target. While openings of a
+//! more urgent class are refused, it may use half as much, so that it leaves places to them. An opening that gets no place is held, if its
 //! client's next retransmission can still be served in time, or else refused at once.
 //!
 //! Everything here is a function of plain values, so that it can be tested without a network.
