Add up the load of zones in one place

Cause: the sums of zones were added up in four places (collector, utilization, ejection limit, capacity state), one of them without saturation, the work per slot was divided in three, and half of the slots stood as two constants. Change: ZoneLoad::combined and ZoneLoad::utilization serve all, Loads::total adds up a service, BUSY follows BUSY_PERCENT. An opening's route is looked up once where its verdict is counted. Decisions stay as they are; sums of the capacity state saturate now.

--- a/crates/flow/src/core/capacity.rs
+++ b/crates/flow/src/core/capacity.rs
@@ -112,16 +112,13 @@
     /// Counts an opening packet by what became of it. `is_placed` tells whether it was placed rather than forwarded to
     /// the upstream of an earlier copy.
     pub(super) fn count_verdict(&mut self, packet: &Packet, verdict: Verdict, is_placed: bool, now: Time) {
-        let service = self
-            .routes
-            .to(packet.route)
-            .and_then(|route| route.service_for(packet.client));
+        let route = self.routes.to(packet.route);
+        let priority = route.map(|route| route.priority).unwrap_or_default();
+        let service = route.and_then(|route| route.service_for(packet.client));
         let service = service.map(CompactString::from);
         if let Some(service) = service.as_ref().filter(|_| packet.ack == 0) {
             self.observed(service).openings += 1;
         }
-        let route = self.routes.to(packet.route);
-        let priority = route.map(|route| route.priority).unwrap_or_default();
         match (verdict, service) {
             (Verdict::Reset(reset), _) => *self.stats.refused.entry((reset.cause, priority)).or_default() += 1,
             (Verdict::Drop(cause), _) => *self.stats.held.entry((cause, priority)).or_default() += 1,
@@ -176,10 +173,7 @@
             let Some(state) = observed.tracker.update(sample, now) else {
                 continue;
             };
-            let zones = self.loads.zones(&service, now).into_iter().flat_map(BTreeMap::values);
-            let (slots, in_flight) = zones.fold((0, 0), |(slots, in_flight), zone| {
-                (slots + zone.slots, in_flight + zone.in_flight)
-            });
+            let ZoneLoad { slots, in_flight, .. } = self.loads.total(&service, now).unwrap_or_default();
             self.decisions.push(Decision::CapacityChanged {
                 service,
                 state,
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -148,7 +148,7 @@
             slots += u32::from(listed.upstream().slots.0);
         }
         Some(ServiceLoad {
-            in_flight: zones.values().fold(0, |sum, zone| sum.saturating_add(zone.in_flight)),
+            in_flight: self.loads.total(service, now)?.in_flight,
             slots,
         })
     }
@@ -172,8 +172,7 @@
         return false;
     };
     let is_spare = |utilization: f64| utilization < BUSY;
-    is_spare(f64::from(zone.in_flight) / f64::from(zone.slots))
-        && loads.utilization(&upstream.service, now).is_some_and(is_spare)
+    zone.slots > 0 && is_spare(zone.utilization()) && loads.utilization(&upstream.service, now).is_some_and(is_spare)
 }
 
 /// Whether an upstream is known to be full while it still completes requests. It may then refuse connections beyond its
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -56,8 +56,11 @@
     Busy,
 }
 
+/// Work in flight in percent of the slots, or open flows in percent of the connection limit of an upstream, from which
+/// collectors call a service busy.
+const BUSY_PERCENT: u32 = 50;
 /// Work in flight per slot from which a service is busy: decisions go by the joint view of load.
-pub(crate) const BUSY: f64 = 0.5;
+pub(crate) const BUSY: f64 = BUSY_PERCENT as f64 / 100.0;
 
 /// Work at one upstream, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +85,29 @@
     pub service_time: Option<Duration>,
 }
 
+impl ZoneLoad {
+    /// Work in flight per slot.
+    pub(crate) fn utilization(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+
+    /// The load of both together. Their service times count by their slots.
+    fn combined(self, other: Self) -> Self {
+        let weighted = |load: Self| load.service_time.map(|time| (time, load.slots.max(1)));
+        let service_time = match (weighted(self), weighted(other)) {
+            (Some((time, slots)), Some((other_time, other_slots))) => {
+                Some((time * slots + other_time * other_slots) / slots.saturating_add(other_slots))
+            }
+            (known, other_known) => known.or(other_known).map(|(time, _)| time),
+        };
+        Self {
+            slots: self.slots.saturating_add(other.slots),
+            in_flight: self.in_flight.saturating_add(other.in_flight),
+            service_time,
+        }
+    }
+}
+
 impl From<(u32, u32, u32)> for ZoneLoad {
     fn from((slots, in_flight, service_us): (u32, u32, u32)) -> Self {
         Self {
@@ -134,13 +160,16 @@
         self.views.zones(service, now)
     }
 
-    /// Returns the work in flight per slot of a service, over all availability zones, or `None` without a fresh view.
+    /// Returns the load of a service over all availability zones, or `None` without a fresh view.
+    pub(crate) fn total(&self, service: &str, now: Time) -> Option<ZoneLoad> {
+        let zones = self.zones(service, now)?.values().copied();
+        Some(zones.reduce(ZoneLoad::combined).unwrap_or_default())
+    }
+
+    /// Returns the work in flight per slot of a service, over all availability zones, or `None` without a fresh view or
+    /// without slots.
     pub(crate) fn utilization(&self, service: &str, now: Time) -> Option<f64> {
-        let zones = self.zones(service, now)?;
-        let slots: u32 = zones.values().fold(0_u32, |sum, zone| sum.saturating_add(zone.slots));
-        let in_flight: u32 = zones
-            .values()
-            .fold(0_u32, |sum, zone| sum.saturating_add(zone.in_flight));
-        (slots > 0).then(|| f64::from(in_flight) / f64::from(slots))
+        let total = self.total(service, now)?;
+        (total.slots > 0).then(|| total.utilization())
     }
 }
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -8,6 +8,7 @@
 use units::Time;
 use units::ZoneName;
 
+use super::BUSY_PERCENT;
 use super::COLLECTOR_COUNT;
 use super::ListedSlots;
 use super::LoadDigest;
@@ -35,10 +36,7 @@
 /// Longest interval between two calls for which the sums still hold. A longer one means that this process was paused
 /// and that reports may be lost.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// Work in flight in percent of the slots, or open flows in percent of the connection limit of an upstream, from which
-/// a service is busy.
-const BUSY_PERCENT: u32 = 50;
-/// The same below which a busy service no longer is. The distance keeps a service at the limit from alternating.
+/// The same as [`BUSY_PERCENT`], but below which a busy service no longer is. The distance keeps a service at the limit from alternating.
 const QUIET_PERCENT: u32 = 40;
 
 /// A digest and the instances that get it.
@@ -317,20 +315,8 @@
 
 /// Adds up the sums of groups.
 fn add_up(groups: impl Iterator<Item = KnownSum>) -> Option<KnownSum> {
-    groups.reduce(|a, b| {
-        let weighted = |sum: &KnownSum| sum.load.service_time.map(|time| (time, sum.load.slots.max(1)));
-        let service_time = match (weighted(&a), weighted(&b)) {
-            (Some((time_a, slots_a)), Some((time_b, slots_b))) => {
-                Some((time_a * slots_a + time_b * slots_b) / (slots_a + slots_b))
-            }
-            (known_a, known_b) => known_a.or(known_b).map(|(time, _)| time),
-        };
-        let load = ZoneLoad {
-            slots: a.load.slots.saturating_add(b.load.slots),
-            in_flight: a.load.in_flight.saturating_add(b.load.in_flight),
-            service_time,
-        };
-        let as_of = a.as_of.min(b.as_of);
-        KnownSum { load, as_of }
+    groups.reduce(|a, b| KnownSum {
+        load: a.load.combined(b.load),
+        as_of: a.as_of.min(b.as_of),
     })
 }
--- a/crates/flow/src/place/view.rs
+++ b/crates/flow/src/place/view.rs
@@ -46,11 +46,6 @@
 }
 
 impl ZoneLoad {
-    /// Work in flight per slot.
-    pub(super) fn utilization(&self) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.slots.max(1))
-    }
-
     /// Room for flows from other zones, in requests.
     pub(super) fn room(&self) -> f64 {
         f64::from(self.slots) * (ROOM_LIMIT - self.utilization()).max(MIN_ROOM)
