Share the order of postponed messages and the count of free slots

Cause: reports and digests resumed at the group that was put off last by the same nested loop, and whether an upstream has a free slot by the joint view was worked out in four places. Change: load::iter_from gives the order to both; Work::free_slots is what admission control and outlier detection ask. Nothing is decided differently.

--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -193,7 +193,7 @@
         Room {
             // Only sums are known of other zones.
             has_free_slot: match work {
-                Some(work) => work.in_flight < u32::from(listed.upstream().slots.0),
+                Some(work) => work.free_slots(listed.upstream().slots.0.into()) > 0,
                 None => zone.is_some_and(|zone| zone.in_flight < zone.slots),
             },
             expected: candidate.expected,
@@ -237,7 +237,9 @@
         };
         let slots = u32::from(listed.upstream().slots.0);
         let work = self.loads.work(id, now);
-        listed.gone_since.is_none() && work.is_none_or(|work| work.in_flight < slots) && self.is_usable(id, listed, now)
+        listed.gone_since.is_none()
+            && work.is_none_or(|work| work.free_slots(slots) > 0)
+            && self.is_usable(id, listed, now)
     }
 
     /// Searches a service for free slots.
@@ -274,8 +276,8 @@
             }
             zone.usable_slots += slots;
             zone.usable.push((id, slots));
-            let in_flight = self.loads.work(id, now).map(|work| work.in_flight);
-            if let Some(free) = in_flight.and_then(|in_flight| slots.checked_sub(in_flight).filter(|free| *free > 0)) {
+            let free = self.loads.work(id, now).map_or(0, |work| work.free_slots(slots));
+            if free > 0 {
                 zone.free_slots += free;
                 zone.free.push((id, free));
             }
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -162,7 +162,7 @@
 /// Whether all slots of an upstream are in use, or `None` without a fresh view of it.
 pub(super) fn is_full(directory: &Directory, loads: &Loads, id: UpstreamId, now: Time) -> Option<bool> {
     let slots = u32::from(directory.get(id)?.upstream().slots.0.max(1));
-    Some(loads.work(id, now)?.in_flight >= slots)
+    Some(loads.work(id, now)?.free_slots(slots) == 0)
 }
 
 /// Whether the joint view shows that the service of an upstream, and its zone, use less than half of their slots.
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -73,6 +73,13 @@
     pub(crate) service_time: Option<Duration>,
 }
 
+impl Work {
+    /// Slots without work, of this many.
+    pub(crate) fn free_slots(&self, slots: u32) -> u32 {
+        slots.saturating_sub(self.in_flight)
+    }
+}
+
 /// Load of a service's upstreams in one availability zone, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
@@ -133,6 +140,16 @@
     time.map_or(0, |time| u32::try_from(time.as_micros()).unwrap_or(u32::MAX))
 }
 
+/// The groups from `first` on, and then those before it. Messages that were put off for lack of budget go first then.
+fn iter_from<'a, T>(
+    groups: &'a mut BTreeMap<LoadGroup, T>,
+    first: Option<&LoadGroup>,
+) -> impl Iterator<Item = (&'a LoadGroup, &'a mut T)> + use<'a, T> {
+    let is_later = |key: &LoadGroup| first.is_none_or(|first| key >= first);
+    let (later, earlier): (Vec<_>, Vec<_>) = groups.iter_mut().partition(|(key, _)| is_later(key));
+    later.into_iter().chain(earlier)
+}
+
 /// Joint view of the load of all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -20,6 +20,7 @@
 use super::ZoneLoads;
 use super::ZoneSum;
 use super::group_sums::GroupSums;
+use super::iter_from;
 use crate::report::ReporterId;
 
 /// Interval of digests while the service is busy. Calls come every 100 milliseconds or a bit earlier or later, so the
@@ -148,18 +149,15 @@
         self.budget.refill(now);
         let answers_only = self.budget.has_many_groups();
         let first = self.next_group.take();
-        let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
-        for turn in [true, false] {
-            for (key, group) in self.groups.iter_mut().filter(|(key, _)| is_later(key) == turn) {
-                if self.budget.is_used_up() {
-                    self.next_group.get_or_insert_with(|| key.clone());
-                    break;
-                }
-                if let Some(digest) = group.take_digest(key, answers_only, self.seq + 1, now) {
-                    self.seq += 1;
-                    self.budget.spend(digest.recipients.len());
-                    due.push(digest);
-                }
+        for (key, group) in iter_from(&mut self.groups, first.as_ref()) {
+            if self.budget.is_used_up() {
+                self.next_group = Some(key.clone());
+                break;
+            }
+            if let Some(digest) = group.take_digest(key, answers_only, self.seq + 1, now) {
+                self.seq += 1;
+                self.budget.spend(digest.recipients.len());
+                due.push(digest);
             }
         }
         self.groups.retain(|key, group| !group.is_unused(key));
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -15,6 +15,7 @@
 use super::MessageBudget;
 use super::Pace;
 use super::WorkCounts;
+use super::iter_from;
 use super::own_group::OwnGroup;
 use super::own_group::OwnUpstream;
 use super::own_group::SentValues;
@@ -181,34 +182,31 @@
         let mut reports = Vec::new();
         self.budget.refill(now);
         let first = self.next_group.take();
-        let is_later = |key: &LoadGroup| first.as_ref().is_none_or(|first| key >= first);
-        for turn in [true, false] {
-            for (key, group) in self.groups.iter_mut().filter(|(key, _)| is_later(key) == turn) {
-                if self.budget.is_used_up() {
-                    self.next_group.get_or_insert_with(|| key.clone());
-                    break;
-                }
-                // Where groups are many, there is no budget for more samples.
-                let pace = match pace(&key.service) {
-                    Pace::Rising if self.budget.has_many_groups() => Pace::Quiet,
-                    pace => pace,
-                };
-                let has_interest = pace == Pace::Busy && has_interest(self.begun_at.get(&key.service), now);
-                let samples_flows = || !self.budget.has_many_groups() && has_connection_limit(&key.service);
-                let at = (self.seq + 1, now);
-                let work = group.report(&mut self.upstreams, pace, has_interest, samples_flows, at);
-                let Some(work) = work else {
-                    continue;
-                };
-                self.seq += 1;
-                self.budget.spend(COLLECTOR_COUNT);
-                reports.push(LoadReport {
-                    group: key.clone(),
-                    seq: self.seq,
-                    is_from_other_zone: key.zone != *own_zone,
-                    work,
-                });
+        for (key, group) in iter_from(&mut self.groups, first.as_ref()) {
+            if self.budget.is_used_up() {
+                self.next_group = Some(key.clone());
+                break;
             }
+            // Where groups are many, there is no budget for more samples.
+            let pace = match pace(&key.service) {
+                Pace::Rising if self.budget.has_many_groups() => Pace::Quiet,
+                pace => pace,
+            };
+            let has_interest = pace == Pace::Busy && has_interest(self.begun_at.get(&key.service), now);
+            let samples_flows = || !self.budget.has_many_groups() && has_connection_limit(&key.service);
+            let at = (self.seq + 1, now);
+            let work = group.report(&mut self.upstreams, pace, has_interest, samples_flows, at);
+            let Some(work) = work else {
+                continue;
+            };
+            self.seq += 1;
+            self.budget.spend(COLLECTOR_COUNT);
+            reports.push(LoadReport {
+                group: key.clone(),
+                seq: self.seq,
+                is_from_other_zone: key.zone != *own_zone,
+                work,
+            });
         }
         reports
     }
