Let less urgent openings yield to urgent ones that are refused elsewhere

Cause: an instance halves the queue places of a less urgent class only while urgent openings are refused at this very instance. A draw that treats all classes alike was the other hypothesis: with both classes at one instance, `everything_full_and_openings_of_two_priorities` shows that it does not.

Change: an instance reports its openings and rejections by class with its load, where routes of a service have different priorities; collectors add them up over instances and zones and return the sums with their digests. The new fields are optional, so earlier releases read the messages as before.

--- a/crates/flow/benches/load.rs
+++ b/crates/flow/benches/load.rs
@@ -57,6 +57,7 @@
         } else {
             ReportedWork::Changed(values)
         },
+        classes: Vec::new(),
     }
 }
 
--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -20,6 +20,7 @@
 use units::Time;
 
 use crate::flows::FlowKey;
+use crate::load::ClassLoad;
 use fair_shares::FairShares;
 pub(crate) use searches::FreeSlots;
 pub(crate) use searches::Search;
@@ -120,12 +121,7 @@
         self.sweep(now);
         let rank = self.rank(opening, now);
         let admission = self.assess(service, opening, room, now);
-        if !self.services.contains_key(service) {
-            self.services.insert(service.into(), Service::default());
-        }
-        let Some(state) = self.services.get_mut(service) else {
-            return admission;
-        };
+        let state = service_mut(&mut self.services, service);
         let was_held = state.held.remove(&opening.flow);
         if !was_held {
             let flow = opening.flow;
@@ -133,6 +129,7 @@
         }
         state.record_opening(now);
         state.record_room(room.has_free_slot, now);
+        state.record_class_opening(rank, now);
         match admission {
             Admission::Admit => state.record_admission(rank, room.has_free_slot, now),
             Admission::Hold => {
@@ -190,6 +187,20 @@
         state.budget(opening, self.rank(opening, now), now)
     }
 
+    /// Openings for a service in about the last second, by class.
+    pub(crate) fn class_loads(&self, service: &str, now: Time) -> Vec<ClassLoad> {
+        let state = self.services.get(service);
+        state.map(|state| state.class_loads(now)).unwrap_or_default()
+    }
+
+    /// Records the openings for a service over all instances. Classes that are short of capacity anywhere go before
+    /// less urgent ones here.
+    pub(crate) fn record_joint_classes(&mut self, service: &str, classes: &[ClassLoad], now: Time) {
+        for class in classes.iter().filter(|class| class.is_short()) {
+            service_mut(&mut self.services, service).record_shortage(class.rank, now);
+        }
+    }
+
     /// The number of openings that are held.
     pub fn held_count(&self) -> usize {
         self.services.values().map(|service| service.held.len()).sum()
@@ -205,3 +216,10 @@
         self.services.retain(|_, service| service.is_active(now));
     }
 }
+
+fn service_mut<'a>(services: &'a mut BTreeMap<CompactString, Service>, name: &str) -> &'a mut Service {
+    if !services.contains_key(name) {
+        services.insert(name.into(), Service::default());
+    }
+    services.get_mut(name).expect("the service was inserted above")
+}
--- a/crates/flow/src/admission/service.rs
+++ b/crates/flow/src/admission/service.rs
@@ -10,6 +10,7 @@
 use super::held::HeldOpening;
 use super::held::HeldOpenings;
 use crate::decaying_count::DecayingCount;
+use crate::load::ClassLoad;
 
 /// Share of the openings admitted while short of capacity that is reserved for all classes but the most urgent, so that
 /// they are not starved.
@@ -29,13 +30,26 @@
 const TOLERATED_FULL: f64 = 2.0;
 /// The maximum number of held openings of a service beyond which no less urgent one is held.
 const MAX_HELD: usize = 256;
-/// How long a class counts as short of capacity after one of its openings was refused or held.
-const REJECTION_SPAN: Duration = Duration::from_secs(1);
+/// How long a class counts as short of capacity after one of its openings was refused or held here, or after others have
+/// reported that it is.
+const SHORTAGE_SPAN: Duration = Duration::from_secs(1);
+/// Time since the last rejection in a class after which its rejections are no longer reported.
+const RECENT_REJECTION: Duration = Duration::from_millis(500);
 /// Maximum number of halvings of a budget.
 const MAX_HALVINGS: u8 = 16;
 /// Count below which the openings of a service no longer matter.
 const NEGLIGIBLE: f64 = 0.01;
 
+/// The openings of one class.
+#[derive(Debug, Default)]
+struct ClassCounts {
+    openings: DecayingCount,
+    /// Those that were refused or held.
+    rejected: DecayingCount,
+    /// When one was last refused or held.
+    rejected_at: Time,
+}
+
 /// The openings of one service, and what was decided on them.
 #[derive(Debug, Default)]
 pub(super) struct Service {
@@ -50,18 +64,20 @@
     found_full: DecayingCount,
     /// Openings admitted while short of capacity, by rank.
     admitted_while_short: Vec<DecayingCount>,
-    /// When an opening was last refused or held, by rank.
-    rejected_at: BTreeMap<u8, Time>,
+    /// All openings by rank.
+    classes: BTreeMap<u8, ClassCounts>,
+    /// When a class was last short of capacity, by rank.
+    short_at: BTreeMap<u8, Time>,
 }
 
 impl Service {
     /// The longest expected response time at which an opening is admitted while short of capacity.
     ///
-    /// Its limit is halved for each more urgent class that has not got all of its openings admitted recently. If an
+    /// Its limit is halved for each more urgent class that is short of capacity. If an
     /// opening that goes before it is to return, half of what that one needs is left to it.
     pub(super) fn budget(&self, opening: &Opening, rank: u8, now: Time) -> Duration {
-        let more_urgent = self.rejected_at.range(..rank);
-        let short = more_urgent.filter(|(_, at)| now.since(**at) < REJECTION_SPAN);
+        let more_urgent = self.short_at.range(..rank);
+        let short = more_urgent.filter(|(_, at)| now.since(**at) < SHORTAGE_SPAN);
         let budget = halved(opening.limit(), short.count() as u8);
         let since = now.before(opening.age());
         match self.held.ahead_of(&opening.flow, rank, since, now) {
@@ -119,7 +135,35 @@
 
     /// Records that an opening was refused or held.
     pub(super) fn record_rejection(&mut self, rank: u8, now: Time) {
-        self.rejected_at.insert(rank, now);
+        let class = self.classes.entry(rank).or_default();
+        class.rejected.add(1, RATE_SPAN, now);
+        class.rejected_at = now;
+        self.record_shortage(rank, now);
+    }
+
+    /// Records that a class is short of capacity.
+    pub(super) fn record_shortage(&mut self, rank: u8, now: Time) {
+        self.short_at.insert(rank, now);
+    }
+
+    /// Records an opening by its class.
+    pub(super) fn record_class_opening(&mut self, rank: u8, now: Time) {
+        self.classes.entry(rank).or_default().openings.add(1, RATE_SPAN, now);
+    }
+
+    /// The openings of about the last second, by class. Rejections don't count once there have been none for a while,
+    /// so that less urgent classes don't yield long after the end of a shortage.
+    pub(super) fn class_loads(&self, now: Time) -> Vec<ClassLoad> {
+        let count = |count: &DecayingCount| count.value(RATE_SPAN, now).round() as u32;
+        let loads = self.classes.iter().map(|(rank, class)| {
+            let is_recent = now.since(class.rejected_at) < RECENT_REJECTION;
+            ClassLoad {
+                rank: *rank,
+                openings: count(&class.openings),
+                rejected: if is_recent { count(&class.rejected) } else { 0 },
+            }
+        });
+        loads.filter(|load| load.openings > 0).collect()
     }
 
     pub(super) fn record_opening(&mut self, now: Time) {
@@ -162,6 +206,7 @@
     pub(super) fn is_active(&self, now: Time) -> bool {
         let is_recent = |count: &DecayingCount, span| count.value(span, now) > NEGLIGIBLE;
         self.held.is_any_expected(now)
+            || self.short_at.values().any(|at| now.since(*at) < SHORTAGE_SPAN)
             || is_recent(&self.found_free, RATE_SPAN)
             || is_recent(&self.found_full, RATE_SPAN)
             || self
--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -155,7 +155,14 @@
             }
         };
         let has_connection_limit = |service: &str| self.routes.connection_limit(service).is_some();
-        own.take_reports(&self.options.zone, pace, has_connection_limit, now)
+        let mut reports = own.take_reports(&self.options.zone, pace, has_connection_limit, now);
+        for report in &mut reports {
+            let LoadGroup { service, zone, number } = &report.group;
+            if *number == 0 && *zone == self.options.zone && self.routes.has_classes(service) {
+                report.classes = self.admission.class_loads(service, now);
+            }
+        }
+        reports
     }
 
     /// Brings the groups of own work in line with the directory.
@@ -245,9 +252,14 @@
         let listed = ids.filter_map(|id| self.directory.reachable(*id));
         let members: Vec<Member> = listed.map(|(id, listed)| Member { id, echo: listed.echo }).collect();
         let loads = &mut self.loads;
-        loads
+        let is_new = loads
             .views
-            .apply((from, incarnation), digest, &members, &loads.own, now)
+            .apply((from, incarnation), digest, &members, &loads.own, now);
+        if is_new {
+            self.admission
+                .record_joint_classes(&digest.group.service, &digest.classes, now);
+        }
+        is_new
     }
 
     /// This instance's own work at an upstream.
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -4,6 +4,7 @@
 //! sums the reports (`collector`) and answers with digests, from which each instance has its joint view (`view`).
 
 mod budget;
+mod class_load;
 mod collector;
 mod group_sums;
 mod message;
@@ -23,6 +24,7 @@
 use crate::upstream::UpstreamId;
 pub(crate) use budget::MessageBudget;
 pub(crate) use budget::Purpose;
+pub use class_load::ClassLoad;
 pub(crate) use collector::Collector;
 pub use collector::DueDigest;
 pub(crate) use group_sums::ListedSlots;
@@ -33,6 +35,7 @@
 pub use message::ReportedWork;
 pub use message::UpstreamSum;
 pub use message::WorkCounts;
+pub use message::ZoneClasses;
 pub use message::ZoneLoads;
 pub use message::ZoneSum;
 pub(crate) use own::OwnWork;
--- a/crates/flow/src/load/collector.rs
+++ b/crates/flow/src/load/collector.rs
@@ -10,12 +10,14 @@
 
 use super::BUSY_PERCENT;
 use super::COLLECTOR_COUNT;
+use super::ClassLoad;
 use super::ListedSlots;
 use super::LoadDigest;
 use super::LoadGroup;
 use super::LoadRecipient;
 use super::LoadReport;
 use super::MessageBudget;
+use super::ZoneClasses;
 use super::ZoneLoad;
 use super::ZoneLoads;
 use super::ZoneSum;
@@ -56,6 +58,13 @@
     as_of: Time,
 }
 
+/// Openings by class in another zone, as a collector there gave them.
+#[derive(Debug, Clone)]
+struct KnownClasses {
+    loads: Vec<ClassLoad>,
+    at: Time,
+}
+
 /// One group that this instance collects.
 #[derive(Debug)]
 struct CollectedGroup {
@@ -69,6 +78,8 @@
     exchange_due: Time,
     /// Sums by zone, and by group within the zone; `None` is the whole zone.
     known: BTreeMap<(ZoneName, Option<u16>), KnownSum>,
+    /// Openings in the other zones, by class.
+    classes: BTreeMap<ZoneName, KnownClasses>,
     /// The latest message of each collector.
     latest: HashMap<ReporterId, (Incarnation, u64)>,
 }
@@ -113,6 +124,9 @@
                 group.known.insert(key, KnownSum { load: sum.load, as_of });
             }
         }
+        if let Some(ZoneClasses { zone, loads }) = loads.classes.clone() {
+            group.classes.insert(zone, KnownClasses { loads, at: now });
+        }
         true
     }
 
@@ -179,11 +193,17 @@
                 continue;
             }
             group.exchange_due = now + EXCHANGE_INTERVAL;
+            let own_classes = group.own_classes(key);
             for (to, zones) in group.sums_to_send(key, &zones(&key.service), now) {
                 self.seq += 1;
-                let seq = self.seq;
                 self.budget.spend(COLLECTOR_COUNT);
-                due.push(ZoneLoads { to, seq, zones });
+                let classes = own_classes.clone().filter(|own| own.zone != to.zone);
+                due.push(ZoneLoads {
+                    to,
+                    seq: self.seq,
+                    zones,
+                    classes,
+                });
             }
         }
         due
@@ -199,6 +219,7 @@
             digest_sent: Time::default(),
             exchange_due: now,
             known: BTreeMap::new(),
+            classes: BTreeMap::new(),
             latest: HashMap::new(),
         }
     }
@@ -207,6 +228,7 @@
     fn update(&mut self, key: &LoadGroup, listed: &[ListedSlots], connection_limit: Option<u32>, now: Time) {
         self.sums.expire(now);
         self.known.retain(|_, sum| now.since(sum.as_of) < SUM_VALIDITY);
+        self.classes.retain(|_, classes| now.since(classes.at) < SUM_VALIDITY);
         let load = self.sums.load(listed, now);
         let own = (key.zone.clone(), Some(key.number));
         self.known.insert(own, KnownSum { load, as_of: now });
@@ -249,10 +271,27 @@
             is_busy: self.is_busy,
             upstreams,
             zones: zones.map(|(zone, sum)| (zone, sum.load)).collect(),
+            classes: self.all_classes(),
         };
         Some(DueDigest { digest, recipients })
     }
 
+    /// Openings by class at the instances of this zone, if the group is the one that they are reported for.
+    fn own_classes(&self, key: &LoadGroup) -> Option<ZoneClasses> {
+        let loads = self.sums.classes();
+        (!loads.is_empty()).then(|| ZoneClasses {
+            zone: key.zone.clone(),
+            loads,
+        })
+    }
+
+    /// Openings by class at all instances.
+    fn all_classes(&self) -> Vec<ClassLoad> {
+        let own = self.sums.classes();
+        let others = self.classes.values().flat_map(|classes| &classes.loads);
+        ClassLoad::sums(own.iter().chain(others))
+    }
+
     /// Sums of whole zones. The collectors of a zone's first group add up all groups and send the total to the others,
     /// which add up the groups that they know until they have it.
     fn zone_totals(&self, key: &LoadGroup) -> BTreeMap<ZoneName, KnownSum> {
--- a/crates/flow/src/load/group_sums.rs
+++ b/crates/flow/src/load/group_sums.rs
@@ -7,6 +7,7 @@
 use units::Incarnation;
 use units::Time;
 
+use super::ClassLoad;
 use super::LoadReport;
 use super::ReportedWork;
 use super::UpstreamSum;
@@ -57,6 +58,8 @@
     sum: u32,
     /// Largest number of open flows at one upstream.
     most_flows: u32,
+    /// Openings by class.
+    classes: Vec<ClassLoad>,
     by_upstream: HashMap<Echo, WorkCounts>,
     /// Whether all values were received once, so that an upstream without a value had none.
     is_complete: bool,
@@ -151,12 +154,14 @@
             is_in_other_zone: report.is_from_other_zone,
             sum: 0,
             most_flows: 0,
+            classes: Vec::new(),
             by_upstream: HashMap::new(),
             is_complete: false,
         });
         held.seq = report.seq;
         held.at = now;
         held.is_in_other_zone = report.is_from_other_zone;
+        held.classes.clone_from(&report.classes);
         held.apply(&report.work, upstreams, now);
         true
     }
@@ -174,6 +179,7 @@
         for held in self.reporters.values_mut() {
             if now.since(held.at) >= SAMPLE_VALIDITY {
                 held.sum = 0;
+                held.classes.clear();
             }
             if now.since(held.at) >= REPORTER_VALIDITY {
                 held.clear(upstreams, now);
@@ -197,6 +203,11 @@
         most.fold(0, u32::saturating_add)
     }
 
+    /// Openings by class.
+    pub(super) fn classes(&self) -> Vec<ClassLoad> {
+        ClassLoad::sums(self.reporters.values().flat_map(|held| &held.classes))
+    }
+
     /// Load of the group.
     pub(super) fn load(&mut self, listed: &[ListedSlots], now: Time) -> ZoneLoad {
         let mut load = ZoneLoad {
--- a/crates/flow/src/load/message.rs
+++ b/crates/flow/src/load/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use units::ZoneName;
 
+use super::ClassLoad;
 use super::ZoneLoad;
 use crate::packet::Echo;
 
@@ -98,6 +99,10 @@
     /// The values.
     #[serde(rename = "w")]
     pub work: ReportedWork,
+    /// Openings at the sender for the service, by class. Only reports on the first group of the sender's own zone have
+    /// them, so that each opening counts once.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<ClassLoad>,
 }
 
 /// Joint load of one upstream, in a digest.
@@ -155,6 +160,9 @@
     /// Load of the service by availability zone, without those that have not been heard of recently.
     #[serde(rename = "z", default)]
     pub zones: Vec<(ZoneName, ZoneLoad)>,
+    /// Openings at all instances for the service, by class.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<ClassLoad>,
 }
 
 /// Sums that collectors of a service exchange.
@@ -169,6 +177,20 @@
     /// The sums.
     #[serde(rename = "z")]
     pub zones: Vec<ZoneSum>,
+    /// Openings at the instances of the sender's zone, if it collects the first group there.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub classes: Option<ZoneClasses>,
+}
+
+/// Openings for a service at the instances of one availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneClasses {
+    /// The availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    /// The openings by class.
+    #[serde(rename = "c")]
+    pub loads: Vec<ClassLoad>,
 }
 
 /// Load of a zone or a group in it, with the age of the sums.
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -206,6 +206,7 @@
                 seq: self.seq,
                 is_from_other_zone: key.zone != *own_zone,
                 work,
+                classes: Vec::new(),
             });
         }
         reports
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -281,6 +281,13 @@
         }
     }
 
+    /// Whether the routes to a service have different priorities.
+    pub(crate) fn has_classes(&self, service: &str) -> bool {
+        self.priorities
+            .get(service)
+            .is_some_and(|priorities| priorities.len() > 1)
+    }
+
     /// The maximum number of open flows at each upstream of a service, if operators have set one.
     pub(crate) fn connection_limit(&self, service: &str) -> Option<u32> {
         self.connection_limits.get(service).copied().map(NonZeroU32::get)
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -2,6 +2,7 @@
 //!
 //! All cores of a test hold the same view, as the instances of a fleet do.
 
+mod priorities;
 #[expect(dead_code, reason = "each program uses a part of it")]
 #[path = "../benches/support/mod.rs"]
 mod support;
@@ -11,16 +12,12 @@
 use std::time::Duration;
 
 use flow::Core;
-use flow::Document;
 use flow::Flags;
 use flow::LoadDigest;
 use flow::LoadGroup;
 use flow::Packet;
-use flow::Priority;
 use flow::ReporterId;
 use flow::ResetCause;
-use flow::Route;
-use flow::Share;
 use flow::Upstream;
 use flow::UpstreamId;
 use flow::UpstreamSum;
@@ -35,7 +32,6 @@
 use units::Revision;
 use units::Slots;
 use units::Time;
-use units::Weight;
 
 const INSTANCES: u32 = 40;
 /// Work in flight at an upstream of two slots at which every opening would be answered too late.
@@ -79,6 +75,7 @@
         is_busy: true,
         upstreams: Some(sums.collect()),
         zones: zones.collect(),
+        classes: Vec::new(),
     }
 }
 
@@ -240,32 +237,10 @@
 /// A core with an urgent and a less urgent route, and opening packets to either.
 fn core_with_priorities() -> (Core, [SocketAddrV4; 2]) {
     let mut core = core_with_zones(60, 1, 1);
-    let addresses = [route(), SocketAddrV4::new(*route().ip(), 444)];
-    let routes = addresses.into_iter().zip([1, 2]).map(|(address, priority)| {
-        let share = Share {
-            service: "quotes".into(),
-            weight: Weight(1),
-        };
-        let route = Route {
-            address,
-            shares: vec![share],
-            idempotent: true,
-            aim: Duration::from_millis(150),
-            priority: Priority::new(priority).unwrap(),
-            timeout: None,
-        };
-        (format!("r{priority}"), route)
-    });
-    let document = Document {
-        revision: Revision(2),
-        routes: routes.collect(),
-        idle_timeout: Duration::from_secs(15),
-        cold_starts: BTreeMap::new(),
-        connection_limits: BTreeMap::new(),
-        warnings: Vec::new(),
-    };
+    let aim = Duration::from_millis(150);
+    let document = priorities::document(aim, aim);
     core.learn(START, |knowledge| knowledge.apply_document(Revision(2), document));
-    (core, addresses)
+    (core, [priorities::urgent_route(), route()])
 }
 
 /// Openings by route, in turn, with this work in flight at each upstream. If `is_urgent_short`, an urgent opening was
--- a/crates/flow/tests/fleet/capacity.rs
+++ b/crates/flow/tests/fleet/capacity.rs
@@ -208,6 +208,7 @@
             is_busy: false,
             upstreams: None,
             zones,
+            classes: Vec::new(),
         };
         self.cores[instance as usize].receive_load_digest(ReporterId(1), Incarnation(1), &digest, self.now);
     }
--- a/crates/flow/tests/load.rs
+++ b/crates/flow/tests/load.rs
@@ -1,6 +1,7 @@
 //! The load that instances share: own work, reports, sums and views.
 
 mod load_fleet;
+mod priorities;
 #[expect(dead_code, reason = "each program uses a part of it")]
 #[path = "../benches/support/mod.rs"]
 mod support;
@@ -29,6 +30,7 @@
 use support::START;
 use support::core_with_zones;
 use support::opening_packet;
+use support::route;
 use units::Incarnation;
 use units::Time;
 
@@ -91,6 +93,7 @@
         is_busy: true,
         upstreams: Some(sums.collect()),
         zones: vec![("z0".parse().unwrap(), load)],
+        classes: Vec::new(),
     }
 }
 
@@ -377,6 +380,37 @@
     assert_eq!(zones(&fleet, 1), [("z0".to_owned(), 4)]);
 }
 
+/// Guards against less urgent openings that take queue places while urgent ones are refused at other instances.
+#[test]
+fn less_urgent_openings_yield_to_urgent_ones_of_another_zone() {
+    let mut fleet = Fleet::new(&[0, 0, 1, 1], 8, 2);
+    // Answers take 100 to 150 ms where all slots are in use.
+    let aims = [60, 195].map(Duration::from_millis);
+    fleet.set_document(&priorities::document(aims[0], aims[1]));
+    for _ in 0..10 {
+        fleet.open(0);
+        fleet.open(2);
+    }
+    fleet.run(3_000, &Network::default());
+    let admitted = |fleet: &mut Fleet, instance, address| {
+        let mut admitted = 0;
+        for _ in 0..10 {
+            admitted += u32::from(fleet.try_open(instance, address));
+            fleet.run(100, &Network::default());
+        }
+        admitted
+    };
+    let before = admitted(&mut fleet, 2, route());
+    assert!(before >= 8, "{before} of 10 while nobody else asks");
+    let urgent = admitted(&mut fleet, 0, priorities::urgent_route());
+    assert_eq!(urgent, 0, "an answer would come too late");
+    let during = admitted(&mut fleet, 2, route());
+    assert!(during <= 2, "{during} of 10 while urgent ones are refused");
+    fleet.run(1_500, &Network::default());
+    let after = admitted(&mut fleet, 2, route());
+    assert!(after >= 8, "{after} of 10 while no urgent ones ask");
+}
+
 #[test]
 fn the_service_time_is_busy_time_over_completed_requests() {
     let mut fleet = Fleet::new(&[0; 8], 2, 1);
@@ -404,6 +438,7 @@
         seq,
         is_from_other_zone: false,
         work: ReportedWork::All(vec![(UpstreamId(1).echo(), counts(in_flight, in_flight, 0))]),
+        classes: Vec::new(),
     };
     let reporter = ReporterId(9);
     let mut receive = |incarnation, seq, in_flight| {
@@ -609,6 +644,7 @@
                     seq: step,
                     is_from_other_zone: false,
                     work: ReportedWork::Sum(0),
+                    classes: Vec::new(),
                 };
                 core.receive_load_report(ReporterId(from), Incarnation(1), &report, now);
             }
--- a/crates/flow/tests/load_fleet/mod.rs
+++ b/crates/flow/tests/load_fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Instances that share the load of one service's upstreams, over a simulated network.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::num::NonZeroU32;
 use std::time::Duration;
 
@@ -85,10 +86,18 @@
 
     /// Opens a flow with a request in flight.
     pub fn open(&mut self, instance: usize) {
+        assert!(self.try_open(instance, support::route()), "the flow is placed");
+    }
+
+    /// Opens a flow with a request in flight on a route. Returns whether it is placed.
+    pub fn try_open(&mut self, instance: usize, route: SocketAddrV4) -> bool {
         self.clients += 1;
-        let syn = support::opening_packet(self.clients);
+        let syn = Packet {
+            route,
+            ..support::opening_packet(self.clients)
+        };
         let Verdict::Forward { upstream, echo, .. } = self.cores[instance].handle_packet(&syn, self.now) else {
-            panic!("the flow is placed");
+            return false;
         };
         let packet = Packet {
             flags: Flags::ACK,
@@ -104,15 +113,20 @@
             upstream,
             packet,
         });
+        true
     }
 
     /// Sets the connection limit of the only service at all instances.
     pub fn limit_connections(&mut self, limit: NonZeroU32) {
-        let document = Document {
+        self.set_document(&Document {
             revision: Revision(2),
             connection_limits: BTreeMap::from([("quotes".to_owned(), limit)]),
             ..support::document()
-        };
+        });
+    }
+
+    /// Sets the document at all instances.
+    pub fn set_document(&mut self, document: &Document) {
         for core in &mut self.cores {
             core.learn(self.now, |knowledge| {
                 knowledge.apply_document(Revision(3), document.clone())
--- a/crates/jayquayd/tests/flows/loads.rs
+++ b/crates/jayquayd/tests/flows/loads.rs
@@ -11,6 +11,7 @@
 
 use adapter_standin::Client;
 use adapter_standin::Reply;
+use flow::ClassLoad;
 use flow::Echo;
 use flow::LoadDigest;
 use flow::LoadGroup;
@@ -150,6 +151,7 @@
         seq: 70_000,
         is_from_other_zone: true,
         work: ReportedWork::Sum(1),
+        classes: Vec::new(),
     };
     assert!(encoded_len(&quiet) <= 50, "{}", encoded_len(&quiet));
     let limited = LoadReport {
@@ -175,9 +177,20 @@
         is_busy: true,
         upstreams,
         zones: vec![("zone-a".parse().unwrap(), load); 3],
+        classes: Vec::new(),
     };
     let quiet = digest(None);
     assert!(encoded_len(&quiet) <= 120, "{}", encoded_len(&quiet));
     let full = digest(Some(vec![sum; 64]));
     assert!(encoded_len(&full) <= 1_350, "{}", encoded_len(&full));
+    let class = ClassLoad {
+        rank: 2,
+        openings: 10_000,
+        rejected: 10_000,
+    };
+    let with_classes = LoadDigest {
+        classes: vec![class; 3],
+        ..full
+    };
+    assert!(encoded_len(&with_classes) <= 1_400, "{}", encoded_len(&with_classes));
 }
