Don't count openings that were delayed with their copies as refused

Change: an opening whose copy arrives with it was delayed on the way here, or this process was paused. Its client may have given up, so that nothing follows says nothing about the upstream. Connections that are refused without copies count as before, which the test checks as well.

--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -105,14 +105,15 @@
     }
 
     /// The upstream of an opening packet whose copy arrived just before. Both were delayed on the way, so the second
-    /// isn't a sign of an unresponsive upstream. An upstream that has since been told to take no new flows gets
+    /// isn't a sign of an unresponsive upstream, nor is it one if nothing follows. An upstream that has since been told to take no new flows gets
     /// neither.
     fn delayed_duplicate(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
         let flow = self.flows.get_mut(key)?;
-        let is_held_up = flow.stage == Stage::Opening && now.since(flow.first_seen) < MIN_RETRANSMISSION_INTERVAL;
+        let is_delayed = flow.stage == Stage::Opening && now.since(flow.first_seen) < MIN_RETRANSMISSION_INTERVAL;
+        flow.is_delayed |= is_delayed;
         let id = flow.upstream;
         let takes_flows = self.directory.get(id).is_some_and(DirectoryEntry::accepts_flows);
-        (is_held_up && takes_flows).then_some(id)
+        (is_delayed && takes_flows).then_some(id)
     }
 
     /// Whether an opening packet is a further copy of one that was admitted. Its flow may be established already, if
--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -52,7 +52,7 @@
             return;
         };
         let is_open = flow.stage != Stage::Opening || flow.first_seen != check.started_at;
-        if is_open || now.since(check.due) > MAX_CHECK_DELAY {
+        if is_open || flow.is_delayed || now.since(check.due) > MAX_CHECK_DELAY {
             return;
         }
         let upstream = flow.upstream;
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -77,6 +77,8 @@
     /// Whether it counts as an open flow. A flow of which only empty packets were seen doesn't, as an acknowledgement
     /// may arrive after the flow was closed.
     pub(crate) is_counted: bool,
+    /// Whether its opening packet arrived together with a copy, so that the client may have given up before.
+    pub(crate) is_delayed: bool,
 }
 
 /// A request whose outcome is not known yet.
@@ -143,6 +145,7 @@
             is_incomplete: false,
             is_counted: stage == Stage::Opening || packet.len > 0,
             working_since: (stage == Stage::Opening).then_some(now),
+            is_delayed: false,
         }
     }
 
--- a/crates/flow/tests/failing.rs
+++ b/crates/flow/tests/failing.rs
@@ -24,6 +24,7 @@
 
 use crate::support::START;
 use crate::support::core_with_zones;
+use crate::support::opening_packet;
 use crate::support::route;
 
 const FAILURE_START: Time = Time(1_010_000_000);
@@ -253,6 +254,40 @@
     }
 }
 
+/// Opening packets that an instance reads all at once, as after its start or a pause, each with its copies if
+/// `has_copies`. Their clients have given up, so nothing follows. Returns the ejected upstreams.
+fn run_abandoned_openings(has_copies: bool) -> usize {
+    let workload = Workload {
+        upstreams: 4,
+        ..HEALTHY
+    };
+    let mut harness = Harness::new(&workload);
+    for port in 2_000..2_040 {
+        for copy in 0..if has_copies { 3 } else { 1 } {
+            let syn = Packet {
+                client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port),
+                ack: copy,
+                ..opening_packet(1)
+            };
+            let verdict = harness.core.handle_packet(&syn, harness.now);
+            assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
+        }
+    }
+    harness.advance(START + Duration::from_secs(2));
+    harness.ejections.len()
+}
+
+/// Guards against the ejection of all upstreams of a service by openings that had waited in the socket of an instance
+/// until it was ready.
+#[test]
+fn openings_that_were_delayed_with_their_copies_eject_none() {
+    assert_eq!(run_abandoned_openings(true), 0);
+    assert!(
+        run_abandoned_openings(false) > 0,
+        "without copies, the connections were refused"
+    );
+}
+
 /// A list that only raises the revision counts as a change. An instance that did not pass it on considered itself ahead
 /// of the others, whose document was newer, and stopped pulling from them.
 #[test]
