Log the failures for which an upstream is ejected

The line told only how often attempts fail elsewhere, so false ejections in the burst soak could not be told apart: by refused connections, by requests without an answer, or by short answers. It now has the attempts, those that failed, and those that failed by a short answer.

--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -248,6 +248,7 @@
             return;
         }
         let health = self.health.entry(id).or_default();
+        let failures = health.record.failure_counts();
         health.ejection.eject(health.record.failing_share(), now);
         health.record.clear_evidence();
         if let Some(service) = self.typical_services.get_mut(&listed.upstream().service) {
@@ -257,6 +258,7 @@
         self.decisions.push(Decision::Ejected {
             upstream: id,
             usual_percent,
+            failures,
         });
         self.announce_ejection(id);
     }
--- a/crates/flow/src/decision.rs
+++ b/crates/flow/src/decision.rs
@@ -8,6 +8,7 @@
 use crate::capacity_state::CapacityState;
 use crate::evidence::SilenceEvidence;
 use crate::flows::FlowKey;
+use crate::outcome::FailureCounts;
 use crate::packet::DropCause;
 use crate::packet::Echo;
 use crate::packet::ResetCause;
@@ -75,6 +76,8 @@
         upstream: UpstreamId,
         /// Percentage of attempts that fail at other upstreams.
         usual_percent: u32,
+        /// The failures that count as evidence.
+        failures: FailureCounts,
     },
     /// An upstream was ejected for a while because another instance has found it failing.
     EjectedElsewhere(UpstreamId),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -83,6 +83,7 @@
 pub use crate::load::ZoneLoads;
 pub use crate::load::ZoneSum;
 pub use crate::loss::Sample;
+pub use crate::outcome::FailureCounts;
 pub use crate::outcome::FailureReport;
 pub use crate::outcome::Outcome;
 pub use crate::packet::DropCause;
--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -208,12 +208,32 @@
         self.evidence.failures / self.evidence.attempts.max(1.0)
     }
 
+    /// The failures that the evidence comes from.
+    pub(crate) fn failure_counts(&self) -> FailureCounts {
+        FailureCounts {
+            attempts: self.evidence.attempts.round() as u32,
+            failed: self.evidence.failures.round() as u32,
+            short: self.evidence.short.round() as u32,
+        }
+    }
+
     /// Discards the evidence, when the upstream is ejected.
     pub(crate) fn clear_evidence(&mut self) {
         self.evidence = Evidence::default();
     }
 }
 
+/// Attempts at one upstream since the evidence against it began to grow, over all instances.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct FailureCounts {
+    /// All attempts, estimated from the rate.
+    pub attempts: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Those that failed by a short answer. Of these, only some count.
+    pub short: u32,
+}
+
 /// Evidence that an upstream is failing: a cumulative sum (CUSUM) of log-likelihood ratios that never falls below
 /// zero. Each failure increases it, and the successes estimated from the rate of attempts decrease it.
 #[derive(Debug, Default, Clone, Copy)]
@@ -223,6 +243,8 @@
     attempts: f64,
     /// How many of these failed.
     failures: f64,
+    /// How many of those failed by a short answer.
+    short: f64,
     /// When the score was last updated.
     updated_at: Time,
     /// The start of the current window.
@@ -241,10 +263,11 @@
         let estimated_attempts = rate * now.since(self.updated_at).as_secs_f64();
         let estimated_successes = (estimated_attempts - f64::from(report.failed)).max(0.0);
         if self.score + estimated_successes * success_weight <= 0.0 {
-            (self.attempts, self.failures) = (0.0, 0.0);
+            (self.attempts, self.failures, self.short) = (0.0, 0.0, 0.0);
         }
         self.attempts += estimated_successes + f64::from(report.failed);
         self.failures += f64::from(report.failed);
+        self.short += f64::from(report.short);
         let long = report.failed.saturating_sub(report.short);
         let counted = f64::from(long) + self.count_short(report.short, rate, now);
         self.score = (self.score + estimated_successes * success_weight).max(0.0) + counted * failure_weight;
--- a/crates/flow/tests/scenarios.rs
+++ b/crates/flow/tests/scenarios.rs
@@ -534,6 +534,7 @@
                 Decision::Ejected {
                     upstream,
                     usual_percent,
+                    ..
                 } => writeln!(out, "  {:x} is ejected, baseline {usual_percent}%", upstream.0).unwrap(),
                 Decision::EjectedElsewhere(upstream) => {
                     writeln!(out, "  {:x} is ejected elsewhere", upstream.0).unwrap();
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -144,7 +144,13 @@
         Decision::Ejected {
             upstream,
             usual_percent,
-        } => log::warn!("flows: ejected upstream={upstream} usual_percent={usual_percent}"),
+            failures,
+        } => log::warn!(
+            "flows: ejected upstream={upstream} usual_percent={usual_percent} attempts={} failed={} short={}",
+            failures.attempts,
+            failures.failed,
+            failures.short
+        ),
         Decision::EjectedElsewhere(upstream) => log::info!("flows: ejected by another instance upstream={upstream}"),
         Decision::Readmitted(upstream) => log::warn!("flows: readmitted upstream={upstream}"),
         Decision::Restarted { upstream, flows } => {
