Stop counting openings that their clients have given up on as open flows

Cause, by the logs: after a restart of all, three instances read the openings of the last seconds at once; one of them placed 48 at each of the two upstreams of its zone. Their clients had gone, but a flow in the flow table counted as open until it had been idle for 15 seconds, so both upstreams were at their limit of 40. When the other zone was emptied, nothing was left. The other hypothesis, sums of collectors that outlast an instance, does not fit: own counts expire by idle time, and the refusals end 15 s after the openings.

Change: a flow whose handshake is not complete after 1.4 s, when its client gives up, no longer counts as open. Should data come all the same, it counts again from there.

--- a/crates/flow/src/core/load.rs
+++ b/crates/flow/src/core/load.rs
@@ -23,6 +23,7 @@
 use crate::load::Purpose;
 use crate::load::UpstreamSum;
 use crate::load::WorkCounts;
+use crate::load::WorkDeadline;
 use crate::load::WorkKind;
 use crate::load::ZoneLoad;
 use crate::load::ZoneLoads;
@@ -116,6 +117,20 @@
             let id = flow.upstream;
             self.end_work(id);
         }
+        while let Some(opening) = self.loads.own.pop_handshake(now) {
+            self.uncount_abandoned(&opening);
+        }
+    }
+
+    /// Stops counting a flow as open if its client has given up on the handshake. Should the client go on all the same,
+    /// the flow counts again from its first data.
+    fn uncount_abandoned(&mut self, opening: &WorkDeadline) {
+        let flow = self.flows.get_mut(&opening.key);
+        let flow = flow.filter(|flow| flow.is_opening() && flow.first_seen == opening.since && flow.is_counted);
+        if let Some(flow) = flow {
+            flow.is_counted = false;
+            self.loads.own.close(flow.upstream);
+        }
     }
 
     fn begin_work(&mut self, key: &FlowKey, id: UpstreamId, kind: WorkKind, now: Time) {
--- a/crates/flow/src/load.rs
+++ b/crates/flow/src/load.rs
@@ -39,6 +39,7 @@
 pub use message::ZoneLoads;
 pub use message::ZoneSum;
 pub(crate) use own::OwnWork;
+pub(crate) use own::WorkDeadline;
 pub(crate) use own::WorkKind;
 pub(crate) use view::Member;
 pub(crate) use view::Views;
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -26,6 +26,9 @@
 /// How long an opening counts as in flight. A client that gets no answer retransmits after 200 milliseconds; one that
 /// sends nothing more by then was refused or has gone.
 const MAX_OPENING: Duration = Duration::from_millis(300);
+/// How long a flow counts as open before its handshake is complete. A client gives up on its opening packet after 1.4
+/// seconds, retransmissions included.
+const MAX_HANDSHAKE: Duration = Duration::from_millis(1_400);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
@@ -65,6 +68,8 @@
     next_group: Option<LoadGroup>,
     /// Deadlines of work in flight, ordered by due time, with one queue for each kind.
     openings: VecDeque<WorkDeadline>,
+    /// The same for how long a flow without a complete handshake counts as open.
+    handshakes: VecDeque<WorkDeadline>,
     requests: VecDeque<WorkDeadline>,
 }
 
@@ -142,6 +147,10 @@
         };
         let (due, since) = (now + lasts, now);
         queue.push_back(WorkDeadline { kind, due, key, since });
+        if kind == WorkKind::Opening {
+            let due = now + MAX_HANDSHAKE;
+            self.handshakes.push_back(WorkDeadline { kind, due, key, since });
+        }
     }
 
     /// Counts the end of work in flight. Returns whether it was counted.
@@ -161,6 +170,11 @@
         }
     }
 
+    /// Removes and returns the next opening whose handshake should have been complete by now.
+    pub(crate) fn pop_handshake(&mut self, now: Time) -> Option<WorkDeadline> {
+        self.handshakes.pop_front_if(|work| work.due <= now)
+    }
+
     /// Removes and returns the next work whose deadline has passed.
     pub(crate) fn pop_deadline(&mut self, now: Time) -> Option<WorkDeadline> {
         let openings = self.openings.pop_front_if(|work| work.due <= now);
--- a/crates/flow/tests/load_fleet/mod.rs
+++ b/crates/flow/tests/load_fleet/mod.rs
@@ -152,6 +152,13 @@
         Some(upstream)
     }
 
+    /// Sends an opening packet whose client never completes the handshake.
+    pub fn abandon_opening(&mut self, instance: usize) {
+        self.clients += 1;
+        let syn = support::opening_packet(self.clients);
+        self.cores[instance].handle_packet(&syn, self.now);
+    }
+
     /// Closes all flows.
     pub fn close_all(&mut self) {
         for flow in self.flows.drain(..) {
