--- a/crates/flow/src/outcome.rs
+++ b/crates/flow/src/outcome.rs
@@ -211,7 +211,6 @@
     /// The failures that the evidence comes from.
     pub(crate) fn failure_counts(&self) -> FailureCounts {
         FailureCounts {
-            attempts: self.evidence.attempts.round() as u32,
             failed: self.evidence.failures.round() as u32,
             short: self.evidence.short.round() as u32,
         }
@@ -223,12 +222,10 @@
     }
 }
 
-/// Attempts at one upstream since the evidence against it began to grow, over all instances.
+/// Failures at one upstream since the evidence against it began to grow, over all instances.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct FailureCounts {
-    /// All attempts, estimated from the rate.
-    pub attempts: u32,
-    /// Those that failed.
+    /// Attempts that failed.
     pub failed: u32,
     /// Those that failed by a short answer. Of these, only some count.
     pub short: u32,
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -146,8 +146,7 @@
             usual_percent,
             failures,
         } => log::warn!(
-            "flows: ejected upstream={upstream} usual_percent={usual_percent} attempts={} failed={} short={}",
-            failures.attempts,
+            "flows: ejected upstream={upstream} usual_percent={usual_percent} failed={} short={}",
             failures.failed,
             failures.short
         ),
