Don't count copies of opening packets as refused connections

Cause, by the new fields of the log: failed=8 to 14, short=0, 300 ms after the instances had become ready, so again connections that counted as refused and no short answers. A check holds a connection for refused if nothing follows its opening packet within 300 ms, as a copy would come after 200. That holds for the first transmission only: the copy after that comes 400 ms later, and after the last one nothing comes. Where the first transmission went to a process that was killed, copies alone are read.

Change: only first transmissions are checked. A client whose connection is refused opens the next one with a first transmission, so upstreams that refuse connections are found as before.

--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -101,7 +101,10 @@
         self.loss.note_attempt(now);
         self.flows.insert(key, flow);
         self.count_opening(&key, id, now);
-        self.checks.add_opening(key, now);
+        // The next copy of a retransmitted packet comes later than the check, or not at all.
+        if packet.ack == 0 {
+            self.checks.add_opening(key, now);
+        }
     }
 
     /// The upstream of an opening packet whose copy arrived just before. Both were delayed on the way, so the second
