Keep to the limit of ejections when instances eject at the same time

Cause, by the logs: each aggregator kept to the limit by what it knew, as the announcements of the others were on their way, and an ejection that is announced was applied without regard to the limit.

Change: an instance that learns of an ejection, after which more than half of the service are ejected, readmits those of its own beyond the limit. All keep the lowest ids, so no further message is needed to agree.

--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -116,19 +116,44 @@
             return false;
         };
         let service = &listed.upstream().service;
+        let (ejected, allowed) = self.ejected_of(service);
+        ejected.len() < allowed
+            && self
+                .load(service, Some(id), now)
+                .is_none_or(ServiceLoad::allows_ejection)
+    }
+
+    /// Readmits the upstreams that this instance has ejected beyond the limit of their service, after it has learned of
+    /// the ejection of `id` elsewhere. Instances may eject different upstreams at the same time; all of them keep those
+    /// with the lowest ids ejected.
+    pub(super) fn yield_excess_ejections(&mut self, id: UpstreamId, now: Time) {
+        let Some(listed) = self.directory.get(id) else {
+            return;
+        };
+        let (mut ejected, allowed) = self.ejected_of(&listed.upstream().service);
+        ejected.sort_unstable();
+        for id in ejected.into_iter().skip(allowed) {
+            let health = self.health.get(&id);
+            if health.is_some_and(|health| health.ejection.failing_share().is_some()) {
+                self.readmit(id, now);
+            }
+        }
+    }
+
+    /// The ejected upstreams of a service, and the number of upstreams that may be.
+    fn ejected_of(&self, service: &str) -> (Vec<UpstreamId>, usize) {
         let mut all = 0;
-        let mut ejected = 0;
-        for (other, listed) in self.directory.of_service(service) {
+        let mut ejected = Vec::new();
+        for (id, listed) in self.directory.of_service(service) {
             if listed.upstream().leaving || listed.gone_since.is_some() {
                 continue;
             }
             all += 1;
-            ejected += usize::from(self.is_ejected(other));
+            if self.is_ejected(id) {
+                ejected.push(id);
+            }
         }
-        (ejected + 1) * EJECTED_ONE_IN <= all
-            && self
-                .load(service, Some(id), now)
-                .is_none_or(ServiceLoad::allows_ejection)
+        (ejected, all / EJECTED_ONE_IN)
     }
 
     fn is_ejected(&self, id: UpstreamId) -> bool {
--- a/crates/flow/src/core/status_updates.rs
+++ b/crates/flow/src/core/status_updates.rs
@@ -106,6 +106,9 @@
             (true, false) => self.decisions.push(Decision::Readmitted(id)),
             _ => {}
         }
+        if is_out {
+            self.yield_excess_ejections(id, now);
+        }
     }
 
     /// Marks an upstream as dead that others have found silent. If it has answered here since, returns a report that
--- a/crates/flow/tests/failing.rs
+++ b/crates/flow/tests/failing.rs
@@ -13,6 +13,7 @@
 use flow::Core;
 use flow::Decision;
 use flow::Echo;
+use flow::FailureReport;
 use flow::Flags;
 use flow::Packet;
 use flow::UpstreamId;
@@ -297,6 +298,36 @@
     assert_eq!(run_abandoned_openings(2..3), 0);
 }
 
+/// Guards against the ejection of all upstreams of a service by instances that find different ones failing at the same
+/// time, each within the limit by what it knows.
+#[test]
+fn ejections_that_cross_leave_half_of_the_upstreams() {
+    let mut cores = [1, 2].map(|seed| core_with_zones(4, 1, seed));
+    let report = |upstream| FailureReport {
+        upstream: UpstreamId(upstream),
+        failed: 20,
+        short: 0,
+        tried_in_ten: 20,
+    };
+    for (core, upstreams) in cores.iter_mut().zip([[1, 2], [3, 4]]) {
+        for upstream in upstreams {
+            core.receive_failure_report(&report(upstream), 1, START);
+        }
+    }
+    let [first, second] = &mut cores;
+    assert_eq!((first.ejected().len(), second.ejected().len()), (2, 2));
+    for _ in 0..3 {
+        let updates = [first.take_status_updates(), second.take_status_updates()];
+        second.receive_status_updates(&updates[0], START);
+        first.receive_status_updates(&updates[1], START);
+    }
+    let remaining = [1, 2].map(UpstreamId);
+    assert_eq!(
+        (first.ejected(), second.ejected()),
+        (remaining.to_vec(), remaining.to_vec())
+    );
+}
+
 /// A list that only raises the revision counts as a change. An instance that did not pass it on considered itself ahead
 /// of the others, whose document was newer, and stopped pulling from them.
 #[test]
