Don't count short answers as failures before there can be a view of load

Cause, by the new fields of the log: a burst came 0.8 s after all instances had been restarted, and 12, 13 and 14 were ejected with failed=18 to 22, all of them short answers (503 of full upstreams). Without a joint view, short answers pass for refusals only if three other upstreams give some, which an instance that uses the two of its zone never sees, or if response times are raised over 50 samples. A view takes over a second, as collectors gather reports for that long.

Change: within two seconds of a service's first answer at an instance, and without any view of it, short answers count as refusals. With a view, and after that time, nothing changes, so an upstream that fails is found two seconds later at most, and only right after the start of the instances that report on it.

short_answers_before_the_first_view_eject_none failed before: 1 ejection; it also checks that the same answers four seconds after the start still eject. cargo test -p flow: 130 passed.

--- a/crates/flow/src/core/outliers.rs
+++ b/crates/flow/src/core/outliers.rs
@@ -173,7 +173,7 @@
         if let Some(listed) = self.directory.get(id)
             && let Some(service) = self.typical_services.get_mut(&listed.upstream().service)
         {
-            service.recent_answers.add(id, is_short, now);
+            service.record_answer(id, is_short, now);
         }
         let outcome = if !is_short {
             Outcome::Good
--- a/crates/flow/src/core/overload.rs
+++ b/crates/flow/src/core/overload.rs
@@ -83,7 +83,8 @@
     }
 
     /// Whether a short answer of an upstream is a refusal for lack of capacity: by the joint view of the load or,
-    /// without a view, if its service seems to be short of capacity and it is one of the busier upstreams.
+    /// without a view, if its service seems to be short of capacity and it is one of the busier upstreams. As long as
+    /// there can't be a view yet, every short answer may be one.
     pub(super) fn is_capacity_refusal(&self, id: UpstreamId, now: Time) -> bool {
         if let Some(is_full) = is_full(&self.directory, &self.loads, id, now) {
             return is_full;
@@ -97,6 +98,10 @@
         if self.is_at_low_load(listed.upstream(), now) {
             return false;
         }
+        let has_view = self.loads.zones(&listed.upstream().service, now).is_some();
+        if !has_view && service.is_awaiting_view(now) {
+            return true;
+        }
         let response = self.health.get(&id).and_then(|health| health.unbounded_response(now));
         service.is_short_of_capacity(id, now) && service.is_busy(response)
     }
--- a/crates/flow/src/typical.rs
+++ b/crates/flow/src/typical.rs
@@ -23,15 +23,21 @@
 /// Fraction of the typical response time from which on an upstream counts as busy.
 const BUSY_FRACTION: f64 = 0.4;
 
+/// Time after the first answer of a service within which its joint view of load may still be missing. Collectors
+/// gather reports for a second, after instances have begun to send them.
+const VIEW_GRACE: Duration = Duration::from_secs(2);
+
 /// Typical behaviour of a service's upstreams.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct TypicalService {
+    /// When the first answer was complete.
+    first_answer_at: Option<Time>,
     /// Moving average of the time until an answer begins, in seconds.
     response: Option<f64>,
     /// Results of attempts at upstreams that aren't ejected.
     pub(crate) tally: Tally,
     /// The latest answers of its upstreams.
-    pub(crate) recent_answers: RecentAnswers,
+    recent_answers: RecentAnswers,
     /// Level of the response times, which shows whether requests wait.
     level: ResponseLevel,
     /// Since when the joint view has shown work for all slots of its upstreams.
@@ -55,6 +61,17 @@
             .clamp(MIN_OVERDUE, MAX_OVERDUE)
     }
 
+    /// Records a complete answer of an upstream.
+    pub(crate) fn record_answer(&mut self, id: UpstreamId, is_short: bool, now: Time) {
+        self.first_answer_at.get_or_insert(now);
+        self.recent_answers.add(id, is_short, now);
+    }
+
+    /// Whether a joint view of the load can't be expected yet.
+    pub(crate) fn is_awaiting_view(&self, now: Time) -> bool {
+        self.first_answer_at.is_none_or(|first| now.since(first) < VIEW_GRACE)
+    }
+
     /// Whether the service seems to be short of capacity: requests wait, or many upstreams other than `except` answer
     /// short.
     pub(crate) fn is_short_of_capacity(&self, except: UpstreamId, now: Time) -> bool {
--- a/crates/flow/tests/failing.rs
+++ b/crates/flow/tests/failing.rs
@@ -298,6 +298,46 @@
     assert_eq!(run_abandoned_openings(2..3), 0);
 }
 
+/// Requests at two upstreams, of which the first answers half of them short in the second after `begin`. Returns the
+/// number of ejections.
+fn run_short_answers(begin: Duration) -> usize {
+    let workload = Workload {
+        upstreams: 2,
+        ..HEALTHY
+    };
+    let mut harness = Harness::new(&workload);
+    let mut flows: Vec<Flow> = (0..40).map(|_| harness.open()).collect();
+    let (first_short, last_short) = (START + begin, START + begin + Duration::from_secs(1));
+    let interval = Duration::from_millis(5);
+    let mut number = 0;
+    while harness.now < last_short {
+        harness.advance(harness.now + interval);
+        let flow = &mut flows[number % 40];
+        let packet = flow.packet(Flags::ACK, 100);
+        flow.seq += 100;
+        harness.core.handle_packet(&packet, harness.now);
+        let is_short = flow.upstream == 1 && harness.now >= first_short && (number / 40).is_multiple_of(2);
+        flow.ack += if is_short { 50 } else { 1_000 };
+        let packet = flow.packet(Flags::ACK, 0);
+        let answered_at = harness.now + Duration::from_millis(2);
+        harness.core.handle_packet(&packet, answered_at);
+        number += 1;
+    }
+    harness.advance(last_short + Duration::from_millis(300));
+    harness.ejections.len()
+}
+
+/// Guards against the ejection of full upstreams right after the start of all instances, while there can be no joint
+/// view of the load that shows that they are full.
+#[test]
+fn short_answers_before_the_first_view_eject_none() {
+    assert_eq!(run_short_answers(Duration::from_millis(500)), 0);
+    assert!(
+        run_short_answers(Duration::from_secs(4)) > 0,
+        "the upstream fails, as there should be a view by then"
+    );
+}
+
 /// Guards against the ejection of all upstreams of a service by instances that find different ones failing at the same
 /// time, each within the limit by what it knows.
 #[test]
