Give log lines about resets of established flows a limit of their own

Resets of established flows are rare and each costs a client its connection, so they now have a limit of 100 lines a second of their own.

--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -5,12 +5,13 @@
 
 use flow::CapacityState;
 use flow::Decision;
+use flow::ResetCause;
 use flow::SilenceEvidence;
 use units::Position;
 use units::Revision;
 use units::Time;
 
-/// Maximum number of lines about single flows per [`WINDOW`]. A line costs a few microseconds of CPU time, so these
+/// Maximum number of lines about single flows per [`WINDOW`], and of those about resets of established flows. A line costs a few microseconds of CPU time, so these
 /// lines take less than a thousandth of a core.
 const MAX_LINES: u32 = 100;
 /// The interval that [`MAX_LINES`] applies to.
@@ -21,6 +22,9 @@
 pub(crate) struct DecisionLog {
     since: Time,
     written: u32,
+    /// Lines about resets of established flows, which each cost a client its connection. They have a limit of their
+    /// own, as a burst of openings would use up a common one.
+    written_resets: u32,
     left_out: u64,
 }
 
@@ -29,7 +33,7 @@
     /// about a single flow only within the limit.
     pub(crate) fn write(&mut self, decisions: &[Decision], basis: Basis, now: Time) {
         for decision in decisions {
-            if is_about_one_flow(decision) && !self.has_capacity(now) {
+            if is_about_one_flow(decision) && !self.has_capacity(decision, now) {
                 self.left_out += 1;
                 continue;
             }
@@ -37,7 +41,7 @@
         }
     }
 
-    fn has_capacity(&mut self, now: Time) -> bool {
+    fn has_capacity(&mut self, decision: &Decision, now: Time) -> bool {
         if now.since(self.since) >= WINDOW {
             if self.left_out > 0 {
                 log::warn!("flows: left out lines={}", self.left_out);
@@ -47,11 +51,23 @@
                 ..Self::default()
             };
         }
-        self.written += 1;
-        self.written <= MAX_LINES
+        let written = if is_established_reset(decision) {
+            &mut self.written_resets
+        } else {
+            &mut self.written
+        };
+        *written += 1;
+        *written <= MAX_LINES
     }
 }
 
+fn is_established_reset(decision: &Decision) -> bool {
+    let Decision::Reset { cause, .. } = decision else {
+        return false;
+    };
+    matches!(cause, ResetCause::Dead | ResetCause::Stalled)
+}
+
 fn is_about_one_flow(decision: &Decision) -> bool {
     !matches!(
         decision,
