Don't reset a flow that another instance may have opened

At 25.277 s instance 3 went on and placed the flow, and the client got its answer; at 25.279 s instance 5, which had never seen the flow, refused the copy for lack of capacity, and the reset reached the open flow.

Change: a copy of an opening packet that was not held here is dropped where it would have been refused for lack of capacity: whether another instance has placed an earlier one is not known here. First transmissions are still refused at once. The price is a client whose first packet was lost: it gets no answer to its copies instead of a reset.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -19,6 +19,7 @@
 use compact_str::CompactString;
 use units::Time;
 
+use crate::flows::ATTEMPT_TIMEOUT;
 use crate::flows::FlowKey;
 use crate::load::ClassLoad;
 use fair_shares::FairShares;
@@ -29,9 +30,6 @@
 
 /// Times of a client's retransmissions of an opening packet, after its first transmission.
 const RETRANSMISSION_TIMES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
-/// Time after which a client gives up on an opening packet, retransmissions included. It stands in for the target of
-/// routes that have neither a target nor a timeout.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_400);
 /// Interval between two sweeps of state that no longer matters.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,7 +73,8 @@
         RETRANSMISSION_TIMES.get(earlier).copied()
     }
 
-    /// The response time, counted from the first transmission, up to which an answer is of use.
+    /// The response time, counted from the first transmission, up to which an answer is of use. Where a route has
+    /// neither a target nor a timeout, the client's timeout for the opening stands in.
     fn limit(&self) -> Duration {
         let limit = self.target.or(self.timeout).unwrap_or(ATTEMPT_TIMEOUT);
         limit.min(self.timeout.unwrap_or(Duration::MAX))
@@ -201,6 +200,14 @@
         }
     }
 
+    /// Whether an opening may have been placed by another instance: it is a copy, and no earlier one was held here. A
+    /// reset would end the flow if it is open by now.
+    pub(crate) fn may_be_placed(&self, service: &str, opening: &Opening) -> bool {
+        let state = self.services.get(service);
+        let is_held = state.is_some_and(|state| state.held.contains(&opening.flow));
+        opening.retransmissions > 0 && !is_held
+    }
+
     /// The number of openings that are held.
     pub fn held_count(&self) -> usize {
         self.services.values().map(|service| service.held.len()).sum()
--- a/crates/flow/src/admission/held.rs
+++ b/crates/flow/src/admission/held.rs
@@ -55,6 +55,10 @@
         index.map(|index| self.openings.swap_remove(index)).is_some()
     }
 
+    pub(super) fn contains(&self, flow: &FlowKey) -> bool {
+        self.openings.iter().any(|held| held.flow == *flow)
+    }
+
     /// Whether any opening is still expected.
     pub(super) fn is_any_expected(&self, now: Time) -> bool {
         self.openings.iter().any(|held| held.is_expected(now))
--- a/crates/flow/src/core/admission.rs
+++ b/crates/flow/src/core/admission.rs
@@ -68,11 +68,12 @@
     }
 }
 
-/// The verdict for an opening that is not admitted.
-fn verdict(admission: Admission, packet: &Packet) -> Option<Verdict> {
+/// The verdict for an opening that is not admitted. One that another instance may have placed isn't reset.
+fn verdict(admission: Admission, packet: &Packet, may_be_placed: bool) -> Option<Verdict> {
     match admission {
         Admission::Admit => None,
         Admission::Hold => Some(Verdict::Drop(DropCause::Held)),
+        Admission::Refuse if may_be_placed => Some(Verdict::Drop(DropCause::Held)),
         Admission::Refuse => Some(Verdict::Reset(reset_for_opening(packet, ResetCause::Overload))),
     }
 }
@@ -91,7 +92,12 @@
         if self.admission.assess(service, opening, room, now) == Admission::Admit {
             return None;
         }
-        verdict(self.admission.decide(service, opening, room, now), packet)
+        let may_be_placed = self.admission.may_be_placed(service, opening);
+        verdict(
+            self.admission.decide(service, opening, room, now),
+            packet,
+            may_be_placed,
+        )
     }
 
     /// Returns the upstream for an opening that is admitted, or else the verdict for its packet.
@@ -117,8 +123,9 @@
             candidate.tier = Tier::Ready;
             room.has_free_slot = true;
         }
+        let may_be_placed = self.admission.may_be_placed(service, opening);
         let admission = self.admission.decide(service, opening, room, now);
-        verdict(admission, packet).map_or(Ok(candidate), Err)
+        verdict(admission, packet, may_be_placed).map_or(Ok(candidate), Err)
     }
 
     /// Sets the number of instances in this instance's availability zone.
--- a/crates/flow/src/core/opening.rs
+++ b/crates/flow/src/core/opening.rs
@@ -108,8 +108,8 @@
     }
 
     /// The upstream of an opening packet whose copy arrived just before. Both were delayed on the way, so the second
-    /// isn't a sign of an unresponsive upstream, nor is it one if nothing follows. An upstream that has since been told to take no new flows gets
-    /// neither.
+    /// isn't a sign of an unresponsive upstream, nor is it one if nothing follows. An upstream that has since been told
+    /// to take no new flows gets neither.
     fn delayed_duplicate(&mut self, key: &FlowKey, now: Time) -> Option<UpstreamId> {
         let flow = self.flows.get_mut(key)?;
         let is_delayed = flow.stage == Stage::Opening && now.since(flow.first_seen) < MIN_RETRANSMISSION_INTERVAL;
--- a/crates/flow/src/flows.rs
+++ b/crates/flow/src/flows.rs
@@ -16,6 +16,9 @@
 /// retransmission, and longer before each further one.
 pub(crate) const MIN_RETRANSMISSION_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Time after which a client gives up on an opening packet, retransmissions included.
+pub(crate) const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_400);
+
 /// Identifies a flow by its two addresses, which are the same for the client, the upstream and every instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowKey {
--- a/crates/flow/src/load/own.rs
+++ b/crates/flow/src/load/own.rs
@@ -19,6 +19,7 @@
 use super::own_group::OwnGroup;
 use super::own_group::OwnUpstream;
 use super::own_group::SentValues;
+use crate::flows::ATTEMPT_TIMEOUT;
 use crate::flows::FlowKey;
 use crate::packet::Echo;
 use crate::upstream::UpstreamId;
@@ -26,9 +27,6 @@
 /// How long an opening counts as in flight. A client that gets no answer retransmits after 200 milliseconds; one that
 /// sends nothing more by then was refused or has gone.
 const MAX_OPENING: Duration = Duration::from_millis(300);
-/// How long a flow counts as open before its handshake is complete. A client gives up on its opening packet after 1.4
-/// seconds, retransmissions included.
-const MAX_HANDSHAKE: Duration = Duration::from_millis(1_400);
 /// How long a request counts as in flight if its answer is never seen.
 const MAX_REQUEST: Duration = Duration::from_secs(2);
 /// How long an instance without work at a busy service still asks for digests, so that it has a view for its next flow.
@@ -68,7 +66,7 @@
     next_group: Option<LoadGroup>,
     /// Deadlines of work in flight, ordered by due time, with one queue for each kind.
     openings: VecDeque<WorkDeadline>,
-    /// The same for how long a flow without a complete handshake counts as open.
+    /// Until when a flow without a complete handshake counts as open, ordered in the same way.
     handshakes: VecDeque<WorkDeadline>,
     requests: VecDeque<WorkDeadline>,
 }
@@ -148,7 +146,7 @@
         let (due, since) = (now + lasts, now);
         queue.push_back(WorkDeadline { kind, due, key, since });
         if kind == WorkKind::Opening {
-            let due = now + MAX_HANDSHAKE;
+            let due = now + ATTEMPT_TIMEOUT;
             self.handshakes.push_back(WorkDeadline { kind, due, key, since });
         }
     }
--- a/crates/flow/tests/core_admission.rs
+++ b/crates/flow/tests/core_admission.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use flow::Core;
+use flow::DropCause;
 use flow::Flags;
 use flow::LoadDigest;
 use flow::LoadGroup;
@@ -306,6 +307,23 @@
     assert!(most <= Some(&4), "{most:?} of 50 openings at one upstream");
 }
 
+/// Guards against the reset of a flow that another instance has opened, by a copy of its opening packet that arrives here
+/// first, as routers changed their rotation.
+#[test]
+fn copies_of_an_opening_packet_that_another_instance_may_have_placed() {
+    let mut core = core_with_zones(60, 1, 1);
+    receive(&mut core, &digest(1, &near(1, 0), None), START);
+    for retransmissions in [1, 2] {
+        let copy = Packet {
+            ack: retransmissions,
+            ..opening_packet(retransmissions)
+        };
+        assert_eq!(core.handle_packet(&copy, after(1)), Verdict::Drop(DropCause::Held));
+    }
+    let first = core.handle_packet(&opening_packet(3), after(2));
+    assert!(matches!(first, Verdict::Reset(_)), "nobody has placed it: {first:?}");
+}
+
 /// Guards against the reset of an established flow, by a copy of its opening packet that arrives after the handshake.
 #[test]
 fn late_copies_of_an_opening_packet() {
--- a/crates/jayquayd/src/forward/decisions.rs
+++ b/crates/jayquayd/src/forward/decisions.rs
@@ -11,8 +11,8 @@
 use units::Revision;
 use units::Time;
 
-/// Maximum number of lines about single flows per [`WINDOW`], and of those about resets of established flows. A line costs a few microseconds of CPU time, so these
-/// lines take less than a thousandth of a core.
+/// Maximum number of lines about single flows per [`WINDOW`], and of those about resets of established flows. A line
+/// costs a few microseconds of CPU time, so these lines take less than a thousandth of a core.
 const MAX_LINES: u32 = 100;
 /// The interval that [`MAX_LINES`] applies to.
 const WINDOW: Duration = Duration::from_secs(1);
