--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod case_born;
 mod case_full;
+mod case_queue;
 mod client;
 mod packet;
 mod process;
@@ -28,6 +29,7 @@
     };
     let result = match case.as_str() {
         "born" => case_born::run(daemon, &record, trouble),
+        "queue" => case_queue::run(daemon, &record, trouble),
         "full" => case_full::run(daemon, &record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -19,6 +19,11 @@
 use crate::packet::SYN;
 use crate::record::Record;
 
+/// A pause of a stand-in that counts as a disruption on it.
+pub const STALL: Duration = Duration::from_millis(40);
+/// How long after a disruption nothing counts (`stable_window_ms`).
+pub const STABLE_WINDOW: Duration = Duration::from_secs(4);
+
 /// How long an unfinished handshake is kept.
 const HANDSHAKE: Duration = Duration::from_secs(2);
 
@@ -27,8 +32,13 @@
     pub name: String,
     pub id: u64,
     pub slots: usize,
+    /// How many requests wait for a slot; further ones are told that they have not run.
+    pub queue: usize,
     pub max_conns: usize,
+    /// The mean work of a request, the spread of its logarithm, and its maximum.
     pub work: Duration,
+    pub spread: f64,
+    pub max_work: Duration,
     /// The idle time after which a flow is closed.
     pub idle: Duration,
     /// Whether each run has a line in the record; the others are only counted.
@@ -61,6 +71,8 @@
     pub resets: u64,
     pub opened: u64,
     unanswered: usize,
+    /// When this stand-in was last kept from running for longer than [`STALL`], by the load of the machine.
+    stalled: Option<Instant>,
     /// When each opening packet that it took came.
     pub openings: Vec<Instant>,
 }
@@ -78,15 +90,17 @@
         let std::net::SocketAddr::V4(address) = socket.local_addr()? else { unreachable!() };
         let seen = Arc::new(Mutex::new(Seen::default()));
         let ended = Arc::new(AtomicBool::new(false));
-        let task = Task { spec, socket, record, seen: seen.clone(), ended: ended.clone(), running: Vec::new(), queued: VecDeque::new() };
+        let random = spec.id.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let task = Task { spec, socket, record, seen: seen.clone(), ended: ended.clone(), running: Vec::new(), queued: VecDeque::new(), random };
         std::thread::spawn(move || task.run());
         Ok(Self { address, seen, ended })
     }
 
-    /// Whether the target lives and holds this flow open.
+    /// Whether the target lives, has run without a pause for the stable window, and holds this flow open.
     pub fn holds(&self, ends: &Ends) -> bool {
         let seen = self.seen.lock().unwrap();
-        !self.ended.load(Ordering::Relaxed) && seen.flows.get(ends).is_some_and(|held| held.is_open)
+        let is_calm = seen.stalled.is_none_or(|at| at.elapsed() > STABLE_WINDOW);
+        is_calm && !self.ended.load(Ordering::Relaxed) && seen.flows.get(ends).is_some_and(|held| held.is_open)
     }
 
     /// The number of requests taken and not answered.
@@ -112,12 +126,20 @@
     ended: Arc<AtomicBool>,
     running: Vec<(Instant, Ends, Packet)>,
     queued: VecDeque<(Ends, Packet)>,
+    random: u64,
 }
 
 impl Task {
     fn run(mut self) {
         let mut buffer = [0; 2048];
+        let mut last = Instant::now();
         while !self.ended.load(Ordering::Relaxed) {
+            let now = Instant::now();
+            if now - last > STALL {
+                self.seen.lock().unwrap().stalled = Some(now);
+                self.record.line(&format!("{} was kept from running for {} ms", self.spec.name, (now - last).as_millis()));
+            }
+            last = now;
             if let Ok(len) = self.socket.recv(&mut buffer) {
                 self.receive(&buffer[..len]);
             }
@@ -198,8 +220,18 @@
         if !packet.data.is_empty() && held.is_open {
             if packet.seq == held.expected {
                 held.expected = held.expected.wrapping_add(packet.data.len() as u32);
-                self.queued.push_back((ends, packet.clone()));
-                has_request = true;
+                if self.queued.len() < self.spec.queue {
+                    self.queued.push_back((ends, packet.clone()));
+                    has_request = true;
+                } else {
+                    let id = request_id(&packet.data);
+                    self.record.line(&format!("{} rejects {id}, its queue is full", self.spec.name));
+                    let text = format!("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                    let response = Packet { data: text.into_bytes(), ..reply(ACK, held.next, held.expected, held.echo) };
+                    held.next = held.next.wrapping_add(response.data.len() as u32);
+                    held.last_response = Some(response.clone());
+                    self.send(&response);
+                }
             } else if let Some(response) = &held.last_response {
                 self.send(response);
             } else {
@@ -224,8 +256,23 @@
             if self.spec.is_recorded {
                 self.record.line(&format!("{} runs {id}", self.spec.name));
             }
-            self.running.push((Instant::now() + self.spec.work, ends, request));
+            let work = self.draw_work();
+            self.running.push((Instant::now() + work, ends, request));
+        }
+    }
+
+    /// Draws the work of a request: log-normal, from the sum of twelve uniform numbers.
+    fn draw_work(&mut self) -> Duration {
+        let mut normal = -6.0;
+        for _ in 0..12 {
+            self.random ^= self.random << 13;
+            self.random ^= self.random >> 7;
+            self.random ^= self.random << 17;
+            normal += (self.random >> 11) as f64 / (1_u64 << 53) as f64;
         }
+        let spread = self.spec.spread;
+        let factor = (spread * normal - spread * spread / 2.0).exp();
+        self.spec.work.mul_f64(factor).min(self.spec.max_work)
     }
 
     fn finish_work(&mut self) {
