--- a/review/standin/case_born.rs
+++ b/review/standin/case_born.rs
@@ -22,10 +22,10 @@
 use crate::target::Target;
 
 const IDLE: Duration = Duration::from_secs(15);
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(42);
 /// How far the clock of the target's machine is ahead until it jumps back.
 const CLOCK_STEP_MS: u64 = 2_000;
-const DRAIN: Duration = Duration::from_millis(3_000);
+const DRAIN: Duration = Duration::from_millis(5_000);
 /// How much longer than `drain_ms` the target goes on.
 const LINGERING: Duration = Duration::from_secs(9);
 
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -107,6 +107,8 @@
     packet: Packet,
     resend: Duration,
     next: Instant,
+    /// Whether the target has acknowledged it, so that it isn't sent again.
+    is_acknowledged: bool,
 }
 
 struct Flow {
@@ -272,7 +274,7 @@
                         self.send(&self.packet(port, FIN | ACK, Vec::new()));
                         self.flows.remove(&port);
                         self.states[index] = UserState::Idle(now + self.users[index].pause, 0);
-                    } else if now >= request.next {
+                    } else if now >= request.next && !request.is_acknowledged {
                         request.resend = (request.resend * 2).min(MAX_RESEND);
                         request.next = now + request.resend;
                         let packet = request.packet.clone();
@@ -301,7 +303,7 @@
         self.send(&packet);
         let flow = self.flows.get_mut(&port).unwrap();
         flow.last = now;
-        flow.request = Some(Request { id, sent: now, packet, resend: MIN_RESEND, next: now + MIN_RESEND });
+        flow.request = Some(Request { id, sent: now, packet, resend: MIN_RESEND, next: now + MIN_RESEND, is_acknowledged: false });
         self.states[index] = UserState::Asking;
     }
 
@@ -342,6 +344,10 @@
             self.states[index] = UserState::Idle(now, 0);
             return;
         }
+        if let Some(request) = &mut flow.request {
+            let end = request.packet.seq.wrapping_add(request.packet.data.len() as u32);
+            request.is_acknowledged |= packet.ack == end;
+        }
         if packet.data.is_empty() || packet.seq != flow.ack {
             return;
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod case_born;
+mod case_cold;
 mod case_full;
 mod case_queue;
 mod client;
@@ -30,6 +31,7 @@
     let result = match case.as_str() {
         "born" => case_born::run(daemon, &record, trouble),
         "queue" => case_queue::run(daemon, &record, trouble),
+        "cold" => case_cold::run(daemon, &record, trouble),
         "full" => case_full::run(daemon, &record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -232,7 +232,7 @@
                     held.last_response = Some(response.clone());
                     self.send(&response);
                 }
-            } else if let Some(response) = &held.last_response {
+            } else if let Some(response) = held.last_response.as_ref().filter(|response| is_answer(response, &packet)) {
                 self.send(response);
             } else {
                 self.send(&reply(ACK, held.next, held.expected, held.echo));
@@ -306,6 +306,11 @@
     }
 }
 
+/// Whether a response answers the request in a packet that came again; a request that still waits is acknowledged.
+fn is_answer(response: &Packet, request: &Packet) -> bool {
+    response.ack == request.seq.wrapping_add(request.data.len() as u32)
+}
+
 /// The value of the request's `X-Request-Id` header.
 pub fn request_id(data: &[u8]) -> String {
     let text = String::from_utf8_lossy(data);
