--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -28,13 +28,27 @@
     pub service: String,
 }
 
+/// Whether a target runs, and what it says of itself.
+pub struct Life {
+    pub is_up: bool,
+    pub is_draining: bool,
+    /// The Unix millisecond of its start, by its own clock.
+    pub born: u64,
+    /// The number of its start. A target that starts again holds and knows nothing of before.
+    start: u32,
+}
+
 pub struct Target {
     pub name: String,
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    /// The Unix millisecond of its start.
-    born: u128,
+    pub life: Arc<Mutex<Life>>,
+}
+
+/// The Unix millisecond.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
 impl Target {
@@ -50,24 +64,45 @@
         let socket = UdpSocket::bind((ip, 0)).map_err(|error| format!("target: {error}"))?;
         let address = socket.local_addr().map_err(|error| error.to_string())?;
         let name = format!("i-{id:010x}");
+        let life = Arc::new(Mutex::new(Life {
+            is_up: true,
+            is_draining: false,
+            born: unix_ms(),
+            start: 1,
+        }));
         let target = Self {
             name: name.clone(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address,
-            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis()),
+            life: Arc::clone(&life),
         };
         let service = service.to_owned();
-        thread::spawn(move || serve(&socket, id, &name, &service, client_port, &runs));
+        thread::spawn(move || serve(&socket, id, &name, &service, client_port, &runs, &life));
         Ok(target)
     }
 
+    /// Ends it without a word.
+    pub fn crash(&self) {
+        self.life.lock().unwrap().is_up = false;
+    }
+
+    /// Starts it again under the same id. `born` is the Unix millisecond by its clock.
+    pub fn start_again(&self, born: u64) {
+        let mut life = self.life.lock().unwrap();
+        life.is_up = true;
+        life.born = born;
+        life.start += 1;
+    }
+
     /// Its entry in the store, with all the fields that the pages name.
     pub fn entry(&self, seq: u64) -> String {
+        let life = self.life.lock().unwrap();
+        let state = if life.is_draining { "draining" } else { "ready" };
         format!(
-            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\
+            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":2,\"state\":\"{state}\",\
              \"cold_left_ms\":0,\"seq\":{seq},\"born\":{}}}",
-            self.service, self.address, self.zone, self.born
+            self.service, self.address, self.zone, life.born
         )
     }
 
@@ -76,6 +111,10 @@
         let target = Arc::clone(self);
         thread::spawn(move || {
             for seq in 1.. {
+                if !target.life.lock().unwrap().is_up {
+                    thread::sleep(HEARTBEAT);
+                    continue;
+                }
                 let revision = store.put("servers", &target.name, &target.entry(seq));
                 record.line(&format!("store  target {} reports seq={seq} rev={revision}", target.name));
                 let _nobody_waits = reported.send(target.name.clone());
@@ -87,7 +126,17 @@
 
 type FlowKey = (Ipv4Addr, u16, Ipv4Addr, u16);
 
-fn serve(socket: &UdpSocket, id: u64, name: &str, service: &str, client_port: u16, runs: &Mutex<Vec<Run>>) {
+#[allow(clippy::too_many_arguments)]
+fn serve(
+    socket: &UdpSocket,
+    id: u64,
+    name: &str,
+    service: &str,
+    client_port: u16,
+    runs: &Mutex<Vec<Run>>,
+    life: &Mutex<Life>,
+) {
+    let mut start = 1;
     let mut buffer = [0; 2_048];
     // By flow: its own sequence number, and the client's next one.
     let mut flows: HashMap<FlowKey, (u32, u32)> = HashMap::new();
@@ -96,8 +145,15 @@
         let Ok((len, _)) = socket.recv_from(&mut buffer) else {
             continue;
         };
-        if len < 8 {
-            continue;
+        {
+            let life = life.lock().unwrap();
+            if len < 8 || !life.is_up {
+                continue;
+            }
+            if life.start != start {
+                start = life.start;
+                flows.clear();
+            }
         }
         let intended = u64::from_be_bytes(buffer[..8].try_into().unwrap());
         if intended != id && intended != 0 {
