--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,7 +4,6 @@
 //! Usage: `standin CASE JAYQUAYD RECORD`, with `TROUBLE=0` in the environment to leave out the disruption.
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
-mod born_earlier;
 mod client;
 mod deployment;
 mod foreign_entry;
@@ -24,7 +23,6 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "foreign-entry" => foreign_entry::run(jayquayd, record, trouble),
-        "born-earlier" => born_earlier::run(jayquayd, record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
