Review case 6: FAILBACK broken by a restart as a zone is taken back

Claimed: an instance that starts just after a zone was taken back knows nothing of the cold time that the others have begun, and sends the zone's cold targets flows at full rate.

Scripts now note the ids of what they start and end these in any case.

--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::fs::OpenOptions;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -22,6 +23,7 @@
 pub struct Instance {
     pub name: String,
     ip: Ipv4Addr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -31,6 +33,7 @@
     pub packets: u16,
     ready: u16,
     pub instances: Vec<Instance>,
+    jayquayd: String,
     folder: PathBuf,
 }
 
@@ -41,7 +44,6 @@
             let _ended = instance.child.kill();
             let _reaped = instance.child.wait();
         }
-        let _removed = fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -52,17 +54,17 @@
 
 impl Deployment {
     /// Chooses a loopback subnet and free ports, the same on every host.
-    pub fn new() -> Result<Self, String> {
+    pub fn new(jayquayd: &str) -> Result<Self, String> {
         let subnet = 100 + (std::process::id() % 100) as u8;
         let first = Ipv4Addr::new(127, subnet, 1, 1);
-        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let folder = std::env::var_os("REVIEW_DIR").ok_or("REVIEW_DIR is not set")?;
         Ok(Self {
             subnet,
             packets: free_port(first)?,
             ready: free_port(first)?,
             instances: Vec::new(),
-            folder,
+            jayquayd: jayquayd.to_owned(),
+            folder: folder.into(),
         })
     }
 
@@ -71,7 +73,7 @@
     }
 
     /// Starts the instances of all zones, and waits until all are ready.
-    pub fn start(&mut self, jayquayd: &str, store: SocketAddr) -> Result<(), String> {
+    pub fn start(&mut self, store: SocketAddr, evacuations: bool) -> Result<(), String> {
         let peers = free_port(self.host(1, 1))?;
         let mut number = 0;
         let seeds: Vec<String> = [1, 4, 6].iter().map(|seed| format!("\"{}:{peers}\"", self.host(1, *seed))).collect();
@@ -82,23 +84,20 @@
                 let name = format!("front-{zone}-{of_zone}");
                 let settings = format!(
                     "name: \"{name}\"\nzone: \"{zone}\"\nlisten:\n  packets: \"{ip}:{}\"\n  ready: \"{ip}:{}\"\n  peers: \
-                     \"{ip}:{peers}\"\nstore: \"{store}\"\nseeds: [{}]\ngrace_s: 6\nmax_flow_s: 60\nevacuations: false\n",
+                     \"{ip}:{peers}\"\nstore: \"{store}\"\nseeds: [{}]\ngrace_s: 6\nmax_flow_s: 60\nevacuations: {evacuations}\n",
                     self.packets,
                     self.ready,
                     seeds.join(",")
                 );
                 let path = self.folder.join(format!("{name}.yaml"));
                 fs::write(&path, settings).map_err(|error| error.to_string())?;
-                let log = File::create(self.folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
-                let child = Command::new(jayquayd)
-                    .args(["--flows", "--settings"])
-                    .arg(&path)
-                    .stdin(Stdio::null())
-                    .stdout(log)
-                    .stderr(Stdio::null())
-                    .spawn()
-                    .map_err(|error| format!("{jayquayd}: {error}"))?;
-                self.instances.push(Instance { name, ip, child });
+                let child = self.spawn(&name, &path)?;
+                self.instances.push(Instance {
+                    name,
+                    ip,
+                    settings: path,
+                    child,
+                });
             }
         }
         let begin = Instant::now();
@@ -111,7 +110,43 @@
         Ok(())
     }
 
-    fn is_ready(&self, instance: &Instance) -> bool {
+    /// Starts a process with the command of the deploy file. Its id is noted, so that the script ends it in any case.
+    fn spawn(&self, name: &str, settings: &PathBuf) -> Result<Child, String> {
+        let child = Command::new(&self.jayquayd)
+            .args(["--flows", "--settings"])
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(File::create(self.folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?)
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|error| format!("{}: {error}", self.jayquayd))?;
+        let pids = OpenOptions::new().create(true).append(true).open(self.folder.join("pids"));
+        let noted = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
+        noted.map_err(|error| error.to_string())?;
+        Ok(child)
+    }
+
+    /// Sends SIGTERM to an instance.
+    pub fn terminate(&self, index: usize) -> Result<(), String> {
+        let pid = self.instances[index].child.id().to_string();
+        let sent = Command::new("kill").args(["-s", "TERM", &pid]).status();
+        sent.map(|_| ()).map_err(|error| error.to_string())
+    }
+
+    /// Whether the process of an instance has ended.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        self.instances[index].child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Starts an instance again whose process has ended.
+    pub fn start_again(&mut self, index: usize) -> Result<(), String> {
+        let instance = &self.instances[index];
+        let child = self.spawn(&instance.name, &instance.settings)?;
+        self.instances[index].child = child;
+        Ok(())
+    }
+
+    pub fn is_ready(&self, instance: &Instance) -> bool {
         let address = SocketAddr::from((instance.ip, self.ready));
         let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) else {
             return false;
--- a/review/standin-2/foreign_entry.rs
+++ b/review/standin-2/foreign_entry.rs
@@ -44,7 +44,7 @@
 pub fn run(jayquayd: &str, record: &str, trouble: bool) -> Result<bool, String> {
     let record = Arc::new(Record::create(record)?);
     record.line(&format!("case   foreign-entry, trouble={trouble}"));
-    let mut deployment = Deployment::new()?;
+    let mut deployment = Deployment::new(jayquayd)?;
     let store = Store::start(&deployment.host(4, 1).to_string())?;
     let runs = Arc::new(Mutex::new(Vec::<Run>::new()));
     let (reported, reports) = mpsc::channel();
@@ -61,7 +61,7 @@
         targets.push(target);
     }
     store.put("config", "main", &config());
-    deployment.start(jayquayd, store.address)?;
+    deployment.start(store.address, false)?;
     record.line("ready  all instances");
 
     let victim = Arc::clone(&targets[4]);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
 mod client;
+mod cold_restart;
 mod deployment;
 mod foreign_entry;
 mod packet;
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "foreign-entry" => foreign_entry::run(jayquayd, record, trouble),
+        "cold-restart" => cold_restart::run(jayquayd, record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -66,6 +66,20 @@
         revision
     }
 
+    /// Removes an object.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        let key = (kind.to_owned(), name.to_owned());
+        let Some((_, spec)) = state.objects.remove(&key) else {
+            return;
+        };
+        state.revision += 1;
+        let revision = state.revision;
+        state.history.push((revision, kind.into(), name.into(), spec, true));
+        changed.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut out) = stream.try_clone() else {
             return;
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -9,6 +9,7 @@
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -28,14 +29,14 @@
     pub service: String,
 }
 
-/// Whether a target runs, and what it says of itself.
+/// What a target knows of itself.
 pub struct Life {
-    pub is_up: bool,
-    pub is_draining: bool,
-    /// The Unix millisecond of its start, by its own clock.
-    pub born: u64,
-    /// The number of its start. A target that starts again holds and knows nothing of before.
-    start: u32,
+    /// The Unix millisecond of its start.
+    born: u64,
+    /// Until when it is cold, if it is.
+    pub cold_until: Option<Instant>,
+    /// When it accepted flows.
+    pub openings: Vec<Instant>,
 }
 
 pub struct Target {
@@ -47,7 +48,7 @@
 }
 
 /// The Unix millisecond.
-pub fn unix_ms() -> u64 {
+fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
@@ -65,10 +66,9 @@
         let address = socket.local_addr().map_err(|error| error.to_string())?;
         let name = format!("i-{id:010x}");
         let life = Arc::new(Mutex::new(Life {
-            is_up: true,
-            is_draining: false,
             born: unix_ms(),
-            start: 1,
+            cold_until: None,
+            openings: Vec::new(),
         }));
         let target = Self {
             name: name.clone(),
@@ -82,26 +82,13 @@
         Ok(target)
     }
 
-    /// Ends it without a word.
-    pub fn crash(&self) {
-        self.life.lock().unwrap().is_up = false;
-    }
-
-    /// Starts it again under the same id. `born` is the Unix millisecond by its clock.
-    pub fn start_again(&self, born: u64) {
-        let mut life = self.life.lock().unwrap();
-        life.is_up = true;
-        life.born = born;
-        life.start += 1;
-    }
-
     /// Its entry in the store, with all the fields that the pages name.
     pub fn entry(&self, seq: u64) -> String {
         let life = self.life.lock().unwrap();
-        let state = if life.is_draining { "draining" } else { "ready" };
+        let cold = life.cold_until.map_or(0, |until| until.saturating_duration_since(Instant::now()).as_millis());
         format!(
-            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":2,\"state\":\"{state}\",\
-             \"cold_left_ms\":0,\"seq\":{seq},\"born\":{}}}",
+            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\
+             \"cold_left_ms\":{cold},\"seq\":{seq},\"born\":{}}}",
             self.service, self.address, self.zone, life.born
         )
     }
@@ -111,10 +98,6 @@
         let target = Arc::clone(self);
         thread::spawn(move || {
             for seq in 1.. {
-                if !target.life.lock().unwrap().is_up {
-                    thread::sleep(HEARTBEAT);
-                    continue;
-                }
                 let revision = store.put("servers", &target.name, &target.entry(seq));
                 record.line(&format!("store  target {} reports seq={seq} rev={revision}", target.name));
                 let _nobody_waits = reported.send(target.name.clone());
@@ -136,7 +119,6 @@
     runs: &Mutex<Vec<Run>>,
     life: &Mutex<Life>,
 ) {
-    let mut start = 1;
     let mut buffer = [0; 2_048];
     // By flow: its own sequence number, and the client's next one.
     let mut flows: HashMap<FlowKey, (u32, u32)> = HashMap::new();
@@ -145,15 +127,8 @@
         let Ok((len, _)) = socket.recv_from(&mut buffer) else {
             continue;
         };
-        {
-            let life = life.lock().unwrap();
-            if len < 8 || !life.is_up {
-                continue;
-            }
-            if life.start != start {
-                start = life.start;
-                flows.clear();
-            }
+        if len < 8 {
+            continue;
         }
         let intended = u64::from_be_bytes(buffer[..8].try_into().unwrap());
         if intended != id && intended != 0 {
@@ -177,6 +152,9 @@
         };
         if packet.flags & packet::SYN != 0 {
             next_seq = next_seq.wrapping_add(100_000);
+            if !flows.contains_key(&key) {
+                life.lock().unwrap().openings.push(Instant::now());
+            }
             let flow = flows.entry(key).or_insert((next_seq, packet.seq.wrapping_add(1)));
             reply(packet::SYN | packet::ACK, flow.0, flow.1, Vec::new());
             flow.0 = flow.0.wrapping_add(u32::from(flow.0 == next_seq));
