--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -133,6 +133,13 @@
         sent.map(|_| ()).map_err(|error| error.to_string())
     }
 
+    /// Ends the process of an instance at once, with SIGKILL.
+    pub fn kill(&mut self, index: usize) {
+        let child = &mut self.instances[index].child;
+        let _ended = child.kill();
+        let _reaped = child.wait();
+    }
+
     /// Whether the process of an instance has ended.
     pub fn has_ended(&mut self, index: usize) -> bool {
         self.instances[index].child.try_wait().is_ok_and(|status| status.is_some())
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod store;
 mod target;
+mod watchers_lost;
 
 use std::process::exit;
 
@@ -25,6 +26,7 @@
     let outcome = match case.as_str() {
         "foreign-entry" => foreign_entry::run(jayquayd, record, trouble),
         "cold-restart" => cold_restart::run(jayquayd, record, trouble),
+        "watchers-lost" => watchers_lost::run(jayquayd, record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
     match outcome {
