Review: loopback addresses only in the cases

The routes of the scripts had an address of the platform's example, which only stood in packets; it is a loopback address now.

--- a/review/standin-2/cold_restart.rs
+++ b/review/standin-2/cold_restart.rs
@@ -19,7 +19,7 @@
 use crate::target::Run;
 use crate::target::Target;
 
-const HOST: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
+const HOST: Ipv4Addr = Ipv4Addr::new(127, 198, 18, 1);
 const PORT: u16 = 8_443;
 const SERVICE: &str = "dele69a";
 /// The zone that is emptied, and the index of the instance there that is restarted.
--- a/review/standin-2/foreign_entry.rs
+++ b/review/standin-2/foreign_entry.rs
@@ -16,7 +16,7 @@
 use crate::target::Run;
 use crate::target::Target;
 
-const HOST: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
+const HOST: Ipv4Addr = Ipv4Addr::new(127, 198, 18, 1);
 /// The routes: a port, and the only service that any configuration lets it go to.
 const ROUTES: [(u16, &str); 2] = [(8_443, "dele69a"), (8_444, "xano55b")];
 /// Time before the first foreign entry, and from one to the next.
--- a/review/standin-2/watchers_lost.rs
+++ b/review/standin-2/watchers_lost.rs
@@ -16,7 +16,7 @@
 use crate::target::Run;
 use crate::target::Target;
 
-const HOST: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
+const HOST: Ipv4Addr = Ipv4Addr::new(127, 198, 18, 1);
 const SERVICE: &str = "dele69a";
 /// How often it happens.
 const TURNS: u16 = 8;
